--- /dev/null
+++ b/client/client.go
@@ -0,0 +1,229 @@
+// Package client is for applications that call the system. It resumes streams
+// at another entry by itself, waits as long as a refusal says, and never repeats
+// a non-idempotent request whose outcome is unknown.
+package client
+
+import (
+	"context"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+
+	"kingcupplank.example/kingcup/engine"
+	"kingcupplank.example/kingcup/failure"
+	kingcupv1 "kingcupplank.example/kingcup/proto/kingcup/v1"
+)
+
+// Options set a Client.
+type Options struct {
+	// Refusals is how many refusals that name a time are waited out.
+	Refusals int
+	// Resumes is how many times in a row a broken stream is resumed without
+	// receiving a token.
+	Resumes int
+	// ResumeEvery is the wait between two such tries.
+	ResumeEvery time.Duration
+}
+
+// DefaultOptions suit interactive callers.
+func DefaultOptions() Options {
+	return Options{Refusals: 3, Resumes: 20, ResumeEvery: 250 * time.Millisecond}
+}
+
+// Client calls the system through any of several entries. It is safe for
+// concurrent use.
+type Client struct {
+	opts    Options
+	entries []kingcupv1.CallerServiceClient
+	next    atomic.Uint64
+}
+
+// New returns a client that uses conns in turn; behind a balancer one is
+// enough. The caller closes them.
+func New(opts Options, conns ...grpc.ClientConnInterface) *Client {
+	c := &Client{opts: opts}
+	for _, conn := range conns {
+		c.entries = append(c.entries, kingcupv1.NewCallerServiceClient(conn))
+	}
+	return c
+}
+
+func (c *Client) entry() kingcupv1.CallerServiceClient {
+	return c.entries[c.next.Add(1)%uint64(len(c.entries))]
+}
+
+// Token is one token of a generation.
+type Token struct {
+	Index uint64
+	Text  []byte
+}
+
+// Result describes a generation that is whole.
+type Result struct {
+	GenerationID string
+	Tokens       uint64
+	FinishReason string
+	// Resumes is how often the stream broke and was continued.
+	Resumes int
+	// Servers are the backend servers that the stream came from, in order.
+	Servers []string
+}
+
+// Generate runs one generation and calls each for its tokens, in order and once
+// each. The error is a *failure.Error.
+func (c *Client) Generate(ctx context.Context, req *kingcupv1.GenerateRequest, each func(Token)) (Result, error) {
+	g := &generation{c: c, req: req, each: each, digest: engine.NewDigest()}
+	for refusals := 0; ; refusals++ {
+		err := g.run(ctx)
+		if err == nil {
+			return g.result, nil
+		}
+		f := failure.As(err)
+		if !failure.IsNotRun(f) || f.RetryAfter == 0 || refusals >= c.opts.Refusals {
+			return g.result, f
+		}
+		if !sleep(ctx, f.RetryAfter) {
+			return g.result, f
+		}
+	}
+}
+
+// generation is one stream as the caller sees it. It is for one goroutine.
+type generation struct {
+	c         *Client
+	req       *kingcupv1.GenerateRequest
+	each      func(Token)
+	result    Result
+	attempt   uint32
+	delivered [][]byte
+	digest    engine.Digest
+}
+
+type events interface {
+	Recv() (*kingcupv1.GenerateResponse, error)
+}
+
+func (g *generation) run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var st events
+	st, err := g.c.entry().Generate(ctx, g.req)
+	for idle := 0; err == nil; {
+		had := len(g.delivered)
+		if err = g.read(st); err == nil {
+			return nil
+		}
+		if len(g.delivered) > had {
+			idle = 0
+		}
+		if idle++; idle > g.c.opts.Resumes || !g.resumable(err) {
+			return err
+		}
+		if !sleep(ctx, g.c.opts.ResumeEvery) {
+			return err
+		}
+		g.result.Resumes++
+		st, err = g.resume(ctx)
+	}
+	return err
+}
+
+// resumable reports whether the generation may still be running. Without a
+// generation id there is nothing to find again, and a repeat could run twice.
+func (g *generation) resumable(err error) bool {
+	if g.result.GenerationID == "" {
+		return false
+	}
+	switch f := failure.As(err); f.Reason {
+	case kingcupv1.Reason_REASON_INTERNAL, kingcupv1.Reason_REASON_LEAVING, kingcupv1.Reason_REASON_NOT_READY,
+		kingcupv1.Reason_REASON_NO_BACKEND, kingcupv1.Reason_REASON_BACKEND_LOST:
+		return f.Outcome == kingcupv1.Outcome_OUTCOME_UNKNOWN
+	}
+	return false
+}
+
+func (g *generation) resume(ctx context.Context) (events, error) {
+	req := &kingcupv1.ResumeRequest{
+		Request: g.req, GenerationId: g.result.GenerationID, NextIndex: uint64(len(g.delivered)),
+		Delivered: g.delivered, Attempt: g.attempt,
+	}
+	if n := len(g.result.Servers); n > 0 {
+		req.BackendServer = g.result.Servers[n-1]
+	}
+	return g.c.entry().Resume(ctx, req)
+}
+
+func (g *generation) read(st events) error {
+	for {
+		m, err := st.Recv()
+		if errors.Is(err, io.EOF) {
+			return failure.Unknown(kingcupv1.Reason_REASON_INTERNAL, 0, "stream ended without its end mark")
+		}
+		if err != nil {
+			return err
+		}
+		switch ev := m.GetEvent().(type) {
+		case *kingcupv1.GenerateResponse_Started:
+			g.result.GenerationID = ev.Started.GetGenerationId()
+			g.result.Servers = append(g.result.Servers, ev.Started.GetBackendServer())
+		case *kingcupv1.GenerateResponse_Tokens:
+			if err := g.take(ev.Tokens); err != nil {
+				return err
+			}
+		case *kingcupv1.GenerateResponse_End:
+			return g.finish(ev.End)
+		}
+	}
+}
+
+func (g *generation) take(t *kingcupv1.Tokens) error {
+	next := uint64(len(g.delivered))
+	if t.GetFirstIndex() != next {
+		return failure.Unknown(kingcupv1.Reason_REASON_PROTOCOL, 0, "token %d came, %d was due", t.GetFirstIndex(), next)
+	}
+	g.attempt = max(g.attempt, t.GetAttempt())
+	for _, text := range t.GetTexts() {
+		g.digest.Add(text)
+		g.each(Token{Index: uint64(len(g.delivered)), Text: text})
+		g.delivered = append(g.delivered, text)
+	}
+	return nil
+}
+
+func (g *generation) finish(end *kingcupv1.End) error {
+	g.result.Tokens = uint64(len(g.delivered))
+	g.result.FinishReason = end.GetFinishReason()
+	if end.GetTokens() != g.result.Tokens || end.GetDigest() != g.digest.Sum() {
+		return failure.Unknown(kingcupv1.Reason_REASON_PROTOCOL, 0, "tokens differ from the engine's record")
+	}
+	return nil
+}
+
+// Call sends one request to a plain service. A refusal that names a time is
+// waited out; an unknown outcome of a non-idempotent request is returned as is.
+func (c *Client) Call(ctx context.Context, req *kingcupv1.CallRequest) (*kingcupv1.CallResponse, error) {
+	for refusals := 0; ; refusals++ {
+		resp, err := c.entry().Call(ctx, req)
+		if err == nil {
+			return resp, nil
+		}
+		f := failure.As(err)
+		if !failure.IsNotRun(f) || f.RetryAfter == 0 || refusals >= c.opts.Refusals || !sleep(ctx, f.RetryAfter) {
+			return nil, f
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/cmd/kingcup-dev/main.go
@@ -0,0 +1,49 @@
+// Command kingcup-dev runs the whole system in one process on loopback, with
+// stand-ins for the platform and the backend servers, and shows one generation,
+// one call and one change of configuration.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"kingcupplank.example/kingcup/internal/dev"
+	"kingcupplank.example/kingcup/internal/settings"
+)
+
+func main() {
+	s := settings.New("kingcup-dev", "all roles and stand-ins in one process")
+	servers := s.Int("servers", 3, 1, 50, "model backend servers")
+	entries := s.Int("entries", 2, 1, 20, "entries")
+	step := s.Duration("step", 20*time.Millisecond, time.Millisecond, time.Minute, "time between two tokens")
+	prompt := s.String("prompt", "tokens=40 Draft the autumn harvest plan", "prompt of the generation that is shown", true)
+	stay := s.Bool("stay", false, "keep serving until interrupted")
+	verbose := s.Bool("verbose", false, "log what every role does")
+	s.MustParse()
+	if err := run(*servers, *entries, *step, *prompt, *stay, *verbose); err != nil {
+		fmt.Fprintln(os.Stderr, "kingcup-dev:", err)
+		os.Exit(1)
+	}
+}
+
+func run(servers, entries int, step time.Duration, prompt string, stay, verbose bool) error {
+	sys, err := dev.Start(dev.Options{Servers: servers, Entries: entries, Step: step, Verbose: verbose})
+	if err != nil {
+		return err
+	}
+	defer sys.Close()
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	if err := sys.Show(ctx, os.Stdout, prompt); err != nil {
+		return err
+	}
+	if stay {
+		fmt.Printf("\nserving; try: kingcupctl -entries %s -admin %s status\n", sys.CallerAddress(), sys.AdminAddress())
+		<-ctx.Done()
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/kingcup-entry/main.go
@@ -0,0 +1,48 @@
+// Command kingcup-entry serves callers and operators on an entry VM.
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"kingcupplank.example/kingcup/internal/app"
+	"kingcupplank.example/kingcup/internal/settings"
+	"kingcupplank.example/kingcup/internal/wire"
+)
+
+func main() {
+	s := settings.New("kingcup-entry", "terminates callers and operators and relays their requests to agents")
+	common := app.AddCommon(s)
+	s.Group("Callers")
+	callers := s.Address("caller-address", "", "address for callers and operators", true)
+	s.Group("Backend servers")
+	def := app.DefaultEntry(app.Common{})
+	perModel := s.Int("agents-per-model", def.PerModel, 1, 1000, "agents watched for each model")
+	peers := s.Int("peers", def.Peers, 0, 100, "other entries watched")
+	beat := s.Duration("heartbeat", def.Heartbeat, 50*time.Millisecond, time.Minute, "time between heartbeats of an agent")
+	list := s.Duration("list-every", def.ListEvery, 100*time.Millisecond, 10*time.Minute, "time between looks at the VM list")
+	accept := s.Duration("accept-timeout", def.AcceptTimeout, 10*time.Millisecond, time.Minute, "longest wait for an agent's first answer")
+	reattach := s.Duration("reattach-for", def.ReattachFor, 0, 10*time.Minute, "how long a lost agent is tried before its streams are moved")
+	s.Group("Platform")
+	window := s.Duration("claim-window", def.ClaimWindow, 0, time.Second, "time over which claims are grouped into a transaction")
+	ttl := s.Duration("lease-ttl", def.LeaseTTL, 2*time.Second, 10*time.Minute, "time to live of a lease for engine orders")
+	s.MustParse()
+
+	o := app.EntryOptions{
+		Common: common(), CallerAddress: *callers, PerModel: *perModel, Peers: *peers, Heartbeat: *beat,
+		ListEvery: *list, AcceptTimeout: *accept, ReattachFor: *reattach, ClaimWindow: *window, LeaseTTL: *ttl,
+	}
+	log := app.NewLog(o.Common)
+	p, err := app.DialPlatform(o.Common)
+	if err == nil {
+		var e *app.Entry
+		if e, err = app.StartEntry(o, p, wire.TCP{}, log); err == nil {
+			log.WithField("callers", e.Callers).Info("serving")
+			app.WaitAndDrain(log, o.DrainTimeout, e.Shutdown)
+			return
+		}
+	}
+	fmt.Fprintln(os.Stderr, "kingcup-entry:", err)
+	os.Exit(1)
+}
--- /dev/null
+++ b/cmd/kingcupctl/operators.go
@@ -0,0 +1,232 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+	"google.golang.org/grpc"
+
+	kingcupv1 "kingcupplank.example/kingcup/proto/kingcup/v1"
+)
+
+func operator(conns []grpc.ClientConnInterface) kingcupv1.OperatorServiceClient {
+	return kingcupv1.NewOperatorServiceClient(conns[0])
+}
+
+// apply commits a change at the head, whatever version that is, unless
+// expected names one.
+func apply(ctx context.Context, o options, conns []grpc.ClientConnInterface, req *kingcupv1.ApplyRequest) error {
+	req.ChangeId = requestID("")
+	resp, err := operator(conns).Apply(ctx, req)
+	if err != nil {
+		return err
+	}
+	show(o, resp, func() {
+		spread := "held in more than one failure domain"
+		if !resp.GetSpread() {
+			spread = "committed, not yet spread"
+		}
+		fmt.Printf("version %d, %s\n", resp.GetVersion(), spread)
+	})
+	return nil
+}
+
+// rowFlags are the flags of the commands that write a row.
+type rowFlags struct {
+	fs       *flag.FlagSet
+	expected *uint64
+}
+
+func newRowFlags(name string) rowFlags {
+	fs := flag.NewFlagSet(name, flag.ContinueOnError)
+	return rowFlags{fs, fs.Uint64("expected", 0, "version the change is based on; 0 for any")}
+}
+
+func (r rowFlags) put(ctx context.Context, o options, conns []grpc.ClientConnInterface, args []string, row func(name string) *kingcupv1.Row) error {
+	words, err := parse(r.fs, args)
+	if err != nil {
+		return err
+	}
+	if len(words) != 1 {
+		return usageError("want one name")
+	}
+	return apply(ctx, o, conns, &kingcupv1.ApplyRequest{ExpectedVersion: *r.expected, Puts: []*kingcupv1.Row{row(words[0])}})
+}
+
+func putTeam(ctx context.Context, o options, conns []grpc.ClientConnInterface, args []string) error {
+	r := newRowFlags("team")
+	weight, priority, models := r.fs.Uint("weight", 1, ""), r.fs.String("priority", "", ""), r.fs.String("models", "", "")
+	return r.put(ctx, o, conns, args, func(name string) *kingcupv1.Row {
+		t := &kingcupv1.Team{Name: name, Weight: uint32(*weight), Priority: *priority}
+		if *models != "" {
+			t.Models = strings.Split(*models, ",")
+		}
+		return &kingcupv1.Row{Row: &kingcupv1.Row_Team{Team: t}}
+	})
+}
+
+func putModel(ctx context.Context, o options, conns []grpc.ClientConnInterface, args []string) error {
+	r := newRowFlags("model")
+	kind, most, version := r.fs.String("kind", "generation", ""), r.fs.Uint("max-tokens", 0, ""), r.fs.String("model-version", "1", "")
+	return r.put(ctx, o, conns, args, func(name string) *kingcupv1.Row {
+		m := &kingcupv1.Model{Name: name, Version: *version, MaxTokens: uint32(*most), Kind: kingcupv1.ModelKind_MODEL_KIND_GENERATION}
+		if *kind == "service" {
+			m.Kind = kingcupv1.ModelKind_MODEL_KIND_SERVICE
+		}
+		return &kingcupv1.Row{Row: &kingcupv1.Row_Model{Model: m}}
+	})
+}
+
+func putAdapter(ctx context.Context, o options, conns []grpc.ClientConnInterface, args []string) error {
+	r := newRowFlags("adapter")
+	model := r.fs.String("model", "", "")
+	return r.put(ctx, o, conns, args, func(name string) *kingcupv1.Row {
+		return &kingcupv1.Row{Row: &kingcupv1.Row_Adapter{Adapter: &kingcupv1.Adapter{Name: name, Model: *model}}}
+	})
+}
+
+func putPriority(ctx context.Context, o options, conns []grpc.ClientConnInterface, args []string) error {
+	r := newRowFlags("priority")
+	level := r.fs.Uint("level", 0, "")
+	return r.put(ctx, o, conns, args, func(name string) *kingcupv1.Row {
+		return &kingcupv1.Row{Row: &kingcupv1.Row_Priority{Priority: &kingcupv1.Priority{Name: name, Level: uint32(*level)}}}
+	})
+}
+
+func rowKind(word string) (kingcupv1.RowKind, error) {
+	switch word {
+	case "team":
+		return kingcupv1.RowKind_ROW_KIND_TEAM, nil
+	case "model":
+		return kingcupv1.RowKind_ROW_KIND_MODEL, nil
+	case "adapter":
+		return kingcupv1.RowKind_ROW_KIND_ADAPTER, nil
+	case "priority":
+		return kingcupv1.RowKind_ROW_KIND_PRIORITY, nil
+	}
+	return 0, usageError(fmt.Sprintf("unknown kind %q: want team, model, adapter or priority", word))
+}
+
+func deleteRow(ctx context.Context, o options, conns []grpc.ClientConnInterface, args []string) error {
+	if len(args) != 2 {
+		return usageError("want a kind and a name")
+	}
+	kind, err := rowKind(args[0])
+	if err != nil {
+		return err
+	}
+	return apply(ctx, o, conns, &kingcupv1.ApplyRequest{Deletes: []*kingcupv1.RowKey{{Kind: kind, Name: args[1]}}})
+}
+
+func list(ctx context.Context, o options, conns []grpc.ClientConnInterface, args []string) error {
+	req := &kingcupv1.ListRequest{}
+	if len(args) > 0 {
+		kind, err := rowKind(args[0])
+		if err != nil {
+			return err
+		}
+		req.Kind = kind
+	}
+	resp, err := operator(conns).List(ctx, req)
+	if err != nil {
+		return err
+	}
+	show(o, resp, func() {
+		fmt.Println("version", resp.GetVersion())
+		for _, row := range resp.GetRows() {
+			fmt.Println(row)
+		}
+	})
+	return nil
+}
+
+func watch(ctx context.Context, o options, conns []grpc.ClientConnInterface, _ []string) error {
+	st, err := operator(conns).Watch(ctx, &kingcupv1.WatchRequest{})
+	if err != nil {
+		return err
+	}
+	for {
+		m, err := st.Recv()
+		if err != nil {
+			return err
+		}
+		show(o, m, func() { fmt.Println("version", m.GetVersion(), "rows", len(m.GetSnapshot().GetRows())) })
+	}
+}
+
+func status(ctx context.Context, o options, conns []grpc.ClientConnInterface, _ []string) error {
+	resp, err := operator(conns).BackendServers(ctx, &kingcupv1.BackendServersRequest{})
+	if err != nil {
+		return err
+	}
+	show(o, resp, func() { statusTable(resp) })
+	return nil
+}
+
+func statusTable(resp *kingcupv1.BackendServersResponse) {
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "SERVER\tFAILURE DOMAIN\tMODELS\tSTATE\tVERSION\tRUNNING\tQUEUED\tMEMORY\tPREEMPTIONS")
+	for _, s := range resp.GetServers() {
+		state := "not connected"
+		if s.GetConnected() {
+			state = "serving"
+		}
+		if s.GetLeaving() {
+			state = "leaving"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d/%d\t%d\n", s.GetName(), s.GetFailureDomain(), strings.Join(s.GetModels(), ","),
+			state, s.GetConfigVersion(), s.GetRunning(), s.GetQueued(), s.GetMemoryUsed(), s.GetMemoryCapacity(), s.GetPreemptions())
+	}
+	w.Flush()
+}
+
+func drain(ctx context.Context, o options, conns []grpc.ClientConnInterface, args []string) error {
+	if len(args) != 1 {
+		return usageError("want one backend server")
+	}
+	resp, err := operator(conns).Drain(ctx, &kingcupv1.DrainRequest{BackendServer: args[0]})
+	if err != nil {
+		return err
+	}
+	show(o, resp, func() { fmt.Println("leaving, in progress:", resp.GetInProgress()) })
+	return nil
+}
+
+func order(ctx context.Context, o options, conns []grpc.ClientConnInterface, args []string) error {
+	fs := flag.NewFlagSet("order", flag.ContinueOnError)
+	model, adapter := fs.String("model", "", ""), fs.String("adapter", "", "")
+	words, err := parse(fs, args)
+	if err != nil {
+		return err
+	}
+	verbs := map[string]kingcupv1.OrderVerb{"load": kingcupv1.OrderVerb_ORDER_VERB_LOAD, "unload": kingcupv1.OrderVerb_ORDER_VERB_UNLOAD}
+	if len(words) != 2 || verbs[words[1]] == 0 {
+		return usageError("want a backend server, then load or unload")
+	}
+	resp, err := operator(conns).Order(ctx, &kingcupv1.OrderRequest{
+		BackendServer: words[0], Verb: verbs[words[1]], Model: *model, Adapter: *adapter,
+	})
+	if err != nil {
+		return err
+	}
+	show(o, resp, func() { fmt.Println("done under term", resp.GetTerm()) })
+	return nil
+}
+
+func burnReport(_ context.Context, o options, _ []grpc.ClientConnInterface, _ []string) error {
+	status, body, err := fasthttp.Get(nil, "http://"+o.admin+"/report/burn?format="+o.output)
+	if err != nil {
+		return errors.Wrap(err, "burn report")
+	}
+	if status != fasthttp.StatusOK {
+		return errors.Errorf("burn report: status %d", status)
+	}
+	os.Stdout.Write(body)
+	return nil
+}
--- /dev/null
+++ b/conf/store.go
@@ -0,0 +1,223 @@
+package conf
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"kingcupplank.example/kingcup/platform"
+	kingcupv1 "kingcupplank.example/kingcup/proto/kingcup/v1"
+)
+
+// Keys of the configuration in the table and the object store.
+const (
+	headKey     = "config/head"
+	deltaPrefix = "config/delta/"
+	snapshotKey = "config/snapshot"
+)
+
+// SnapshotEvery is the number of versions between snapshots.
+const SnapshotEvery = 32
+
+const (
+	settleTries   = 5
+	settleBackoff = 50 * time.Millisecond
+)
+
+// ConflictError says that a change was refused because the head has moved.
+type ConflictError struct {
+	// Version is the head that the change met; 0 if it is not known.
+	Version uint64
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("configuration is at version %d", e.Version)
+}
+
+// Store commits and loads configuration. It is safe for concurrent use.
+type Store struct {
+	table   platform.Table
+	objects platform.Objects
+}
+
+// NewStore keeps deltas in table and snapshots in objects.
+func NewStore(table platform.Table, objects platform.Objects) *Store {
+	return &Store{table: table, objects: objects}
+}
+
+func deltaKey(version uint64) string {
+	return fmt.Sprintf("%s%016d", deltaPrefix, version)
+}
+
+type head struct {
+	version  uint64
+	revision uint64
+}
+
+func (s *Store) readHead(ctx context.Context) (head, error) {
+	rows, err := s.table.Read(ctx, headKey)
+	if err != nil || len(rows) == 0 {
+		return head{}, err
+	}
+	version, err := strconv.ParseUint(string(rows[0].Value), 10, 64)
+	if err != nil {
+		return head{}, errors.Wrap(err, "parse configuration head")
+	}
+	return head{version: version, revision: rows[0].Revision}, nil
+}
+
+// Head reads the version of the head.
+func (s *Store) Head(ctx context.Context) (uint64, error) {
+	h, err := s.readHead(ctx)
+	return h.version, err
+}
+
+// Commit makes d the next version if the head is still d.Version - 1. Errors:
+// *ConflictError, platform.ErrUnavailable (certainly not committed),
+// platform.ErrUnsettled (may be committed).
+func (s *Store) Commit(ctx context.Context, d *kingcupv1.Delta) error {
+	h, err := s.readHead(ctx)
+	if err != nil {
+		return err
+	}
+	if h.version+1 != d.GetVersion() {
+		return s.conflict(ctx, d, h.version)
+	}
+	value, err := proto.Marshal(d)
+	if err != nil {
+		return errors.Wrap(err, "marshal delta")
+	}
+	txn := platform.Txn{
+		Conditions: []platform.Condition{{Key: headKey, Revision: h.revision}},
+		Writes: []platform.Write{
+			{Key: headKey, Value: strconv.AppendUint(nil, d.GetVersion(), 10)},
+			{Key: deltaKey(d.GetVersion()), Value: value},
+		},
+	}
+	return s.commitSettled(ctx, d, txn)
+}
+
+// commitSettled repeats a commit whose answer was lost until it is known who
+// holds the version. The repeat is safe: the transaction is conditional on the
+// head's revision, so it takes effect once at most, however often it is sent.
+func (s *Store) commitSettled(ctx context.Context, d *kingcupv1.Delta, txn platform.Txn) error {
+	sent := false
+	for range settleTries {
+		_, err := s.table.Commit(ctx, txn)
+		var conflict *platform.ConflictError
+		switch {
+		case err == nil:
+			return nil
+		case errors.As(err, &conflict):
+			return s.conflict(ctx, d, d.GetVersion())
+		case errors.Is(err, platform.ErrUnsettled):
+			sent = true
+		case !sent:
+			return err
+		}
+		if !sleep(ctx, settleBackoff) {
+			break
+		}
+	}
+	return errors.Wrapf(platform.ErrUnsettled, "change %s", d.GetChangeId())
+}
+
+// conflict decides whether the version that stands in the way is d itself,
+// committed by an earlier try whose answer was lost.
+func (s *Store) conflict(ctx context.Context, d *kingcupv1.Delta, at uint64) error {
+	rows, err := s.table.Read(ctx, deltaKey(d.GetVersion()))
+	if err != nil {
+		return errors.Wrap(platform.ErrUnsettled, err.Error())
+	}
+	if len(rows) == 1 {
+		stored := &kingcupv1.Delta{}
+		if err := proto.Unmarshal(rows[0].Value, stored); err == nil && stored.GetChangeId() == d.GetChangeId() {
+			return nil
+		}
+	}
+	return &ConflictError{Version: at}
+}
+
+// Deltas reads the deltas from have+1 to the head.
+func (s *Store) Deltas(ctx context.Context, have, head uint64) ([]*kingcupv1.Delta, error) {
+	keys := make([]string, 0, head-have)
+	for v := have + 1; v <= head; v++ {
+		keys = append(keys, deltaKey(v))
+	}
+	rows, err := s.table.Read(ctx, keys...)
+	if err != nil {
+		return nil, err
+	}
+	out := make([]*kingcupv1.Delta, 0, len(rows))
+	for _, row := range rows {
+		d := &kingcupv1.Delta{}
+		if err := proto.Unmarshal(row.Value, d); err != nil {
+			return nil, errors.Wrapf(err, "row %s", row.Key)
+		}
+		out = append(out, d)
+	}
+	return out, nil
+}
+
+// CatchUp brings r to the head of the store.
+func (s *Store) CatchUp(ctx context.Context, r *Replica) error {
+	head, err := s.Head(ctx)
+	if err != nil {
+		return err
+	}
+	if head > r.Version()+SnapshotEvery {
+		s.loadSnapshot(ctx, r)
+	}
+	if head <= r.Version() {
+		return nil
+	}
+	deltas, err := s.Deltas(ctx, r.Version(), head)
+	if err != nil {
+		return err
+	}
+	for _, d := range deltas {
+		if err := r.Apply(d); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// loadSnapshot is an optimization: where the object store has none, all deltas
+// are read from the table.
+func (s *Store) loadSnapshot(ctx context.Context, r *Replica) {
+	value, err := s.objects.Get(ctx, snapshotKey)
+	if err != nil {
+		return
+	}
+	snap := &kingcupv1.Snapshot{}
+	if err := proto.Unmarshal(value, snap); err == nil {
+		r.Install(FromSnapshot(snap))
+	}
+}
+
+// SaveSnapshot writes st to the object store. Two writers may race; a reader
+// that gets the older snapshot reads more deltas.
+func (s *Store) SaveSnapshot(ctx context.Context, st *State) error {
+	value, err := proto.Marshal(st.Snapshot())
+	if err != nil {
+		return errors.Wrap(err, "marshal snapshot")
+	}
+	return s.objects.Put(ctx, snapshotKey, value)
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/engine/serviceclient/client.go
@@ -0,0 +1,82 @@
+// Package serviceclient implements engine.Service over HTTP.
+package serviceclient
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"kingcupplank.example/kingcup/engine"
+)
+
+// Headers that a plain service may read.
+const (
+	HeaderTeam      = "X-Kingcup-Team"
+	HeaderRequestID = "X-Kingcup-Request-Id"
+)
+
+const (
+	defaultTimeout = 30 * time.Second
+	maxAnswerBytes = 4 << 20
+)
+
+// Client calls one plain service by POST. It is safe for concurrent use.
+type Client struct {
+	url  string
+	http *fasthttp.Client
+}
+
+// New returns a client for the service at address (host:port).
+func New(address string) *Client {
+	return &Client{
+		url: "http://" + address + "/call",
+		http: &fasthttp.Client{
+			MaxResponseBodySize: maxAnswerBytes,
+			// fasthttp repeats a request whose connection closed before the
+			// answer, also a POST when this is unset. The service may have
+			// run it, so a repeat could run a non-idempotent call twice.
+			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+			MaxIdemponentCallAttempts: 1,
+		},
+	}
+}
+
+// Call implements engine.Service.
+func (c *Client) Call(ctx context.Context, team, requestID string, body []byte) ([]byte, error) {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+
+	req.SetRequestURI(c.url)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.Header.Set(HeaderTeam, team)
+	req.Header.Set(HeaderRequestID, requestID)
+	req.SetBody(body)
+
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = time.Now().Add(defaultTimeout)
+	}
+	if err := c.http.DoDeadline(req, resp, deadline); err != nil {
+		return nil, callError(err)
+	}
+	// A 503 can follow a call that ran, for example from a crashed handler, so
+	// no status counts as proof that the call did not run.
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return nil, errors.Wrapf(engine.ErrLost, "status %d", resp.StatusCode())
+	}
+	return append([]byte(nil), resp.Body()...), nil
+}
+
+// callError is ErrRejected only where no byte can have reached the service.
+func callError(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return errors.Wrap(engine.ErrRejected, err.Error())
+	}
+	return errors.Wrap(engine.ErrLost, err.Error())
+}
--- /dev/null
+++ b/internal/app/agent.go
@@ -0,0 +1,135 @@
+package app
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"go.uber.org/dig"
+
+	"kingcupplank.example/kingcup/engine"
+	"kingcupplank.example/kingcup/internal/admin"
+	"kingcupplank.example/kingcup/internal/agent"
+	"kingcupplank.example/kingcup/internal/confsync"
+	"kingcupplank.example/kingcup/internal/entry"
+	"kingcupplank.example/kingcup/internal/metrics"
+	"kingcupplank.example/kingcup/internal/wire"
+	"kingcupplank.example/kingcup/lease"
+	"kingcupplank.example/kingcup/sched"
+)
+
+// AgentOptions are the settings of an agent.
+type AgentOptions struct {
+	Common
+	Services      []string
+	BytesPerToken int
+	BufferBytes   int
+	OrphanGrace   time.Duration
+	Retain        time.Duration
+	EngineGrace   time.Duration
+	Policy        sched.Config
+}
+
+// DefaultAgent fills in the settings that a test or the all-in-one program
+// does not care about.
+func DefaultAgent(c Common) AgentOptions {
+	return AgentOptions{
+		Common: c, BytesPerToken: 4, BufferBytes: 256 << 10,
+		OrphanGrace: 15 * time.Second, Retain: time.Minute, EngineGrace: 10 * time.Second,
+	}
+}
+
+// Agent is a running agent.
+type Agent struct {
+	Agent  *agent.Agent
+	Sync   *confsync.Syncer
+	inner  *wire.Server
+	admin  *admin.Server
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+const (
+	agentWorkers = 16
+	agentTick    = 20 * time.Millisecond
+)
+
+// Backend is what an agent stands before; either may be nil.
+type Backend struct {
+	Engine  engine.Engine
+	Service engine.Service
+}
+
+// StartAgent runs an agent until Close. It returns once the engine has
+// answered.
+func StartAgent(ctx context.Context, o AgentOptions, b Backend, p Platform, network wire.Network, log logrus.FieldLogger) (*Agent, error) {
+	c := dig.New()
+	if err := provide(c, o.Common, p, log, network); err != nil {
+		return nil, err
+	}
+	err := provideAll(c, []any{
+		func(p Platform) *lease.Fence { return lease.NewFence(p.Table, entry.OrderLease(o.Name)) },
+		func(s *confsync.Syncer, fence *lease.Fence, log logrus.FieldLogger, rec *metrics.Recorder) *agent.Agent {
+			return agent.New(agent.Config{
+				Identity: o.Identity(), BytesPerToken: o.BytesPerToken, BufferBytes: o.BufferBytes,
+				OrphanGrace: o.OrphanGrace, Retain: o.Retain, EngineGrace: o.EngineGrace,
+				TickEvery: agentTick, Workers: agentWorkers, Policy: o.Policy, Services: o.Services,
+			}, agent.Deps{Engine: b.Engine, Service: b.Service, Sync: s, Fence: fence, Log: log, Observer: rec})
+		},
+	})
+	if err != nil {
+		return nil, err
+	}
+	var run *Agent
+	err = c.Invoke(func(a *agent.Agent, s *confsync.Syncer, rec *metrics.Recorder) error {
+		run = &Agent{Agent: a, Sync: s}
+		return run.serve(ctx, o, network, rec)
+	})
+	return run, dig.RootCause(err)
+}
+
+func (r *Agent) serve(ctx context.Context, o AgentOptions, network wire.Network, rec *metrics.Recorder) error {
+	// The engine is met before the address is served: an entry that attached
+	// earlier would be told that its stream is unknown and move it, while the
+	// engine still runs it.
+	if err := r.Agent.Start(ctx); err != nil {
+		return err
+	}
+	inner, err := network.Listen(o.InnerAddress)
+	if err != nil {
+		return errors.Wrap(err, "inner address")
+	}
+	rec.Policy(r.Agent.Stats)
+	r.inner = wire.NewServer(inner, r.Agent.Handle)
+	ready := func() bool { return !r.Agent.Leaving() && r.Sync.Ready() }
+	if r.admin, err = startAdmin(o.AdminAddress, network, rec, ready, &r.wg); err != nil {
+		inner.Close()
+		return err
+	}
+	run, cancel := context.WithCancel(context.Background())
+	r.cancel = cancel
+	r.wg.Go(r.inner.Serve)
+	r.wg.Go(func() { r.Sync.Run(run) })
+	return nil
+}
+
+// Shutdown refuses new work, waits until streams in progress have been
+// delivered and ends the agent.
+func (r *Agent) Shutdown(ctx context.Context) int {
+	left := r.Agent.Drain(ctx)
+	r.Close()
+	return left
+}
+
+// Close ends the agent at once, as the end of its process does.
+func (r *Agent) Close() {
+	r.cancel()
+	r.Agent.Close()
+	r.inner.Close()
+	if r.admin != nil {
+		r.admin.Close()
+	}
+	r.wg.Wait()
+}
--- /dev/null
+++ b/internal/app/entry.go
@@ -0,0 +1,189 @@
+package app
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"go.uber.org/dig"
+	"google.golang.org/grpc"
+
+	"kingcupplank.example/kingcup/claim"
+	"kingcupplank.example/kingcup/conf"
+	"kingcupplank.example/kingcup/internal/admin"
+	"kingcupplank.example/kingcup/internal/confsync"
+	"kingcupplank.example/kingcup/internal/entry"
+	"kingcupplank.example/kingcup/internal/link"
+	"kingcupplank.example/kingcup/internal/metrics"
+	"kingcupplank.example/kingcup/internal/wire"
+	"kingcupplank.example/kingcup/lease"
+)
+
+// EntryOptions are the settings of an entry.
+type EntryOptions struct {
+	Common
+	CallerAddress string
+	PerModel      int
+	Peers         int
+	Heartbeat     time.Duration
+	ListEvery     time.Duration
+	AcceptTimeout time.Duration
+	ReattachFor   time.Duration
+	ClaimWindow   time.Duration
+	LeaseTTL      time.Duration
+}
+
+// DefaultEntry fills in the settings that a test or the all-in-one program
+// does not care about.
+func DefaultEntry(c Common) EntryOptions {
+	return EntryOptions{
+		Common: c, PerModel: 6, Peers: 4, Heartbeat: time.Second, ListEvery: 5 * time.Second,
+		AcceptTimeout: 2 * time.Second, ReattachFor: 3 * time.Second,
+		ClaimWindow: 3 * time.Millisecond, LeaseTTL: 15 * time.Second,
+	}
+}
+
+// Entry is a running entry.
+type Entry struct {
+	Entry *entry.Entry
+	Sync  *confsync.Syncer
+	// Callers is the listener's address.
+	Callers string
+
+	links  *link.Manager
+	claims *claim.Claims
+	grpc   *grpc.Server
+	inner  *wire.Server
+	admin  *admin.Server
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+const (
+	streamBytes   = 256 << 10
+	spreadTimeout = time.Second
+	placeTries    = 4
+)
+
+// provide registers what entry and agent share.
+func provide(c *dig.Container, common Common, p Platform, log logrus.FieldLogger, network wire.Network) error {
+	providers := []any{
+		func() Common { return common },
+		func() Platform { return p },
+		func() logrus.FieldLogger { return log },
+		func() wire.Network { return network },
+		conf.NewReplica,
+		func(p Platform) *conf.Store { return conf.NewStore(p.Table, p.Objects) },
+		func(r *conf.Replica, s *conf.Store, log logrus.FieldLogger) *confsync.Syncer {
+			return confsync.New(confsync.Config{Poll: common.ConfigPoll, Stale: common.ConfigStale}, r, s, log)
+		},
+		metrics.New,
+	}
+	return provideAll(c, providers)
+}
+
+func provideAll(c *dig.Container, providers []any) error {
+	for _, p := range providers {
+		if err := c.Provide(p); err != nil {
+			return errors.Wrap(err, "wire program")
+		}
+	}
+	return nil
+}
+
+// StartEntry runs an entry until Close.
+func StartEntry(o EntryOptions, p Platform, network wire.Network, log logrus.FieldLogger) (*Entry, error) {
+	c := dig.New()
+	if err := provide(c, o.Common, p, log, network); err != nil {
+		return nil, err
+	}
+	err := provideAll(c, []any{
+		func(network wire.Network, s *confsync.Syncer, log logrus.FieldLogger) *link.Manager {
+			cfg := link.Config{Identity: o.Identity(), Period: o.Heartbeat, DialTimeout: o.AcceptTimeout}
+			return link.NewManager(cfg, network, s, log)
+		},
+		func(p Platform) *claim.Claims { return claim.New(p.Table, o.ClaimWindow) },
+		func(p Platform) *lease.Manager { return lease.NewManager(p.Table, o.Name, o.LeaseTTL) },
+		func(s *confsync.Syncer, store *conf.Store, links *link.Manager, claims *claim.Claims, leases *lease.Manager, p Platform, log logrus.FieldLogger, rec *metrics.Recorder) *entry.Entry {
+			return entry.New(entry.Config{
+				Identity: o.Identity(), ListEvery: o.ListEvery, PerModel: o.PerModel, Peers: o.Peers,
+				AcceptTimeout: o.AcceptTimeout, ReattachFor: o.ReattachFor, StreamBytes: streamBytes,
+				SpreadTimeout: spreadTimeout, Tries: placeTries,
+			}, entry.Deps{Sync: s, Store: store, Links: links, Claims: claims, Leases: leases, VMs: p.VMs, Log: log, Observer: rec})
+		},
+	})
+	if err != nil {
+		return nil, err
+	}
+	var run *Entry
+	err = c.Invoke(func(e *entry.Entry, s *confsync.Syncer, links *link.Manager, claims *claim.Claims, rec *metrics.Recorder) error {
+		run = &Entry{Entry: e, Sync: s, links: links, claims: claims}
+		return run.serve(o, network, rec)
+	})
+	return run, dig.RootCause(err)
+}
+
+func (r *Entry) serve(o EntryOptions, network wire.Network, rec *metrics.Recorder) error {
+	inner, err := network.Listen(o.InnerAddress)
+	if err != nil {
+		return errors.Wrap(err, "inner address")
+	}
+	callers, err := network.Listen(o.CallerAddress)
+	if err != nil {
+		inner.Close()
+		return errors.Wrap(err, "caller address")
+	}
+	r.Callers = callers.Addr().String()
+	rec.Gauge("kingcup_in_progress", "Requests in progress at this entry.", func() float64 { return float64(r.Entry.InProgress()) })
+	r.inner = wire.NewServer(inner, r.Entry.Handle)
+	r.grpc = grpc.NewServer(grpc.MaxRecvMsgSize(MaxMessage))
+	r.Entry.Register(r.grpc)
+	if r.admin, err = startAdmin(o.AdminAddress, network, rec, r.Entry.Ready, &r.wg); err != nil {
+		inner.Close()
+		callers.Close()
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	r.cancel = cancel
+	r.wg.Go(r.inner.Serve)
+	r.wg.Go(func() { r.grpc.Serve(callers) })
+	r.wg.Go(func() { r.Sync.Run(ctx) })
+	r.wg.Go(func() { r.Entry.Run(ctx) })
+	return nil
+}
+
+func startAdmin(address string, network wire.Network, rec *metrics.Recorder, ready func() bool, wg *sync.WaitGroup) (*admin.Server, error) {
+	if address == "" {
+		return nil, nil
+	}
+	l, err := network.Listen(address)
+	if err != nil {
+		return nil, errors.Wrap(err, "admin address")
+	}
+	srv := admin.New(admin.Source{Registry: rec.Registry(), Ready: ready, Report: rec.Report})
+	wg.Go(func() { srv.Serve(net.Listener(l)) })
+	return srv, nil
+}
+
+// Shutdown refuses new work, waits for work in progress and ends the entry.
+func (r *Entry) Shutdown(ctx context.Context) int {
+	left := r.Entry.Shutdown(ctx)
+	r.Close()
+	return left
+}
+
+// Close ends the entry at once, as the end of its process does.
+func (r *Entry) Close() {
+	r.cancel()
+	r.grpc.Stop()
+	r.links.Close()
+	r.inner.Close()
+	r.claims.Close()
+	if r.admin != nil {
+		r.admin.Close()
+	}
+	r.wg.Wait()
+}
--- /dev/null
+++ b/internal/app/options.go
@@ -0,0 +1,105 @@
+// Package app wires the programs: it turns settings into running parts with
+// dig, for the binaries, the all-in-one program and tests.
+package app
+
+import (
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"kingcupplank.example/kingcup/internal/settings"
+	"kingcupplank.example/kingcup/internal/wire"
+	"kingcupplank.example/kingcup/platform"
+	"kingcupplank.example/kingcup/platform/objectclient"
+	"kingcupplank.example/kingcup/platform/tableclient"
+)
+
+// Common are the settings of every daemon.
+type Common struct {
+	Name          string
+	FailureDomain string
+	InnerAddress  string
+	AdminAddress  string
+	TableAddress  string
+	ObjectAddress string
+	ConfigPoll    time.Duration
+	ConfigStale   time.Duration
+	DrainTimeout  time.Duration
+	LogLevel      string
+	LogFormat     string
+}
+
+// AddCommon defines the settings of every daemon; the returned function reads
+// them after parsing.
+func AddCommon(s *settings.Set) func() Common {
+	name := s.String("name", "", "name of this VM, unique in the system", true)
+	domain := s.String("failure-domain", "", "failure domain of this VM", true)
+	level := s.Choice("log-level", "info", []string{"debug", "info", "warning", "error"}, "least severe messages to log")
+	format := s.Choice("log-format", "json", []string{"json", "text"}, "form of log lines")
+	drain := s.Duration("drain-timeout", 30*time.Minute, 0, 24*time.Hour, "longest wait for work in progress after SIGTERM")
+	s.Group("Addresses")
+	inner := s.Address("inner-address", "", "address for the system's own processes", true)
+	admin := s.Address("admin-address", "", "address for metrics, health and reports; empty for none", false)
+	s.Group("Platform")
+	table := s.Address("table-address", "", "table service of the platform", true)
+	objects := s.Address("object-address", "", "object store of the platform", true)
+	poll := s.Duration("config-poll", 4*time.Second, 100*time.Millisecond, time.Minute, "mean time between looks at the configuration head")
+	stale := s.Duration("config-stale", 30*time.Second, time.Second, time.Hour, "longest time ready without a confirmed configuration")
+	return func() Common {
+		return Common{
+			Name: *name, FailureDomain: *domain, InnerAddress: *inner, AdminAddress: *admin,
+			TableAddress: *table, ObjectAddress: *objects, ConfigPoll: *poll, ConfigStale: *stale,
+			DrainTimeout: *drain, LogLevel: *level, LogFormat: *format,
+		}
+	}
+}
+
+// NewLog returns the logger that the settings ask for.
+func NewLog(c Common) logrus.FieldLogger {
+	log := logrus.New()
+	log.SetOutput(os.Stderr)
+	if level, err := logrus.ParseLevel(c.LogLevel); err == nil {
+		log.SetLevel(level)
+	}
+	if c.LogFormat != "text" {
+		log.SetFormatter(&logrus.JSONFormatter{})
+	}
+	return log.WithField("vm", c.Name).WithField("failure_domain", c.FailureDomain)
+}
+
+// Platform is what the platform gives.
+type Platform struct {
+	Table   platform.Table
+	Objects platform.Objects
+	VMs     platform.VMList
+}
+
+// DialPlatform connects to the platform that the settings name.
+func DialPlatform(c Common) (Platform, error) {
+	conn, err := DialGRPC(c.TableAddress)
+	if err != nil {
+		return Platform{}, err
+	}
+	table := tableclient.New(conn)
+	return Platform{Table: table, Objects: objectclient.New(c.ObjectAddress), VMs: table}, nil
+}
+
+// MaxMessage bounds a gRPC message in bytes, towards callers and engines.
+const MaxMessage = 8 << 20
+
+// DialGRPC connects to a gRPC server on the platform's private network.
+func DialGRPC(address string) (*grpc.ClientConn, error) {
+	conn, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessage)))
+	return conn, errors.Wrapf(err, "connect to %s", address)
+}
+
+// Identity is the wire identity of the settings.
+func (c Common) Identity() wire.Identity {
+	return wire.Identity{Name: c.Name, FailureDomain: c.FailureDomain}
+}
--- /dev/null
+++ b/internal/entry/members.go
@@ -0,0 +1,128 @@
+package entry
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"kingcupplank.example/kingcup/internal/link"
+	"kingcupplank.example/kingcup/placement"
+	"kingcupplank.example/kingcup/platform"
+	"kingcupplank.example/kingcup/subset"
+)
+
+// Run reads the platform's VM list until ctx ends. While the list is away the
+// peers stay as they are.
+func (e *Entry) Run(ctx context.Context) {
+	for {
+		e.Refresh(ctx)
+		wait := e.cfg.ListEvery/2 + rand.N(e.cfg.ListEvery)
+		if !sleep(ctx, wait) {
+			return
+		}
+	}
+}
+
+// Refresh reads the VM list once and watches the peers it gives.
+func (e *Entry) Refresh(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, e.cfg.ListEvery)
+	defer cancel()
+	vms, err := e.vms.ListVMs(ctx)
+	if err != nil {
+		e.log.WithError(err).Debug("VM list not read")
+		return
+	}
+	listed := make(map[string]platform.VM, len(vms))
+	for _, vm := range vms {
+		listed[vm.Name] = vm
+	}
+	e.mu.Lock()
+	e.listed = listed
+	e.mu.Unlock()
+	e.links.Set(e.choose(listed))
+}
+
+// choose picks the peers to watch: for each model a bounded subset of the
+// agents that serve it, and some other entries.
+func (e *Entry) choose(listed map[string]platform.VM) []link.Peer {
+	byModel := make(map[string][]subset.Item)
+	var entries []subset.Item
+	for _, vm := range listed {
+		item := subset.Item{Name: vm.Name, FailureDomain: vm.FailureDomain}
+		if vm.Role == platform.RoleEntry && vm.Name != e.cfg.Identity.Name {
+			entries = append(entries, item)
+		}
+		if vm.Role == platform.RoleAgent {
+			for _, m := range vm.Models {
+				byModel[m] = append(byModel[m], item)
+			}
+		}
+	}
+	names := make(map[string]bool)
+	add := func(items []subset.Item, n int) {
+		for _, it := range subset.Pick(e.cfg.Identity.Name, e.cfg.Identity.FailureDomain, items, n) {
+			names[it.Name] = true
+		}
+	}
+	add(entries, e.cfg.Peers)
+	for _, m := range slices.Sorted(maps.Keys(byModel)) {
+		add(byModel[m], e.cfg.PerModel)
+	}
+	peers := make([]link.Peer, 0, len(names))
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		vm := listed[name]
+		peers = append(peers, link.Peer{Name: vm.Name, Address: vm.Address, FailureDomain: vm.FailureDomain})
+	}
+	return peers
+}
+
+// servers is the view that placement decides on.
+func (e *Entry) servers() []placement.Server {
+	links := e.links.All()
+	e.mu.Lock()
+	listed := e.listed
+	e.mu.Unlock()
+	out := make([]placement.Server, 0, len(links))
+	for _, l := range links {
+		if s, ok := e.server(l.Status(), listed); ok {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// staleBeats is the age of a heartbeat, in periods, from which its sender is
+// asked only if there is no other.
+const staleBeat = 3 * time.Second
+
+func (e *Entry) server(st link.Status, listed map[string]platform.VM) (placement.Server, bool) {
+	vm := listed[st.Peer.Name]
+	if vm.Role != platform.RoleAgent || st.Heartbeat == nil {
+		return placement.Server{}, false
+	}
+	hb := st.Heartbeat
+	return placement.Server{
+		Name:           st.Peer.Name,
+		FailureDomain:  st.Peer.FailureDomain,
+		Models:         hb.GetModels(),
+		Adapters:       hb.GetAdapters(),
+		Leaving:        hb.GetLeaving() || vm.Leaving,
+		Connected:      st.Connected && st.Age < staleBeat,
+		Age:            st.Age,
+		Running:        int(hb.GetLoad().GetRunning()),
+		Queued:         int(hb.GetLoad().GetQueued()),
+		MemoryForecast: hb.GetLoad().GetMemoryForecast(),
+		MemoryTotal:    hb.GetLoad().GetMemoryCapacity(),
+		Sent:           st.Sent,
+	}, true
+}
+
+// address finds an agent that is not watched in the VM list.
+func (e *Entry) address(name string) (string, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	vm, ok := e.listed[name]
+	return vm.Address, ok
+}
--- /dev/null
+++ b/internal/entry/operators.go
@@ -0,0 +1,258 @@
+package entry
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"kingcupplank.example/kingcup/conf"
+	"kingcupplank.example/kingcup/failure"
+	"kingcupplank.example/kingcup/internal/link"
+	"kingcupplank.example/kingcup/platform"
+	innerv1 "kingcupplank.example/kingcup/proto/kingcup/inner/v1"
+	kingcupv1 "kingcupplank.example/kingcup/proto/kingcup/v1"
+)
+
+// applyTries bounds the tries of a change that names no expected version.
+const applyTries = 8
+
+// Apply implements OperatorService.
+func (e *Entry) Apply(ctx context.Context, req *kingcupv1.ApplyRequest) (*kingcupv1.ApplyResponse, error) {
+	if len(req.GetPuts())+len(req.GetDeletes()) == 0 {
+		return nil, failure.NotRun(kingcupv1.Reason_REASON_INVALID, 0, "empty change")
+	}
+	changeID := req.GetChangeId()
+	if changeID == "" {
+		changeID = newID()
+	}
+	var err error
+	for range applyTries {
+		var resp *kingcupv1.ApplyResponse
+		resp, err = e.applyOnce(ctx, req, changeID)
+		if err == nil {
+			return resp, nil
+		}
+		var conflict *conf.ConflictError
+		if req.GetExpectedVersion() != 0 || !errors.As(err, &conflict) {
+			break
+		}
+	}
+	return nil, applyError(err)
+}
+
+func (e *Entry) applyOnce(ctx context.Context, req *kingcupv1.ApplyRequest, changeID string) (*kingcupv1.ApplyResponse, error) {
+	if err := e.store.CatchUp(ctx, e.sync.Replica()); err != nil {
+		return nil, err
+	}
+	state := e.sync.Replica().State()
+	base := req.GetExpectedVersion()
+	if base == 0 {
+		base = state.Version()
+	}
+	delta := &kingcupv1.Delta{Version: base + 1, ChangeId: changeID, Puts: req.GetPuts(), Deletes: req.GetDeletes()}
+	if base == state.Version() {
+		next, err := state.Next(delta)
+		if err == nil {
+			err = next.Check()
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	if err := e.store.Commit(ctx, delta); err != nil {
+		return nil, err
+	}
+	e.sync.Replica().Apply(delta)
+	e.snapshot(ctx)
+	return e.spread(ctx, delta.GetVersion()), nil
+}
+
+func applyError(err error) error {
+	var conflict *conf.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		return failure.NotRun(kingcupv1.Reason_REASON_CONFLICT, 0, "%v", err)
+	case errors.Is(err, conf.ErrInvalid), errors.Is(err, conf.ErrGap):
+		return failure.NotRun(kingcupv1.Reason_REASON_INVALID, 0, "%v", err)
+	case errors.Is(err, platform.ErrUnavailable):
+		return failure.NotRun(kingcupv1.Reason_REASON_STORE_UNAVAILABLE, storeRetry, "%v", err)
+	}
+	return failure.Unknown(kingcupv1.Reason_REASON_STORE_UNAVAILABLE, storeRetry, "%v", err)
+}
+
+// snapshot writes the state to the object store now and then, so that a process
+// that starts reads one object and few deltas.
+func (e *Entry) snapshot(ctx context.Context) {
+	state := e.sync.Replica().State()
+	if state.Version()%conf.SnapshotEvery != 0 {
+		return
+	}
+	if err := e.store.SaveSnapshot(ctx, state); err != nil {
+		e.log.WithError(err).Warn("snapshot not written")
+	}
+}
+
+// witnessDomains is the number of failure domains that must hold a change
+// before it is called spread.
+const witnessDomains = 2
+
+// spread pushes the version to all watched peers and waits until witnesses in
+// enough failure domains hold it.
+//
+// An entry that answered "accepted" and died during an outage of the store
+// would leave a change that nobody can read. With a witness in a second domain
+// a peer can pass it on, whatever single domain is lost.
+func (e *Entry) spread(ctx context.Context, version uint64) *kingcupv1.ApplyResponse {
+	ctx, cancel := context.WithTimeout(ctx, e.cfg.SpreadTimeout)
+	defer cancel()
+	links := e.links.All()
+	held := make(chan *link.Link, len(links))
+	for _, l := range links {
+		go func() {
+			if v, ok := l.Push(); ok && v >= version {
+				held <- l
+			}
+		}()
+	}
+	domains := map[string]bool{e.cfg.Identity.FailureDomain: true}
+	resp := &kingcupv1.ApplyResponse{Version: version, Witnesses: []string{e.cfg.Identity.Name}}
+	for len(domains) < witnessDomains {
+		select {
+		case l := <-held:
+			domains[l.Status().Peer.FailureDomain] = true
+			resp.Witnesses = append(resp.Witnesses, l.Status().Peer.Name)
+		case <-ctx.Done():
+			return resp
+		}
+	}
+	resp.Spread = true
+	return resp
+}
+
+// List implements OperatorService.
+func (e *Entry) List(_ context.Context, req *kingcupv1.ListRequest) (*kingcupv1.ListResponse, error) {
+	state := e.sync.Replica().State()
+	return &kingcupv1.ListResponse{Version: state.Version(), Rows: state.Rows(req.GetKind())}, nil
+}
+
+// Watch implements OperatorService.
+func (e *Entry) Watch(req *kingcupv1.WatchRequest, out kingcupv1.OperatorService_WatchServer) error {
+	sent := req.GetFromVersion()
+	for {
+		changed := e.sync.Replica().Changed()
+		if state := e.sync.Replica().State(); state.Version() > sent {
+			sent = state.Version()
+			if err := out.Send(&kingcupv1.WatchResponse{Version: sent, Snapshot: state.Snapshot()}); err != nil {
+				return err
+			}
+		}
+		if e.leaving.Load() {
+			return failure.Unknown(kingcupv1.Reason_REASON_LEAVING, retrySoon, "entry is leaving")
+		}
+		select {
+		case <-changed:
+		case <-time.After(time.Second):
+		case <-out.Context().Done():
+			return nil
+		}
+	}
+}
+
+// BackendServers implements OperatorService.
+func (e *Entry) BackendServers(context.Context, *kingcupv1.BackendServersRequest) (*kingcupv1.BackendServersResponse, error) {
+	e.mu.Lock()
+	listed := e.listed
+	e.mu.Unlock()
+	resp := &kingcupv1.BackendServersResponse{ConfigVersion: e.sync.Replica().Version()}
+	for _, name := range slices.Sorted(maps.Keys(listed)) {
+		vm := listed[name]
+		if vm.Role != platform.RoleAgent {
+			continue
+		}
+		resp.Servers = append(resp.Servers, e.describe(vm))
+	}
+	return resp, nil
+}
+
+func (e *Entry) describe(vm platform.VM) *kingcupv1.BackendServer {
+	out := &kingcupv1.BackendServer{
+		Name: vm.Name, Address: vm.Address, FailureDomain: vm.FailureDomain, Models: vm.Models, Leaving: vm.Leaving,
+	}
+	l := e.links.Get(vm.Name)
+	if l == nil {
+		return out
+	}
+	st := l.Status()
+	hb := st.Heartbeat
+	out.Connected = st.Connected
+	out.HeartbeatAgeMs = uint64(st.Age.Milliseconds())
+	if hb == nil {
+		return out
+	}
+	out.Models = hb.GetModels()
+	out.Leaving = out.Leaving || hb.GetLeaving()
+	out.ConfigVersion = hb.GetConfigVersion()
+	out.Running, out.Queued = hb.GetLoad().GetRunning(), hb.GetLoad().GetQueued()
+	out.MemoryUsed, out.MemoryCapacity = hb.GetLoad().GetMemoryUsed(), hb.GetLoad().GetMemoryCapacity()
+	out.Preemptions = hb.GetLoad().GetPreemptions()
+	return out
+}
+
+// Drain implements OperatorService.
+func (e *Entry) Drain(ctx context.Context, req *kingcupv1.DrainRequest) (*kingcupv1.DrainResponse, error) {
+	reply, err := e.ask(ctx, req.GetBackendServer(), &innerv1.Open{Kind: &innerv1.Open_Leave{Leave: &innerv1.Leave{}}})
+	if err != nil {
+		return nil, err
+	}
+	return &kingcupv1.DrainResponse{InProgress: reply.GetDone().GetInProgress()}, nil
+}
+
+// Order implements OperatorService. The order goes out under a lease, whose
+// term fences it at the agent.
+func (e *Entry) Order(ctx context.Context, req *kingcupv1.OrderRequest) (*kingcupv1.OrderResponse, error) {
+	if req.GetVerb() == kingcupv1.OrderVerb_ORDER_VERB_UNSPECIFIED || req.GetModel() == "" {
+		return nil, failure.NotRun(kingcupv1.Reason_REASON_INVALID, 0, "an order needs a verb and a model")
+	}
+	name := OrderLease(req.GetBackendServer())
+	held, err := e.leases.Acquire(ctx, name)
+	if err != nil {
+		return nil, failure.NotRun(kingcupv1.Reason_REASON_CONFLICT, storeRetry, "%v", err)
+	}
+	defer e.leases.Release(context.WithoutCancel(ctx), name, held)
+	now := time.Now()
+	if !held.Valid(now) {
+		return nil, failure.NotRun(kingcupv1.Reason_REASON_FENCED, 0, "lease has lapsed")
+	}
+	order := &innerv1.Order{Term: held.Term, DeadlineMs: uint64(held.Deadline.Sub(now).Milliseconds()), Request: req}
+	if _, err := e.ask(ctx, req.GetBackendServer(), &innerv1.Open{Kind: &innerv1.Open_Order{Order: order}}); err != nil {
+		return nil, err
+	}
+	return &kingcupv1.OrderResponse{Term: held.Term, Outcome: kingcupv1.Outcome_OUTCOME_ANSWERED}, nil
+}
+
+// OrderLease is the name of the lease that orders to a backend server need.
+func OrderLease(server string) string {
+	return "order/" + server
+}
+
+// ask sends one request to an agent and waits for its one answer.
+func (e *Entry) ask(ctx context.Context, server string, open *innerv1.Open) (*innerv1.Reply, error) {
+	f := &flight{e: e}
+	st, sent, err := f.open(ctx, server, open)
+	if err != nil {
+		return nil, f.unsent(sent, err)
+	}
+	defer st.close()
+	st.SetReadDeadline(time.Now().Add(defaultCall))
+	reply := &innerv1.Reply{}
+	if err := st.Recv(reply); err != nil {
+		return nil, f.unsent(true, err)
+	}
+	if fail := reply.GetFailure(); fail != nil {
+		return nil, failure.FromProto(fail)
+	}
+	return reply, nil
+}
--- /dev/null
+++ b/internal/standin/tables/http.go
@@ -0,0 +1,53 @@
+package tables
+
+import (
+	"strconv"
+
+	"github.com/fasthttp/router"
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"kingcupplank.example/kingcup/platform"
+)
+
+// HTTP serves the object store under /objects/ and the fault switches under
+// /faults: POST /faults?outage=true&lose_before=1&lose_after=2.
+func (t *Table) HTTP() fasthttp.RequestHandler {
+	r := router.New()
+	r.PUT("/objects/{key:*}", t.putObject)
+	r.GET("/objects/{key:*}", t.getObject)
+	r.POST("/faults", t.setFaults)
+	return r.Handler
+}
+
+func objectKey(ctx *fasthttp.RequestCtx) string {
+	key, _ := ctx.UserValue("key").(string)
+	return key
+}
+
+func (t *Table) putObject(ctx *fasthttp.RequestCtx) {
+	if err := t.Put(ctx, objectKey(ctx), ctx.PostBody()); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusServiceUnavailable)
+	}
+}
+
+func (t *Table) getObject(ctx *fasthttp.RequestCtx) {
+	value, err := t.Get(ctx, objectKey(ctx))
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		ctx.Error(err.Error(), fasthttp.StatusNotFound)
+	case err != nil:
+		ctx.Error(err.Error(), fasthttp.StatusServiceUnavailable)
+	default:
+		ctx.SetBody(value)
+	}
+}
+
+func (t *Table) setFaults(ctx *fasthttp.RequestCtx) {
+	args := ctx.QueryArgs()
+	outage, err := strconv.ParseBool(string(args.Peek("outage")))
+	if err == nil {
+		t.SetOutage(outage)
+	}
+	t.LoseAnswers(args.GetUintOrZero("lose_before"), args.GetUintOrZero("lose_after"))
+}
--- /dev/null
+++ b/internal/standin/tables/tables.go
@@ -0,0 +1,188 @@
+// Package tables is a stand-in for the platform: a transactional table, an
+// object store and a VM list in memory, with faults that tests switch on.
+package tables
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"kingcupplank.example/kingcup/platform"
+)
+
+// Counts are the operations that a Table has taken.
+type Counts struct {
+	Commits, Rows, Reads uint64
+}
+
+// Table implements platform.Table, platform.Objects and platform.VMList. It is
+// safe for concurrent use.
+type Table struct {
+	mu       sync.Mutex
+	rows     map[string]platform.Row
+	objects  map[string][]byte
+	vms      []platform.VM
+	revision uint64
+	counts   Counts
+
+	outage     bool
+	loseBefore int
+	loseAfter  int
+}
+
+// New returns an empty table.
+func New() *Table {
+	return &Table{rows: make(map[string]platform.Row), objects: make(map[string][]byte)}
+}
+
+// SetOutage makes every operation fail until it is lifted.
+func (t *Table) SetOutage(on bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.outage = on
+}
+
+// LoseAnswers loses the answers of the next commits: the first before of them
+// are not applied, the following after are.
+func (t *Table) LoseAnswers(before, after int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.loseBefore, t.loseAfter = before, after
+}
+
+// SetVMs sets the VM list.
+func (t *Table) SetVMs(vms []platform.VM) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.vms = slices.Clone(vms)
+}
+
+// PutVM adds or replaces one VM.
+func (t *Table) PutVM(vm platform.VM) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.vms = slices.DeleteFunc(t.vms, func(o platform.VM) bool { return o.Name == vm.Name })
+	t.vms = append(t.vms, vm)
+}
+
+// Counts returns the operations taken so far.
+func (t *Table) Counts() Counts {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.counts
+}
+
+// Commit implements platform.Table.
+func (t *Table) Commit(_ context.Context, txn platform.Txn) (uint64, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.outage {
+		return 0, platform.ErrUnavailable
+	}
+	if t.loseBefore > 0 {
+		t.loseBefore--
+		return 0, platform.ErrUnsettled
+	}
+	rev, err := t.apply(txn)
+	if t.loseAfter > 0 {
+		t.loseAfter--
+		return 0, platform.ErrUnsettled
+	}
+	return rev, err
+}
+
+func (t *Table) apply(txn platform.Txn) (uint64, error) {
+	t.counts.Commits++
+	var failed []string
+	for _, c := range txn.Conditions {
+		if t.rows[c.Key].Revision != c.Revision {
+			failed = append(failed, c.Key)
+		}
+	}
+	if len(failed) > 0 {
+		return 0, &platform.ConflictError{Keys: failed}
+	}
+	t.revision++
+	for _, w := range txn.Writes {
+		t.counts.Rows++
+		if w.Delete {
+			delete(t.rows, w.Key)
+			continue
+		}
+		t.rows[w.Key] = platform.Row{Key: w.Key, Value: slices.Clone(w.Value), Revision: t.revision}
+	}
+	return t.revision, nil
+}
+
+// Read implements platform.Table.
+func (t *Table) Read(_ context.Context, keys ...string) ([]platform.Row, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.outage {
+		return nil, platform.ErrUnavailable
+	}
+	t.counts.Reads++
+	out := make([]platform.Row, 0, len(keys))
+	for _, k := range keys {
+		if r, ok := t.rows[k]; ok {
+			out = append(out, r)
+		}
+	}
+	return out, nil
+}
+
+// Scan implements platform.Table.
+func (t *Table) Scan(_ context.Context, prefix string) ([]platform.Row, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.outage {
+		return nil, platform.ErrUnavailable
+	}
+	t.counts.Reads++
+	var out []platform.Row
+	for k, r := range t.rows {
+		if strings.HasPrefix(k, prefix) {
+			out = append(out, r)
+		}
+	}
+	slices.SortFunc(out, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	return out, nil
+}
+
+// Put implements platform.Objects.
+func (t *Table) Put(_ context.Context, key string, value []byte) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.outage {
+		return platform.ErrUnavailable
+	}
+	t.objects[key] = slices.Clone(value)
+	return nil
+}
+
+// Get implements platform.Objects.
+func (t *Table) Get(_ context.Context, key string) ([]byte, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.outage {
+		return nil, platform.ErrUnavailable
+	}
+	value, ok := t.objects[key]
+	if !ok {
+		return nil, errors.Wrap(platform.ErrNotFound, key)
+	}
+	return slices.Clone(value), nil
+}
+
+// ListVMs implements platform.VMList.
+func (t *Table) ListVMs(context.Context) ([]platform.VM, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.outage {
+		return nil, platform.ErrUnavailable
+	}
+	return slices.Clone(t.vms), nil
+}
--- /dev/null
+++ b/internal/wire/frame.go
@@ -0,0 +1,96 @@
+// Package wire is the protocol between the system's own processes: protobuf
+// frames on yamux streams. Each stream begins with an Open frame from the
+// dialing side; the accepting side answers with Reply frames.
+package wire
+
+import (
+	"bufio"
+	"encoding/binary"
+	"io"
+	"sync"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+)
+
+// Protocol is the version in every Open; a peer with another one is refused.
+const Protocol = 1
+
+// MaxFrame bounds a frame in bytes. A peer that announces more is cut off
+// before anything is allocated for it.
+const MaxFrame = 4 << 20
+
+const headerLen = 4
+
+// Errors of the inner protocol.
+var (
+	ErrFrameTooLarge = errors.New("frame exceeds the size bound")
+	ErrMalformed     = errors.New("malformed frame")
+	ErrProtocol      = errors.New("peer speaks another protocol version")
+)
+
+var scratch = sync.Pool{New: func() any { return new([]byte) }}
+
+// WriteFrame writes msg with its length in front, in one Write.
+func WriteFrame(w io.Writer, msg proto.Message) error {
+	p := scratch.Get().(*[]byte)
+	defer scratch.Put(p)
+	buf := append((*p)[:0], make([]byte, headerLen)...)
+	buf, err := proto.MarshalOptions{}.MarshalAppend(buf, msg)
+	*p = buf
+	if err != nil {
+		return errors.Wrap(ErrMalformed, err.Error())
+	}
+	size := len(buf) - headerLen
+	if size > MaxFrame {
+		return errors.Wrapf(ErrFrameTooLarge, "%d bytes", size)
+	}
+	binary.BigEndian.PutUint32(buf, uint32(size))
+	_, err = w.Write(buf)
+	return err
+}
+
+// FrameReader reads frames into a buffer that it reuses. It is for one
+// goroutine.
+type FrameReader struct {
+	r   *bufio.Reader
+	buf []byte
+}
+
+const readBuffer = 1 << 10
+
+// NewFrameReader reads frames from r.
+func NewFrameReader(r io.Reader) *FrameReader {
+	return &FrameReader{r: bufio.NewReaderSize(r, readBuffer)}
+}
+
+// Read fills msg with the next frame. io.EOF means that the peer closed
+// between two frames.
+func (f *FrameReader) Read(msg proto.Message) error {
+	var header [headerLen]byte
+	if _, err := io.ReadFull(f.r, header[:]); err != nil {
+		return err
+	}
+	size := binary.BigEndian.Uint32(header[:])
+	if size > MaxFrame {
+		return errors.Wrapf(ErrFrameTooLarge, "%d bytes announced", size)
+	}
+	if cap(f.buf) < int(size) {
+		f.buf = make([]byte, size)
+	}
+	f.buf = f.buf[:size]
+	if _, err := io.ReadFull(f.r, f.buf); err != nil {
+		return unexpected(err)
+	}
+	if err := proto.Unmarshal(f.buf, msg); err != nil {
+		return errors.Wrap(ErrMalformed, err.Error())
+	}
+	return nil
+}
+
+func unexpected(err error) error {
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
--- /dev/null
+++ b/internal/wire/server.go
@@ -0,0 +1,131 @@
+package wire
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"google.golang.org/protobuf/proto"
+
+	"kingcupplank.example/kingcup/failure"
+	innerv1 "kingcupplank.example/kingcup/proto/kingcup/inner/v1"
+	kingcupv1 "kingcupplank.example/kingcup/proto/kingcup/v1"
+)
+
+// Send writes one frame.
+func (s *Stream) Send(msg proto.Message) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return WriteFrame(s.conn, msg)
+}
+
+// Recv reads one frame into msg.
+func (s *Stream) Recv(msg proto.Message) error {
+	return s.in.Read(msg)
+}
+
+// Fail sends err as the stream's answer.
+func (s *Stream) Fail(err error) error {
+	return s.Send(&innerv1.Reply{Kind: &innerv1.Reply_Failure{Failure: failure.As(err).Proto()}})
+}
+
+// Handler answers one stream; the stream is closed when it returns. ctx ends
+// with the session.
+type Handler func(ctx context.Context, open *innerv1.Open, st *Stream)
+
+// Server accepts sessions and hands their streams to a Handler.
+type Server struct {
+	listener net.Listener
+	handle   Handler
+
+	mu       sync.Mutex
+	closed   bool
+	sessions map[*yamux.Session]struct{}
+	wg       sync.WaitGroup
+}
+
+// NewServer serves l with h until Close.
+func NewServer(l net.Listener, h Handler) *Server {
+	return &Server{listener: l, handle: h, sessions: make(map[*yamux.Session]struct{})}
+}
+
+// Serve accepts until the listener closes.
+func (s *Server) Serve() {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		mux, err := yamux.Server(conn, yamuxConfig())
+		if err != nil {
+			conn.Close()
+			continue
+		}
+		if !s.add(mux) {
+			mux.Close()
+			return
+		}
+		go s.session(mux)
+	}
+}
+
+func (s *Server) add(mux *yamux.Session) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.sessions[mux] = struct{}{}
+	s.wg.Add(1)
+	return true
+}
+
+func (s *Server) session(mux *yamux.Session) {
+	defer s.wg.Done()
+	ctx, cancel := context.WithCancel(context.Background())
+	var streams sync.WaitGroup
+	for {
+		conn, err := mux.AcceptStream()
+		if err != nil {
+			break
+		}
+		streams.Go(func() { s.stream(ctx, newStream(conn)) })
+	}
+	cancel()
+	mux.Close()
+	streams.Wait()
+	s.mu.Lock()
+	delete(s.sessions, mux)
+	s.mu.Unlock()
+}
+
+func (s *Server) stream(ctx context.Context, st *Stream) {
+	defer st.Close()
+	// A peer that opens streams and sends nothing would hold a goroutine each.
+	st.SetReadDeadline(time.Now().Add(openTimeout))
+	open := &innerv1.Open{}
+	if err := st.Recv(open); err != nil {
+		st.Fail(failure.NotRun(kingcupv1.Reason_REASON_PROTOCOL, 0, "first frame: %v", err))
+		return
+	}
+	st.SetReadDeadline(time.Time{})
+	if open.GetProtocol() != Protocol {
+		st.Fail(failure.NotRun(kingcupv1.Reason_REASON_PROTOCOL, 0, "%v: got %d, want %d", ErrProtocol, open.GetProtocol(), Protocol))
+		return
+	}
+	s.handle(ctx, open, st)
+}
+
+// Close stops accepting, ends all sessions and waits for their handlers.
+func (s *Server) Close() {
+	s.listener.Close()
+	s.mu.Lock()
+	s.closed = true
+	for mux := range s.sessions {
+		mux.Close()
+	}
+	s.mu.Unlock()
+	s.wg.Wait()
+}
--- /dev/null
+++ b/internal/wire/session.go
@@ -0,0 +1,135 @@
+package wire
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/pkg/errors"
+
+	innerv1 "kingcupplank.example/kingcup/proto/kingcup/inner/v1"
+)
+
+// Network is how a process reaches its peers. Tests give one in memory.
+type Network interface {
+	Listen(address string) (net.Listener, error)
+	Dial(ctx context.Context, address string) (net.Conn, error)
+}
+
+// TCP is the Network of production.
+type TCP struct{}
+
+// Listen implements Network.
+func (TCP) Listen(address string) (net.Listener, error) {
+	return net.Listen("tcp", address)
+}
+
+// Dial implements Network.
+func (TCP) Dial(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address)
+}
+
+const (
+	acceptBacklog = 1024
+	// A dead peer is noticed by its missing heartbeats before the keepalive;
+	// the keepalive closes sessions that nothing watches.
+	keepAlive    = 10 * time.Second
+	writeTimeout = 5 * time.Second
+	openTimeout  = 5 * time.Second
+)
+
+func yamuxConfig() *yamux.Config {
+	cfg := yamux.DefaultConfig()
+	cfg.AcceptBacklog = acceptBacklog
+	cfg.KeepAliveInterval = keepAlive
+	cfg.ConnectionWriteTimeout = writeTimeout
+	cfg.LogOutput = io.Discard
+	return cfg
+}
+
+// Identity is what a process says of itself in every Open.
+type Identity struct {
+	Name          string
+	FailureDomain string
+}
+
+// Session is one connection to a peer that carries many streams. It is safe
+// for concurrent use.
+type Session struct {
+	id  Identity
+	mux *yamux.Session
+}
+
+// Dial connects to the peer at address.
+func Dial(ctx context.Context, network Network, address string, id Identity) (*Session, error) {
+	conn, err := network.Dial(ctx, address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "dial %s", address)
+	}
+	mux, err := yamux.Client(conn, yamuxConfig())
+	if err != nil {
+		conn.Close()
+		return nil, errors.Wrap(err, "yamux client")
+	}
+	return &Session{id: id, mux: mux}, nil
+}
+
+// Close ends the session and all its streams.
+func (s *Session) Close() error {
+	return s.mux.Close()
+}
+
+// Closed is closed when the session has ended.
+func (s *Session) Closed() <-chan struct{} {
+	return s.mux.CloseChan()
+}
+
+// Open starts a stream with open as its first frame. If sent is false the peer
+// got nothing of it.
+func (s *Session) Open(open *innerv1.Open) (st *Stream, sent bool, err error) {
+	conn, err := s.mux.OpenStream()
+	if err != nil {
+		return nil, false, errors.Wrap(err, "open stream")
+	}
+	open.Protocol = Protocol
+	open.Peer = s.id.Name
+	open.FailureDomain = s.id.FailureDomain
+	st = newStream(conn)
+	if err := st.Send(open); err != nil {
+		conn.Close()
+		return nil, true, errors.Wrap(err, "send open")
+	}
+	return st, true, nil
+}
+
+// Stream is one exchange with a peer. One goroutine may read while others
+// write.
+type Stream struct {
+	conn *yamux.Stream
+	in   *FrameReader
+	mu   sync.Mutex
+}
+
+func newStream(conn *yamux.Stream) *Stream {
+	return &Stream{conn: conn, in: NewFrameReader(conn)}
+}
+
+// Close ends the stream.
+func (s *Stream) Close() error {
+	return s.conn.Close()
+}
+
+// SetReadDeadline bounds reads; the zero time removes the bound.
+func (s *Stream) SetReadDeadline(t time.Time) error {
+	return s.conn.SetReadDeadline(t)
+}
+
+// CloseOnDone closes the stream when ctx ends, which unblocks its reader. The
+// returned function releases the hook.
+func (s *Stream) CloseOnDone(ctx context.Context) (release func() bool) {
+	return context.AfterFunc(ctx, func() { s.conn.Close() })
+}
--- /dev/null
+++ b/placement/placement.go
@@ -0,0 +1,107 @@
+// Package placement chooses the backend server that an entry asks first. A
+// choice passes three steps: filters drop servers that can't take the request,
+// scorers rank the rest, a picker takes one of the best. The view of the load
+// is partial and lags, so a wrong choice is cheap: the agent refuses.
+//
+// The package is pure; all functions are safe for concurrent use.
+package placement
+
+import "time"
+
+// Server is what an entry knows of one backend server.
+type Server struct {
+	Name          string
+	FailureDomain string
+	Models        []string
+	Adapters      []string
+	Leaving       bool
+	Connected     bool
+	// Age is the time since the load was reported.
+	Age time.Duration
+	// Running, Queued and the memory figures are as last reported.
+	Running, Queued             int
+	MemoryForecast, MemoryTotal uint64
+	// Sent is the number of requests this entry has sent since that report.
+	Sent int
+	// CachedPrefix is the share of the prompt, 0 to 1, that the server is
+	// believed to have cached.
+	CachedPrefix float64
+}
+
+// Request is what a choice is made for.
+type Request struct {
+	Team          string
+	Model         string
+	Adapter       string
+	FailureDomain string
+	// Tried are the servers that have refused the request.
+	Tried []string
+}
+
+// Filter reports whether a server can take a request.
+type Filter func(r *Request, s *Server) bool
+
+// Scorer rates a server for a request; the scale is 0 to 1.
+type Scorer struct {
+	Weight float64
+	Score  func(r *Request, s *Server) float64
+}
+
+// Policy is a chain of filters and scorers.
+type Policy struct {
+	Filters []Filter
+	Scorers []Scorer
+}
+
+// Default is the policy of the entry.
+func Default() Policy {
+	return Policy{
+		Filters: []Filter{Reachable, NotLeaving, ServesModel, NotTried},
+		Scorers: []Scorer{
+			{Weight: 1.0, Score: Headroom},
+			{Weight: 0.4, Score: SameDomain},
+			{Weight: 0.3, Score: CachedPrefix},
+		},
+	}
+}
+
+// Pick returns the index in servers of the one to ask, or -1. Of two servers
+// drawn by random it takes the better one: with a view that lags, always taking
+// the best sends every entry to the same server at once.
+func (p Policy) Pick(r *Request, servers []Server, random uint64) int {
+	fit := make([]int, 0, len(servers))
+	for i := range servers {
+		if p.passes(r, &servers[i]) {
+			fit = append(fit, i)
+		}
+	}
+	if len(fit) == 0 {
+		return -1
+	}
+	first := int(uint32(random)) % len(fit)
+	second := int(uint32(random>>32)) % len(fit)
+	if second == first {
+		second = (first + 1) % len(fit)
+	}
+	if p.score(r, &servers[fit[second]]) > p.score(r, &servers[fit[first]]) {
+		first = second
+	}
+	return fit[first]
+}
+
+func (p Policy) passes(r *Request, s *Server) bool {
+	for _, f := range p.Filters {
+		if !f(r, s) {
+			return false
+		}
+	}
+	return true
+}
+
+func (p Policy) score(r *Request, s *Server) float64 {
+	sum := 0.0
+	for _, sc := range p.Scorers {
+		sum += sc.Weight * sc.Score(r, s)
+	}
+	return sum
+}
--- /dev/null
+++ b/sched/config.go
@@ -0,0 +1,57 @@
+package sched
+
+import "time"
+
+// Config sets a Forecasting policy. Zero fields take the defaults.
+type Config struct {
+	// Capacity is the engine's memory in tokens.
+	Capacity int
+	// MaxBatch bounds the streams that run at once, which bounds the time
+	// between tokens.
+	MaxBatch int
+	// MaxWait is the longest a request may wait for its start.
+	MaxWait time.Duration
+	// Sigmas is how many standard deviations above its mean the forecast peak
+	// must stay below capacity.
+	Sigmas float64
+	// Reserve is the fraction of capacity that teams over their share leave
+	// free for teams under theirs.
+	Reserve float64
+	// Patience is how long a job of a team under its share waits before a
+	// stream of a team over its share is paused for it; 0 never pauses.
+	Patience time.Duration
+	// Off switches parts off, for ablation.
+	Off Parts
+}
+
+// Parts are switches for the parts of the policy.
+type Parts struct {
+	Forecast, Shares, Victims, Refusal, Reserve bool
+}
+
+// Defaults of Config.
+const (
+	DefaultMaxBatch = 256
+	DefaultMaxWait  = 10 * time.Second
+	DefaultSigmas   = 2.0
+	DefaultReserve  = 0.10
+)
+
+func (c Config) withDefaults() Config {
+	if c.MaxBatch == 0 {
+		c.MaxBatch = DefaultMaxBatch
+	}
+	if c.MaxWait == 0 {
+		c.MaxWait = DefaultMaxWait
+	}
+	if c.Sigmas == 0 {
+		c.Sigmas = DefaultSigmas
+	}
+	if c.Reserve == 0 {
+		c.Reserve = DefaultReserve
+	}
+	if c.Off.Reserve {
+		c.Reserve = 0
+	}
+	return c
+}
