--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -127,9 +127,9 @@
 }
 
 func (a *Agent) meetEngine(ctx context.Context) error {
-	load, err := a.engine.Load(ctx)
+	load, err := a.firstLoad(ctx)
 	if err != nil {
-		return errors.Wrap(err, "engine load")
+		return err
 	}
 	a.models.Store(&load)
 	a.resumes = load.ResumesFromPrefix
@@ -143,6 +143,19 @@
 	return a.adopt(ctx)
 }
 
+// firstLoad waits for the engine, which may start later than its agent.
+func (a *Agent) firstLoad(ctx context.Context) (engine.Load, error) {
+	for backoff := firstBackoff; ; backoff = min(2*backoff, maxBackoff) {
+		load, err := a.engine.Load(ctx)
+		if err == nil {
+			return load, nil
+		}
+		if !wait(ctx, backoff) {
+			return engine.Load{}, errors.Wrap(err, "engine load")
+		}
+	}
+}
+
 // Close ends the agent at once, as the end of its process does.
 func (a *Agent) Close() {
 	a.cancel()
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -7,30 +7,12 @@
 	"time"
 
 	"github.com/hashicorp/yamux"
-	"google.golang.org/protobuf/proto"
 
 	"kingcupplank.example/kingcup/failure"
 	innerv1 "kingcupplank.example/kingcup/proto/kingcup/inner/v1"
 	kingcupv1 "kingcupplank.example/kingcup/proto/kingcup/v1"
 )
 
-// Send writes one frame.
-func (s *Stream) Send(msg proto.Message) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return WriteFrame(s.conn, msg)
-}
-
-// Recv reads one frame into msg.
-func (s *Stream) Recv(msg proto.Message) error {
-	return s.in.Read(msg)
-}
-
-// Fail sends err as the stream's answer.
-func (s *Stream) Fail(err error) error {
-	return s.Send(&innerv1.Reply{Kind: &innerv1.Reply_Failure{Failure: failure.As(err).Proto()}})
-}
-
 // Handler answers one stream; the stream is closed when it returns. ctx ends
 // with the session.
 type Handler func(ctx context.Context, open *innerv1.Open, st *Stream)
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -9,7 +9,9 @@
 
 	"github.com/hashicorp/yamux"
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
+	"kingcupplank.example/kingcup/failure"
 	innerv1 "kingcupplank.example/kingcup/proto/kingcup/inner/v1"
 )
 
@@ -111,25 +113,62 @@
 type Stream struct {
 	conn *yamux.Stream
 	in   *FrameReader
-	mu   sync.Mutex
+	// writing serializes frames.
+	writing sync.Mutex
+
+	mu     sync.Mutex
+	closed bool
 }
 
 func newStream(conn *yamux.Stream) *Stream {
 	return &Stream{conn: conn, in: NewFrameReader(conn)}
 }
 
-// Close ends the stream.
+// Close ends the stream and unblocks its reader.
 func (s *Stream) Close() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return nil
+	}
+	s.closed = true
+	// A yamux stream that only this side has closed still blocks its reader
+	// until the peer closes too, which a dead peer does after minutes; the
+	// deadline in the past ends the read at once.
+	s.conn.SetReadDeadline(time.Unix(1, 0))
 	return s.conn.Close()
 }
 
-// SetReadDeadline bounds reads; the zero time removes the bound.
+// Send writes one frame.
+func (s *Stream) Send(msg proto.Message) error {
+	s.writing.Lock()
+	defer s.writing.Unlock()
+	return WriteFrame(s.conn, msg)
+}
+
+// Recv reads one frame into msg.
+func (s *Stream) Recv(msg proto.Message) error {
+	return s.in.Read(msg)
+}
+
+// Fail sends err as the stream's answer.
+func (s *Stream) Fail(err error) error {
+	return s.Send(&innerv1.Reply{Kind: &innerv1.Reply_Failure{Failure: failure.As(err).Proto()}})
+}
+
+// SetReadDeadline bounds reads; the zero time removes the bound. It does
+// nothing once the stream is closed.
 func (s *Stream) SetReadDeadline(t time.Time) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return nil
+	}
 	return s.conn.SetReadDeadline(t)
 }
 
 // CloseOnDone closes the stream when ctx ends, which unblocks its reader. The
 // returned function releases the hook.
 func (s *Stream) CloseOnDone(ctx context.Context) (release func() bool) {
-	return context.AfterFunc(ctx, func() { s.conn.Close() })
+	return context.AfterFunc(ctx, func() { s.Close() })
 }
