Streams proved whole under kills, cuts and stalls, in virtual time

Cause: no promise had a test. Change: a network in memory with cuts and stalls, a harness for the whole system in one synctest bubble, and histories of streams through killed entries, agents, engines, lost servers, cut and stalled links, leave and shutdown. Ruled out: leaked sessions (all goroutines of a bubble end).

--- a/client/client.go
+++ b/client/client.go
@@ -72,10 +72,19 @@
 	Servers []string
 }
 
-// Generate runs one generation and calls each for its tokens, in order and once
-// each. The error is a *failure.Error.
-func (c *Client) Generate(ctx context.Context, req *kingcupv1.GenerateRequest, each func(Token)) (Result, error) {
-	g := &generation{c: c, req: req, each: each, digest: engine.NewDigest()}
+// Handler takes what a generation sends. Its functions are called from the
+// goroutine that called Generate; either may be nil.
+type Handler struct {
+	// Started is called when a backend server accepts the generation, again
+	// when another one continues it.
+	Started func(generationID, backendServer string)
+	// Token is called for each token, in order and once each.
+	Token func(Token)
+}
+
+// Generate runs one generation. The error is a *failure.Error.
+func (c *Client) Generate(ctx context.Context, req *kingcupv1.GenerateRequest, h Handler) (Result, error) {
+	g := &generation{c: c, req: req, handler: h, digest: engine.NewDigest()}
 	for refusals := 0; ; refusals++ {
 		err := g.run(ctx)
 		if err == nil {
@@ -95,7 +104,7 @@
 type generation struct {
 	c         *Client
 	req       *kingcupv1.GenerateRequest
-	each      func(Token)
+	handler   Handler
 	result    Result
 	attempt   uint32
 	delivered [][]byte
@@ -167,8 +176,7 @@
 		}
 		switch ev := m.GetEvent().(type) {
 		case *kingcupv1.GenerateResponse_Started:
-			g.result.GenerationID = ev.Started.GetGenerationId()
-			g.result.Servers = append(g.result.Servers, ev.Started.GetBackendServer())
+			g.started(ev.Started)
 		case *kingcupv1.GenerateResponse_Tokens:
 			if err := g.take(ev.Tokens); err != nil {
 				return err
@@ -179,6 +187,14 @@
 	}
 }
 
+func (g *generation) started(s *kingcupv1.Started) {
+	g.result.GenerationID = s.GetGenerationId()
+	g.result.Servers = append(g.result.Servers, s.GetBackendServer())
+	if g.handler.Started != nil {
+		g.handler.Started(s.GetGenerationId(), s.GetBackendServer())
+	}
+}
+
 func (g *generation) take(t *kingcupv1.Tokens) error {
 	next := uint64(len(g.delivered))
 	if t.GetFirstIndex() != next {
@@ -187,7 +203,9 @@
 	g.attempt = max(g.attempt, t.GetAttempt())
 	for _, text := range t.GetTexts() {
 		g.digest.Add(text)
-		g.each(Token{Index: uint64(len(g.delivered)), Text: text})
+		if g.handler.Token != nil {
+			g.handler.Token(Token{Index: uint64(len(g.delivered)), Text: text})
+		}
 		g.delivered = append(g.delivered, text)
 	}
 	return nil
--- a/cmd/kingcupctl/callers.go
+++ b/cmd/kingcupctl/callers.go
@@ -53,7 +53,7 @@
 		Team: *team, Model: *model, Adapter: *adapter, MaxTokens: uint32(*most),
 		RequestId: requestID(*id), NonIdempotent: *once, Prompt: []byte(strings.Join(words, " ")),
 	}
-	res, err := client.New(client.DefaultOptions(), conns...).Generate(ctx, req, func(t client.Token) { os.Stdout.Write(t.Text) })
+	res, err := client.New(client.DefaultOptions(), conns...).Generate(ctx, req, client.Handler{Token: func(t client.Token) { os.Stdout.Write(t.Text) }})
 	fmt.Println()
 	if err == nil {
 		fmt.Fprintf(os.Stderr, "%d tokens, generation %s, by %s, %d resumes, finish %s\n",
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -259,12 +259,12 @@
 	var first time.Duration
 	fmt.Fprint(w, "caller    ")
 	req := &kingcupv1.GenerateRequest{Team: Team, RequestId: "dev-1", Model: Model, Prompt: []byte(prompt)}
-	res, err := client.New(client.DefaultOptions(), s.conns...).Generate(ctx, req, func(t client.Token) {
+	res, err := client.New(client.DefaultOptions(), s.conns...).Generate(ctx, req, client.Handler{Token: func(t client.Token) {
 		if t.Index == 0 {
 			first = time.Since(began)
 		}
 		w.Write(t.Text)
-	})
+	}})
 	if err != nil {
 		return errors.Wrap(err, "generate")
 	}
--- /dev/null
+++ b/internal/proof/stream_test.go
@@ -0,0 +1,288 @@
+// Package proof checks what must always hold, by the history of concurrent runs
+// under failure, in virtual time.
+package proof
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"kingcupplank.example/kingcup/client"
+	"kingcupplank.example/kingcup/failure"
+	"kingcupplank.example/kingcup/internal/standin/engines"
+	kingcupv1 "kingcupplank.example/kingcup/proto/kingcup/v1"
+)
+
+// seen is what one caller saw of one generation.
+type seen struct {
+	mu      sync.Mutex
+	tokens  [][]byte
+	servers []string
+	res     client.Result
+	err     error
+}
+
+func (s *seen) at(server string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.servers = append(s.servers, server)
+}
+
+func (s *seen) add(t *testing.T, tok client.Token) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if uint64(len(s.tokens)) != tok.Index {
+		t.Errorf("token %d came, %d was due", tok.Index, len(s.tokens))
+	}
+	s.tokens = append(s.tokens, append([]byte(nil), tok.Text...))
+}
+
+// server is the backend server that has the generation now.
+func (s *seen) server() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.servers[len(s.servers)-1]
+}
+
+func (s *seen) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.tokens)
+}
+
+// generate starts a caller; done closes when it has its final answer.
+func (s *system) generate(c *client.Client, req *kingcupv1.GenerateRequest) (*seen, <-chan struct{}) {
+	out, done := &seen{}, make(chan struct{})
+	go func() {
+		defer close(done)
+		out.res, out.err = c.Generate(s.t.Context(), req, client.Handler{
+			Started: func(_, server string) { out.at(server) },
+			Token:   func(t client.Token) { out.add(s.t, t) },
+		})
+	}()
+	return out, done
+}
+
+func request(id string, tokens int) *kingcupv1.GenerateRequest {
+	return &kingcupv1.GenerateRequest{Team: team, RequestId: id, Model: model, Prompt: fmt.Appendf(nil, "tokens=%d plan %s", tokens, id)}
+}
+
+// requireWhole checks that the caller saw n tokens of one lineage: those that
+// the engine makes for this generation, whatever happened on the way.
+func requireWhole(t *testing.T, s *seen, n int) {
+	t.Helper()
+	require.NoError(t, s.err)
+	require.Len(t, s.tokens, n)
+	for i, text := range s.tokens {
+		require.Equal(t, string(engines.Expected(s.res.GenerationID, i)), string(text), "token %d is of another lineage", i)
+	}
+}
+
+// midway lets the caller see about a third of a stream.
+func midway(s *seen, tokens int) {
+	for s.count() < tokens/3 {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// The caller streams 300 tokens. Midway something between it and the engine
+// dies or is cut. It must see each of the 300 tokens once, in order, from one
+// generation, because buffers are numbered and any entry can find the stream.
+func TestStreamSurvives(t *testing.T) {
+	const tokens = 300
+	faults := map[string]func(s *system, at *seen){
+		"entry killed": func(s *system, at *seen) {
+			s.killEntry(0)
+		},
+		"entry killed and agent killed": func(s *system, at *seen) {
+			i := s.index(at.server())
+			s.killEntry(0)
+			s.killAgent(i)
+			s.startAgent(s.nodes[i])
+		},
+		"agent killed and restarted": func(s *system, at *seen) {
+			i := s.index(at.server())
+			s.killAgent(i)
+			time.Sleep(time.Second)
+			s.startAgent(s.nodes[i])
+		},
+		"agent killed twice": func(s *system, at *seen) {
+			i := s.index(at.server())
+			for range 2 {
+				s.killAgent(i)
+				time.Sleep(500 * time.Millisecond)
+				s.startAgent(s.nodes[i])
+				time.Sleep(500 * time.Millisecond)
+			}
+		},
+		"engine killed": func(s *system, at *seen) {
+			s.killEngine(s.index(at.server()))
+		},
+		"engine killed twice": func(s *system, at *seen) {
+			i := s.index(at.server())
+			s.killEngine(i)
+			time.Sleep(700 * time.Millisecond)
+			s.killEngine(i)
+		},
+		"server lost for good": func(s *system, at *seen) {
+			i := s.index(at.server())
+			s.killAgent(i)
+			s.killEngine(i)
+		},
+		"link cut and healed": func(s *system, at *seen) {
+			name := at.server()
+			s.net.Cut(name)
+			time.Sleep(time.Second)
+			s.net.Heal(name)
+		},
+		"link stalled and healed": func(s *system, at *seen) {
+			name := at.server()
+			s.net.Stall(name)
+			time.Sleep(2 * time.Second)
+			s.net.Heal(name)
+		},
+		"link stalled for long": func(s *system, at *seen) {
+			s.net.Stall(at.server())
+			time.Sleep(40 * time.Second)
+			s.net.Heal(at.server())
+		},
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			virtual(t, func(t *testing.T) {
+				s := newSystem(t, setup{entries: 2, servers: 3, resumes: true})
+				defer s.close()
+				c := s.client(client.DefaultOptions())
+				// The first request of a client goes to its second entry; a
+				// warm-up puts the observed stream on entry 0.
+				_, warm := s.generate(c, request("warm", 1))
+				<-warm
+				at, done := s.generate(c, request("r1", tokens))
+				midway(at, tokens)
+				fault(s, at)
+				<-done
+				requireWhole(t, at, tokens)
+			})
+		})
+	}
+}
+
+// The engine cannot continue a generation and dies midway. The caller must get
+// a typed failure behind a clean prefix of one generation: never a whole answer
+// that is spliced from two.
+func TestNeverSplicesGenerations(t *testing.T) {
+	virtual(t, func(t *testing.T) {
+		s := newSystem(t, setup{entries: 2, servers: 3, resumes: false})
+		defer s.close()
+		at, done := s.generate(s.client(client.DefaultOptions()), request("r1", 300))
+		midway(at, 300)
+		s.killEngine(s.index(at.server()))
+		<-done
+		require.Error(t, at.err)
+		f := failure.As(at.err)
+		require.Equal(t, kingcupv1.Outcome_OUTCOME_UNKNOWN, f.Outcome)
+		require.Less(t, len(at.tokens), 300)
+	})
+}
+
+// Many callers stream at once through both entries while an agent is killed.
+// Every caller must get its own answer whole: tokens are checked against the
+// lineage of the caller's own generation.
+func TestCrossedStreamsKeepApart(t *testing.T) {
+	virtual(t, func(t *testing.T) {
+		s := newSystem(t, setup{entries: 2, servers: 2, resumes: true})
+		defer s.close()
+		c := s.client(client.DefaultOptions())
+		const callers = 20
+		var all []*seen
+		var waits []<-chan struct{}
+		for i := range callers {
+			at, done := s.generate(c, request(fmt.Sprintf("r%d", i), 50+7*i))
+			all, waits = append(all, at), append(waits, done)
+		}
+		time.Sleep(500 * time.Millisecond)
+		s.killAgent(0)
+		s.startAgent(s.nodes[0])
+		ids := make(map[string]bool)
+		for i, done := range waits {
+			<-done
+			requireWhole(t, all[i], 50+7*i)
+			require.False(t, ids[all[i].res.GenerationID], "two callers share a generation")
+			ids[all[i].res.GenerationID] = true
+		}
+	})
+}
+
+// An agent is told to leave while streams run and more are asked for. From then
+// on no request may start there, the streams in progress end whole, and later
+// ones go elsewhere, although the platform's list does not say so yet.
+func TestLeavingServerGetsNoNewWork(t *testing.T) {
+	virtual(t, func(t *testing.T) {
+		s := newSystem(t, setup{entries: 2, servers: 2, resumes: true})
+		defer s.close()
+		c := s.client(client.DefaultOptions())
+		var all []*seen
+		var waits []<-chan struct{}
+		ask := func(n int) {
+			for range n {
+				at, done := s.generate(c, request(fmt.Sprintf("r%d", len(all)), 100))
+				all, waits = append(all, at), append(waits, done)
+			}
+		}
+		ask(10)
+		time.Sleep(300 * time.Millisecond)
+		_, err := s.operator(0).Drain(t.Context(), &kingcupv1.DrainRequest{BackendServer: "server-0"})
+		require.NoError(t, err)
+		started := len(s.nodes[0].engine.log())
+		for range 10 {
+			ask(3)
+			time.Sleep(100 * time.Millisecond)
+		}
+		for i, done := range waits {
+			<-done
+			requireWhole(t, all[i], 100)
+		}
+		require.Len(t, s.nodes[0].engine.log(), started, "work started after the leave")
+	})
+}
+
+// Entry and agent are told to stop under load, twice. Every stream in progress
+// must end whole before they are gone; new requests are refused as not run.
+func TestShutdownCutsNothingOff(t *testing.T) {
+	virtual(t, func(t *testing.T) {
+		s := newSystem(t, setup{entries: 2, servers: 2, resumes: true})
+		defer s.close()
+		var all []*seen
+		var waits []<-chan struct{}
+		for i := range 12 {
+			at, done := s.generate(s.client(once, 0), request(fmt.Sprintf("r%d", i), 200))
+			all, waits = append(all, at), append(waits, done)
+		}
+		time.Sleep(time.Second)
+		left := make(chan int, 4)
+		for range 2 {
+			go func() { left <- s.entries[0].Entry.Shutdown(context.Background()) }()
+			go func() { left <- s.nodes[0].agent.Agent.Drain(context.Background()) }()
+		}
+		time.Sleep(100 * time.Millisecond)
+		late, refused := s.generate(s.client(once, 0), request("late", 5))
+		<-refused
+		require.True(t, failure.IsNotRun(late.err), "%v", late.err)
+		require.Empty(t, s.runs("late"))
+		for range 4 {
+			require.Zero(t, <-left)
+		}
+		for i, done := range waits {
+			select {
+			case <-done:
+			case <-time.After(100 * time.Millisecond):
+				t.Fatal("shutdown returned before the caller had its answer")
+			}
+			requireWhole(t, all[i], 200)
+		}
+	})
+}
