--- a/internal/app/entry.go
+++ b/internal/app/entry.go
@@ -34,6 +34,8 @@
 	ReattachFor   time.Duration
 	ClaimWindow   time.Duration
 	LeaseTTL      time.Duration
+	// Random draws for placement; nil takes the process's source.
+	Random func() uint64
 }
 
 // DefaultEntry fills in the settings that a test or the all-in-one program
@@ -111,7 +113,7 @@
 			return entry.New(entry.Config{
 				Identity: o.Identity(), ListEvery: o.ListEvery, PerModel: o.PerModel, Peers: o.Peers,
 				AcceptTimeout: o.AcceptTimeout, ReattachFor: o.ReattachFor, StreamBytes: streamBytes,
-				SpreadTimeout: spreadTimeout, Tries: placeTries,
+				SpreadTimeout: spreadTimeout, Tries: placeTries, Random: o.Random,
 			}, entry.Deps{Sync: s, Store: store, Links: links, Claims: claims, Leases: leases, VMs: p.VMs, Log: log, Observer: rec})
 		},
 	})
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -104,7 +104,7 @@
 	i := e.place.Pick(&placement.Request{
 		Team: req.GetTeam(), Model: req.GetService(),
 		FailureDomain: e.cfg.Identity.FailureDomain, Tried: tried,
-	}, servers, random())
+	}, servers, e.cfg.Random())
 	if i < 0 {
 		return ""
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -50,6 +50,8 @@
 	SpreadTimeout time.Duration
 	// Tries bounds the backend servers that one request is offered to.
 	Tries int
+	// Random draws for placement; nil takes the process's source.
+	Random func() uint64
 }
 
 // Deps are what an Entry needs from outside.
@@ -98,6 +100,9 @@
 
 // New returns an entry; Run keeps its membership up to date.
 func New(cfg Config, deps Deps) *Entry {
+	if cfg.Random == nil {
+		cfg.Random = rand.Uint64
+	}
 	return &Entry{
 		cfg:     cfg,
 		sync:    deps.Sync,
@@ -248,5 +253,3 @@
 		return false
 	}
 }
-
-func random() uint64 { return rand.Uint64() }
--- a/internal/entry/flight.go
+++ b/internal/entry/flight.go
@@ -180,7 +180,7 @@
 		Team: f.req.GetTeam(), Model: f.req.GetModel(), Adapter: f.req.GetAdapter(),
 		FailureDomain: f.e.cfg.Identity.FailureDomain, Tried: f.tried,
 	}
-	i := f.e.place.Pick(r, servers, random())
+	i := f.e.place.Pick(r, servers, f.e.cfg.Random())
 	if i < 0 {
 		return ""
 	}
--- /dev/null
+++ b/internal/proof/outcome_test.go
@@ -0,0 +1,334 @@
+package proof
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/stretchr/testify/require"
+
+	"kingcupplank.example/kingcup/failure"
+	"kingcupplank.example/kingcup/internal/standin/tables"
+	"kingcupplank.example/kingcup/internal/wire"
+	"kingcupplank.example/kingcup/platform"
+	innerv1 "kingcupplank.example/kingcup/proto/kingcup/inner/v1"
+	kingcupv1 "kingcupplank.example/kingcup/proto/kingcup/v1"
+)
+
+func (s *system) book(entry int, id string) (*kingcupv1.CallResponse, error) {
+	return s.client(once, entry).Call(s.t.Context(), &kingcupv1.CallRequest{
+		Team: team, RequestId: id, Service: service, NonIdempotent: true, Body: []byte("baler " + id),
+	})
+}
+
+// The table applies a claim and loses the answer. The caller must still get the
+// answer of its one run: the entry reads its own nonce back.
+func TestClaimAnswerLost(t *testing.T) {
+	for _, lost := range []struct{ before, after int }{{0, 1}, {1, 0}, {2, 2}} {
+		t.Run(fmt.Sprint(lost), func(t *testing.T) {
+			virtual(t, func(t *testing.T) {
+				s := newSystem(t, setup{entries: 2, servers: 1})
+				defer s.close()
+				s.table.LoseAnswers(lost.before, lost.after)
+				resp, err := s.book(0, "slot")
+				require.NoError(t, err)
+				require.False(t, resp.GetReplayed())
+				require.Equal(t, 1, s.service.Ran(team, "slot"))
+			})
+		})
+	}
+}
+
+// The service runs the call and its answer is lost. The caller is told
+// "unknown", repeats at another entry, and the call must not run again.
+func TestServiceAnswerLost(t *testing.T) {
+	virtual(t, func(t *testing.T) {
+		s := newSystem(t, setup{entries: 2, servers: 1})
+		defer s.close()
+		s.service.LoseAnswers(1)
+		for entry := range 2 {
+			_, err := s.book(entry, "slot")
+			require.Equal(t, kingcupv1.Outcome_OUTCOME_UNKNOWN, failure.As(err).Outcome)
+		}
+		require.Equal(t, 1, s.service.Ran(team, "slot"))
+	})
+}
+
+// A call is under way at one entry, which is killed after the dispatch. The
+// caller repeats at the other entry. The call must have run once at most and
+// the repeat must not be told that it was not run.
+func TestEntryKilledAfterDispatch(t *testing.T) {
+	virtual(t, func(t *testing.T) {
+		s := newSystem(t, setup{entries: 2, servers: 1})
+		defer s.close()
+		inside, proceed := make(chan struct{}), make(chan struct{})
+		var first sync.Once
+		s.service.SetGate(func() { first.Do(func() { close(inside) }); <-proceed })
+		done := make(chan error, 1)
+		go func() { _, err := s.book(0, "slot"); done <- err }()
+		<-inside
+		go s.killEntry(0)
+		time.Sleep(time.Second)
+		_, err := s.book(1, "slot")
+		require.Equal(t, kingcupv1.Outcome_OUTCOME_UNKNOWN, failure.As(err).Outcome)
+		close(proceed)
+		require.Equal(t, kingcupv1.Outcome_OUTCOME_UNKNOWN, failure.As(<-done).Outcome)
+		time.Sleep(time.Second)
+		require.Equal(t, 1, s.service.Ran(team, "slot"))
+	})
+}
+
+// The store is down. A non-idempotent call must be refused as not run, at once
+// and with a time to come back, and must not have run.
+func TestStoreOutageRefusesClaims(t *testing.T) {
+	virtual(t, func(t *testing.T) {
+		s := newSystem(t, setup{entries: 2, servers: 1})
+		defer s.close()
+		s.table.SetOutage(true)
+		began := time.Now()
+		_, err := s.book(0, "slot")
+		require.True(t, failure.IsNotRun(err))
+		require.NotZero(t, failure.As(err).RetryAfter)
+		require.Less(t, time.Since(began), 100*time.Millisecond)
+		require.Zero(t, s.service.Ran(team, "slot"))
+		s.table.SetOutage(false)
+		_, err = s.book(0, "slot")
+		require.NoError(t, err)
+	})
+}
+
+// silent serves in place of an agent: it sends heartbeats, takes requests and
+// never answers one, as a process does that was stopped right after a read.
+func (s *system) silence(node int) (received func() int) {
+	n := s.nodes[node]
+	s.killAgent(node)
+	l, err := s.net.Listen(n.opts.InnerAddress)
+	require.NoError(s.t, err)
+	var count atomic.Int64
+	srv := wire.NewServer(l, func(ctx context.Context, open *innerv1.Open, st *wire.Stream) {
+		if open.GetWatch() == nil {
+			count.Add(1)
+			<-ctx.Done()
+			return
+		}
+		for ctx.Err() == nil {
+			beat := &innerv1.Heartbeat{ConfigVersion: s.entries[0].Sync.Replica().Version(), Models: []string{model, service}}
+			if st.Send(&innerv1.Reply{Kind: &innerv1.Reply_Heartbeat{Heartbeat: beat}}) != nil {
+				return
+			}
+			time.Sleep(time.Second)
+		}
+	})
+	go srv.Serve()
+	s.silent = append(s.silent, srv)
+	return func() int { return int(count.Load()) }
+}
+
+// An agent takes a request and falls silent. The entry cannot know whether it
+// ran, so a non-idempotent caller must be told "unknown", not "not run", and
+// the request must not be sent a second time.
+func TestSilentAgentIsUnknown(t *testing.T) {
+	virtual(t, func(t *testing.T) {
+		s := newSystem(t, setup{entries: 1, servers: 1})
+		defer s.close()
+		received := s.silence(0)
+		time.Sleep(10 * time.Second)
+		req := request("silent", 5)
+		req.NonIdempotent = true
+		at, done := s.generate(s.client(once, 0), req)
+		<-done
+		require.Equal(t, kingcupv1.Outcome_OUTCOME_UNKNOWN, failure.As(at.err).Outcome, "%v", at.err)
+		require.Equal(t, 1, received())
+	})
+}
+
+// The link to an agent stalls, with requests on their way. Whatever the entry
+// answers while it cannot know, "not run" must stay true once the link heals.
+func TestStalledLinkNeverLiesAboutNotRun(t *testing.T) {
+	virtual(t, func(t *testing.T) {
+		s := newSystem(t, setup{entries: 1, servers: 1})
+		defer s.close()
+		var all []*seen
+		var waits []<-chan struct{}
+		for i := range 20 {
+			if i == 10 {
+				s.net.Stall("server-0")
+			}
+			req := request(fmt.Sprintf("r%d", i), 5)
+			req.NonIdempotent = i%2 == 0
+			at, done := s.generate(s.client(once, 0), req)
+			all, waits = append(all, at), append(waits, done)
+		}
+		for _, done := range waits {
+			<-done
+		}
+		s.net.Heal("server-0")
+		time.Sleep(time.Minute)
+		for i, at := range all {
+			if failure.IsNotRun(at.err) {
+				require.Empty(t, s.runs(fmt.Sprintf("r%d", i)))
+			}
+		}
+	})
+}
+
+// The engine has room for one stream and ten are asked for with a deadline that
+// passes while nine wait. Whoever is told "not run" must not be in the engine's
+// log, then or later.
+func TestNotRunIsTrueForQueued(t *testing.T) {
+	virtual(t, func(t *testing.T) {
+		s := newSystem(t, setup{entries: 2, servers: 1, resumes: true, memory: 300})
+		defer s.close()
+		s.nodes[0].opts.Policy.MaxWait = 2 * time.Second
+		var all []*seen
+		var waits []<-chan struct{}
+		for i := range 10 {
+			at, done := s.generate(s.client(once), request(fmt.Sprintf("q%d", i), 250))
+			all, waits = append(all, at), append(waits, done)
+		}
+		refused := 0
+		for _, done := range waits {
+			<-done
+		}
+		time.Sleep(time.Minute)
+		for i, at := range all {
+			if at.err == nil {
+				continue
+			}
+			require.True(t, failure.IsNotRun(at.err), "%v", at.err)
+			require.NotZero(t, failure.As(at.err).RetryAfter)
+			require.Empty(t, s.runs(fmt.Sprintf("q%d", i)))
+			refused++
+		}
+		require.NotZero(t, refused, "the test needs refusals to say anything")
+	})
+}
+
+// callIn and callOut are one call in a history of keyed outcomes.
+type callIn struct{ key string }
+
+type callOut struct {
+	outcome  kingcupv1.Outcome
+	replayed bool
+}
+
+// keyedOutcomes says what callers of one key may see: at most one fresh answer,
+// replays only after the run, and any number of refusals and unknowns.
+var keyedOutcomes = (&porcupine.NondeterministicModel{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		by := make(map[string][]porcupine.Operation)
+		for _, op := range history {
+			by[op.Input.(callIn).key] = append(by[op.Input.(callIn).key], op)
+		}
+		var out [][]porcupine.Operation
+		for _, ops := range by {
+			out = append(out, ops)
+		}
+		return out
+	},
+	Init: func() []any { return []any{false} },
+	Step: func(state, _, output any) []any {
+		ran, out := state.(bool), output.(callOut)
+		switch {
+		case out.outcome == kingcupv1.Outcome_OUTCOME_NOT_RUN:
+			return []any{ran}
+		case out.outcome == kingcupv1.Outcome_OUTCOME_UNKNOWN && ran:
+			return []any{true}
+		case out.outcome == kingcupv1.Outcome_OUTCOME_UNKNOWN:
+			return []any{false, true}
+		case out.replayed == ran:
+			return []any{true}
+		}
+		return nil
+	},
+}).ToModel()
+
+// recorder notes invocations and answers of concurrent clients.
+type recorder struct {
+	mu    sync.Mutex
+	began time.Time
+	ops   []porcupine.Operation
+}
+
+func (r *recorder) do(client int, in any, f func() any) {
+	call := time.Since(r.began).Nanoseconds()
+	out := f()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ops = append(r.ops, porcupine.Operation{ClientId: client, Input: in, Output: out, Call: call, Return: time.Since(r.began).Nanoseconds()})
+}
+
+// raceForKeys has eight callers repeat calls for four keys at both entries while
+// answers of the table and of the service are lost and an entry is killed, and
+// returns the history and the most runs of one key.
+func raceForKeys(t *testing.T, o setup) (ops []porcupine.Operation, most int) {
+	s := newSystem(t, o)
+	defer s.close()
+	rec := &recorder{began: time.Now()}
+	const keys, callers, rounds = 4, 8, 6
+	var wg sync.WaitGroup
+	for c := range callers {
+		wg.Go(func() {
+			for r := range rounds {
+				key := fmt.Sprintf("k%d", (c+r)%keys)
+				rec.do(c, callIn{key}, func() any { return s.bookOutcome((c+r)%2, key) })
+				time.Sleep(time.Duration(s.random.Uint64()%uint64(20)) * time.Millisecond)
+			}
+		})
+	}
+	s.table.LoseAnswers(1, 3)
+	s.service.LoseAnswers(2)
+	wg.Wait()
+	for k := range keys {
+		most = max(most, s.service.Ran(team, fmt.Sprintf("k%d", k)))
+	}
+	return rec.ops, most
+}
+
+func (s *system) bookOutcome(entry int, key string) callOut {
+	resp, err := s.book(entry, key)
+	if err != nil {
+		return callOut{outcome: failure.As(err).Outcome}
+	}
+	return callOut{kingcupv1.Outcome_OUTCOME_ANSWERED, resp.GetReplayed()}
+}
+
+// Callers repeat non-idempotent calls at two entries at once while answers are
+// lost. The history must be one of a run that happens at most once per key.
+func TestAtMostOnceHistory(t *testing.T) {
+	for seed := range uint64(5) {
+		virtual(t, func(t *testing.T) {
+			ops, most := raceForKeys(t, setup{entries: 2, servers: 1, seed: seed})
+			require.LessOrEqual(t, most, 1)
+			require.True(t, porcupine.CheckOperations(keyedOutcomes, ops))
+		})
+	}
+}
+
+// unconditional is a table that drops the conditions of commits.
+type unconditional struct{ platform.Table }
+
+func (u unconditional) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+	txn.Conditions = nil
+	return u.Table.Commit(ctx, txn)
+}
+
+// The same race with claims that are not conditional must be caught: the check
+// above would otherwise prove nothing.
+func TestAtMostOnceHistoryCatchesBrokenClaims(t *testing.T) {
+	caught := false
+	for seed := range uint64(5) {
+		virtual(t, func(t *testing.T) {
+			ops, most := raceForKeys(t, setup{
+				entries: 2, servers: 1, seed: seed,
+				table: func(in *tables.Table) platform.Table { return unconditional{in} },
+			})
+			caught = caught || most > 1 || !porcupine.CheckOperations(keyedOutcomes, ops)
+		})
+	}
+	require.True(t, caught)
+}
--- a/internal/proof/system_test.go
+++ b/internal/proof/system_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"runtime"
 	"sync"
@@ -23,6 +24,7 @@
 	"kingcupplank.example/kingcup/internal/standin/engines"
 	"kingcupplank.example/kingcup/internal/standin/services"
 	"kingcupplank.example/kingcup/internal/standin/tables"
+	"kingcupplank.example/kingcup/internal/wire"
 	"kingcupplank.example/kingcup/platform"
 	kingcupv1 "kingcupplank.example/kingcup/proto/kingcup/v1"
 )
@@ -108,6 +110,25 @@
 	entries []*app.Entry
 	conns   []*grpc.ClientConn
 	log     logrus.FieldLogger
+	random  *lockedRand
+	// silent are the fakes that stand in an agent's place.
+	silent []*wire.Server
+}
+
+// lockedRand is a seeded random source for many goroutines.
+type lockedRand struct {
+	mu  sync.Mutex
+	rnd *rand.Rand
+}
+
+func newLockedRand(seed uint64) *lockedRand {
+	return &lockedRand{rnd: rand.New(rand.NewPCG(seed, seed))}
+}
+
+func (l *lockedRand) Uint64() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.rnd.Uint64()
 }
 
 type setup struct {
@@ -115,6 +136,7 @@
 	resumes          bool
 	checksTerm       bool
 	memory           uint64
+	seed             uint64
 	// table replaces the platform's table, for broken variants.
 	table func(*tables.Table) platform.Table
 }
@@ -122,7 +144,8 @@
 func newSystem(t *testing.T, o setup) *system {
 	quiet := logrus.New()
 	quiet.SetOutput(io.Discard)
-	s := &system{t: t, net: memnet.New(), table: tables.New(), service: services.New(), log: quiet}
+	t.Logf("seed %d", o.seed)
+	s := &system{t: t, random: newLockedRand(o.seed), net: memnet.New(), table: tables.New(), service: services.New(), log: quiet}
 	s.plat = app.Platform{Table: s.table, Objects: s.table, VMs: s.table}
 	if o.table != nil {
 		s.plat.Table = o.table(s.table)
@@ -175,6 +198,7 @@
 func (s *system) addEntry(i int) {
 	o := app.DefaultEntry(s.common(fmt.Sprintf("entry-%d", i), i))
 	o.CallerAddress = o.Name + "-callers"
+	o.Random = s.random.Uint64
 	s.table.PutVM(platform.VM{Name: o.Name, Address: o.InnerAddress, FailureDomain: o.FailureDomain, Role: platform.RoleEntry})
 	s.eopts = append(s.eopts, o)
 	s.entries = append(s.entries, nil)
@@ -241,6 +265,9 @@
 			e.Close()
 		}
 	}
+	for _, f := range s.silent {
+		f.Close()
+	}
 	for _, n := range s.nodes {
 		if n.agent != nil {
 			n.agent.Close()
