--- a/internal/app/agent.go
+++ b/internal/app/agent.go
@@ -49,6 +49,8 @@
 	admin  *admin.Server
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
+
+	closing sync.Once
 }
 
 const (
@@ -125,6 +127,10 @@
 
 // Close ends the agent at once, as the end of its process does.
 func (r *Agent) Close() {
+	r.closing.Do(r.close)
+}
+
+func (r *Agent) close() {
 	r.cancel()
 	r.Agent.Close()
 	r.inner.Close()
--- a/internal/app/entry.go
+++ b/internal/app/entry.go
@@ -62,6 +62,8 @@
 	admin  *admin.Server
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
+
+	closing sync.Once
 }
 
 const (
@@ -179,6 +181,10 @@
 
 // Close ends the entry at once, as the end of its process does.
 func (r *Entry) Close() {
+	r.closing.Do(r.close)
+}
+
+func (r *Entry) close() {
 	r.cancel()
 	r.grpc.Stop()
 	r.links.Close()
--- a/internal/entry/flight.go
+++ b/internal/entry/flight.go
@@ -45,13 +45,15 @@
 	retryAfter time.Duration
 	refusal    *failure.Error
 	lastToken  time.Time
+	// heard is when the agent last sent something.
+	heard time.Time
 	msg        kingcupv1.GenerateResponse
 	tokens     kingcupv1.GenerateResponse_Tokens
 }
 
 func (e *Entry) newFlight(req *kingcupv1.GenerateRequest, id string, out sink) *flight {
 	return &flight{
-		e: e, req: req, id: id, out: out, attempt: 1, began: time.Now(),
+		e: e, req: req, id: id, out: out, attempt: 1, began: time.Now(), heard: time.Now(),
 		kept: stream.NewBuffer(e.cfg.StreamBytes),
 	}
 }
@@ -290,9 +292,10 @@
 const reattachEvery = 100 * time.Millisecond
 
 // reattach finds the generation again at its agent, whose link broke or whose
-// process was replaced.
+// process was replaced. The time it may take counts from the agent's last word:
+// a stream that broke after a long stall has waited enough and is moved.
 func (f *flight) reattach(ctx context.Context) (*agentStream, error) {
-	deadline := time.Now().Add(f.e.cfg.ReattachFor)
+	deadline := f.heard.Add(f.e.cfg.ReattachFor)
 	for {
 		st, _, err := f.open(ctx, f.server, f.attachment())
 		if err == nil {
@@ -317,6 +320,7 @@
 		if err := st.Recv(reply); err != nil {
 			return errors.Wrap(errBroken, err.Error())
 		}
+		f.heard = time.Now()
 		switch kind := reply.GetKind().(type) {
 		case *innerv1.Reply_Tokens:
 			if err := f.forward(kind.Tokens); err != nil {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -220,10 +220,15 @@
 // use stays open meanwhile: where a link is merely stalled, its streams go on
 // if the second path fails too, and are moved only once the second path works.
 func (l *Link) connect(ctx context.Context) (*wire.Session, *wire.Stream, error) {
+	ctx, cancel := context.WithTimeout(ctx, l.m.cfg.DialTimeout)
+	defer cancel()
 	sess, err := l.m.Dial(ctx, l.peer.Address)
 	if err != nil {
 		return nil, nil, err
 	}
+	// A stalled path accepts the connection and then carries nothing, so the
+	// bound covers the first heartbeat too.
+	defer context.AfterFunc(ctx, func() { sess.Close() })()
 	st, _, err := sess.Open(&innerv1.Open{
 		ConfigVersion: l.m.sync.Replica().Version(),
 		Kind:          &innerv1.Open_Watch{Watch: &innerv1.Watch{PeriodMs: uint32(l.m.cfg.Period.Milliseconds())}},
--- a/internal/proof/config_test.go
+++ b/internal/proof/config_test.go
@@ -263,3 +263,47 @@
 		})
 	}
 }
+
+// The table applies a change and loses the answer. The operator must be told
+// that its own change was accepted, and the change must be one version.
+func TestChangeAnswerLost(t *testing.T) {
+	for _, lost := range []struct{ before, after int }{{0, 1}, {1, 0}, {1, 2}} {
+		virtual(t, func(t *testing.T) {
+			s := newSystem(t, setup{entries: 2, servers: 1})
+			defer s.close()
+			before := s.entries[0].Sync.Replica().Version()
+			s.table.LoseAnswers(lost.before, lost.after)
+			out := s.change(0, before, "lost", 3)
+			require.Equal(t, casOut{kingcupv1.Outcome_OUTCOME_ANSWERED, before + 1}, out)
+			time.Sleep(7 * time.Second)
+			require.Equal(t, before+1, s.entries[1].Sync.Replica().Version())
+		})
+	}
+}
+
+// Every link out of the entry's failure domain is cut when it commits a change.
+// It must say that the change is not yet spread; once the links heal it must be
+// in force everywhere within seven seconds.
+func TestSpreadIsHonest(t *testing.T) {
+	virtual(t, func(t *testing.T) {
+		s := newSystem(t, setup{entries: 1, servers: 3})
+		defer s.close()
+		var others []string
+		for _, n := range s.nodes {
+			if n.opts.FailureDomain != domains[0] {
+				others = append(others, n.opts.InnerAddress)
+				s.net.Cut(n.opts.InnerAddress)
+			}
+		}
+		resp, err := s.operator(0).Apply(t.Context(), &kingcupv1.ApplyRequest{ChangeId: "x", Puts: []*kingcupv1.Row{teamRow(team, 9)}})
+		require.NoError(t, err)
+		require.False(t, resp.GetSpread())
+		for _, address := range others {
+			s.net.Heal(address)
+		}
+		time.Sleep(7 * time.Second)
+		for _, n := range s.nodes {
+			require.Equal(t, resp.GetVersion(), n.agent.Sync.Replica().Version(), n.opts.Name)
+		}
+	})
+}
--- a/internal/proof/outcome_test.go
+++ b/internal/proof/outcome_test.go
@@ -71,12 +71,14 @@
 		done := make(chan error, 1)
 		go func() { _, err := s.book(0, "slot"); done <- err }()
 		<-inside
-		go s.killEntry(0)
+		var killed sync.WaitGroup
+		killed.Go(func() { s.killEntry(0) })
 		time.Sleep(time.Second)
 		_, err := s.book(1, "slot")
 		require.Equal(t, kingcupv1.Outcome_OUTCOME_UNKNOWN, failure.As(err).Outcome)
 		close(proceed)
 		require.Equal(t, kingcupv1.Outcome_OUTCOME_UNKNOWN, failure.As(<-done).Outcome)
+		killed.Wait()
 		time.Sleep(time.Second)
 		require.Equal(t, 1, s.service.Ran(team, "slot"))
 	})
@@ -101,18 +103,16 @@
 	})
 }
 
-// silent serves in place of an agent: it sends heartbeats, takes requests and
-// never answers one, as a process does that was stopped right after a read.
-func (s *system) silence(node int) (received func() int) {
+// fake serves in place of an agent: it sends heartbeats and answers every other
+// stream by f.
+func (s *system) fake(node int, f func(open *innerv1.Open, st *wire.Stream)) {
 	n := s.nodes[node]
 	s.killAgent(node)
 	l, err := s.net.Listen(n.opts.InnerAddress)
 	require.NoError(s.t, err)
-	var count atomic.Int64
 	srv := wire.NewServer(l, func(ctx context.Context, open *innerv1.Open, st *wire.Stream) {
 		if open.GetWatch() == nil {
-			count.Add(1)
-			<-ctx.Done()
+			f(open, st)
 			return
 		}
 		for ctx.Err() == nil {
@@ -124,8 +124,7 @@
 		}
 	})
 	go srv.Serve()
-	s.silent = append(s.silent, srv)
-	return func() int { return int(count.Load()) }
+	s.fakes = append(s.fakes, srv)
 }
 
 // An agent takes a request and falls silent. The entry cannot know whether it
@@ -135,14 +134,18 @@
 	virtual(t, func(t *testing.T) {
 		s := newSystem(t, setup{entries: 1, servers: 1})
 		defer s.close()
-		received := s.silence(0)
+		var received atomic.Int64
+		s.fake(0, func(_ *innerv1.Open, st *wire.Stream) {
+			received.Add(1)
+			st.Recv(&innerv1.Control{})
+		})
 		time.Sleep(10 * time.Second)
 		req := request("silent", 5)
 		req.NonIdempotent = true
 		at, done := s.generate(s.client(once, 0), req)
 		<-done
 		require.Equal(t, kingcupv1.Outcome_OUTCOME_UNKNOWN, failure.As(at.err).Outcome, "%v", at.err)
-		require.Equal(t, 1, received())
+		require.EqualValues(t, 1, received.Load())
 	})
 }
 
--- a/internal/proof/stream_test.go
+++ b/internal/proof/stream_test.go
@@ -3,17 +3,22 @@
 package proof
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
 	"kingcupplank.example/kingcup/client"
+	"kingcupplank.example/kingcup/engine"
 	"kingcupplank.example/kingcup/failure"
 	"kingcupplank.example/kingcup/internal/standin/engines"
+	"kingcupplank.example/kingcup/internal/wire"
+	innerv1 "kingcupplank.example/kingcup/proto/kingcup/inner/v1"
 	kingcupv1 "kingcupplank.example/kingcup/proto/kingcup/v1"
 )
 
@@ -71,14 +76,50 @@
 	return &kingcupv1.GenerateRequest{Team: team, RequestId: id, Model: model, Prompt: fmt.Appendf(nil, "tokens=%d plan %s", tokens, id)}
 }
 
-// requireWhole checks that the caller saw n tokens of one lineage: those that
-// the engine makes for this generation, whatever happened on the way.
+// checkWhole returns an error unless the caller saw n tokens of one lineage:
+// those that the engine makes for this generation, whatever happened on the way.
+func checkWhole(s *seen, n int) error {
+	if s.err != nil {
+		return s.err
+	}
+	if len(s.tokens) != n {
+		return errors.Errorf("saw %d tokens, want %d", len(s.tokens), n)
+	}
+	return checkLineage(s)
+}
+
+// checkLineage returns an error if a token that the caller saw is not the one
+// that its generation has at that index.
+func checkLineage(s *seen) error {
+	for i, text := range s.tokens {
+		if !bytes.Equal(engines.Expected(s.res.GenerationID, i), text) {
+			return errors.Errorf("token %d is of another lineage", i)
+		}
+	}
+	return nil
+}
+
 func requireWhole(t *testing.T, s *seen, n int) {
 	t.Helper()
-	require.NoError(t, s.err)
-	require.Len(t, s.tokens, n)
-	for i, text := range s.tokens {
-		require.Equal(t, string(engines.Expected(s.res.GenerationID, i)), string(text), "token %d is of another lineage", i)
+	require.NoError(t, checkWhole(s, n))
+}
+
+// The checks above must catch a missing token, a doubled one and a splice.
+func TestStreamCheckerCatchesBrokenStreams(t *testing.T) {
+	whole := func(id string) *seen {
+		s := &seen{res: client.Result{GenerationID: id}}
+		for i := range 10 {
+			s.tokens = append(s.tokens, engines.Expected(id, i))
+		}
+		return s
+	}
+	require.NoError(t, checkWhole(whole("a"), 10))
+	missing, doubled, spliced := whole("a"), whole("a"), whole("a")
+	missing.tokens = append(missing.tokens[:4:4], missing.tokens[5:]...)
+	doubled.tokens[5] = doubled.tokens[4]
+	copy(spliced.tokens[5:], whole("b").tokens[5:])
+	for _, broken := range []*seen{missing, doubled, spliced} {
+		require.Error(t, checkWhole(broken, 10))
 	}
 }
 
@@ -265,8 +306,8 @@
 		time.Sleep(time.Second)
 		left := make(chan int, 4)
 		for range 2 {
-			go func() { left <- s.entries[0].Entry.Shutdown(context.Background()) }()
-			go func() { left <- s.nodes[0].agent.Agent.Drain(context.Background()) }()
+			go func() { left <- s.entries[0].Shutdown(context.Background()) }()
+			go func() { left <- s.nodes[0].agent.Shutdown(context.Background()) }()
 		}
 		time.Sleep(100 * time.Millisecond)
 		late, refused := s.generate(s.client(once, 0), request("late", 5))
@@ -286,3 +327,96 @@
 		}
 	})
 }
+
+// An agent sends each run of tokens twice, overlapping, as one does whose relay
+// was attached twice. The caller must see each token once.
+func TestDoubledFramesAreCutOff(t *testing.T) {
+	virtual(t, func(t *testing.T) {
+		s := newSystem(t, setup{entries: 1, servers: 1, resumes: true})
+		defer s.close()
+		s.fake(0, func(open *innerv1.Open, st *wire.Stream) {
+			id := open.GetStart().GetGenerationId()
+			st.Send(&innerv1.Reply{Kind: &innerv1.Reply_Accepted{Accepted: &innerv1.Accepted{GenerationId: id}}})
+			digest := engine.NewDigest()
+			for first := 0; first < 30; first += 5 {
+				run := &kingcupv1.Tokens{FirstIndex: uint64(max(0, first-5)), Attempt: 1}
+				for i := max(0, first-5); i < first+5; i++ {
+					run.Texts = append(run.Texts, engines.Expected(id, i))
+				}
+				st.Send(&innerv1.Reply{Kind: &innerv1.Reply_Tokens{Tokens: run}})
+			}
+			for i := range 30 {
+				digest.Add(engines.Expected(id, i))
+			}
+			st.Send(&innerv1.Reply{Kind: &innerv1.Reply_End{End: &kingcupv1.End{Tokens: 30, Digest: digest.Sum()}}})
+		})
+		time.Sleep(10 * time.Second)
+		at, done := s.generate(s.client(once), request("doubled", 30))
+		<-done
+		requireWhole(t, at, 30)
+	})
+}
+
+// One server is told to leave while most of its requests wait in its queue. The
+// waiting ones are handed back as not run and must run once each at the other
+// server; none may run at both.
+func TestQueuedWorkMovesOnceOnLeave(t *testing.T) {
+	virtual(t, func(t *testing.T) {
+		s := newSystem(t, setup{entries: 2, servers: 2, resumes: true, memory: 300})
+		defer s.close()
+		var all []*seen
+		var waits []<-chan struct{}
+		for i := range 12 {
+			at, done := s.generate(s.client(client.Options{Refusals: 20}), request(fmt.Sprintf("r%d", i), 100))
+			all, waits = append(all, at), append(waits, done)
+		}
+		time.Sleep(200 * time.Millisecond)
+		require.NotZero(t, s.nodes[0].agent.Agent.Stats().Queued, "the test needs a queue to say anything")
+		_, err := s.operator(0).Drain(t.Context(), &kingcupv1.DrainRequest{BackendServer: "server-0"})
+		require.NoError(t, err)
+		for i, done := range waits {
+			<-done
+			requireWhole(t, all[i], 100)
+			require.Len(t, s.freshRuns(fmt.Sprintf("r%d", i)), 1)
+		}
+	})
+}
+
+// An agent is killed and replaced while its engine, which cannot continue a
+// generation from a prefix, streams on. The new agent must find the stream at
+// the engine and the caller must see it whole, from the engine's one run.
+func TestAgentRestartKeepsEngineStreams(t *testing.T) {
+	virtual(t, func(t *testing.T) {
+		s := newSystem(t, setup{entries: 1, servers: 1, resumes: false})
+		defer s.close()
+		at, done := s.generate(s.client(once), request("kept", 200))
+		midway(at, 200)
+		s.killAgent(0)
+		time.Sleep(time.Second)
+		s.startAgent(s.nodes[0])
+		<-done
+		requireWholeRandom(t, at, 200)
+		require.Len(t, s.runs("kept"), 1)
+	})
+}
+
+// The link to an agent stalls without breaking: nothing arrives and nothing
+// fails. The caller must have its next token within ten seconds, by a second
+// path that is tried, fails, and ends the stalled one.
+func TestStalledLinkMovesSoon(t *testing.T) {
+	virtual(t, func(t *testing.T) {
+		s := newSystem(t, setup{entries: 1, servers: 3, resumes: true})
+		defer s.close()
+		at, done := s.generate(s.client(client.DefaultOptions()), request("stalled", 300))
+		midway(at, 300)
+		s.net.Stall(at.server())
+		had, began := at.count(), time.Now()
+		for at.count() <= had+1 && time.Since(began) < time.Minute {
+			time.Sleep(10 * time.Millisecond)
+		}
+		t.Logf("next token after %v", time.Since(began))
+		require.Less(t, time.Since(began), 10*time.Second)
+		<-done
+		requireWhole(t, at, 300)
+	})
+}
--- a/internal/proof/system_test.go
+++ b/internal/proof/system_test.go
@@ -111,8 +111,8 @@
 	conns   []*grpc.ClientConn
 	log     logrus.FieldLogger
 	random  *lockedRand
-	// silent are the fakes that stand in an agent's place.
-	silent []*wire.Server
+	// fakes stand in an agent's place.
+	fakes []*wire.Server
 }
 
 // lockedRand is a seeded random source for many goroutines.
@@ -265,7 +265,7 @@
 			e.Close()
 		}
 	}
-	for _, f := range s.silent {
+	for _, f := range s.fakes {
 		f.Close()
 	}
 	for _, n := range s.nodes {
@@ -310,6 +310,17 @@
 	return out
 }
 
+// freshRuns are the executions that began a generation.
+func (s *system) freshRuns(requestID string) []engines.Run {
+	var out []engines.Run
+	for _, r := range s.runs(requestID) {
+		if r.Prefix == 0 {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // index finds a node by the name in a result.
 func (s *system) index(server string) int {
 	for i, n := range s.nodes {
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -40,7 +40,7 @@
 	// A dead peer is noticed by its missing heartbeats before the keepalive;
 	// the keepalive closes sessions that nothing watches.
 	keepAlive    = 10 * time.Second
-	writeTimeout = 5 * time.Second
+	writeTimeout = 2 * time.Second
 	openTimeout  = 5 * time.Second
 )
 
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,92 @@
+package wire
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"kingcupplank.example/kingcup/failure"
+	"kingcupplank.example/kingcup/internal/memnet"
+	innerv1 "kingcupplank.example/kingcup/proto/kingcup/inner/v1"
+	kingcupv1 "kingcupplank.example/kingcup/proto/kingcup/v1"
+)
+
+func header(size uint32) []byte {
+	return binary.BigEndian.AppendUint32(nil, size)
+}
+
+// A peer announces a frame of nearly 4 GiB. The reader must refuse it before it
+// allocates anything for it.
+func TestOversizedFrame(t *testing.T) {
+	fr := NewFrameReader(bytes.NewReader(header(0xfffffff0)))
+	err := fr.Read(&innerv1.Open{})
+	require.ErrorIs(t, err, ErrFrameTooLarge)
+	require.Zero(t, cap(fr.buf))
+	big := &innerv1.Open{Kind: &innerv1.Open_Call{Call: &innerv1.Call{Request: &kingcupv1.CallRequest{Body: make([]byte, MaxFrame)}}}}
+	require.ErrorIs(t, WriteFrame(io.Discard, big), ErrFrameTooLarge)
+}
+
+// talk sends raw bytes as the first of a stream and returns the server's answer.
+func talk(t *testing.T, raw []byte) *failure.Error {
+	t.Helper()
+	network := memnet.New()
+	l, err := network.Listen("server")
+	require.NoError(t, err)
+	srv := NewServer(l, func(context.Context, *innerv1.Open, *Stream) {})
+	go srv.Serve()
+	defer srv.Close()
+	sess, err := Dial(t.Context(), network, "server", Identity{Name: "peer"})
+	require.NoError(t, err)
+	defer sess.Close()
+	conn, err := sess.mux.OpenStream()
+	require.NoError(t, err)
+	st := newStream(conn)
+	_, err = conn.Write(raw)
+	require.NoError(t, err)
+	reply := &innerv1.Reply{}
+	st.SetReadDeadline(time.Now().Add(10 * time.Second))
+	require.NoError(t, st.Recv(reply))
+	return failure.FromProto(reply.GetFailure())
+}
+
+// A peer sends a malformed frame, an oversized one, or speaks another version.
+// It must get one clear refusal that says "not run".
+func TestBadPeersAreRefused(t *testing.T) {
+	other, err := proto.Marshal(&innerv1.Open{Protocol: Protocol + 1})
+	require.NoError(t, err)
+	for name, raw := range map[string][]byte{
+		"malformed": append(header(3), 0xff, 0xff, 0xff),
+		"oversized": header(MaxFrame + 1),
+		"version":   append(header(uint32(len(other))), other...),
+	} {
+		f := talk(t, raw)
+		require.Equal(t, kingcupv1.Reason_REASON_PROTOCOL, f.Reason, name)
+		require.Equal(t, kingcupv1.Outcome_OUTCOME_NOT_RUN, f.Outcome, name)
+	}
+}
+
+// FuzzFrameReader feeds arbitrary bytes to the inner codec: it must return an
+// error or a message, and never hold more memory than its bound.
+func FuzzFrameReader(f *testing.F) {
+	var good bytes.Buffer
+	WriteFrame(&good, &innerv1.Open{Protocol: Protocol, Kind: &innerv1.Open_Start{Start: &innerv1.Start{GenerationId: "g", Attempt: 1}}})
+	f.Add(good.Bytes())
+	f.Add(header(MaxFrame + 1))
+	f.Add([]byte{0, 0, 0, 1})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		fr := NewFrameReader(bytes.NewReader(raw))
+		for {
+			open := &innerv1.Open{}
+			if err := fr.Read(open); err != nil {
+				break
+			}
+		}
+		require.LessOrEqual(t, cap(fr.buf), MaxFrame)
+	})
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -59,7 +59,7 @@
 		Filters: []Filter{Reachable, NotLeaving, ServesModel, NotTried},
 		Scorers: []Scorer{
 			{Weight: 1.0, Score: Headroom},
-			{Weight: 0.4, Score: SameDomain},
+			{Weight: 0.1, Score: SameDomain},
 			{Weight: 0.3, Score: CachedPrefix},
 		},
 	}
