Policy bench: fake engine in virtual time, three baselines, both deployments' load

Cause: the policy had no measure. Change: kingcup-bench runs one backend server's share of the load (continuous batching, memory in blocks, prefill in chunks, engine preempting by recompute) for 10 teams with surges of 10x, 5 seeds, at 1.0, 1.3 and 2.0 of capacity (the goodput of first-come under overload).

--- /dev/null
+++ b/cmd/kingcup-bench/main.go
@@ -0,0 +1,42 @@
+// Command kingcup-bench measures the scheduling policy against baselines.
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"kingcupplank.example/kingcup/internal/bench"
+	"kingcupplank.example/kingcup/internal/settings"
+	"kingcupplank.example/kingcup/sched"
+)
+
+func main() {
+	s := settings.New("kingcup-bench", "measures policies on one fake engine in virtual time")
+	what := s.Choice("table", "policy", []string{"policy", "ablation", "robust"}, "table to print")
+	seeds := s.Int("seeds", 5, 1, 100, "seeds for each row")
+	length := s.Duration("length", 240*time.Second, time.Second, time.Hour, "virtual time of each run")
+	s.MustParse()
+	o := bench.DefaultOptions()
+	o.Seeds, o.Length = *seeds, *length
+	began := time.Now()
+	for _, d := range []bench.Deployment{bench.Rinpan(), bench.Cascadia()} {
+		bench.Print(os.Stdout, append([]bench.Row{bench.Alone(d, o)}, bench.Measure(d, contenders(*what), o)...))
+	}
+	fmt.Printf("took %v\n", time.Since(began).Round(time.Millisecond))
+}
+
+func contenders(what string) []bench.Contender {
+	whole := bench.Forecasting("kingcup", sched.Parts{}, nil)
+	if what == "policy" {
+		return append(bench.Baselines(), whole)
+	}
+	return []bench.Contender{
+		whole,
+		bench.Forecasting("without forecast", sched.Parts{Forecast: true}, nil),
+		bench.Forecasting("without shares", sched.Parts{Shares: true}, nil),
+		bench.Forecasting("without victims", sched.Parts{Victims: true}, nil),
+		bench.Forecasting("without refusal", sched.Parts{Refusal: true}, nil),
+		bench.Forecasting("without reserve", sched.Parts{Reserve: true}, nil),
+	}
+}
--- /dev/null
+++ b/internal/bench/load.go
@@ -0,0 +1,143 @@
+// Package bench measures scheduling policies on one small fake engine in virtual
+// time: one backend server's share of a deployment's load.
+package bench
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// Team is a source of requests.
+type Team struct {
+	Name   string
+	Weight uint32
+	Large  bool
+	// Share is the part of the offered load.
+	Share float64
+	// Median and Sigma describe the lognormal output lengths, in tokens.
+	Median, Sigma float64
+	Prompt        float64
+	// Surge is the factor by which the rate rises in a surge; 1 is steady.
+	Surge float64
+}
+
+// Deployment is a set of teams.
+type Deployment struct {
+	Name  string
+	Teams []Team
+}
+
+// Rinpan has many short confirmations and a few long season plans.
+func Rinpan() Deployment {
+	return Deployment{"rinpan", teams(7, 3, 110, 420, 1.15)}
+}
+
+// Cascadia has notices of middling length and two large teams.
+func Cascadia() Deployment {
+	return Deployment{"cascadia", teams(8, 2, 180, 320, 0.95)}
+}
+
+const (
+	smallLoad   = 0.02
+	largeWeight = 3
+	surgeFactor = 10
+)
+
+func teams(small, large int, smallMedian, largeMedian, largeSigma float64) []Team {
+	var out []Team
+	for i := range small {
+		out = append(out, Team{
+			Name: string(rune('a' + i)), Weight: 1, Share: smallLoad,
+			Median: smallMedian, Sigma: 0.8, Prompt: 200, Surge: 1,
+		})
+	}
+	rest := (1 - smallLoad*float64(small)) / float64(large)
+	for i := range large {
+		out = append(out, Team{
+			Name: string(rune('A' + i)), Weight: largeWeight, Large: true, Share: rest,
+			Median: largeMedian, Sigma: largeSigma, Prompt: 500, Surge: surgeFactor,
+		})
+	}
+	return out
+}
+
+// MaxTokens is the longest output that any request may have.
+const MaxTokens = 8192
+
+// Arrival is one request of the load.
+type Arrival struct {
+	At     time.Duration
+	Team   int
+	Prompt int
+	Length int
+}
+
+// Surges last surgeLength on average and take up surgePart of the time.
+const (
+	surgeLength = 8 * time.Second
+	surgePart   = 0.07
+)
+
+func (t Team) meanTokens() float64 {
+	return t.Prompt*prefillCost + t.Median*math.Exp(t.Sigma*t.Sigma/2)
+}
+
+// prefillCost is what one prompt token counts as against an output token when a
+// load is shared out.
+const prefillCost = 0.1
+
+// Arrivals draws a load of tokensPerSecond for the given time.
+func (d Deployment) Arrivals(seed uint64, length time.Duration, tokensPerSecond float64) []Arrival {
+	var out []Arrival
+	for i, t := range d.Teams {
+		rnd := rand.New(rand.NewPCG(seed, uint64(i)+1))
+		rate := tokensPerSecond * t.Share / t.meanTokens()
+		out = append(out, t.arrivals(rnd, i, length, rate)...)
+	}
+	sortArrivals(out)
+	return out
+}
+
+// arrivals is a Poisson process whose rate is Surge times higher in surges, with
+// the given mean.
+func (t Team) arrivals(rnd *rand.Rand, index int, length time.Duration, rate float64) []Arrival {
+	var out []Arrival
+	base := rate / (1 - surgePart + surgePart*t.Surge)
+	surging := false
+	until := phase(rnd, surging)
+	for now := time.Duration(0); ; {
+		r := base
+		if surging {
+			r = base * t.Surge
+		}
+		next := now + time.Duration(rnd.ExpFloat64()/r*float64(time.Second))
+		if next > until {
+			now = until
+			surging = !surging
+			until = now + phase(rnd, surging)
+			if now > length {
+				return out
+			}
+			continue
+		}
+		now = next
+		if now > length {
+			return out
+		}
+		out = append(out, Arrival{At: now, Team: index, Prompt: lognormal(rnd, t.Prompt, 0.5, 4096), Length: lognormal(rnd, t.Median, t.Sigma, MaxTokens)})
+	}
+}
+
+func phase(rnd *rand.Rand, surging bool) time.Duration {
+	mean := float64(surgeLength)
+	if !surging {
+		mean *= (1 - surgePart) / surgePart
+	}
+	return time.Duration(rnd.ExpFloat64() * mean)
+}
+
+func lognormal(rnd *rand.Rand, median, sigma float64, most int) int {
+	n := int(median * math.Exp(sigma*rnd.NormFloat64()))
+	return max(1, min(n, most))
+}
--- /dev/null
+++ b/internal/bench/table.go
@@ -0,0 +1,186 @@
+package bench
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"kingcupplank.example/kingcup/sched"
+)
+
+// Contender is a policy to measure.
+type Contender struct {
+	Name string
+	New  func(e Engine) sched.Policy
+	// Engine changes what the policy orders of the engine; nil changes nothing.
+	Engine func(e *Engine)
+}
+
+const (
+	maxBatch = 256
+	maxWait  = 10 * time.Second
+)
+
+// Baselines are the three simple policies.
+func Baselines() []Contender {
+	return []Contender{
+		{Name: "B0 first-come", New: func(e Engine) sched.Policy { return sched.NewFirstCome(e.Memory, maxBatch, maxWait) }},
+		{Name: "B1 round-robin", New: func(e Engine) sched.Policy { return sched.NewRoundRobin(e.Memory, maxBatch, maxWait) }},
+		{Name: "B2 reserve-max", New: func(e Engine) sched.Policy { return sched.NewReserve(e.Memory, maxBatch, maxWait, MaxTokens) }},
+	}
+}
+
+// Forecasting is the system's policy with some parts off.
+func Forecasting(name string, off sched.Parts, change func(*sched.Config)) Contender {
+	return Contender{Name: name, New: func(e Engine) sched.Policy {
+		cfg := sched.Config{Capacity: e.Memory, MaxBatch: maxBatch, MaxWait: maxWait, Off: off}
+		if change != nil {
+			change(&cfg)
+		}
+		return sched.NewForecasting(cfg)
+	}}
+}
+
+// Options set a table.
+type Options struct {
+	Length time.Duration
+	Seeds  int
+	Loads  []float64
+	Engine Engine
+}
+
+// DefaultOptions take well under a minute on eight cores.
+func DefaultOptions() Options {
+	return Options{Length: 240 * time.Second, Seeds: 5, Loads: []float64{1.0, 1.3, 2.0}, Engine: DefaultEngine()}
+}
+
+// Capacity is the goodput of first-come at three times an estimate of what the
+// engine can do; a load of 1.0 offers as much.
+func Capacity(d Deployment, e Engine, length time.Duration) float64 {
+	const estimate, overload = 1500, 3
+	load := d.Arrivals(99, length, overload*estimate)
+	return Run(e, sched.NewFirstCome(e.Memory, maxBatch, maxWait), d.Teams, load, length).Goodput()
+}
+
+// Row is one policy at one load, with one result for each seed.
+type Row struct {
+	Deployment, Policy string
+	Load               float64
+	Results            []*Result
+}
+
+// Measure runs every contender at every load and seed, on all processors.
+func Measure(d Deployment, contenders []Contender, o Options) []Row {
+	capacity := Capacity(d, o.Engine, o.Length)
+	var rows []Row
+	for _, load := range o.Loads {
+		for _, c := range contenders {
+			rows = append(rows, Row{Deployment: d.Name, Policy: c.Name, Load: load, Results: make([]*Result, o.Seeds)})
+		}
+	}
+	var wg sync.WaitGroup
+	for i := range rows {
+		c := contenders[i%len(contenders)]
+		for seed := range o.Seeds {
+			wg.Go(func() {
+				e := o.Engine
+				if c.Engine != nil {
+					c.Engine(&e)
+				}
+				arrivals := d.Arrivals(uint64(seed)+1, o.Length, capacity*rows[i].Load)
+				rows[i].Results[seed] = Run(e, c.New(e), d.Teams, arrivals, o.Length)
+			})
+		}
+	}
+	wg.Wait()
+	return rows
+}
+
+// Alone is one small team by itself on the engine, at its load in the mix.
+func Alone(d Deployment, o Options) Row {
+	capacity := Capacity(d, o.Engine, o.Length)
+	row := Row{Deployment: d.Name, Policy: "a small team alone", Load: 1}
+	for seed := range o.Seeds {
+		only := Deployment{Name: d.Name, Teams: d.Teams[:1]}
+		arrivals := only.Arrivals(uint64(seed)+1, o.Length, capacity)
+		row.Results = append(row.Results, Run(o.Engine, sched.NewFirstCome(o.Engine.Memory, maxBatch, maxWait), only.Teams, arrivals, o.Length))
+	}
+	return row
+}
+
+// Stat is a mean over seeds and their spread.
+type Stat struct{ Mean, Spread float64 }
+
+// Over is the statistic of f over the row's results.
+func (r Row) Over(f func(*Result) float64) Stat {
+	sum, least, most := 0.0, math.Inf(1), math.Inf(-1)
+	for _, res := range r.Results {
+		x := f(res)
+		sum += x
+		least, most = min(least, x), max(most, x)
+	}
+	return Stat{sum / float64(len(r.Results)), (most - least) / 2}
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// measure is one column of the table.
+type measure struct {
+	name  string
+	value func(*Result) float64
+}
+
+func measures() []measure {
+	var out []measure
+	for _, c := range []struct {
+		name string
+		of   func(*Result) *Class
+	}{{"small", func(r *Result) *Class { return &r.Small }}, {"large", func(r *Result) *Class { return &r.Large }}} {
+		out = append(out,
+			measure{c.name + " stall s", func(r *Result) float64 { return c.of(r).Stall.Seconds() }},
+			measure{"stall p99 ms", func(r *Result) float64 { return milliseconds(c.of(r).StallP99()) }},
+			measure{"preempt", func(r *Result) float64 { return float64(c.of(r).Preemptions) }},
+			measure{"lost ktok", func(r *Result) float64 { return float64(c.of(r).TokensLost) / 1000 }},
+			measure{"tbt p50", func(r *Result) float64 { return milliseconds(c.of(r).Between(0.5)) }},
+			measure{"p95", func(r *Result) float64 { return milliseconds(c.of(r).Between(0.95)) }},
+			measure{"p99", func(r *Result) float64 { return milliseconds(c.of(r).Between(0.99)) }},
+			measure{"p99.9", func(r *Result) float64 { return milliseconds(c.of(r).Between(0.999)) }},
+			measure{"first p95 ms", func(r *Result) float64 { return milliseconds(c.of(r).First(0.95)) }},
+			measure{"refused %", func(r *Result) float64 { return 100 * float64(c.of(r).Refused) / float64(max(1, c.of(r).Offered)) }},
+			measure{"tok/s", func(r *Result) float64 { return float64(c.of(r).Tokens) / r.length.Seconds() }})
+	}
+	return append(out,
+		measure{"goodput", (*Result).Goodput},
+		measure{"jain", (*Result).Jain},
+		measure{"unfinished", func(r *Result) float64 { return float64(r.Unfinished) }})
+}
+
+// Print writes rows as a table: means over seeds, ± half the range.
+func Print(w io.Writer, rows []Row) {
+	tw := tabwriter.NewWriter(w, 0, 0, 1, ' ', tabwriter.AlignRight)
+	fmt.Fprint(tw, "deployment\tload\tpolicy\t")
+	for _, m := range measures() {
+		fmt.Fprint(tw, m.name, "\t")
+	}
+	fmt.Fprintln(tw)
+	for _, r := range rows {
+		fmt.Fprintf(tw, "%s\t%.1f\t%s\t", r.Deployment, r.Load, r.Policy)
+		for _, m := range measures() {
+			s := r.Over(m.value)
+			fmt.Fprintf(tw, "%s±%s\t", short(s.Mean), short(s.Spread))
+		}
+		fmt.Fprintln(tw)
+	}
+	tw.Flush()
+}
+
+// short prints three significant digits.
+func short(x float64) string {
+	if x != 0 && math.Abs(x) < 9.95 {
+		return fmt.Sprintf("%.2g", x)
+	}
+	return fmt.Sprintf("%.0f", x)
+}
