--- a/sched/forecasting.go
+++ b/sched/forecasting.go
@@ -429,9 +429,9 @@
 }
 
 // fitsPaused asks less than fits: the caller of a paused stream waits in the
-// middle of its answer, so its return may use the reserve up to the low mark.
+// middle of its answer, so its return may use a part of the reserve.
 func (p *Forecasting) fitsPaused(j *Job) bool {
-	return len(p.running) == 0 || p.mem.peak(&j.contrib, p.cfg.Sigmas) <= low*float64(p.cfg.Capacity)
+	return len(p.running) == 0 || p.mem.peak(&j.contrib, p.cfg.Sigmas) <= resumeMark*float64(p.cfg.Capacity)
 }
 
 // Margins of memory, as fractions of capacity. Pausing begins when use is
@@ -440,6 +440,9 @@
 const (
 	high = 0.985
 	low  = 0.96
+	// Paused streams return up to resumeMark. At the low mark itself one seed
+	// of twenty fell into pausing and returning by turns.
+	resumeMark = 0.945
 )
 
 // relieve pauses streams when the engine is about to run out of memory, before
