Slopes for the capacity page; latency of the path against a direct call

Change: kingcup-bench -table capacity measures what a heartbeat, a watched agent, a stream, a token, a configuration row and a claim cost, in one run. A first try measured first tokens of 6 s: the agent's batch bound of 256 queued the other streams; the measurement now lifts it.

--- a/cmd/kingcup-bench/main.go
+++ b/cmd/kingcup-bench/main.go
@@ -1,4 +1,5 @@
-// Command kingcup-bench measures the scheduling policy against baselines.
+// Command kingcup-bench measures the scheduling policy against baselines, and
+// the slopes from which docs/CAPACITY.md is worked out.
 package main
 
 import (
@@ -8,18 +9,26 @@
 
 	"kingcupplank.example/kingcup/internal/bench"
 	"kingcupplank.example/kingcup/internal/settings"
+	"kingcupplank.example/kingcup/internal/slopes"
 	"kingcupplank.example/kingcup/sched"
 )
 
 func main() {
 	s := settings.New("kingcup-bench", "measures policies on one fake engine in virtual time")
-	what := s.Choice("table", "policy", []string{"policy", "ablation", "robust"}, "table to print")
+	what := s.Choice("table", "policy", []string{"policy", "ablation", "capacity"}, "table to print")
 	seeds := s.Int("seeds", 5, 1, 100, "seeds for each row")
 	length := s.Duration("length", 240*time.Second, time.Second, time.Hour, "virtual time of each run")
 	budget := s.Int("prefill-budget", 512, 16, 8192, "prompt tokens that the engine takes in one step")
 	sigmas := s.Int("sigmas-percent", 0, 0, 1000, "margin of the forecast in hundredths of a standard deviation; 0 is the default")
 	reserve := s.Int("reserve-percent", 0, 0, 90, "memory kept from borrowers, percent; 0 is the default")
 	s.MustParse()
+	if *what == "capacity" {
+		if err := slopes.Report(os.Stdout); err != nil {
+			fmt.Fprintln(os.Stderr, "kingcup-bench:", err)
+			os.Exit(1)
+		}
+		return
+	}
 	change := func(c *sched.Config) {
 		c.Sigmas, c.Reserve = float64(*sigmas)/100, float64(*reserve)/100
 	}
--- a/internal/entry/flight.go
+++ b/internal/entry/flight.go
@@ -46,9 +46,9 @@
 	refusal    *failure.Error
 	lastToken  time.Time
 	// heard is when the agent last sent something.
-	heard time.Time
-	msg        kingcupv1.GenerateResponse
-	tokens     kingcupv1.GenerateResponse_Tokens
+	heard  time.Time
+	msg    kingcupv1.GenerateResponse
+	tokens kingcupv1.GenerateResponse_Tokens
 }
 
 func (e *Entry) newFlight(req *kingcupv1.GenerateRequest, id string, out sink) *flight {
--- /dev/null
+++ b/internal/slopes/nodes.go
@@ -0,0 +1,221 @@
+package slopes
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"google.golang.org/grpc"
+
+	"kingcupplank.example/kingcup/engine"
+	"kingcupplank.example/kingcup/engine/engineclient"
+	"kingcupplank.example/kingcup/internal/app"
+	"kingcupplank.example/kingcup/internal/standin"
+	"kingcupplank.example/kingcup/internal/standin/services"
+	"kingcupplank.example/kingcup/internal/standin/tables"
+	"kingcupplank.example/kingcup/internal/wire"
+	"kingcupplank.example/kingcup/platform"
+	kingcupv1 "kingcupplank.example/kingcup/proto/kingcup/v1"
+)
+
+// Names of the measured configuration.
+const (
+	model   = "m"
+	service = "s"
+	team    = "t"
+)
+
+// nodes are light processes in this one, on loopback.
+type nodes struct {
+	table    *tables.Table
+	network  wire.Network
+	log      logrus.FieldLogger
+	agents   []*app.Agent
+	entries  []*app.Entry
+	conns    []*grpc.ClientConn
+	standins standin.Servers
+	// heartbeat and poll are the periods of the entries and of all nodes.
+	heartbeat, poll time.Duration
+}
+
+func newNodes(network wire.Network, heartbeat, poll time.Duration) *nodes {
+	quiet := logrus.New()
+	quiet.SetOutput(io.Discard)
+	return &nodes{table: tables.New(), network: network, log: quiet, heartbeat: heartbeat, poll: poll}
+}
+
+func freePort() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "find a port")
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// measuredBatch is above any number of streams that is measured.
+const measuredBatch = 1 << 14
+
+// numDomains is the number of failure domains of the target size.
+const numDomains = 8
+
+func (n *nodes) common(role string, i int) (app.Common, error) {
+	inner, err := freePort()
+	return app.Common{
+		Name: fmt.Sprintf("%s-%d", role, i), FailureDomain: fmt.Sprintf("d%d", i%numDomains),
+		InnerAddress: inner, ConfigPoll: n.poll, ConfigStale: time.Minute,
+	}, err
+}
+
+func (n *nodes) platform() app.Platform {
+	return app.Platform{Table: n.table, Objects: n.table, VMs: n.table}
+}
+
+// addAgent starts an agent before e, or before a plain service if e is nil.
+func (n *nodes) addAgent(e engine.Engine) error {
+	c, err := n.common("agent", len(n.agents))
+	if err != nil {
+		return err
+	}
+	o := app.DefaultAgent(c)
+	// Streams must not queue: what is measured is the relay.
+	o.Policy.MaxBatch = measuredBatch
+	b, serves := app.Backend{Service: services.New()}, service
+	if e != nil {
+		b, serves = app.Backend{Engine: e}, model
+	} else {
+		o.Services = []string{service}
+	}
+	// The server side is not counted: the dialing side sees all traffic.
+	a, err := app.StartAgent(context.Background(), o, b, n.platform(), wire.TCP{}, n.log)
+	if err != nil {
+		return err
+	}
+	n.agents = append(n.agents, a)
+	n.table.PutVM(platform.VM{Name: c.Name, Address: c.InnerAddress, FailureDomain: c.FailureDomain, Role: platform.RoleAgent, Models: []string{serves}})
+	return nil
+}
+
+// addEntry starts an entry that watches at most perModel agents.
+func (n *nodes) addEntry(perModel int) error {
+	c, err := n.common("entry", len(n.entries))
+	if err != nil {
+		return err
+	}
+	o := app.DefaultEntry(c)
+	o.CallerAddress = "127.0.0.1:0"
+	o.PerModel, o.Heartbeat, o.ListEvery = perModel, n.heartbeat, 500*time.Millisecond
+	n.table.PutVM(platform.VM{Name: c.Name, Address: c.InnerAddress, FailureDomain: c.FailureDomain, Role: platform.RoleEntry})
+	e, err := app.StartEntry(o, n.platform(), n.network, n.log)
+	if err != nil {
+		return err
+	}
+	n.entries = append(n.entries, e)
+	conn, err := app.DialGRPC(e.Callers)
+	if err != nil {
+		return err
+	}
+	n.conns = append(n.conns, conn)
+	return nil
+}
+
+// addEngine serves e by gRPC and starts an agent before it.
+func (n *nodes) addEngine(e engine.Engine) (string, error) {
+	address, err := n.standins.Engine(e, "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	conn, err := app.DialGRPC(address)
+	if err != nil {
+		return "", err
+	}
+	n.conns = append(n.conns, conn)
+	return address, n.addAgent(engineclient.New(conn))
+}
+
+func (n *nodes) close() {
+	for _, c := range n.conns {
+		c.Close()
+	}
+	for _, e := range n.entries {
+		e.Close()
+	}
+	for _, a := range n.agents {
+		a.Close()
+	}
+	n.standins.Close()
+}
+
+// apply commits rows through the first entry.
+func (n *nodes) apply(id string, rows ...*kingcupv1.Row) (*kingcupv1.ApplyResponse, error) {
+	return n.entries[0].Entry.Apply(context.Background(), &kingcupv1.ApplyRequest{ChangeId: id, Puts: rows})
+}
+
+// inForce counts the processes that have version in force.
+func (n *nodes) inForce(version uint64) int {
+	count := 0
+	for _, a := range n.agents {
+		if a.Sync.Replica().Version() >= version {
+			count++
+		}
+	}
+	for _, e := range n.entries {
+		if e.Sync.Replica().Version() >= version {
+			count++
+		}
+	}
+	return count
+}
+
+// connected counts the sessions of all entries to agents.
+func (n *nodes) connected() int {
+	count := 0
+	for _, e := range n.entries {
+		resp, err := e.Entry.BackendServers(context.Background(), nil)
+		if err != nil {
+			continue
+		}
+		for _, s := range resp.GetServers() {
+			if s.GetConnected() {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+const settleBound = time.Minute
+
+// until polls done; it fails after a bound.
+func until(what string, done func() bool) error {
+	const poll = 2 * time.Millisecond
+	deadline := time.Now().Add(settleBound)
+	for !done() {
+		if time.Now().After(deadline) {
+			return errors.Errorf("never: %s", what)
+		}
+		time.Sleep(poll)
+	}
+	return nil
+}
+
+// teamModels are what each of the many measured teams may use.
+var teamModels = []string{"model-01", "model-02", "model-03"}
+
+// baseRows let team use model and service.
+func baseRows() []*kingcupv1.Row {
+	rows := []*kingcupv1.Row{
+		{Row: &kingcupv1.Row_Priority{Priority: &kingcupv1.Priority{Name: "interactive", Level: 1}}},
+		{Row: &kingcupv1.Row_Model{Model: &kingcupv1.Model{Name: service, Kind: kingcupv1.ModelKind_MODEL_KIND_SERVICE}}},
+		{Row: &kingcupv1.Row_Team{Team: &kingcupv1.Team{Name: team, Weight: 1, Models: []string{model, service}}}},
+	}
+	for _, name := range append([]string{model}, teamModels...) {
+		m := &kingcupv1.Model{Name: name, Kind: kingcupv1.ModelKind_MODEL_KIND_GENERATION}
+		rows = append(rows, &kingcupv1.Row{Row: &kingcupv1.Row_Model{Model: m}})
+	}
+	return rows
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 	"google.golang.org/grpc"
 
+	"kingcupplank.example/kingcup/engine"
 	"kingcupplank.example/kingcup/internal/standin/engines"
 	"kingcupplank.example/kingcup/internal/standin/services"
 	"kingcupplank.example/kingcup/internal/standin/tables"
@@ -44,7 +45,7 @@
 }
 
 // Engine serves a model engine and returns its address.
-func (s *Servers) Engine(e *engines.Engine, address string) (string, error) {
+func (s *Servers) Engine(e engine.Engine, address string) (string, error) {
 	return s.grpc(address, func(g *grpc.Server) { platformv1.RegisterEngineServiceServer(g, &engines.Server{Engine: e}) })
 }
 
