--- a/cmd/kingcup-bench/main.go
+++ b/cmd/kingcup-bench/main.go
@@ -15,12 +15,13 @@
 
 func main() {
 	s := settings.New("kingcup-bench", "measures policies on one fake engine in virtual time")
-	what := s.Choice("table", "policy", []string{"policy", "ablation", "capacity"}, "table to print")
+	what := s.Choice("table", "policy", []string{"policy", "ablation", "robust", "placement", "capacity"}, "table to print")
 	seeds := s.Int("seeds", 5, 1, 100, "seeds for each row")
 	length := s.Duration("length", 240*time.Second, time.Second, time.Hour, "virtual time of each run")
 	budget := s.Int("prefill-budget", 512, 16, 8192, "prompt tokens that the engine takes in one step")
 	sigmas := s.Int("sigmas-percent", 0, 0, 1000, "margin of the forecast in hundredths of a standard deviation; 0 is the default")
 	reserve := s.Int("reserve-percent", 0, 0, 90, "memory kept from borrowers, percent; 0 is the default")
+	plot := s.String("plot", "", "PNG file for a plot of the policy table; empty for none", false)
 	s.MustParse()
 	if *what == "capacity" {
 		if err := slopes.Report(os.Stdout); err != nil {
@@ -36,6 +37,20 @@
 	o.Seeds, o.Length = *seeds, *length
 	o.Engine.PrefillBudget = *budget
 	began := time.Now()
+	if *what == "placement" {
+		bench.PrintPlacement(os.Stdout, o)
+		return
+	}
+	if *plot != "" {
+		if err := bench.Plot(*plot, bench.Cascadia(), contenders("policy", change), o); err != nil {
+			fmt.Fprintln(os.Stderr, "kingcup-bench:", err)
+			os.Exit(1)
+		}
+	}
+	if *what == "robust" {
+		bench.PrintRobust(os.Stdout, append(bench.Baselines()[:2], bench.Forecasting("kingcup", sched.Parts{}, change)), o)
+		return
+	}
 	for _, d := range []bench.Deployment{bench.Rinpan(), bench.Cascadia()} {
 		bench.Print(os.Stdout, append([]bench.Row{bench.Alone(d, o)}, bench.Measure(d, contenders(*what, change), o)...))
 	}
--- a/conf/store.go
+++ b/conf/store.go
@@ -23,6 +23,10 @@
 // SnapshotEvery is the number of versions between snapshots.
 const SnapshotEvery = 32
 
+// KeptDeltas is how many deltas stay in the table; a change can be recognized by
+// its id for as long. It is over a day of changes at the target size.
+const KeptDeltas = 512
+
 const (
 	settleTries   = 5
 	settleBackoff = 50 * time.Millisecond
@@ -180,6 +184,10 @@
 	if err != nil {
 		return err
 	}
+	return applyAll(r, deltas)
+}
+
+func applyAll(r *Replica, deltas []*kingcupv1.Delta) error {
 	for _, d := range deltas {
 		if err := r.Apply(d); err != nil {
 			return err
@@ -188,6 +196,21 @@
 	return nil
 }
 
+// Prune deletes the deltas that a snapshot has replaced, up to KeptDeltas before
+// version. Only one snapshot's worth is deleted at a time.
+func (s *Store) Prune(ctx context.Context, version uint64) error {
+	if version <= KeptDeltas {
+		return nil
+	}
+	last := version - KeptDeltas
+	var txn platform.Txn
+	for v := last - min(last, SnapshotEvery); v <= last; v++ {
+		txn.Writes = append(txn.Writes, platform.Write{Key: deltaKey(v), Delete: true})
+	}
+	_, err := s.table.Commit(ctx, txn)
+	return err
+}
+
 // loadSnapshot is an optimization: where the object store has none, all deltas
 // are read from the table.
 func (s *Store) loadSnapshot(ctx context.Context, r *Replica) {
--- /dev/null
+++ b/conf/store_test.go
@@ -0,0 +1,44 @@
+package conf
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"kingcupplank.example/kingcup/internal/standin/tables"
+)
+
+// More changes are made than the table keeps deltas for. A process that starts
+// then must reach the head from the snapshot and the deltas that are left, and
+// one that lags by a few versions from deltas alone.
+func TestCatchUpAfterPruning(t *testing.T) {
+	ctx := context.Background()
+	table := tables.New()
+	store := NewStore(table, table)
+	writer, lagging := NewReplica(), NewReplica()
+	const changes = KeptDeltas + 5*SnapshotEvery + 7
+	for v := uint64(1); v <= changes; v++ {
+		d := delta(v)
+		d.ChangeId = fmt.Sprint(v)
+		require.NoError(t, store.Commit(ctx, d))
+		require.NoError(t, writer.Apply(d))
+		if v%SnapshotEvery == 0 {
+			require.NoError(t, store.SaveSnapshot(ctx, writer.State()))
+			require.NoError(t, store.Prune(ctx, v))
+		}
+		if v%10 == 0 {
+			require.NoError(t, store.CatchUp(ctx, lagging))
+		}
+	}
+	rows, err := table.Scan(ctx, deltaPrefix)
+	require.NoError(t, err)
+	require.LessOrEqual(t, len(rows), KeptDeltas+SnapshotEvery)
+	fresh := NewReplica()
+	for _, r := range []*Replica{fresh, lagging} {
+		require.NoError(t, store.CatchUp(ctx, r))
+		require.EqualValues(t, changes, r.Version())
+		require.EqualValues(t, changes, r.State().Team("t").GetWeight())
+	}
+}
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -44,7 +44,16 @@
 // pump moves one attempt's tokens from the engine to the buffer, and sees the
 // generation through the loss of the engine.
 func (a *Agent) pump(g *generation, attempt uint32) {
+	if a.superseded(g, attempt) {
+		return
+	}
 	src, err := a.generate(g, attempt)
+	// A cancel that came before the engine knew the stream has found nothing
+	// there; without a second one the stream would run on with no reader.
+	if a.superseded(g, attempt) {
+		a.engine.Cancel(a.ctx, g.id, attempt)
+		return
+	}
 	for {
 		if err == nil {
 			err = a.copyTokens(g, attempt, src)
--- a/internal/bench/engine.go
+++ b/internal/bench/engine.go
@@ -45,7 +45,6 @@
 	emitted int
 	// last is when the caller got its last token; 0 before the first.
 	last    time.Duration
-	began   int
 	onBatch bool
 }
 
@@ -102,14 +101,14 @@
 	s.arrivals++
 	j := &sched.Job{
 		ID: t.Name + string(rune(s.arrivals)), Team: t.Name, Model: "m", Weight: t.Weight,
-		Prompt: a.Prompt, MaxTokens: MaxTokens,
+		Prompt: a.Prompt, MaxTokens: MaxTokens, Emitted: a.Emitted, Urgent: a.Emitted > 0,
 	}
 	s.out.class(t).Offered++
 	if d := s.policy.Offer(s.now, j); d.Verdict == sched.Refuse {
 		s.out.class(t).Refused++
 		return
 	}
-	s.jobs[j] = &running{job: j, arrival: a, team: t}
+	s.jobs[j] = &running{job: j, arrival: a, team: t, emitted: a.Emitted}
 }
 
 func (s *sim) act() {
@@ -131,7 +130,7 @@
 
 func (s *sim) start(r *running) {
 	r.prefill = r.context()
-	if r.emitted == 0 {
+	if r.emitted == r.arrival.Emitted {
 		r.prefill -= int(s.engine.CachedPrompt * float64(r.arrival.Prompt))
 	}
 	r.onBatch = true
@@ -186,6 +185,10 @@
 		s.out.token(r, s.now)
 		r.last = s.now
 		s.policy.Progress(r.job, r.emitted)
+		if r.arrival.Cancel > 0 && r.emitted >= r.arrival.Cancel {
+			s.cancel(r)
+			continue
+		}
 		if r.emitted < r.arrival.Length {
 			keep = append(keep, r)
 			continue
@@ -197,6 +200,12 @@
 	s.batch = keep
 }
 
+func (s *sim) cancel(r *running) {
+	s.out.class(r.team).Cancelled++
+	delete(s.jobs, r.job)
+	s.policy.Finish(s.now, r.job, false)
+}
+
 // makeRoom is the engine's own last resort: it takes the latest arrival off
 // until the next token of every stream fits.
 func (s *sim) makeRoom() {
--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -71,6 +71,10 @@
 	Team   int
 	Prompt int
 	Length int
+	// Cancel is the number of tokens after which the caller cancels; 0 never.
+	Cancel int
+	// Emitted is the number of tokens that another server has delivered.
+	Emitted int
 }
 
 // Surges last surgeLength on average and take up surgePart of the time.
--- /dev/null
+++ b/internal/bench/plot.go
@@ -0,0 +1,76 @@
+package bench
+
+import (
+	"image/color"
+	"time"
+
+	"github.com/pkg/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+)
+
+// plotLoad is the load that the plot shows.
+const plotLoad = 1.3
+
+var colours = []color.RGBA{
+	{200, 60, 60, 255}, {220, 150, 40, 255}, {120, 120, 120, 255}, {30, 90, 180, 255},
+}
+
+// Plot writes a PNG with the share of small teams' gaps between tokens that are
+// longer than a given time, for every contender.
+func Plot(file string, d Deployment, contenders []Contender, o Options) error {
+	o.Loads = []float64{plotLoad}
+	p := plot.New()
+	p.Title.Text = "small teams of " + d.Name + " at 1.3 of capacity: gaps between tokens"
+	p.X.Label.Text = "gap in ms"
+	p.Y.Label.Text = "share of gaps that are longer"
+	p.X.Scale, p.X.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: 0}
+	p.Y.Scale, p.Y.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
+	for i, row := range Measure(d, contenders, o) {
+		line, err := plotter.NewLine(tail(row))
+		if err != nil {
+			return errors.Wrap(err, "plot")
+		}
+		line.Color, line.Width = colours[i%len(colours)], vg.Points(1.5)
+		p.Add(line)
+		p.Legend.Add(row.Policy, line)
+	}
+	p.Legend.Top = true
+	return errors.Wrap(p.Save(16*vg.Centimeter, 10*vg.Centimeter, file), "plot")
+}
+
+// tail is the complementary distribution of small teams' gaps over all seeds.
+func tail(row Row) plotter.XYs {
+	const least = 1e-6
+	sum := histogram{}
+	for _, r := range row.Results {
+		h := &r.Small.between
+		for len(sum.count) < len(h.count) {
+			sum.count = append(sum.count, 0)
+		}
+		for i, n := range h.count {
+			sum.count[i] += n
+		}
+		sum.total += h.total
+	}
+	var out plotter.XYs
+	left := sum.total
+	for i, n := range sum.count {
+		left -= n
+		if n == 0 {
+			continue
+		}
+		x := milliseconds(time.Duration(histogramLeast * pow(histogramGrowth, i+1)))
+		out = append(out, plotter.XY{X: x, Y: max(least, float64(left)/float64(sum.total))})
+	}
+	return out
+}
+
+func pow(base float64, n int) float64 {
+	x := 1.0
+	for range n {
+		x *= base
+	}
+	return x
+}
--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -49,13 +49,13 @@
 // Class sums what happened to the small or to the large teams.
 type Class struct {
 	Offered, Refused, Finished int
+	Cancelled                  int
 	Preemptions, TokensLost    int
 	Tokens                     int
 	Stall                      time.Duration
 	stalls                     []time.Duration
 	between                    histogram
 	first                      histogram
-	waits                      histogram
 }
 
 // StallP99 is the 99th percentile of the waits that count as stalls.
@@ -96,11 +96,15 @@
 
 func (r *Result) token(s *running, now time.Duration) {
 	c := r.class(s.team)
-	if s.last == 0 {
+	if s.last == 0 && s.arrival.Emitted == 0 {
 		c.first.add(now - s.arrival.At)
 		return
 	}
 	gap := now - s.last
+	if s.last == 0 {
+		// A stream that was moved here waits from its arrival on.
+		gap = now - s.arrival.At
+	}
 	c.between.add(gap)
 	if gap > stallAfter {
 		c.Stall += gap - stallAfter
--- a/internal/bench/table.go
+++ b/internal/bench/table.go
@@ -74,6 +74,11 @@
 
 // Measure runs every contender at every load and seed, on all processors.
 func Measure(d Deployment, contenders []Contender, o Options) []Row {
+	return MeasureWith(d, contenders, o, func(a []Arrival) []Arrival { return a })
+}
+
+// MeasureWith is Measure with every load changed by change.
+func MeasureWith(d Deployment, contenders []Contender, o Options, change func([]Arrival) []Arrival) []Row {
 	capacity := Capacity(d, o.Engine, o.Length)
 	var rows []Row
 	for _, load := range o.Loads {
@@ -90,7 +95,7 @@
 				if c.Engine != nil {
 					c.Engine(&e)
 				}
-				arrivals := d.Arrivals(uint64(seed)+1, o.Length, capacity*rows[i].Load)
+				arrivals := change(d.Arrivals(uint64(seed)+1, o.Length, capacity*rows[i].Load))
 				rows[i].Results[seed] = Run(e, c.New(e), d.Teams, arrivals, o.Length)
 			})
 		}
--- a/internal/entry/flight.go
+++ b/internal/entry/flight.go
@@ -90,6 +90,11 @@
 	switch {
 	case fail.Outcome == kingcupv1.Outcome_OUTCOME_NOT_RUN && f.kept.Next() == 0:
 		f.refused(f.server, fail)
+		// A request that has waited its longest in one queue is answered at
+		// once; another queue would keep its caller for as long again.
+		if fail.Reason == kingcupv1.Reason_REASON_OVERLOADED {
+			return nil, f.unplaced()
+		}
 		return f.start(ctx)
 	case lost(fail.Reason):
 		return f.move(ctx, fail)
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -92,6 +92,10 @@
 	}
 	if err := e.store.SaveSnapshot(ctx, state); err != nil {
 		e.log.WithError(err).Warn("snapshot not written")
+		return
+	}
+	if err := e.store.Prune(ctx, state.Version()); err != nil {
+		e.log.WithError(err).Warn("old deltas not deleted")
 	}
 }
 
--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,39 @@
+package placement
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestFilters(t *testing.T) {
+	good := Server{Name: "a", Models: []string{"m"}, Adapters: []string{"x"}, Connected: true}
+	r := &Request{Model: "m", Adapter: "x"}
+	require.Equal(t, 0, Default().Pick(r, []Server{good}, 1))
+	for name, change := range map[string]func(*Server, *Request){
+		"leaving":       func(s *Server, _ *Request) { s.Leaving = true },
+		"not connected": func(s *Server, _ *Request) { s.Connected = false },
+		"other model":   func(s *Server, _ *Request) { s.Models = []string{"n"} },
+		"no adapter":    func(s *Server, _ *Request) { s.Adapters = nil },
+		"tried":         func(s *Server, r *Request) { r.Tried = []string{s.Name} },
+	} {
+		s, req := good, *r
+		change(&s, &req)
+		require.Equal(t, -1, Default().Pick(&req, []Server{s}, 1), name)
+	}
+}
+
+// Of two servers drawn, the one with more room must be taken, whichever was drawn
+// first; requests sent since the last report count as load.
+func TestPickTakesTheBetterOfTwo(t *testing.T) {
+	servers := []Server{
+		{Name: "full", Models: []string{"m"}, Connected: true, MemoryForecast: 90, MemoryTotal: 100},
+		{Name: "free", Models: []string{"m"}, Connected: true, MemoryForecast: 10, MemoryTotal: 100},
+	}
+	r := &Request{Model: "m"}
+	for random := range uint64(4) {
+		require.Equal(t, 1, Default().Pick(r, servers, random|random<<32))
+	}
+	servers[1].Sent = 45
+	require.Equal(t, 0, Default().Pick(r, servers, 1))
+}
--- /dev/null
+++ b/retry/budget_test.go
@@ -0,0 +1,30 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// When everything fails, retries must stay in proportion to first tries.
+func TestBudgetBoundsRetries(t *testing.T) {
+	b := Budget{Ratio: 0.2, Max: 10}
+	retries := 0
+	const tries = 1000
+	for range tries {
+		b.First()
+		for b.Take() {
+			retries++
+		}
+	}
+	require.LessOrEqual(t, retries, tries/5+10)
+	require.GreaterOrEqual(t, retries, tries/5)
+}
+
+func TestBackoffGrowsToItsBound(t *testing.T) {
+	b := Backoff{Base: 100 * time.Millisecond, Max: time.Second}
+	require.Equal(t, 50*time.Millisecond, b.After(0, 0))
+	require.Equal(t, 200*time.Millisecond, b.After(1, 1))
+	require.Equal(t, time.Second, b.After(60, 1))
+}
