Links bounded over all models; engine streams released; slow readers cut off

Cause 1: with a fixed 6 agents a model, a system of 11 entries and 29 agents had an agent that no entry watched; a change never came into force there once the store was gone (the capacity run waited for it in vain). Change: 96 links an entry, divided over the models. Cause 2: a test of slow readers found a finished stream still held by the engine: the agent never ended the context of an engine stream, so a gRPC stream would stay open for each finished generation. Change: one context an attempt, cancelled when its pump ends.

--- a/cmd/kingcup-entry/main.go
+++ b/cmd/kingcup-entry/main.go
@@ -18,7 +18,7 @@
 	callers := s.Address("caller-address", "", "address for callers and operators", true)
 	s.Group("Backend servers")
 	def := app.DefaultEntry(app.Common{})
-	perModel := s.Int("agents-per-model", def.PerModel, 1, 1000, "agents watched for each model")
+	links := s.Int("agent-links", def.AgentLinks, 2, 10000, "most agents watched, over all models")
 	peers := s.Int("peers", def.Peers, 0, 100, "other entries watched")
 	beat := s.Duration("heartbeat", def.Heartbeat, 50*time.Millisecond, time.Minute, "time between heartbeats of an agent")
 	list := s.Duration("list-every", def.ListEvery, 100*time.Millisecond, 10*time.Minute, "time between looks at the VM list")
@@ -30,7 +30,7 @@
 	s.MustParse()
 
 	o := app.EntryOptions{
-		Common: common(), CallerAddress: *callers, PerModel: *perModel, Peers: *peers, Heartbeat: *beat,
+		Common: common(), CallerAddress: *callers, AgentLinks: *links, Peers: *peers, Heartbeat: *beat,
 		ListEvery: *list, AcceptTimeout: *accept, ReattachFor: *reattach, ClaimWindow: *window, LeaseTTL: *ttl,
 	}
 	log := app.NewLog(o.Common)
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -47,7 +47,11 @@
 	if a.superseded(g, attempt) {
 		return
 	}
-	src, err := a.generate(g, attempt)
+	// The engine's stream is released when its context ends, not at its last
+	// token; without the cancel each finished generation would hold one.
+	ctx, cancel := context.WithCancel(a.ctx)
+	defer cancel()
+	src, err := a.generate(ctx, g, attempt)
 	// A cancel that came before the engine knew the stream has found nothing
 	// there; without a second one the stream would run on with no reader.
 	if a.superseded(g, attempt) {
@@ -70,7 +74,7 @@
 			return
 		}
 		a.log.WithFields(g.fields()).WithError(err).Warn("engine lost")
-		attempt, src, err = a.recoverStream(g, attempt, err)
+		attempt, src, err = a.recoverStream(ctx, g, attempt, err)
 		if err != nil {
 			a.fail(g, err)
 			return
@@ -78,7 +82,7 @@
 	}
 }
 
-func (a *Agent) generate(g *generation, attempt uint32) (engine.Stream, error) {
+func (a *Agent) generate(ctx context.Context, g *generation, attempt uint32) (engine.Stream, error) {
 	req := g.req
 	req.Attempt = attempt
 	if g.buf.Next() > 0 {
@@ -88,7 +92,7 @@
 		}
 		req.Prefix = prefix
 	}
-	return a.engine.Generate(a.ctx, req)
+	return a.engine.Generate(ctx, req)
 }
 
 func (a *Agent) copyTokens(g *generation, attempt uint32, src engine.Stream) error {
@@ -135,24 +139,24 @@
 // attempt if the engine still holds it, a higher one from the tokens that
 // arrived if the engine continues generations. It never starts over behind
 // tokens that a caller may have: that would splice two generations.
-func (a *Agent) recoverStream(g *generation, attempt uint32, cause error) (uint32, engine.Stream, error) {
+func (a *Agent) recoverStream(ctx context.Context, g *generation, attempt uint32, cause error) (uint32, engine.Stream, error) {
 	deadline := time.Now().Add(a.cfg.EngineGrace)
 	for backoff := firstBackoff; time.Now().Before(deadline); backoff = min(2*backoff, maxBackoff) {
-		src, err := a.engine.Attach(a.ctx, g.id, g.buf.Next())
+		src, err := a.engine.Attach(ctx, g.id, g.buf.Next())
 		if err == nil {
 			return attempt, src, nil
 		}
 		if errors.Is(err, engine.ErrUnknownStream) {
-			return a.restart(g, attempt, cause)
+			return a.restart(ctx, g, attempt, cause)
 		}
-		if !wait(a.ctx, backoff) {
+		if !wait(ctx, backoff) {
 			break
 		}
 	}
 	return attempt, nil, errors.Wrap(cause, "engine did not come back")
 }
 
-func (a *Agent) restart(g *generation, attempt uint32, cause error) (uint32, engine.Stream, error) {
+func (a *Agent) restart(ctx context.Context, g *generation, attempt uint32, cause error) (uint32, engine.Stream, error) {
 	if g.once {
 		return attempt, nil, errors.Wrap(cause, "request must not run twice")
 	}
@@ -163,7 +167,7 @@
 	if err := g.buf.Begin(next); err != nil {
 		return attempt, nil, err
 	}
-	src, err := a.generate(g, next)
+	src, err := a.generate(ctx, g, next)
 	return next, src, err
 }
 
@@ -237,7 +241,9 @@
 }
 
 func (a *Agent) pumpAdopted(g *generation, attempt uint32) {
-	src, err := a.engine.Attach(a.ctx, g.id, 0)
+	ctx, cancel := context.WithCancel(a.ctx)
+	defer cancel()
+	src, err := a.engine.Attach(ctx, g.id, 0)
 	if err == nil {
 		err = a.copyTokens(g, attempt, src)
 	}
--- a/internal/app/entry.go
+++ b/internal/app/entry.go
@@ -26,7 +26,7 @@
 type EntryOptions struct {
 	Common
 	CallerAddress string
-	PerModel      int
+	AgentLinks    int
 	Peers         int
 	Heartbeat     time.Duration
 	ListEvery     time.Duration
@@ -42,7 +42,7 @@
 // does not care about.
 func DefaultEntry(c Common) EntryOptions {
 	return EntryOptions{
-		Common: c, PerModel: 6, Peers: 4, Heartbeat: time.Second, ListEvery: 5 * time.Second,
+		Common: c, AgentLinks: 96, Peers: 4, Heartbeat: time.Second, ListEvery: 5 * time.Second,
 		AcceptTimeout: 2 * time.Second, ReattachFor: 3 * time.Second,
 		ClaimWindow: 3 * time.Millisecond, LeaseTTL: 15 * time.Second,
 	}
@@ -113,7 +113,7 @@
 		func(p Platform) *lease.Manager { return lease.NewManager(p.Table, o.Name, o.LeaseTTL) },
 		func(s *confsync.Syncer, store *conf.Store, links *link.Manager, claims *claim.Claims, leases *lease.Manager, p Platform, log logrus.FieldLogger, rec *metrics.Recorder) *entry.Entry {
 			return entry.New(entry.Config{
-				Identity: o.Identity(), ListEvery: o.ListEvery, PerModel: o.PerModel, Peers: o.Peers,
+				Identity: o.Identity(), ListEvery: o.ListEvery, AgentLinks: o.AgentLinks, Peers: o.Peers,
 				AcceptTimeout: o.AcceptTimeout, ReattachFor: o.ReattachFor, StreamBytes: streamBytes,
 				SpreadTimeout: spreadTimeout, Tries: placeTries, Random: o.Random,
 			}, entry.Deps{Sync: s, Store: store, Links: links, Claims: claims, Leases: leases, VMs: p.VMs, Log: log, Observer: rec})
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -34,8 +34,8 @@
 	Identity wire.Identity
 	// ListEvery is the period at which the platform's VM list is read.
 	ListEvery time.Duration
-	// PerModel is how many agents are watched for each model.
-	PerModel int
+	// AgentLinks bounds the agents that are watched, over all models.
+	AgentLinks int
 	// Peers is how many other entries are watched.
 	Peers int
 	// AcceptTimeout is how long an agent may take to accept a request.
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -68,7 +68,7 @@
 	}
 	add(entries, e.cfg.Peers)
 	for _, m := range slices.Sorted(maps.Keys(byModel)) {
-		add(byModel[m], e.cfg.PerModel)
+		add(byModel[m], e.perModel(len(byModel)))
 	}
 	peers := make([]link.Peer, 0, len(names))
 	for _, name := range slices.Sorted(maps.Keys(names)) {
@@ -78,6 +78,17 @@
 	return peers
 }
 
+// leastPerModel leaves a choice however many models there are.
+const leastPerModel = 2
+
+// perModel divides the bound on links over the models. With few models an entry
+// watches every agent: a fixed small number would leave some agent unwatched
+// where there are few entries, with no work and, in an outage of the store, no
+// changes of configuration.
+func (e *Entry) perModel(models int) int {
+	return max(leastPerModel, e.cfg.AgentLinks/models)
+}
+
 // servers is the view that placement decides on.
 func (e *Entry) servers() []placement.Server {
 	links := e.links.All()
--- a/internal/proof/process_test.go
+++ b/internal/proof/process_test.go
@@ -300,3 +300,29 @@
 		requireWholeRandom(t, at, 5)
 	})
 }
+
+// One caller opens a long stream and does not read it; another one reads. The
+// slow one must get a typed end once it is further behind than the buffer, the
+// engine must be freed of it, and the other must not notice.
+func TestSlowReaderIsCutOff(t *testing.T) {
+	virtual(t, func(t *testing.T) {
+		s := newSystem(t, setup{entries: 1, servers: 1, resumes: true, buffer: 4 << 10})
+		defer s.close()
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		st, err := kingcupv1.NewCallerServiceClient(s.conns[0]).Generate(ctx, request("slow", 90000))
+		require.NoError(t, err)
+		at, done := s.generate(s.client(once), request("quick", 500))
+		<-done
+		requireWhole(t, at, 500)
+		time.Sleep(1700 * time.Second)
+		for err == nil {
+			_, err = st.Recv()
+		}
+		require.Equal(t, kingcupv1.Reason_REASON_SLOW_READER, failure.As(err).Reason, "%v", err)
+		time.Sleep(time.Minute)
+		running, err := s.nodes[0].engine.List(t.Context())
+		require.NoError(t, err)
+		require.Empty(t, running)
+	})
+}
--- a/internal/proof/system_test.go
+++ b/internal/proof/system_test.go
@@ -111,6 +111,7 @@
 	conns   []*grpc.ClientConn
 	log     logrus.FieldLogger
 	random  *lockedRand
+	buffer  int
 	// fakes stand in an agent's place.
 	fakes []*wire.Server
 }
@@ -137,6 +138,7 @@
 	checksTerm       bool
 	memory           uint64
 	seed             uint64
+	buffer           int
 	// table replaces the platform's table, for broken variants.
 	table func(*tables.Table) platform.Table
 }
@@ -145,7 +147,7 @@
 	quiet := logrus.New()
 	quiet.SetOutput(io.Discard)
 	t.Logf("seed %d", o.seed)
-	s := &system{t: t, random: newLockedRand(o.seed), net: memnet.New(), table: tables.New(), service: services.New(), log: quiet}
+	s := &system{t: t, random: newLockedRand(o.seed), buffer: o.buffer, net: memnet.New(), table: tables.New(), service: services.New(), log: quiet}
 	s.plat = app.Platform{Table: s.table, Objects: s.table, VMs: s.table}
 	if o.table != nil {
 		s.plat.Table = o.table(s.table)
@@ -181,6 +183,9 @@
 
 func (s *system) addNode(name string, i int, b app.Backend, serves string) {
 	n := &node{opts: app.DefaultAgent(s.common(name, i)), backend: b}
+	if s.buffer > 0 {
+		n.opts.BufferBytes = s.buffer
+	}
 	if b.Service != nil {
 		n.opts.Services = []string{serves}
 	}
--- a/internal/slopes/measure.go
+++ b/internal/slopes/measure.go
@@ -315,7 +315,7 @@
 }
 
 func (n *nodes) spread(size int) (Spread, error) {
-	const agentsPerModel = 8
+	const agentLinks = 16
 	entries := size * 2 / 7
 	s := Spread{Processes: size}
 	for range size - entries {
@@ -324,11 +324,11 @@
 		}
 	}
 	for range entries {
-		if err := n.addEntry(agentsPerModel); err != nil {
+		if err := n.addEntry(agentLinks); err != nil {
 			return s, err
 		}
 	}
-	want := entries * min(agentsPerModel, size-entries)
+	want := entries * min(agentLinks, size-entries)
 	if err := until("agents watched", func() bool { return n.connected() >= want }); err != nil {
 		return s, err
 	}
--- a/internal/slopes/nodes.go
+++ b/internal/slopes/nodes.go
@@ -100,15 +100,15 @@
 	return nil
 }
 
-// addEntry starts an entry that watches at most perModel agents.
-func (n *nodes) addEntry(perModel int) error {
+// addEntry starts an entry that watches at most links agents.
+func (n *nodes) addEntry(links int) error {
 	c, err := n.common("entry", len(n.entries))
 	if err != nil {
 		return err
 	}
 	o := app.DefaultEntry(c)
 	o.CallerAddress = "127.0.0.1:0"
-	o.PerModel, o.Heartbeat, o.ListEvery = perModel, n.heartbeat, 500*time.Millisecond
+	o.AgentLinks, o.Heartbeat, o.ListEvery = links, n.heartbeat, 500*time.Millisecond
 	n.table.PutVM(platform.VM{Name: c.Name, Address: c.InnerAddress, FailureDomain: c.FailureDomain, Role: platform.RoleEntry})
 	e, err := app.StartEntry(o, n.platform(), n.network, n.log)
 	if err != nil {
--- a/internal/slopes/report.go
+++ b/internal/slopes/report.go
@@ -8,13 +8,13 @@
 
 // Target is the size that the system is designed for.
 type Target struct {
-	Entries, Servers              int
-	Requests, Tokens              float64
-	Teams, Models                 int
-	ChangesPerDay                 float64
-	Poll, List, Heartbeat         time.Duration
-	AgentsPerModel, PeersPerEntry int
-	Claimed                       float64
+	Entries, Servers          int
+	Requests, Tokens          float64
+	Teams, Models             int
+	ChangesPerDay             float64
+	Poll, List, Heartbeat     time.Duration
+	AgentLinks, PeersPerEntry int
+	Claimed                   float64
 }
 
 // DefaultTarget is the plan of the users for the next two years. The share of
@@ -23,7 +23,7 @@
 	return Target{
 		Entries: 330, Servers: 830, Requests: 8300, Tokens: 2.2e6, Teams: 1500, Models: 15,
 		ChangesPerDay: 430, Poll: 4 * time.Second, List: 5 * time.Second, Heartbeat: time.Second,
-		AgentsPerModel: 6, PeersPerEntry: 4, Claimed: 0.05,
+		AgentLinks: 96, PeersPerEntry: 4, Claimed: 0.05,
 	}
 }
 
@@ -91,8 +91,8 @@
 
 // print works the target out from the slopes.
 func (t Target) print(w io.Writer, watched Watched, s Streams, c Configuration) {
-	links := float64(t.AgentsPerModel*t.Models + t.PeersPerEntry)
-	watchers := float64(t.Entries) * float64(t.AgentsPerModel*t.Models) / float64(t.Servers)
+	links := float64(t.AgentLinks + t.PeersPerEntry)
+	watchers := float64(t.Entries) * float64(t.AgentLinks) / float64(t.Servers)
 	beats := 1 / t.Heartbeat.Seconds()
 	config := c.Memory.Slope * float64(t.Teams+t.Models) / 1024 / 1024
 	fmt.Fprintln(w, "\n## Control at the target size, a node")
