Bench engine honours priorities; robustness, placement and plot; stricter tests

Change: the engine takes the lowest priority off first and takes in the prompts of the highest first; teams have a level; -equal-levels gives the earlier load. Also: the shutdown test let streams move to another server, which hid a missing drain; its engines now cannot continue elsewhere.

--- a/cmd/kingcup-bench/main.go
+++ b/cmd/kingcup-bench/main.go
@@ -21,6 +21,7 @@
 	budget := s.Int("prefill-budget", 512, 16, 8192, "prompt tokens that the engine takes in one step")
 	sigmas := s.Int("sigmas-percent", 0, 0, 1000, "margin of the forecast in hundredths of a standard deviation; 0 is the default")
 	reserve := s.Int("reserve-percent", 0, 0, 90, "memory kept from borrowers, percent; 0 is the default")
+	equal := s.Bool("equal-levels", false, "put all teams in one priority class")
 	plot := s.String("plot", "", "PNG file for a plot of the policy table; empty for none", false)
 	s.MustParse()
 	if *what == "capacity" {
@@ -42,16 +43,16 @@
 		return
 	}
 	if *plot != "" {
-		if err := bench.Plot(*plot, bench.Cascadia(), contenders("policy", change), o); err != nil {
+		if err := bench.Plot(*plot, bench.Deployments(*equal)[1], contenders("policy", change), o); err != nil {
 			fmt.Fprintln(os.Stderr, "kingcup-bench:", err)
 			os.Exit(1)
 		}
 	}
 	if *what == "robust" {
-		bench.PrintRobust(os.Stdout, append(bench.Baselines()[:2], bench.Forecasting("kingcup", sched.Parts{}, change)), o)
+		bench.PrintRobust(os.Stdout, bench.Deployments(*equal), append(bench.Baselines()[:2], bench.Forecasting("kingcup", sched.Parts{}, change)), o)
 		return
 	}
-	for _, d := range []bench.Deployment{bench.Rinpan(), bench.Cascadia()} {
+	for _, d := range bench.Deployments(*equal) {
 		bench.Print(os.Stdout, append([]bench.Row{bench.Alone(d, o)}, bench.Measure(d, contenders(*what, change), o)...))
 	}
 	fmt.Printf("took %v\n", time.Since(began).Round(time.Millisecond))
--- a/internal/bench/engine.go
+++ b/internal/bench/engine.go
@@ -100,7 +100,7 @@
 	t := &s.teams[a.Team]
 	s.arrivals++
 	j := &sched.Job{
-		ID: t.Name + string(rune(s.arrivals)), Team: t.Name, Model: "m", Weight: t.Weight,
+		ID: t.Name + string(rune(s.arrivals)), Team: t.Name, Model: "m", Weight: t.Weight, Level: t.Level,
 		Prompt: a.Prompt, MaxTokens: MaxTokens, Emitted: a.Emitted, Urgent: a.Emitted > 0,
 	}
 	s.out.class(t).Offered++
@@ -134,7 +134,12 @@
 		r.prefill -= int(s.engine.CachedPrompt * float64(r.arrival.Prompt))
 	}
 	r.onBatch = true
-	s.batch = append(s.batch, r)
+	// Higher priorities come first on the batch, and so in the prefill budget.
+	i := len(s.batch)
+	for i > 0 && s.batch[i-1].team.Level < r.team.Level {
+		i--
+	}
+	s.batch = slices.Insert(s.batch, i, r)
 }
 
 func (s *sim) takeOff(r *running) {
@@ -206,8 +211,8 @@
 	s.policy.Finish(s.now, r.job, false)
 }
 
-// makeRoom is the engine's own last resort: it takes the latest arrival off
-// until the next token of every stream fits.
+// makeRoom is the engine's own last resort: it takes the lowest priority's latest
+// arrival off until the next token of every stream fits.
 func (s *sim) makeRoom() {
 	for {
 		used := 0
@@ -219,7 +224,7 @@
 		}
 		victim := s.batch[0]
 		for _, r := range s.batch {
-			if r.arrival.At > victim.arrival.At {
+			if yields(r, victim) {
 				victim = r
 			}
 		}
@@ -228,3 +233,11 @@
 		s.policy.Evicted(s.now, victim.job)
 	}
 }
+
+// yields reports whether the engine takes a off before b.
+func yields(a, b *running) bool {
+	if a.team.Level != b.team.Level {
+		return a.team.Level < b.team.Level
+	}
+	return a.arrival.At > b.arrival.At
+}
--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -12,7 +12,9 @@
 type Team struct {
 	Name   string
 	Weight uint32
-	Large  bool
+	// Level is the team's priority class, which engines honour.
+	Level uint32
+	Large bool
 	// Share is the part of the offered load.
 	Share float64
 	// Median and Sigma describe the lognormal output lengths, in tokens.
@@ -38,8 +40,29 @@
 	return Deployment{"cascadia", teams(8, 2, 180, 320, 0.95)}
 }
 
+// Deployments are the users' two, with all teams in one priority class if equal.
+func Deployments(equal bool) []Deployment {
+	out := []Deployment{Rinpan(), Cascadia()}
+	for i := range out {
+		if equal {
+			out[i] = out[i].EqualLevels()
+		}
+	}
+	return out
+}
+
+// EqualLevels is the deployment with all teams in one priority class.
+func (d Deployment) EqualLevels() Deployment {
+	out := Deployment{Name: d.Name, Teams: append([]Team(nil), d.Teams...)}
+	for i := range out.Teams {
+		out.Teams[i].Level = 0
+	}
+	return out
+}
+
 const (
 	smallLoad   = 0.02
+	smallLevel  = 1
 	largeWeight = 3
 	surgeFactor = 10
 )
@@ -48,7 +71,7 @@
 	var out []Team
 	for i := range small {
 		out = append(out, Team{
-			Name: string(rune('a' + i)), Weight: 1, Share: smallLoad,
+			Name: string(rune('a' + i)), Weight: 1, Level: smallLevel, Share: smallLoad,
 			Median: smallMedian, Sigma: 0.8, Prompt: 200, Surge: 1,
 		})
 	}
--- a/internal/bench/robust.go
+++ b/internal/bench/robust.go
@@ -87,9 +87,9 @@
 }
 
 // PrintRobust prints the policy table at load 1.3 under every disturbance.
-func PrintRobust(w io.Writer, contenders []Contender, o Options) {
+func PrintRobust(w io.Writer, deployments []Deployment, contenders []Contender, o Options) {
 	o.Loads = []float64{1.3}
-	for _, d := range []Deployment{Rinpan(), Cascadia()} {
+	for _, d := range deployments {
 		for _, dis := range Disturbances() {
 			fmt.Fprintf(w, "%s: %s\n", d.Name, dis.Name)
 			Print(w, MeasureWith(d, contenders, o, dis.Change(d.Teams, o.Length)))
--- a/internal/proof/stream_test.go
+++ b/internal/proof/stream_test.go
@@ -292,10 +292,11 @@
 }
 
 // Entry and agent are told to stop under load, twice. Every stream in progress
-// must end whole before they are gone; new requests are refused as not run.
+// must end whole before they are gone; new requests are refused as not run. The
+// engines cannot continue a generation elsewhere, so a cut would show.
 func TestShutdownCutsNothingOff(t *testing.T) {
 	virtual(t, func(t *testing.T) {
-		s := newSystem(t, setup{entries: 2, servers: 2, resumes: true})
+		s := newSystem(t, setup{entries: 2, servers: 2})
 		defer s.close()
 		var all []*seen
 		var waits []<-chan struct{}
@@ -323,7 +324,7 @@
 			case <-time.After(100 * time.Millisecond):
 				t.Fatal("shutdown returned before the caller had its answer")
 			}
-			requireWhole(t, all[i], 200)
+			requireWholeRandom(t, all[i], 200)
 		}
 	})
 }
