--- a/claim/claim.go
+++ b/claim/claim.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"kingcupplank.example/kingcup/internal/wait"
 	"kingcupplank.example/kingcup/platform"
 )
 
@@ -102,7 +103,7 @@
 		// without reading back two entries could both believe they won.
 		row, found, err := c.read(ctx, key)
 		if err != nil {
-			sleep(ctx, settleBackoff)
+			wait.For(ctx, settleBackoff)
 			continue
 		}
 		switch {
@@ -157,7 +158,7 @@
 			// conflict means that an earlier try was applied.
 			return nil
 		}
-		if !sleep(ctx, settleBackoff) {
+		if !wait.For(ctx, settleBackoff) {
 			break
 		}
 	}
@@ -183,14 +184,3 @@
 	}
 	return rows[0], rec, nil
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/client/client.go
+++ b/client/client.go
@@ -14,6 +14,7 @@
 
 	"kingcupplank.example/kingcup/engine"
 	"kingcupplank.example/kingcup/failure"
+	"kingcupplank.example/kingcup/internal/wait"
 	kingcupv1 "kingcupplank.example/kingcup/proto/kingcup/v1"
 )
 
@@ -94,7 +95,7 @@
 		if !failure.IsNotRun(f) || f.RetryAfter == 0 || refusals >= c.opts.Refusals {
 			return g.result, f
 		}
-		if !sleep(ctx, f.RetryAfter) {
+		if !wait.For(ctx, f.RetryAfter) {
 			return g.result, f
 		}
 	}
@@ -131,7 +132,7 @@
 		if idle++; idle > g.c.opts.Resumes || !g.resumable(err) {
 			return err
 		}
-		if !sleep(ctx, g.c.opts.ResumeEvery) {
+		if !wait.For(ctx, g.c.opts.ResumeEvery) {
 			return err
 		}
 		g.result.Resumes++
@@ -229,19 +230,8 @@
 			return resp, nil
 		}
 		f := failure.As(err)
-		if !failure.IsNotRun(f) || f.RetryAfter == 0 || refusals >= c.opts.Refusals || !sleep(ctx, f.RetryAfter) {
+		if !failure.IsNotRun(f) || f.RetryAfter == 0 || refusals >= c.opts.Refusals || !wait.For(ctx, f.RetryAfter) {
 			return nil, f
 		}
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/conf/store.go
+++ b/conf/store.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	"kingcupplank.example/kingcup/internal/wait"
 	"kingcupplank.example/kingcup/platform"
 	kingcupv1 "kingcupplank.example/kingcup/proto/kingcup/v1"
 )
@@ -124,7 +125,7 @@
 		case !sent:
 			return err
 		}
-		if !sleep(ctx, settleBackoff) {
+		if !wait.For(ctx, settleBackoff) {
 			break
 		}
 	}
@@ -233,14 +234,3 @@
 	}
 	return s.objects.Put(ctx, snapshotKey, value)
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -18,6 +18,7 @@
 	"kingcupplank.example/kingcup/engine"
 	"kingcupplank.example/kingcup/failure"
 	"kingcupplank.example/kingcup/internal/confsync"
+	"kingcupplank.example/kingcup/internal/wait"
 	"kingcupplank.example/kingcup/internal/wire"
 	"kingcupplank.example/kingcup/internal/workpool"
 	"kingcupplank.example/kingcup/lease"
@@ -150,7 +151,7 @@
 		if err == nil {
 			return load, nil
 		}
-		if !wait(ctx, backoff) {
+		if !wait.For(ctx, backoff) {
 			return engine.Load{}, errors.Wrap(err, "engine load")
 		}
 	}
--- a/internal/agent/control.go
+++ b/internal/agent/control.go
@@ -8,6 +8,7 @@
 
 	"kingcupplank.example/kingcup/engine"
 	"kingcupplank.example/kingcup/failure"
+	"kingcupplank.example/kingcup/internal/wait"
 	"kingcupplank.example/kingcup/internal/wire"
 	"kingcupplank.example/kingcup/lease"
 	innerv1 "kingcupplank.example/kingcup/proto/kingcup/inner/v1"
@@ -162,7 +163,7 @@
 	a.Leave()
 	for {
 		n := a.InProgress()
-		if n == 0 || !wait(ctx, drainPoll) {
+		if n == 0 || !wait.For(ctx, drainPoll) {
 			return n
 		}
 	}
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -8,6 +8,7 @@
 
 	"kingcupplank.example/kingcup/engine"
 	"kingcupplank.example/kingcup/failure"
+	"kingcupplank.example/kingcup/internal/wait"
 	kingcupv1 "kingcupplank.example/kingcup/proto/kingcup/v1"
 	"kingcupplank.example/kingcup/sched"
 	"kingcupplank.example/kingcup/stream"
@@ -149,7 +150,7 @@
 		if errors.Is(err, engine.ErrUnknownStream) {
 			return a.restart(ctx, g, attempt, cause)
 		}
-		if !wait(ctx, backoff) {
+		if !wait.For(ctx, backoff) {
 			break
 		}
 	}
@@ -171,17 +172,6 @@
 	return next, src, err
 }
 
-func wait(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // fail ends g with the caller's view of an engine's error.
 func (a *Agent) fail(g *generation, err error) {
 	g.buf.Fail(a.outcome(g, err))
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"strings"
 	"time"
 
@@ -15,6 +14,7 @@
 
 	"kingcupplank.example/kingcup/client"
 	"kingcupplank.example/kingcup/internal/app"
+	"kingcupplank.example/kingcup/internal/standin"
 	"kingcupplank.example/kingcup/internal/standin/engines"
 	"kingcupplank.example/kingcup/internal/standin/services"
 	"kingcupplank.example/kingcup/internal/standin/tables"
@@ -97,18 +97,8 @@
 	}
 }
 
-// freePort finds a loopback port; the VM list needs it before it is served.
-func freePort() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.Wrap(err, "find a port")
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
 func (s *System) agent(o Options, name string, i int, b app.Backend, serves string) error {
-	inner, err := freePort()
+	inner, err := standin.FreePort()
 	if err != nil {
 		return err
 	}
@@ -128,11 +118,11 @@
 }
 
 func (s *System) entry(o Options, i int) error {
-	inner, err := freePort()
+	inner, err := standin.FreePort()
 	if err != nil {
 		return err
 	}
-	admin, err := freePort()
+	admin, err := standin.FreePort()
 	if err != nil {
 		return err
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,6 +20,7 @@
 	"kingcupplank.example/kingcup/failure"
 	"kingcupplank.example/kingcup/internal/confsync"
 	"kingcupplank.example/kingcup/internal/link"
+	"kingcupplank.example/kingcup/internal/wait"
 	"kingcupplank.example/kingcup/internal/wire"
 	"kingcupplank.example/kingcup/lease"
 	"kingcupplank.example/kingcup/placement"
@@ -148,7 +149,7 @@
 	e.Leave()
 	for {
 		n := e.InProgress()
-		if n == 0 || !sleep(ctx, drainPoll) {
+		if n == 0 || !wait.For(ctx, drainPoll) {
 			return n
 		}
 	}
@@ -198,7 +199,7 @@
 		if err := st.Send(&innerv1.Reply{Kind: &innerv1.Reply_Heartbeat{Heartbeat: beat}}); err != nil {
 			return
 		}
-		if !sleep(ctx, period) {
+		if !wait.For(ctx, period) {
 			return
 		}
 	}
@@ -242,14 +243,3 @@
 	f := failure.As(err)
 	e.seen.Finished(team, f.Outcome, f.Reason)
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/entry/flight.go
+++ b/internal/entry/flight.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"kingcupplank.example/kingcup/failure"
+	"kingcupplank.example/kingcup/internal/wait"
 	"kingcupplank.example/kingcup/internal/wire"
 	"kingcupplank.example/kingcup/placement"
 	innerv1 "kingcupplank.example/kingcup/proto/kingcup/inner/v1"
@@ -306,7 +307,7 @@
 		if err == nil {
 			return st, nil
 		}
-		if time.Now().After(deadline) || !sleep(ctx, reattachEvery) {
+		if time.Now().After(deadline) || !wait.For(ctx, reattachEvery) {
 			return nil, err
 		}
 	}
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"kingcupplank.example/kingcup/internal/link"
+	"kingcupplank.example/kingcup/internal/wait"
 	"kingcupplank.example/kingcup/placement"
 	"kingcupplank.example/kingcup/platform"
 	"kingcupplank.example/kingcup/subset"
@@ -18,8 +19,8 @@
 func (e *Entry) Run(ctx context.Context) {
 	for {
 		e.Refresh(ctx)
-		wait := e.cfg.ListEvery/2 + rand.N(e.cfg.ListEvery)
-		if !sleep(ctx, wait) {
+		pause := e.cfg.ListEvery/2 + rand.N(e.cfg.ListEvery)
+		if !wait.For(ctx, pause) {
 			return
 		}
 	}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -12,6 +12,7 @@
 
 	"kingcupplank.example/kingcup/failure"
 	"kingcupplank.example/kingcup/internal/confsync"
+	"kingcupplank.example/kingcup/internal/wait"
 	"kingcupplank.example/kingcup/internal/wire"
 	innerv1 "kingcupplank.example/kingcup/proto/kingcup/inner/v1"
 	"kingcupplank.example/kingcup/retry"
@@ -173,7 +174,7 @@
 		}
 		l.swap(nil)
 		l.m.log.WithField("peer", l.peer.Name).WithError(err).Debug("peer not reached")
-		sleep(ctx, backoff.After(failures, rand.Float64()))
+		wait.For(ctx, backoff.After(failures, rand.Float64()))
 		failures++
 	}
 	l.mu.Lock()
@@ -311,12 +312,3 @@
 		old.Close()
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/proof/process_test.go
+++ b/internal/proof/process_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -20,6 +19,7 @@
 	"kingcupplank.example/kingcup/failure"
 	"kingcupplank.example/kingcup/internal/app"
 	"kingcupplank.example/kingcup/internal/settings"
+	"kingcupplank.example/kingcup/internal/standin"
 	kingcupv1 "kingcupplank.example/kingcup/proto/kingcup/v1"
 )
 
@@ -56,10 +56,9 @@
 }
 
 func freePort(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := standin.FreePort()
 	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	return address
 }
 
 func newProcesses(t *testing.T) *processes {
--- a/internal/slopes/measure.go
+++ b/internal/slopes/measure.go
@@ -63,6 +63,8 @@
 	CPU float64
 	// Allocated is bytes a token, beyond the direct call.
 	Allocated float64
+	// Request is processor time of a request in microseconds.
+	Request float64
 	// Memory is bytes a stream in entry, agent, engine and caller together.
 	Memory Line
 	// Direct and Path are quantiles of a token's time on its way, First of
@@ -156,6 +158,32 @@
 	return res, nil
 }
 
+// MeasureRequests is the processor time of a request in microseconds through
+// entry and agent, beyond a direct call, with its first token.
+func MeasureRequests() (float64, error) {
+	const n, tokens = 2000, 1
+	e := newClockEngine(time.Millisecond, tokens, time.Now())
+	sys := newNodes(&counted{}, time.Second, time.Minute)
+	defer sys.close()
+	address, err := sys.addEngine(e)
+	if err != nil {
+		return 0, err
+	}
+	if err := sys.serve(); err != nil {
+		return 0, err
+	}
+	conn, err := app.DialGRPC(address)
+	if err != nil {
+		return 0, err
+	}
+	defer conn.Close()
+	direct := runStreams(n, tokens, func(id int, out *sample) { e.callDirect(engineclient.New(conn), id, out) })
+	path := runStreams(n, tokens, func(id int, out *sample) {
+		e.callPath(client.New(client.Options{}, sys.conns[len(sys.conns)-1]), id, out)
+	})
+	return path.cpu - direct.cpu, nil
+}
+
 // serve adds an entry and waits until it sees the agent and serves the team.
 func (n *nodes) serve() error {
 	if err := n.addEntry(len(n.agents)); err != nil {
@@ -173,7 +201,9 @@
 	var ages []time.Duration
 	began := time.Now()
 	var first time.Duration
-	st, err := eng.Generate(context.Background(), engine.Request{ID: fmt.Sprint(id), Model: model})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	st, err := eng.Generate(ctx, engine.Request{ID: fmt.Sprint(id), Model: model})
 	for err == nil {
 		var t engine.Token
 		if t, err = st.Recv(); err != nil || t.End {
--- a/internal/slopes/nodes.go
+++ b/internal/slopes/nodes.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"time"
 
 	"github.com/pkg/errors"
@@ -48,15 +47,6 @@
 	return &nodes{table: tables.New(), network: network, log: quiet, heartbeat: heartbeat, poll: poll}
 }
 
-func freePort() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.Wrap(err, "find a port")
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
 // measuredBatch is above any number of streams that is measured.
 const measuredBatch = 1 << 14
 
@@ -64,7 +54,7 @@
 const numDomains = 8
 
 func (n *nodes) common(role string, i int) (app.Common, error) {
-	inner, err := freePort()
+	inner, err := standin.FreePort()
 	return app.Common{
 		Name: fmt.Sprintf("%s-%d", role, i), FailureDomain: fmt.Sprintf("d%d", i%numDomains),
 		InnerAddress: inner, ConfigPoll: n.poll, ConfigStale: time.Minute,
--- a/internal/slopes/report.go
+++ b/internal/slopes/report.go
@@ -68,6 +68,7 @@
 
 func reportStreams(w io.Writer) (Streams, error) {
 	var last Streams
+	var err error
 	for _, n := range []int{100, 1000} {
 		s, err := MeasureStreams(n)
 		if err != nil {
@@ -80,6 +81,10 @@
 			s.DirectFirst.P50, s.DirectFirst.P99, s.PathFirst.P50, s.PathFirst.P99)
 		last = s
 	}
+	if last.Request, err = MeasureRequests(); err != nil {
+		return last, err
+	}
+	fmt.Fprintf(w, "request with one token: %.0f us cpu beyond a direct call\n", last.Request)
 	memory, err := MeasureStreamMemory()
 	if err != nil {
 		return last, err
@@ -89,6 +94,9 @@
 	return last, nil
 }
 
+// readsAtStart are a process's first looks at the head, the deltas and the list.
+const readsAtStart = 3
+
 // print works the target out from the slopes.
 func (t Target) print(w io.Writer, watched Watched, s Streams, c Configuration) {
 	links := float64(t.AgentLinks + t.PeersPerEntry)
@@ -107,8 +115,8 @@
 			n*watched.CPU.Slope/1e6*100, n*watched.Bytes.Slope/1024, r.links*watched.Memory.Slope/1024/1024, config)
 	}
 	fmt.Fprintln(w, "\n## Data at the target size, a node")
-	fmt.Fprintln(w, "| role | tokens/s | streams | cores | memory MB of streams |")
-	fmt.Fprintln(w, "|---|---|---|---|---|")
+	fmt.Fprintln(w, "| role | requests/s | tokens/s | streams | cores | memory MB of streams |")
+	fmt.Fprintln(w, "|---|---|---|---|---|---|")
 	const between = 0.033
 	for _, r := range []struct {
 		name  string
@@ -116,12 +124,17 @@
 	}{{"entry", t.Entries}, {"agent", t.Servers}} {
 		tokens := t.Tokens / float64(r.nodes)
 		open := tokens * between
-		fmt.Fprintf(w, "| %s | %.0f | %.0f | %.2f | %.0f |\n", r.name, tokens, open, tokens*s.CPU/1e6, open*s.Memory.Slope/1024/1024)
+		requests := t.Requests / float64(r.nodes)
+		cores := (tokens*s.CPU + requests*s.Request) / 1e6
+		fmt.Fprintf(w, "| %s | %.0f | %.0f | %.0f | %.2f | %.0f |\n", r.name, requests, tokens, open, cores, open*s.Memory.Slope/1024/1024)
 	}
 	processes := float64(t.Entries + t.Servers)
 	fmt.Fprintln(w, "\n## Platform table at the target size")
 	fmt.Fprintf(w, "reads/s: configuration heads %.0f, VM lists %.0f, deltas in the %v after a change %.0f\n",
 		processes/t.Poll.Seconds(), float64(t.Entries)/t.List.Seconds(), t.Poll, processes/t.Poll.Seconds())
+	wave := processes / numDomains
+	fmt.Fprintf(w, "a failure domain's %.0f processes back at once: %.0f reads (head, deltas, list) and %.0f snapshots of %d bytes\n",
+		wave, wave*readsAtStart, wave, c.SnapshotBytes)
 	fmt.Fprintf(w, "writes/s: changes %.4f, claims and outcomes at %.0f %% non-idempotent %.0f\n",
 		t.ChangesPerDay/86400, 100*t.Claimed, 2*t.Claimed*t.Requests)
 }
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -76,3 +76,14 @@
 	s.closers = append(s.closers, func() { srv.Shutdown() })
 	return l.Addr().String(), nil
 }
+
+// FreePort finds a loopback address that nothing serves now. Lists of VMs need
+// addresses before they are served.
+func FreePort() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "find a port")
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
--- a/tools/without/main.go
+++ b/tools/without/main.go
@@ -98,12 +98,18 @@
 		fmt.Printf("| %s | %s | **still passes** |\n", s.name, s.test)
 		return false
 	}
-	fmt.Printf("| %s | `%s` | %s |\n", s.name, s.test, symptom(string(out)))
+	fmt.Printf("| %s | `%s` | %s |\n", s.name, strings.ReplaceAll(s.test, "|", "`, `"), symptom(string(out)))
 	return !strings.Contains(string(out), "[build failed]")
 }
 
 // symptom is the line of a test's output that says most.
 func symptom(out string) string {
+	if m := regexp.MustCompile(`Error:\s+(?:Received unexpected error|Not equal):\s*\n\s+(.+)\n\s+(.+)`).FindStringSubmatch(out); m != nil {
+		return strings.Join(strings.Fields(m[1]+" "+m[2]), " ")
+	}
+	if m := regexp.MustCompile(`should have \d+ item\(s\), but has \d+`).FindString(out); m != "" {
+		return "the engine's log " + m
+	}
 	patterns := []string{`\[build failed\]`, `Error:\s+(.+)`, `(token \d+ .+)`, `: (\S+: (?:ran|told|non-idempotent).+)`, `(panic: .+)`, `(fatal error: .+)`, `(--- FAIL: .+)`}
 	for _, p := range patterns {
 		if m := regexp.MustCompile(p).FindStringSubmatch(out); m != nil {
