Regions part, a failure domain is lost: two faults found and mended

Cause 1: with a failure domain gone, 18 streams moved at once and the team's retry budget (10, then 0.2 a request) refused the rest: 'backend server was lost' in mid-stream. Change: the budget bounds repeats that add load, not streams that their caller has a part of. Cause 2: the client gave up when the entry that it resumed at was dead: an error of opening the stream was not treated as one of reading it. Change: one loop for both; idempotent requests without a generation go to another entry too. While mending it, a retry after a refusal tried to resume the refused generation (unknown outcome in TestQueuedWorkMovesOnceOnLeave); it begins a new one now.

--- a/client/client.go
+++ b/client/client.go
@@ -98,6 +98,8 @@
 		if !wait.For(ctx, f.RetryAfter) {
 			return g.result, f
 		}
+		// The refused generation is over; the next try begins a new one.
+		g.result.GenerationID = ""
 	}
 }
 
@@ -119,35 +121,34 @@
 func (g *generation) run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	var st events
-	st, err := g.c.entry().Generate(ctx, g.req)
-	for idle := 0; err == nil; {
-		had := len(g.delivered)
-		if err = g.read(st); err == nil {
-			return nil
-		}
-		if len(g.delivered) > had {
-			idle = 0
-		}
-		if idle++; idle > g.c.opts.Resumes || !g.resumable(err) {
-			return err
+	st, err := g.open(ctx)
+	for idle := 0; ; idle++ {
+		if err == nil {
+			had := len(g.delivered)
+			if err = g.read(st); err == nil {
+				return nil
+			}
+			if len(g.delivered) > had {
+				idle = 0
+			}
 		}
-		if !wait.For(ctx, g.c.opts.ResumeEvery) {
+		if idle >= g.c.opts.Resumes || !g.resumable(err) || !wait.For(ctx, g.c.opts.ResumeEvery) {
 			return err
 		}
 		g.result.Resumes++
-		st, err = g.resume(ctx)
+		st, err = g.open(ctx)
 	}
-	return err
 }
 
-// resumable reports whether the generation may still be running. Without a
-// generation id there is nothing to find again, and a repeat could run twice.
+// resumable reports whether another entry may have the answer. Before a
+// generation is known a repeat may run a second time, which only an idempotent
+// request allows.
 func (g *generation) resumable(err error) bool {
+	f := failure.As(err)
 	if g.result.GenerationID == "" {
-		return false
+		return lostEntry(f) && !g.req.GetNonIdempotent()
 	}
-	switch f := failure.As(err); f.Reason {
+	switch f.Reason {
 	case kingcupv1.Reason_REASON_INTERNAL, kingcupv1.Reason_REASON_LEAVING, kingcupv1.Reason_REASON_NOT_READY,
 		kingcupv1.Reason_REASON_NO_BACKEND, kingcupv1.Reason_REASON_BACKEND_LOST:
 		return f.Outcome == kingcupv1.Outcome_OUTCOME_UNKNOWN
@@ -155,7 +156,17 @@
 	return false
 }
 
-func (g *generation) resume(ctx context.Context) (events, error) {
+// lostEntry reports whether an error came from the way to the entry: entries
+// themselves always give a reason.
+func lostEntry(f *failure.Error) bool {
+	return f.Reason == kingcupv1.Reason_REASON_INTERNAL
+}
+
+// open begins the generation, or finds it again.
+func (g *generation) open(ctx context.Context) (events, error) {
+	if g.result.GenerationID == "" {
+		return g.c.entry().Generate(ctx, g.req)
+	}
 	req := &kingcupv1.ResumeRequest{
 		Request: g.req, GenerationId: g.result.GenerationID, NextIndex: uint64(len(g.delivered)),
 		Delivered: g.delivered, Attempt: g.attempt,
@@ -222,15 +233,27 @@
 }
 
 // Call sends one request to a plain service. A refusal that names a time is
-// waited out; an unknown outcome of a non-idempotent request is returned as is.
+// waited out and an idempotent call is repeated when its entry is lost; an unknown
+// outcome of a non-idempotent one is returned as it is.
 func (c *Client) Call(ctx context.Context, req *kingcupv1.CallRequest) (*kingcupv1.CallResponse, error) {
-	for refusals := 0; ; refusals++ {
+	refusals, losses := 0, 0
+	for {
 		resp, err := c.entry().Call(ctx, req)
 		if err == nil {
 			return resp, nil
 		}
 		f := failure.As(err)
-		if !failure.IsNotRun(f) || f.RetryAfter == 0 || refusals >= c.opts.Refusals || !wait.For(ctx, f.RetryAfter) {
+		after := f.RetryAfter
+		switch {
+		case failure.IsNotRun(f) && after > 0 && refusals < c.opts.Refusals:
+			refusals++
+		case lostEntry(f) && !req.GetNonIdempotent() && losses < c.opts.Resumes:
+			losses++
+			after = c.opts.ResumeEvery
+		default:
+			return nil, f
+		}
+		if !wait.For(ctx, after) {
 			return nil, f
 		}
 	}
--- a/internal/entry/flight.go
+++ b/internal/entry/flight.go
@@ -115,7 +115,10 @@
 // the caller has. cause is the answer if that can't be.
 func (f *flight) move(ctx context.Context, cause *failure.Error) (*agentStream, error) {
 	f.ran = true
-	if f.req.GetNonIdempotent() || !f.e.retryAllowed(f.req.GetTeam()) {
+	// The budget bounds repeats that add load. A stream that its caller has a
+	// part of is work in progress: when a failure domain goes, all its streams
+	// move at once, and a budget would cut most of them off.
+	if f.req.GetNonIdempotent() || f.kept.Next() == 0 && !f.e.retryAllowed(f.req.GetTeam()) {
 		return nil, cause
 	}
 	f.tried = append(f.tried, f.server)
--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -1,6 +1,6 @@
 // Package memnet is a network in memory for tests in virtual time: addresses
-// can be cut off, which breaks their connections, and stalled, which holds
-// their bytes back without breaking anything.
+// can be cut off, which breaks their connections, stalled, which holds their
+// bytes back without breaking anything, and parted from each other.
 package memnet
 
 import (
@@ -19,6 +19,8 @@
 	mu    sync.Mutex
 	cond  *sync.Cond
 	hosts map[string]*host
+	// parted reports whether two places cannot reach each other; nil is never.
+	parted func(a, b string) bool
 }
 
 type host struct {
@@ -56,18 +58,57 @@
 	return h.listener, nil
 }
 
+// From is the network as the process at address from sees it.
+func (n *Network) From(from string) *View {
+	return &View{Network: n, from: from}
+}
+
+// View implements wire.Network for one process.
+type View struct {
+	*Network
+	from string
+}
+
 // Dial implements wire.Network.
+func (v *View) Dial(ctx context.Context, address string) (net.Conn, error) {
+	return v.dial(ctx, v.from, address)
+}
+
+// Part breaks the connections between places for which parted is true, and
+// refuses new ones until it is called with nil.
+func (n *Network) Part(parted func(a, b string) bool) {
+	n.mu.Lock()
+	n.parted = parted
+	var broken []*conn
+	for _, h := range n.hosts {
+		for c := range h.conns {
+			if parted != nil && parted(c.from, c.to) {
+				broken = append(broken, c)
+			}
+		}
+	}
+	n.mu.Unlock()
+	for _, c := range broken {
+		c.Close()
+	}
+}
+
+// Dial implements wire.Network for a caller outside the system.
 func (n *Network) Dial(ctx context.Context, address string) (net.Conn, error) {
+	return n.dial(ctx, "", address)
+}
+
+func (n *Network) dial(ctx context.Context, from, address string) (net.Conn, error) {
 	n.mu.Lock()
 	h := n.host(address)
 	l := h.listener
-	if l == nil || h.cut {
+	if l == nil || h.cut || n.parted != nil && n.parted(from, address) {
 		n.mu.Unlock()
 		return nil, errors.Wrap(ErrRefused, address)
 	}
 	a, b := net.Pipe()
-	near := &conn{Conn: a, n: n, h: h}
-	far := &conn{Conn: b, n: n, h: h}
+	near := &conn{Conn: a, n: n, h: h, from: from, to: address}
+	far := &conn{Conn: b, n: n, h: h, from: from, to: address}
 	h.conns[near], h.conns[far] = struct{}{}, struct{}{}
 	n.mu.Unlock()
 	select {
@@ -151,9 +192,11 @@
 
 type conn struct {
 	net.Conn
-	n      *Network
-	h      *host
-	closed bool
+	n *Network
+	h *host
+	// from and to are the places that the connection joins.
+	from, to string
+	closed   bool
 }
 
 // Write implements net.Conn; it waits while the address is stalled.
--- a/internal/proof/system_test.go
+++ b/internal/proof/system_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"runtime"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -112,6 +113,9 @@
 	log     logrus.FieldLogger
 	random  *lockedRand
 	buffer  int
+	// parted is true while the second region is cut off.
+	parted   atomic.Bool
+	domainOf map[string]string
 	// fakes stand in an agent's place.
 	fakes []*wire.Server
 }
@@ -147,7 +151,7 @@
 	quiet := logrus.New()
 	quiet.SetOutput(io.Discard)
 	t.Logf("seed %d", o.seed)
-	s := &system{t: t, random: newLockedRand(o.seed), buffer: o.buffer, net: memnet.New(), table: tables.New(), service: services.New(), log: quiet}
+	s := &system{t: t, random: newLockedRand(o.seed), buffer: o.buffer, domainOf: make(map[string]string), net: memnet.New(), table: tables.New(), service: services.New(), log: quiet}
 	s.plat = app.Platform{Table: s.table, Objects: s.table, VMs: s.table}
 	if o.table != nil {
 		s.plat.Table = o.table(s.table)
@@ -175,6 +179,7 @@
 }
 
 func (s *system) common(name string, i int) app.Common {
+	s.domainOf[name] = domains[i%len(domains)]
 	return app.Common{
 		Name: name, FailureDomain: domains[i%len(domains)], InnerAddress: name,
 		ConfigPoll: 2 * time.Second, ConfigStale: 20 * time.Second,
@@ -194,8 +199,54 @@
 	s.table.PutVM(platform.VM{Name: name, Address: name, FailureDomain: n.opts.FailureDomain, Role: platform.RoleAgent, Models: []string{serves}})
 }
 
+// platform is what the platform gives to one process: nothing, while its region
+// is parted from the store's.
+func (s *system) platform(c app.Common) app.Platform {
+	p := s.plat
+	p.Table = gated{p.Table, func() bool { return s.parted.Load() && far(c.InnerAddress, s) }}
+	return p
+}
+
+// gated is a table that cannot be reached while away is true.
+type gated struct {
+	platform.Table
+	away func() bool
+}
+
+func (g gated) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+	if g.away() {
+		return 0, platform.ErrUnavailable
+	}
+	return g.Table.Commit(ctx, txn)
+}
+
+func (g gated) Read(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	if g.away() {
+		return nil, platform.ErrUnavailable
+	}
+	return g.Table.Read(ctx, keys...)
+}
+
+// far reports whether a place is in the second region, which has the domains
+// with odd numbers.
+func far(address string, s *system) bool {
+	return s.domainOf[address] == domains[1]
+}
+
+// part cuts the regions off from each other, and the far one from the store.
+func (s *system) part(on bool) {
+	s.parted.Store(on)
+	if !on {
+		s.net.Part(nil)
+		return
+	}
+	s.net.Part(func(a, b string) bool {
+		return a != "" && s.domainOf[a] != "" && s.domainOf[b] != "" && far(a, s) != far(b, s)
+	})
+}
+
 func (s *system) startAgent(n *node) {
-	a, err := app.StartAgent(context.Background(), n.opts, n.backend, s.plat, s.net, s.log)
+	a, err := app.StartAgent(context.Background(), n.opts, n.backend, s.platform(n.opts.Common), s.net.From(n.opts.InnerAddress), s.log)
 	require.NoError(s.t, err)
 	n.agent = a
 }
@@ -216,7 +267,7 @@
 }
 
 func (s *system) startEntry(i int) {
-	e, err := app.StartEntry(s.eopts[i], s.plat, s.net, s.log)
+	e, err := app.StartEntry(s.eopts[i], s.platform(s.eopts[i].Common), s.net.From(s.eopts[i].InnerAddress), s.log)
 	require.NoError(s.t, err)
 	s.entries[i] = e
 }
