Bounds: streams of a team, requests of an entry, dead callers, idle scrapers

Cause: max_streams of a team was in the schema and did nothing; an entry took any number of requests; a caller whose VM died was relayed to for as long as TCP believed in it; an admin page's open connection would have held up the end of a process. Change: both bounds refuse as not run with a time to come back; gRPC keepalive towards callers; idle and shutdown bounds on admin connections. Test: ten streams of a team with a bound of two: two run, all end whole.

--- a/cmd/kingcup-entry/main.go
+++ b/cmd/kingcup-entry/main.go
@@ -16,8 +16,9 @@
 	common := app.AddCommon(s)
 	s.Group("Callers")
 	callers := s.Address("caller-address", "", "address for callers and operators", true)
-	s.Group("Backend servers")
 	def := app.DefaultEntry(app.Common{})
+	most := s.Int("max-requests", def.MaxRequests, 1, 1000000, "most requests in progress; more are refused")
+	s.Group("Backend servers")
 	links := s.Int("agent-links", def.AgentLinks, 2, 10000, "most agents watched, over all models")
 	peers := s.Int("peers", def.Peers, 0, 100, "other entries watched")
 	beat := s.Duration("heartbeat", def.Heartbeat, 50*time.Millisecond, time.Minute, "time between heartbeats of an agent")
@@ -32,6 +33,7 @@
 	o := app.EntryOptions{
 		Common: common(), CallerAddress: *callers, AgentLinks: *links, Peers: *peers, Heartbeat: *beat,
 		ListEvery: *list, AcceptTimeout: *accept, ReattachFor: *reattach, ClaimWindow: *window, LeaseTTL: *ttl,
+		MaxRequests: *most,
 	}
 	log := app.NewLog(o.Common)
 	p, err := app.DialPlatform(o.Common)
--- a/cmd/kingcupctl/main.go
+++ b/cmd/kingcupctl/main.go
@@ -34,7 +34,7 @@
 		{"generate", "-team T -model M [-adapter A] [-max-tokens N] [-id ID] [-once] PROMPT: stream one generation", generate},
 		{"call", "-team T -service S [-id ID] [-once] BODY: call a plain service", call},
 		{"cancel", "-team T GENERATION: end a generation", cancelGeneration},
-		{"team", "NAME [-weight N] [-priority P] [-models a,b]: create or replace a team", putTeam},
+		{"team", "NAME [-weight N] [-priority P] [-models a,b] [-max-streams N]: create or replace a team", putTeam},
 		{"model", "NAME [-kind generation|service] [-max-tokens N] [-model-version V]: create or replace a model", putModel},
 		{"adapter", "NAME -model M: create or replace an adapter", putAdapter},
 		{"priority", "NAME -level N: create or replace a priority class", putPriority},
--- a/cmd/kingcupctl/operators.go
+++ b/cmd/kingcupctl/operators.go
@@ -62,8 +62,9 @@
 func putTeam(ctx context.Context, o options, conns []grpc.ClientConnInterface, args []string) error {
 	r := newRowFlags("team")
 	weight, priority, models := r.fs.Uint("weight", 1, ""), r.fs.String("priority", "", ""), r.fs.String("models", "", "")
+	streams := r.fs.Uint("max-streams", 0, "")
 	return r.put(ctx, o, conns, args, func(name string) *kingcupv1.Row {
-		t := &kingcupv1.Team{Name: name, Weight: uint32(*weight), Priority: *priority}
+		t := &kingcupv1.Team{Name: name, Weight: uint32(*weight), Priority: *priority, MaxStreams: uint32(*streams)}
 		if *models != "" {
 			t.Models = strings.Split(*models, ",")
 		}
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -3,10 +3,12 @@
 package admin
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net"
 	"text/tabwriter"
+	"time"
 
 	"github.com/fasthttp/router"
 	"github.com/prometheus/client_golang/prometheus"
@@ -36,14 +38,28 @@
 	r.GET("/healthz", func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("ok\n") })
 	r.GET("/readyz", func(ctx *fasthttp.RequestCtx) { ready(ctx, src.Ready()) })
 	r.GET("/report/burn", func(ctx *fasthttp.RequestCtx) { report(ctx, src.Report()) })
-	return &Server{http: &fasthttp.Server{Handler: r.Handler, Name: "kingcup"}}
+	return &Server{http: &fasthttp.Server{
+		Handler: r.Handler, Name: "kingcup",
+		// A scraper keeps its connection open; without these the end of the
+		// process would wait for it for ever.
+		IdleTimeout: idleTimeout, ReadTimeout: idleTimeout, CloseOnShutdown: true,
+	}}
 }
 
+const (
+	idleTimeout     = 5 * time.Second
+	shutdownTimeout = 2 * time.Second
+)
+
 // Serve answers on l until Close.
 func (s *Server) Serve(l net.Listener) error { return s.http.Serve(l) }
 
 // Close ends the server.
-func (s *Server) Close() error { return s.http.Shutdown() }
+func (s *Server) Close() error {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	return s.http.ShutdownWithContext(ctx)
+}
 
 func ready(ctx *fasthttp.RequestCtx, ok bool) {
 	if !ok {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -73,6 +73,8 @@
 	gens   map[string]*generation
 	jobs   map[*sched.Job]*generation
 	acts   []sched.Action
+	// open counts the streams of each team that have not ended.
+	open map[string]int
 	// relays counts open relays, which a drain waits for.
 	relays int
 }
@@ -110,6 +112,7 @@
 		cancel:   cancel,
 		gens:     make(map[string]*generation),
 		jobs:     make(map[*sched.Job]*generation),
+		open:     make(map[string]int),
 	}
 }
 
--- a/internal/agent/generation.go
+++ b/internal/agent/generation.go
@@ -90,18 +90,31 @@
 	if len(start.GetPrefix()) > 0 && !a.resumes {
 		return nil, failure.NotRun(kingcupv1.Reason_REASON_ENGINE_LOST, 0, "engine does not resume from a prefix")
 	}
+	team := start.GetRequest().GetTeam()
+	if most := a.sync.Replica().State().Team(team).GetMaxStreams(); most > 0 && a.open[team] >= int(most) {
+		return nil, failure.NotRun(kingcupv1.Reason_REASON_OVERLOADED, streamsRetry, "team %s has %d streams open here, its bound", team, most)
+	}
 	g := a.newGeneration(start)
 	decision := a.policy.Offer(a.now(), g.job)
 	if decision.Verdict == sched.Refuse {
 		return nil, failure.NotRun(kingcupv1.Reason_REASON_OVERLOADED, decision.RetryAfter, "queue of team %s is too long", g.job.Team)
 	}
-	a.gens[g.id] = g
-	a.jobs[g.job] = g
+	a.enter(g)
 	a.decide()
 	return g, nil
 }
 
-const leavingRetry = 100 * time.Millisecond
+const (
+	leavingRetry = 100 * time.Millisecond
+	streamsRetry = time.Second
+)
+
+// enter puts g on the books; a.mu is held.
+func (a *Agent) enter(g *generation) {
+	a.gens[g.id] = g
+	a.jobs[g.job] = g
+	a.open[g.req.Team]++
+}
 
 // decide takes the policy's actions; a.mu is held.
 func (a *Agent) decide() {
@@ -124,6 +137,10 @@
 func (a *Agent) drop(g *generation) {
 	g.left = true
 	delete(a.jobs, g.job)
+	a.open[g.req.Team]--
+	if a.open[g.req.Team] == 0 {
+		delete(a.open, g.req.Team)
+	}
 }
 
 // leave ends g's part in the policy once.
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -222,8 +222,7 @@
 		Prompt: int(r.Prompt)/a.cfg.BytesPerToken + 1, MaxTokens: int(r.MaxTokens), Emitted: int(r.Emitted),
 	}
 	a.mu.Lock()
-	a.gens[g.id] = g
-	a.jobs[g.job] = g
+	a.enter(g)
 	a.policy.Adopt(a.now(), g.job)
 	a.mu.Unlock()
 	a.log.WithFields(g.fields()).Info("re-attached after a restart")
--- a/internal/app/entry.go
+++ b/internal/app/entry.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 	"go.uber.org/dig"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/keepalive"
 
 	"kingcupplank.example/kingcup/claim"
 	"kingcupplank.example/kingcup/conf"
@@ -34,6 +35,7 @@
 	ReattachFor   time.Duration
 	ClaimWindow   time.Duration
 	LeaseTTL      time.Duration
+	MaxRequests   int
 	// Random draws for placement; nil takes the process's source.
 	Random func() uint64
 }
@@ -44,7 +46,7 @@
 	return EntryOptions{
 		Common: c, AgentLinks: 96, Peers: 4, Heartbeat: time.Second, ListEvery: 5 * time.Second,
 		AcceptTimeout: 2 * time.Second, ReattachFor: 3 * time.Second,
-		ClaimWindow: 3 * time.Millisecond, LeaseTTL: 15 * time.Second,
+		ClaimWindow: 3 * time.Millisecond, LeaseTTL: 15 * time.Second, MaxRequests: 10000,
 	}
 }
 
@@ -70,6 +72,9 @@
 	streamBytes   = 256 << 10
 	spreadTimeout = time.Second
 	placeTries    = 4
+
+	callerKeepalive = 20 * time.Second
+	callerTimeout   = 10 * time.Second
 )
 
 // provide registers what entry and agent share.
@@ -116,6 +121,7 @@
 				Identity: o.Identity(), ListEvery: o.ListEvery, AgentLinks: o.AgentLinks, Peers: o.Peers,
 				AcceptTimeout: o.AcceptTimeout, ReattachFor: o.ReattachFor, StreamBytes: streamBytes,
 				SpreadTimeout: spreadTimeout, Tries: placeTries, Random: o.Random,
+				MaxRequests: o.MaxRequests,
 			}, entry.Deps{Sync: s, Store: store, Links: links, Claims: claims, Leases: leases, VMs: p.VMs, Log: log, Observer: rec})
 		},
 	})
@@ -143,7 +149,10 @@
 	r.Callers = callers.Addr().String()
 	rec.Gauge("kingcup_in_progress", "Requests in progress at this entry.", func() float64 { return float64(r.Entry.InProgress()) })
 	r.inner = wire.NewServer(inner, r.Entry.Handle)
-	r.grpc = grpc.NewServer(grpc.MaxRecvMsgSize(MaxMessage))
+	// A caller whose VM died sends no end; its streams would be relayed for as
+	// long as TCP believes in it.
+	alive := keepalive.ServerParameters{Time: callerKeepalive, Timeout: callerTimeout}
+	r.grpc = grpc.NewServer(grpc.MaxRecvMsgSize(MaxMessage), grpc.KeepaliveParams(alive))
 	r.Entry.Register(r.grpc)
 	if r.admin, err = startAdmin(o.AdminAddress, network, rec, r.Entry.Ready, &r.wg); err != nil {
 		inner.Close()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -51,6 +51,8 @@
 	SpreadTimeout time.Duration
 	// Tries bounds the backend servers that one request is offered to.
 	Tries int
+	// MaxRequests bounds the requests in progress, and so memory.
+	MaxRequests int
 	// Random draws for placement; nil takes the process's source.
 	Random func() uint64
 }
@@ -159,12 +161,16 @@
 func (e *Entry) begin() (func(), error) {
 	// active rises before leaving is looked at: a drain that begins in between
 	// sees the request and waits for it.
-	e.active.Add(1)
+	active := e.active.Add(1)
 	end := func() { e.active.Add(-1) }
 	if e.leaving.Load() {
 		end()
 		return nil, failure.NotRun(kingcupv1.Reason_REASON_LEAVING, retrySoon, "entry is leaving")
 	}
+	if e.cfg.MaxRequests > 0 && active > int64(e.cfg.MaxRequests) {
+		end()
+		return nil, failure.NotRun(kingcupv1.Reason_REASON_OVERLOADED, time.Second, "entry has %d requests in progress", e.cfg.MaxRequests)
+	}
 	if !e.sync.Ready() {
 		end()
 		return nil, failure.NotRun(kingcupv1.Reason_REASON_NOT_READY, time.Second, "configuration is not confirmed")
--- a/internal/proof/outcome_test.go
+++ b/internal/proof/outcome_test.go
@@ -11,6 +11,7 @@
 	"github.com/anishathalye/porcupine"
 	"github.com/stretchr/testify/require"
 
+	"kingcupplank.example/kingcup/client"
 	"kingcupplank.example/kingcup/failure"
 	"kingcupplank.example/kingcup/internal/standin/tables"
 	"kingcupplank.example/kingcup/internal/wire"
@@ -211,6 +212,33 @@
 	})
 }
 
+// A team may have two streams open at a server and asks for ten. At most two may
+// run at a time; the others are refused as not run and run when they come back.
+func TestStreamBoundOfATeam(t *testing.T) {
+	virtual(t, func(t *testing.T) {
+		s := newSystem(t, setup{entries: 1, servers: 1, resumes: true})
+		defer s.close()
+		row := teamRow(team, 1)
+		row.GetTeam().MaxStreams = 2
+		_, err := s.operator(0).Apply(t.Context(), &kingcupv1.ApplyRequest{Puts: []*kingcupv1.Row{row}})
+		require.NoError(t, err)
+		time.Sleep(2 * time.Second)
+		var waits []<-chan struct{}
+		var all []*seen
+		for i := range 10 {
+			at, done := s.generate(s.client(client.Options{Refusals: 100}), request(fmt.Sprintf("b%d", i), 50))
+			all, waits = append(all, at), append(waits, done)
+		}
+		time.Sleep(500 * time.Millisecond)
+		require.Equal(t, 2, s.nodes[0].agent.Agent.Stats().Running)
+		for i, done := range waits {
+			<-done
+			requireWhole(t, all[i], 50)
+			require.Len(t, s.runs(fmt.Sprintf("b%d", i)), 1)
+		}
+	})
+}
+
 // callIn and callOut are one call in a history of keyed outcomes.
 type callIn struct{ key string }
 
--- a/internal/slopes/measure.go
+++ b/internal/slopes/measure.go
@@ -23,7 +23,8 @@
 	// CPU is processor time a heartbeat in microseconds, Bytes what a
 	// heartbeat takes on the wire, Memory bytes a watched agent.
 	CPU, Bytes, Memory Line
-	Points             []Point
+	// Points and MemoryPoints are what CPU and Memory were fitted to.
+	Points, MemoryPoints []Point
 }
 
 // MeasureWatched watches 50 to 200 agents with one entry.
@@ -53,7 +54,7 @@
 		bytes = append(bytes, Point{float64(n) / period.Seconds(), (network.onWire() - startBytes) / seconds})
 		sys.close()
 	}
-	return Watched{CPU: Fit(cpus), Bytes: Fit(bytes), Memory: Fit(mems), Points: cpus}, nil
+	return Watched{CPU: Fit(cpus), Bytes: Fit(bytes), Memory: Fit(mems), Points: cpus, MemoryPoints: mems}, nil
 }
 
 // Streams is what relaying costs.
--- a/internal/slopes/report.go
+++ b/internal/slopes/report.go
@@ -41,6 +41,9 @@
 		fmt.Fprintf(w, "  %5.0f heartbeats/s: %6.0f us cpu/s, fit %6.0f\n", p.Size, p.Cost, watched.CPU.Intercept+watched.CPU.Slope*p.Size)
 	}
 	fmt.Fprintf(w, "watched agent, both ends: %.1f KB memory (residual %.1f %%)\n", watched.Memory.Slope/1024, 100*watched.Memory.Residual)
+	for _, p := range watched.MemoryPoints {
+		fmt.Fprintf(w, "  %4.0f agents: %6.0f KB, fit %6.0f\n", p.Size, p.Cost/1024, (watched.Memory.Intercept+watched.Memory.Slope*p.Size)/1024)
+	}
 	streams, err := reportStreams(w)
 	if err != nil {
 		return err
