--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -118,16 +118,15 @@
 	ctx, cancel := context.WithTimeout(ctx, defaultCall)
 	defer cancel()
 	deadline, _ := ctx.Deadline()
-	f := &flight{e: e}
 	call := &innerv1.Call{Request: req, DeadlineMs: uint64(max(1, time.Until(deadline).Milliseconds()))}
-	st, sent, err := f.open(ctx, server, &innerv1.Open{Kind: &innerv1.Open_Call{Call: call}})
+	st, sent, err := e.open(ctx, server, &innerv1.Open{Kind: &innerv1.Open_Call{Call: call}})
 	if err != nil {
-		return nil, f.unsent(sent, err)
+		return nil, unanswered(sent, err)
 	}
 	defer st.close()
 	reply := &innerv1.Reply{}
 	if err := st.Recv(reply); err != nil {
-		return nil, f.unsent(true, err)
+		return nil, unanswered(true, err)
 	}
 	if fail := reply.GetFailure(); fail != nil {
 		return nil, failure.FromProto(fail)
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -67,7 +67,7 @@
 	f.ran = true
 	for _, s := range e.servers() {
 		f.server = s.Name
-		st, _, err := f.open(ctx, s.Name, f.attachment())
+		st, _, err := e.open(ctx, s.Name, f.attachment())
 		if err != nil {
 			continue
 		}
@@ -193,11 +193,10 @@
 // Cancel implements CallerService. The generation is looked for at every agent
 // that is watched, since it may have been moved.
 func (e *Entry) Cancel(ctx context.Context, req *kingcupv1.CancelRequest) (*kingcupv1.CancelResponse, error) {
-	f := &flight{e: e}
 	open := &innerv1.Open{Kind: &innerv1.Open_Cancel{Cancel: &innerv1.Cancel{GenerationId: req.GetGenerationId(), Team: req.GetTeam()}}}
 	found := false
 	for _, s := range e.servers() {
-		st, _, err := f.open(ctx, s.Name, open)
+		st, _, err := e.open(ctx, s.Name, open)
 		if err != nil {
 			continue
 		}
--- a/internal/entry/flight.go
+++ b/internal/entry/flight.go
@@ -140,10 +140,11 @@
 		if ctx.Err() != nil {
 			return nil, f.ended(ctx)
 		}
+		fail := failure.As(err)
+		f.refused(link, fail)
 		if f.ran && f.req.GetNonIdempotent() {
-			return nil, err
+			return nil, fail
 		}
-		f.refused(link, failure.As(err))
 	}
 	return nil, f.unplaced()
 }
@@ -224,15 +225,15 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		start.DeadlineMs = uint64(max(1, time.Until(deadline).Milliseconds()))
 	}
-	st, sent, err := f.open(ctx, server, &innerv1.Open{Kind: &innerv1.Open_Start{Start: start}})
+	st, sent, err := f.e.open(ctx, server, &innerv1.Open{Kind: &innerv1.Open_Start{Start: start}})
 	if err != nil {
-		return nil, f.unsent(sent, err)
+		return nil, unanswered(sent, err)
 	}
 	reply := &innerv1.Reply{}
 	st.SetReadDeadline(time.Now().Add(f.e.cfg.AcceptTimeout))
 	if err := st.Recv(reply); err != nil {
 		st.close()
-		return nil, f.unsent(true, err)
+		return nil, unanswered(true, err)
 	}
 	st.SetReadDeadline(time.Time{})
 	if fail := reply.GetFailure(); fail != nil {
@@ -242,23 +243,23 @@
 	return st, nil
 }
 
-// unsent is the error of an offer without an answer. A request of which any
-// byte was written may have run, whatever the entry would like to believe.
-func (f *flight) unsent(sent bool, err error) error {
+// unanswered is the error of a request to an agent that has no answer. A request
+// of which any byte was written may have run, whatever the entry would like to
+// believe.
+func unanswered(sent bool, err error) *failure.Error {
 	if !sent {
 		return failure.NotRun(kingcupv1.Reason_REASON_BACKEND_LOST, retrySoon, "%v", err)
 	}
-	f.ran = true
 	return failure.Unknown(kingcupv1.Reason_REASON_BACKEND_LOST, time.Second, "%v", err)
 }
 
 // open begins a stream to an agent, over its link or a session of its own.
-func (f *flight) open(ctx context.Context, server string, open *innerv1.Open) (*agentStream, bool, error) {
-	sess, release, err := f.e.session(ctx, server)
+func (e *Entry) open(ctx context.Context, server string, open *innerv1.Open) (*agentStream, bool, error) {
+	sess, release, err := e.session(ctx, server)
 	if err != nil {
 		return nil, false, err
 	}
-	open.ConfigVersion = f.e.sync.Replica().Version()
+	open.ConfigVersion = e.sync.Replica().Version()
 	st, sent, err := sess.Open(open)
 	if err != nil {
 		release()
@@ -306,7 +307,7 @@
 func (f *flight) reattach(ctx context.Context) (*agentStream, error) {
 	deadline := f.heard.Add(f.e.cfg.ReattachFor)
 	for {
-		st, _, err := f.open(ctx, f.server, f.attachment())
+		st, _, err := f.e.open(ctx, f.server, f.attachment())
 		if err == nil {
 			return st, nil
 		}
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -105,8 +105,7 @@
 	return out
 }
 
-// staleBeats is the age of a heartbeat, in periods, from which its sender is
-// asked only if there is no other.
+// staleBeat is the age of a heartbeat from which its sender is not asked.
 const staleBeat = 3 * time.Second
 
 func (e *Entry) server(st link.Status, listed map[string]platform.VM) (placement.Server, bool) {
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -244,16 +244,15 @@
 
 // ask sends one request to an agent and waits for its one answer.
 func (e *Entry) ask(ctx context.Context, server string, open *innerv1.Open) (*innerv1.Reply, error) {
-	f := &flight{e: e}
-	st, sent, err := f.open(ctx, server, open)
+	st, sent, err := e.open(ctx, server, open)
 	if err != nil {
-		return nil, f.unsent(sent, err)
+		return nil, unanswered(sent, err)
 	}
 	defer st.close()
 	st.SetReadDeadline(time.Now().Add(defaultCall))
 	reply := &innerv1.Reply{}
 	if err := st.Recv(reply); err != nil {
-		return nil, f.unsent(true, err)
+		return nil, unanswered(true, err)
 	}
 	if fail := reply.GetFailure(); fail != nil {
 		return nil, failure.FromProto(fail)
--- a/tools/without/main.go
+++ b/tools/without/main.go
@@ -42,7 +42,7 @@
 	{"claim before dispatch", "internal/entry/call.go", "if req.GetNonIdempotent() {\n\t\treturn e.callOnce(ctx, req)\n\t}", "", "./internal/proof", "TestServiceAnswerLost|TestAtMostOnceHistory$"},
 	{"no second dispatch", "internal/entry/call.go", "if req.GetNonIdempotent() || ctx.Err()", "if ctx.Err()", "./internal/proof", "TestServiceAnswerLost"},
 	{"key kept after an unknown outcome", "internal/entry/callers.go", "case failure.IsNotRun(err):", "default:", "./internal/proof", "TestServiceAnswerLost"},
-	{"sent means unknown", "internal/entry/flight.go", "f.ran = true\n\treturn failure.Unknown(kingcupv1.Reason_REASON_BACKEND_LOST, time.Second, \"%v\", err)\n}\n\n// open", "return failure.NotRun(kingcupv1.Reason_REASON_BACKEND_LOST, time.Second, \"%v\", err)\n}\n\n// open", "./internal/proof", "TestSilentAgentIsUnknown"},
+	{"sent means unknown", "internal/entry/flight.go", "return failure.Unknown(kingcupv1.Reason_REASON_BACKEND_LOST, time.Second, \"%v\", err)\n}\n\n// open", "return failure.NotRun(kingcupv1.Reason_REASON_BACKEND_LOST, time.Second, \"%v\", err)\n}\n\n// open", "./internal/proof", "TestSilentAgentIsUnknown"},
 	{"start recorded before the engine is called", "internal/agent/run.go", "g.dispatched = true\n", "g.dispatched = false\n", "./internal/proof", "TestQueuedWorkMovesOnceOnLeave|TestLeavingServerGetsNoNewWork|TestShutdownCutsNothingOff"},
 	{"snapshot version compared", "conf/replica.go", "if s.Version() <= r.state.Load().Version() {", "if false {", "./conf", "TestReplicaNeverReverts"},
 	{"delta version compared", "conf/replica.go", "if d.GetVersion() <= cur.Version() {\n\t\treturn nil\n\t}", "", "./conf", "TestReplicaNeverReverts"},
