Callers that give up leave the queue; parts that earned nothing are gone

Cause: a caller that gave up while its request was queued left it there for the orphan grace of 15 s, and then it could still run. Change: the entry withdraws an idempotent request when its caller is gone; a non-idempotent one stays, since its key is claimed and its caller may come back. Removed: the prefix-cache scorer and the patience of the policy; nothing set either.

--- a/internal/entry/flight.go
+++ b/internal/entry/flight.go
@@ -240,9 +240,24 @@
 		st.close()
 		return nil, failure.FromProto(fail)
 	}
+	f.withdrawOnDone(ctx, st)
 	return st, nil
 }
 
+// withdrawOnDone takes the request out of the agent's queue when its caller is
+// gone. A non-idempotent one stays: its caller may come back for the answer, and
+// could never ask again once its key is claimed.
+func (f *flight) withdrawOnDone(ctx context.Context, st *agentStream) {
+	if f.req.GetNonIdempotent() || f.kept.Next() > 0 {
+		return
+	}
+	st.unhook()
+	st.unhook = context.AfterFunc(ctx, func() {
+		st.Send(&innerv1.Control{Withdraw: true})
+		st.Stream.Close()
+	})
+}
+
 // unanswered is the error of a request to an agent that has no answer. A request
 // of which any byte was written may have run, whatever the entry would like to
 // believe.
--- a/internal/proof/outcome_test.go
+++ b/internal/proof/outcome_test.go
@@ -212,6 +212,37 @@
 	})
 }
 
+// Callers give up while their requests wait in a full server's queue. The requests
+// must leave the queue at once and never run.
+func TestCallerGoneLeavesTheQueue(t *testing.T) {
+	virtual(t, func(t *testing.T) {
+		s := newSystem(t, setup{entries: 1, servers: 1, resumes: true, memory: 300})
+		defer s.close()
+		at, done := s.generate(s.client(once), request("long", 250))
+		time.Sleep(100 * time.Millisecond)
+		ctx, cancel := context.WithCancel(t.Context())
+		var gone sync.WaitGroup
+		for i := range 5 {
+			gone.Go(func() {
+				_, err := s.client(once).Generate(ctx, request(fmt.Sprintf("g%d", i), 250), client.Handler{})
+				require.Error(t, err)
+			})
+		}
+		time.Sleep(100 * time.Millisecond)
+		require.Equal(t, 5, s.nodes[0].agent.Agent.Stats().Queued)
+		cancel()
+		gone.Wait()
+		time.Sleep(100 * time.Millisecond)
+		require.Zero(t, s.nodes[0].agent.Agent.Stats().Queued)
+		<-done
+		requireWhole(t, at, 250)
+		time.Sleep(time.Minute)
+		for i := range 5 {
+			require.Empty(t, s.runs(fmt.Sprintf("g%d", i)))
+		}
+	})
+}
+
 // A team may have two streams open at a server and asks for ten. At most two may
 // run at a time; the others are refused as not run and run when they come back.
 func TestStreamBoundOfATeam(t *testing.T) {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -23,9 +23,6 @@
 	MemoryForecast, MemoryTotal uint64
 	// Sent is the number of requests this entry has sent since that report.
 	Sent int
-	// CachedPrefix is the share of the prompt, 0 to 1, that the server is
-	// believed to have cached.
-	CachedPrefix float64
 }
 
 // Request is what a choice is made for.
@@ -60,7 +57,6 @@
 		Scorers: []Scorer{
 			{Weight: 1.0, Score: Headroom},
 			{Weight: 0.1, Score: SameDomain},
-			{Weight: 0.3, Score: CachedPrefix},
 		},
 	}
 }
--- a/placement/scorers.go
+++ b/placement/scorers.go
@@ -25,6 +25,3 @@
 	}
 	return 0
 }
-
-// CachedPrefix prefers servers that are believed to hold the prompt's prefix.
-func CachedPrefix(_ *Request, s *Server) float64 { return s.CachedPrefix }
--- a/sched/config.go
+++ b/sched/config.go
@@ -17,9 +17,6 @@
 	// Reserve is the fraction of capacity that teams over their share leave
 	// free for teams under theirs.
 	Reserve float64
-	// Patience is how long a job of a team under its share waits before a
-	// stream of a team over its share is paused for it; 0 never pauses.
-	Patience time.Duration
 	// Off switches parts off, for ablation.
 	Off Parts
 }
--- a/tools/without/main.go
+++ b/tools/without/main.go
@@ -53,6 +53,11 @@
 	{"not ready without confirmation", "internal/confsync/confsync.go", "return time.Since(time.Unix(0, s.confirmed.Load())) <= s.cfg.Stale", "return true", "./internal/proof", "TestCutOffEntryStopsBeingReady"},
 	{"term read back after a restart", "lease/fence.go", "if !f.loaded {", "if false {", "./internal/proof", "TestStaleOrderIsHarmless"},
 	{"old term refused at the agent", "lease/fence.go", "if term < f.term {", "if false {", "./internal/proof", "TestStaleOrderIsHarmless"},
+	{"withdrawal when the caller is gone", "internal/entry/flight.go", "st.Send(&innerv1.Control{Withdraw: true})\n", "", "./internal/proof", "TestCallerGoneLeavesTheQueue"},
+	{"moves outside the retry budget", "internal/entry/flight.go", "f.kept.Next() == 0 && !f.e.retryAllowed", "!f.e.retryAllowed", "./internal/proof", "TestFailureDomainLost"},
+	{"engine streams released", "internal/agent/run.go", "defer cancel()\n\tsrc, err := a.generate", "_ = cancel\n\tsrc, err := a.generate", "./internal/proof", "TestSlowReaderIsCutOff"},
+	{"bound of a team's streams", "internal/agent/generation.go", "most > 0 && a.open", "most > 1000 && a.open", "./internal/proof", "TestStreamBoundOfATeam"},
+	{"links divided over the models", "internal/entry/members.go", "max(leastPerModel, e.cfg.AgentLinks/models)", "6", "./internal/entry", "TestEveryServerIsWatched"},
 	{"frame bound before allocation", "internal/wire/frame.go", "if size > MaxFrame {\n\t\treturn errors.Wrapf(ErrFrameTooLarge, \"%d bytes announced\", size)\n\t}", "", "./internal/wire", "TestOversizedFrame"},
 }
 
