--- a/internal/agent/generation.go
+++ b/internal/agent/generation.go
@@ -63,7 +63,7 @@
 	return g
 }
 
-// accept enters a Start on the books, or finds the generation that an earlier
+// accept registers a Start, or finds the generation that an earlier
 // copy of the same Start entered.
 func (a *Agent) accept(start *innerv1.Start) (*generation, error) {
 	a.mu.Lock()
@@ -109,7 +109,7 @@
 	streamsRetry = time.Second
 )
 
-// enter puts g on the books; a.mu is held.
+// enter registers g; a.mu is held.
 func (a *Agent) enter(g *generation) {
 	a.gens[g.id] = g
 	a.jobs[g.job] = g
@@ -133,7 +133,7 @@
 	}
 }
 
-// drop takes g off the books of the policy; a.mu is held.
+// drop ends the part of g in scheduling; a.mu is held.
 func (a *Agent) drop(g *generation) {
 	g.left = true
 	delete(a.jobs, g.job)
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -39,7 +39,7 @@
 		return err
 	}
 	e.firstTry(req.GetTeam())
-	f := e.newFlight(req, newID(), out)
+	f := e.newInflight(req, newID(), out)
 	if req.GetNonIdempotent() {
 		return e.generateOnce(out.Context(), f)
 	}
@@ -47,7 +47,7 @@
 }
 
 // generateOnce claims the request's key before it is dispatched.
-func (e *Entry) generateOnce(ctx context.Context, f *flight) error {
+func (e *Entry) generateOnce(ctx context.Context, f *inflight) error {
 	held, existing, err := e.claim(ctx, f.req.GetTeam(), f.req.GetRequestId(), claim.Record{GenerationID: f.id})
 	if err != nil {
 		return err
@@ -62,7 +62,7 @@
 
 // replayStream answers a repeated non-idempotent request with the stream of its
 // first run, if an agent still holds it.
-func (e *Entry) replayStream(ctx context.Context, f *flight, rec *claim.Record) error {
+func (e *Entry) replayStream(ctx context.Context, f *inflight, rec *claim.Record) error {
 	f.id = rec.GenerationID
 	f.ran = true
 	for _, s := range e.servers() {
@@ -131,7 +131,7 @@
 	if err := e.checkGenerate(req.GetRequest()); err != nil {
 		return err
 	}
-	f := e.newFlight(req.GetRequest(), req.GetGenerationId(), out)
+	f := e.newInflight(req.GetRequest(), req.GetGenerationId(), out)
 	f.ran = true
 	f.attempt = max(1, req.GetAttempt())
 	f.server = req.GetBackendServer()
@@ -154,7 +154,7 @@
 
 // resumeHeld continues a stream whose delivered tokens the caller did not send:
 // the agent must still hold them, since the digest covers all.
-func (e *Entry) resumeHeld(ctx context.Context, f *flight, next uint64) error {
+func (e *Entry) resumeHeld(ctx context.Context, f *inflight, next uint64) error {
 	f.out = &skipper{sink: f.out, next: next}
 	st, err := f.reattach(ctx)
 	if err != nil {
--- a/internal/entry/flight.go
+++ b/internal/entry/inflight.go
@@ -25,9 +25,9 @@
 	Send(*kingcupv1.GenerateResponse) error
 }
 
-// flight is one generation on its way through this entry. It is for one
+// inflight is one generation on its way through this entry. It is for one
 // goroutine.
-type flight struct {
+type inflight struct {
 	e       *Entry
 	req     *kingcupv1.GenerateRequest
 	id      string
@@ -52,8 +52,8 @@
 	tokens kingcupv1.GenerateResponse_Tokens
 }
 
-func (e *Entry) newFlight(req *kingcupv1.GenerateRequest, id string, out sink) *flight {
-	return &flight{
+func (e *Entry) newInflight(req *kingcupv1.GenerateRequest, id string, out sink) *inflight {
+	return &inflight{
 		e: e, req: req, id: id, out: out, attempt: 1, began: time.Now(), heard: time.Now(),
 		kept: stream.NewBuffer(e.cfg.StreamBytes),
 	}
@@ -64,7 +64,7 @@
 
 // run places the generation and relays it to its end, through the loss of
 // agents. Its error is the caller's final answer.
-func (f *flight) run(ctx context.Context) error {
+func (f *inflight) run(ctx context.Context) error {
 	st, err := f.start(ctx)
 	for err == nil {
 		err = f.relay(ctx, st)
@@ -77,7 +77,7 @@
 }
 
 // next finds the stream that goes on after err, or the final answer.
-func (f *flight) next(ctx context.Context, err error) (*agentStream, error) {
+func (f *inflight) next(ctx context.Context, err error) (*agentStream, error) {
 	if ctx.Err() != nil {
 		return nil, f.ended(ctx)
 	}
@@ -113,7 +113,7 @@
 
 // move continues a generation at another backend server, after the tokens that
 // the caller has. cause is the answer if that can't be.
-func (f *flight) move(ctx context.Context, cause *failure.Error) (*agentStream, error) {
+func (f *inflight) move(ctx context.Context, cause *failure.Error) (*agentStream, error) {
 	f.ran = true
 	// The budget bounds repeats that add load. A stream that its caller has a
 	// part of is work in progress: when a failure domain goes, all its streams
@@ -127,7 +127,7 @@
 }
 
 // start offers the generation to backend servers until one accepts it.
-func (f *flight) start(ctx context.Context) (*agentStream, error) {
+func (f *inflight) start(ctx context.Context) (*agentStream, error) {
 	for range f.e.cfg.Tries {
 		link := f.pick()
 		if link == "" {
@@ -152,7 +152,7 @@
 // unplaced is the answer when no backend server took the generation. It is at
 // once, with when to come back. "Not run" is only said if every server that was
 // asked confirmed it.
-func (f *flight) unplaced() *failure.Error {
+func (f *inflight) unplaced() *failure.Error {
 	reason, detail := kingcupv1.Reason_REASON_NO_BACKEND, "no backend server serves "+f.req.GetModel()
 	after := max(f.retryAfter, retrySoon)
 	if f.refusal != nil {
@@ -166,7 +166,7 @@
 	return failure.NotRun(reason, after, "%s", detail)
 }
 
-func (f *flight) refused(server string, fail *failure.Error) {
+func (f *inflight) refused(server string, fail *failure.Error) {
 	f.tried = append(f.tried, server)
 	f.refusal = fail
 	if fail.Outcome != kingcupv1.Outcome_OUTCOME_NOT_RUN {
@@ -179,14 +179,14 @@
 }
 
 // ended is the answer to a caller whose context is over.
-func (f *flight) ended(ctx context.Context) *failure.Error {
+func (f *inflight) ended(ctx context.Context) *failure.Error {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return failure.Unknown(kingcupv1.Reason_REASON_DEADLINE, 0, "deadline passed")
 	}
 	return failure.Unknown(kingcupv1.Reason_REASON_CANCELLED, 0, "caller is gone")
 }
 
-func (f *flight) pick() string {
+func (f *inflight) pick() string {
 	servers := f.e.servers()
 	r := &placement.Request{
 		Team: f.req.GetTeam(), Model: f.req.GetModel(), Adapter: f.req.GetAdapter(),
@@ -213,7 +213,7 @@
 }
 
 // offer sends Start to an agent and waits until it is accepted or refused.
-func (f *flight) offer(ctx context.Context, server string) (*agentStream, error) {
+func (f *inflight) offer(ctx context.Context, server string) (*agentStream, error) {
 	start := &innerv1.Start{GenerationId: f.id, Attempt: f.attempt, Request: f.req}
 	if f.kept.Next() > 0 {
 		prefix, err := f.kept.Prefix()
@@ -247,7 +247,7 @@
 // withdrawOnDone takes the request out of the agent's queue when its caller is
 // gone. A non-idempotent one stays: its caller may come back for the answer, and
 // could never ask again once its key is claimed.
-func (f *flight) withdrawOnDone(ctx context.Context, st *agentStream) {
+func (f *inflight) withdrawOnDone(ctx context.Context, st *agentStream) {
 	if f.req.GetNonIdempotent() || f.kept.Next() > 0 {
 		return
 	}
@@ -304,7 +304,7 @@
 }
 
 // announce tells the caller where its generation runs.
-func (f *flight) announce(server string) error {
+func (f *inflight) announce(server string) error {
 	f.server = server
 	started := &kingcupv1.Started{GenerationId: f.id, BackendServer: server, Entry: f.e.cfg.Identity.Name}
 	err := f.out.Send(&kingcupv1.GenerateResponse{Event: &kingcupv1.GenerateResponse_Started{Started: started}})
@@ -319,7 +319,7 @@
 // reattach finds the generation again at its agent, whose link broke or whose
 // process was replaced. The time it may take counts from the agent's last word:
 // a stream that broke after a long stall has waited enough and is moved.
-func (f *flight) reattach(ctx context.Context) (*agentStream, error) {
+func (f *inflight) reattach(ctx context.Context) (*agentStream, error) {
 	deadline := f.heard.Add(f.e.cfg.ReattachFor)
 	for {
 		st, _, err := f.e.open(ctx, f.server, f.attachment())
@@ -332,13 +332,13 @@
 	}
 }
 
-func (f *flight) attachment() *innerv1.Open {
+func (f *inflight) attachment() *innerv1.Open {
 	attach := &innerv1.Attach{GenerationId: f.id, NextIndex: f.kept.Next(), Team: f.req.GetTeam()}
 	return &innerv1.Open{Kind: &innerv1.Open_Attach{Attach: attach}}
 }
 
 // relay copies frames from the agent to the caller until the end.
-func (f *flight) relay(ctx context.Context, st *agentStream) error {
+func (f *inflight) relay(ctx context.Context, st *agentStream) error {
 	defer st.close()
 	reply := &innerv1.Reply{}
 	for {
@@ -360,7 +360,7 @@
 }
 
 // forward sends the tokens that the caller does not have yet.
-func (f *flight) forward(t *kingcupv1.Tokens) error {
+func (f *inflight) forward(t *kingcupv1.Tokens) error {
 	next := f.kept.Next()
 	if t.GetFirstIndex() > next {
 		return errors.Wrapf(errBroken, "token %d came, %d was due", t.GetFirstIndex(), next)
@@ -387,7 +387,7 @@
 	return nil
 }
 
-func (f *flight) observe(tokens int) {
+func (f *inflight) observe(tokens int) {
 	now := time.Now()
 	if f.e.seen != nil && f.lastToken.IsZero() {
 		f.e.seen.FirstToken(f.req.GetTeam(), now.Sub(f.began))
@@ -398,7 +398,7 @@
 	f.lastToken = now
 }
 
-func (f *flight) finish(end *kingcupv1.End) error {
+func (f *inflight) finish(end *kingcupv1.End) error {
 	err := f.kept.Finish(0, stream.End{Tokens: end.GetTokens(), Digest: end.GetDigest(), FinishReason: end.GetFinishReason()})
 	if err != nil {
 		return failure.Unknown(kingcupv1.Reason_REASON_INTERNAL, 0, "%v", err)
--- a/sched/forecasting.go
+++ b/sched/forecasting.go
@@ -188,7 +188,7 @@
 	j.team.mem.add(&j.contrib, sign)
 }
 
-// begin puts j on the engine's books.
+// begin counts j as running.
 func (p *Forecasting) begin(j *Job) {
 	j.state = stateRunning
 	j.started = p.now
@@ -202,7 +202,7 @@
 	p.stats.Running++
 }
 
-// leave takes j off the engine's books.
+// leave ends the counting of j as running.
 func (p *Forecasting) leave(j *Job) {
 	p.count(j, -1)
 	p.mem.used -= j.Context()
--- a/sched/forecasting_test.go
+++ b/sched/forecasting_test.go
@@ -9,7 +9,7 @@
 	"pgregory.net/rapid"
 )
 
-// world drives a policy with jobs of drawn lengths and checks its books.
+// world drives a policy with jobs of drawn lengths and checks its counts.
 type world struct {
 	p      *Forecasting
 	now    time.Duration
@@ -80,7 +80,7 @@
 	require.Equal(t, used, s.MemoryUsed)
 }
 
-// Jobs of any size come from any team at any time. The policy's books must match
+// Jobs of any size come from any team at any time. The policy's counts must match
 // the engine's, no job may start, pause or be given up out of turn, and once
 // arrivals end every job must end too: nobody starves.
 func TestForecastingProperties(t *testing.T) {
--- a/tools/without/main.go
+++ b/tools/without/main.go
@@ -29,20 +29,20 @@
 	{"attempt compared on append", "stream/buffer.go", "if attempt != b.attempt {\n\t\treturn ErrStaleAttempt\n\t}\n\tnext :=", "next :=", "./stream", "TestBufferProperties"},
 	{"index compared on append", "stream/buffer.go", "if index < next {\n\t\treturn nil\n\t}", "", "./stream", "TestBufferProperties"},
 	{"digest compared at the end", "stream/buffer.go", "if end.Digest != b.digest.Sum() {", "if false {", "./stream", "TestFinishChecksTheEnginesRecord"},
-	{"doubled tokens cut off at the entry", "internal/entry/flight.go", "t.Texts = t.Texts[next-t.GetFirstIndex():]\n\tt.FirstIndex = next\n", "", "./internal/proof", "TestDoubledFramesAreCutOff"},
-	{"re-attach after a broken link", "internal/entry/flight.go", "if errors.Is(err, errBroken) {", "if false {", "./internal/proof", "TestStreamSurvives"},
+	{"doubled tokens cut off at the entry", "internal/entry/inflight.go", "t.Texts = t.Texts[next-t.GetFirstIndex():]\n\tt.FirstIndex = next\n", "", "./internal/proof", "TestDoubledFramesAreCutOff"},
+	{"re-attach after a broken link", "internal/entry/inflight.go", "if errors.Is(err, errBroken) {", "if false {", "./internal/proof", "TestStreamSurvives"},
 	{"streams adopted after a restart", "internal/agent/run.go", "for _, r := range running {\n\t\ta.adoptOne(r)\n\t}", "_ = running", "./internal/proof", "TestAgentRestartKeepsEngineStreams"},
 	{"second path for a stalled link", "internal/link/link.go", "l.swap(nil)\n\t\tl.m.log", "l.m.log", "./internal/proof", "TestStalledLinkMovesSoon"},
 	{"refusal by a leaving agent", "internal/agent/generation.go", "if a.leaving.Load() {", "if false {", "./internal/proof", "TestLeavingServerGetsNoNewWork"},
 	{"queue handed back on leave", "internal/agent/generation.go", "a.policy.Finish(a.now(), g.job, false)\n\tg.buf.Fail(failure.NotRun(reason", "g.buf.Fail(failure.NotRun(reason", "./internal/proof", "TestQueuedWorkMovesOnceOnLeave"},
-	{"drain of the agent waits", "internal/agent/control.go", "if n == 0 || !wait(ctx, drainPoll) {\n\t\t\treturn n", "if true {\n\t\t\t_ = n\n\t\t\treturn 0", "./internal/proof", "TestShutdownCutsNothingOff"},
-	{"drain of the entry waits", "internal/entry/entry.go", "if n == 0 || !sleep(ctx, drainPoll) {\n\t\t\treturn n", "if true {\n\t\t\t_ = n\n\t\t\treturn 0", "./internal/proof", "TestShutdownCutsNothingOff"},
+	{"drain of the agent waits", "internal/agent/control.go", "if n == 0 || !wait.For(ctx, drainPoll) {\n\t\t\treturn n", "if n >= 0 || !wait.For(ctx, drainPoll) {\n\t\t\treturn 0", "./internal/proof", "TestShutdownCutsNothingOff"},
+	{"drain of the entry waits", "internal/entry/entry.go", "if n == 0 || !wait.For(ctx, drainPoll) {\n\t\t\treturn n", "if n >= 0 || !wait.For(ctx, drainPoll) {\n\t\t\treturn 0", "./internal/proof", "TestShutdownCutsNothingOff"},
 	{"condition on a claim", "claim/grouper.go", "txn.Conditions = append(txn.Conditions, platform.Condition{Key: o.key, Revision: o.revision})", "", "./internal/proof", "TestAtMostOnceHistory$"},
 	{"nonce read back", "claim/claim.go", "case found.Nonce == rec.Nonce:", "case false:", "./internal/proof", "TestClaimAnswerLost"},
 	{"claim before dispatch", "internal/entry/call.go", "if req.GetNonIdempotent() {\n\t\treturn e.callOnce(ctx, req)\n\t}", "", "./internal/proof", "TestServiceAnswerLost|TestAtMostOnceHistory$"},
 	{"no second dispatch", "internal/entry/call.go", "if req.GetNonIdempotent() || ctx.Err()", "if ctx.Err()", "./internal/proof", "TestServiceAnswerLost"},
 	{"key kept after an unknown outcome", "internal/entry/callers.go", "case failure.IsNotRun(err):", "default:", "./internal/proof", "TestServiceAnswerLost"},
-	{"sent means unknown", "internal/entry/flight.go", "return failure.Unknown(kingcupv1.Reason_REASON_BACKEND_LOST, time.Second, \"%v\", err)\n}\n\n// open", "return failure.NotRun(kingcupv1.Reason_REASON_BACKEND_LOST, time.Second, \"%v\", err)\n}\n\n// open", "./internal/proof", "TestSilentAgentIsUnknown"},
+	{"sent means unknown", "internal/entry/inflight.go", "return failure.Unknown(kingcupv1.Reason_REASON_BACKEND_LOST, time.Second, \"%v\", err)\n}\n\n// open", "return failure.NotRun(kingcupv1.Reason_REASON_BACKEND_LOST, time.Second, \"%v\", err)\n}\n\n// open", "./internal/proof", "TestSilentAgentIsUnknown"},
 	{"start recorded before the engine is called", "internal/agent/run.go", "g.dispatched = true\n", "g.dispatched = false\n", "./internal/proof", "TestQueuedWorkMovesOnceOnLeave|TestLeavingServerGetsNoNewWork|TestShutdownCutsNothingOff"},
 	{"snapshot version compared", "conf/replica.go", "if s.Version() <= r.state.Load().Version() {", "if false {", "./conf", "TestReplicaNeverReverts"},
 	{"delta version compared", "conf/replica.go", "if d.GetVersion() <= cur.Version() {\n\t\treturn nil\n\t}", "", "./conf", "TestReplicaNeverReverts"},
@@ -53,8 +53,8 @@
 	{"not ready without confirmation", "internal/confsync/confsync.go", "return time.Since(time.Unix(0, s.confirmed.Load())) <= s.cfg.Stale", "return true", "./internal/proof", "TestCutOffEntryStopsBeingReady"},
 	{"term read back after a restart", "lease/fence.go", "if !f.loaded {", "if false {", "./internal/proof", "TestStaleOrderIsHarmless"},
 	{"old term refused at the agent", "lease/fence.go", "if term < f.term {", "if false {", "./internal/proof", "TestStaleOrderIsHarmless"},
-	{"withdrawal when the caller is gone", "internal/entry/flight.go", "st.Send(&innerv1.Control{Withdraw: true})\n", "", "./internal/proof", "TestCallerGoneLeavesTheQueue"},
-	{"moves outside the retry budget", "internal/entry/flight.go", "f.kept.Next() == 0 && !f.e.retryAllowed", "!f.e.retryAllowed", "./internal/proof", "TestFailureDomainLost"},
+	{"withdrawal when the caller is gone", "internal/entry/inflight.go", "st.Send(&innerv1.Control{Withdraw: true})\n", "", "./internal/proof", "TestCallerGoneLeavesTheQueue"},
+	{"moves outside the retry budget", "internal/entry/inflight.go", "f.kept.Next() == 0 && !f.e.retryAllowed", "!f.e.retryAllowed", "./internal/proof", "TestFailureDomainLost"},
 	{"engine streams released", "internal/agent/run.go", "defer cancel()\n\tsrc, err := a.generate", "_ = cancel\n\tsrc, err := a.generate", "./internal/proof", "TestSlowReaderIsCutOff"},
 	{"bound of a team's streams", "internal/agent/generation.go", "most > 0 && a.open", "most > 1000 && a.open", "./internal/proof", "TestStreamBoundOfATeam"},
 	{"links divided over the models", "internal/entry/members.go", "max(leastPerModel, e.cfg.AgentLinks/models)", "6", "./internal/entry", "TestEveryServerIsWatched"},
@@ -110,7 +110,8 @@
 // symptom is the line of a test's output that says most.
 func symptom(out string) string {
 	if m := regexp.MustCompile(`Error:\s+(?:Received unexpected error|Not equal):\s*\n\s+(.+)\n\s+(.+)`).FindStringSubmatch(out); m != nil {
-		return strings.Join(strings.Fields(m[1]+" "+m[2]), " ")
+		line, _, _ := strings.Cut(strings.Join(strings.Fields(m[1]+" "+m[2]), " "), " Test:")
+		return line
 	}
 	if m := regexp.MustCompile(`should have \d+ item\(s\), but has \d+`).FindString(out); m != "" {
 		return "the engine's log " + m
