A lost caller is no lost answer; one loop follows a stream

Cause: the burn report counted callers that cancelled as lost answers and left resumed streams out; the relay loop stood three times in the entry; a stream leaked when its caller went away between acceptance and the first message.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -117,6 +117,7 @@
 // Resume implements CallerService.
 func (e *Entry) Resume(req *kingcupv1.ResumeRequest, out kingcupv1.CallerService_ResumeServer) error {
 	err := e.resume(req, out)
+	e.finished(req.GetRequest().GetTeam(), err)
 	return e.answer(req.GetRequest().GetTeam(), req.GetRequest().GetRequestId(), err)
 }
 
@@ -143,13 +144,7 @@
 	if err != nil {
 		st, err = f.next(out.Context(), errBroken)
 	}
-	for err == nil {
-		if err = f.relay(out.Context(), st); err == nil {
-			return nil
-		}
-		st, err = f.next(out.Context(), err)
-	}
-	return err
+	return f.follow(out.Context(), st, err)
 }
 
 // resumeHeld continues a stream whose delivered tokens the caller did not send:
@@ -160,13 +155,7 @@
 	if err != nil {
 		return failure.Unknown(kingcupv1.Reason_REASON_BACKEND_LOST, time.Second, "%v; send the delivered tokens to continue elsewhere", err)
 	}
-	for err == nil {
-		if err = f.relay(ctx, st); err == nil {
-			return nil
-		}
-		st, err = f.next(ctx, err)
-	}
-	return err
+	return f.follow(ctx, st, nil)
 }
 
 // skipper drops the tokens before next on the way to the caller.
--- a/internal/entry/inflight.go
+++ b/internal/entry/inflight.go
@@ -66,9 +66,13 @@
 // agents. Its error is the caller's final answer.
 func (f *inflight) run(ctx context.Context) error {
 	st, err := f.start(ctx)
+	return f.follow(ctx, st, err)
+}
+
+// follow relays st, and the streams that go on after it, to the end.
+func (f *inflight) follow(ctx context.Context, st *agentStream, err error) error {
 	for err == nil {
-		err = f.relay(ctx, st)
-		if err == nil {
+		if err = f.relay(ctx, st); err == nil {
 			return nil
 		}
 		st, err = f.next(ctx, err)
@@ -135,7 +139,7 @@
 		}
 		st, err := f.offer(ctx, link)
 		if err == nil {
-			return st, f.announce(link)
+			return f.announced(link, st)
 		}
 		if ctx.Err() != nil {
 			return nil, f.ended(ctx)
@@ -303,15 +307,16 @@
 	return sess, func() { sess.Close() }, nil
 }
 
-// announce tells the caller where its generation runs.
-func (f *inflight) announce(server string) error {
+// announced tells the caller where its generation runs.
+func (f *inflight) announced(server string, st *agentStream) (*agentStream, error) {
 	f.server = server
 	started := &kingcupv1.Started{GenerationId: f.id, BackendServer: server, Entry: f.e.cfg.Identity.Name}
 	err := f.out.Send(&kingcupv1.GenerateResponse{Event: &kingcupv1.GenerateResponse_Started{Started: started}})
 	if err != nil {
-		return failure.Unknown(kingcupv1.Reason_REASON_CANCELLED, 0, "caller is gone")
+		st.close()
+		return nil, failure.Unknown(kingcupv1.Reason_REASON_CANCELLED, 0, "caller is gone")
 	}
-	return nil
+	return st, nil
 }
 
 const reattachEvery = 100 * time.Millisecond
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -148,7 +148,9 @@
 	}
 	r.outcomes.WithLabelValues(team, outcome.String(), reason.String()).Inc()
 	_, _, target := r.objective(team)
-	r.count(team, burn.LostAnswers, outcome != kingcupv1.Outcome_OUTCOME_UNKNOWN, target)
+	// A caller that went away by itself has lost nothing.
+	lost := outcome == kingcupv1.Outcome_OUTCOME_UNKNOWN && reason != kingcupv1.Reason_REASON_CANCELLED
+	r.count(team, burn.LostAnswers, !lost, target)
 }
 
 // Report is the burn of all teams.
