Process tests have a loopback address of their own

Cause: one of ten runs in a row failed (TestProcessesKilled, 'address already in use'): another test process took the port between its being found free and being served. Ruled out: the system itself; the engine's stand-in never started. Change: addresses are 127.x.y.z from the process id, ports are counted.

--- a/internal/proof/process_test.go
+++ b/internal/proof/process_test.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -19,7 +20,6 @@
 	"kingcupplank.example/kingcup/failure"
 	"kingcupplank.example/kingcup/internal/app"
 	"kingcupplank.example/kingcup/internal/settings"
-	"kingcupplank.example/kingcup/internal/standin"
 	kingcupv1 "kingcupplank.example/kingcup/proto/kingcup/v1"
 )
 
@@ -55,10 +55,16 @@
 	args  map[string][]string
 }
 
-func freePort(t *testing.T) string {
-	address, err := standin.FreePort()
-	require.NoError(t, err)
-	return address
+// nextPort counts the ports that this test process has given out.
+var nextPort atomic.Int64
+
+// freePort is an address that nothing else serves. Each test process has a
+// loopback address of its own, made from its process id: a port found free on a
+// shared address can be taken by another process before it is served.
+func freePort(*testing.T) string {
+	const first = 20000
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d:%d", 64+pid>>16&63, pid>>8&255, pid&255, first+nextPort.Add(1))
 }
 
 func newProcesses(t *testing.T) *processes {
