The VM list is read less often the longer it is

Change: 25 ms a listed VM between two looks, at least -list-every: every 29 s at the target size, 2.6 KB/s. Heartbeats tell of leaving servers meanwhile.

--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -19,13 +19,25 @@
 func (e *Entry) Run(ctx context.Context) {
 	for {
 		e.Refresh(ctx)
-		pause := e.cfg.ListEvery/2 + rand.N(e.cfg.ListEvery)
+		pause := e.listPause()/2 + rand.N(e.listPause())
 		if !wait.For(ctx, pause) {
 			return
 		}
 	}
 }
 
+// ListPerVM stretches the time between two looks at the list with its length.
+// The list of the target size has some 80 KB; read every 5 s, it would take the
+// whole of a node's bound for control. Heartbeats tell of leaving servers
+// meanwhile, so only the discovery of new ones slows down, to half a minute.
+const ListPerVM = 25 * time.Millisecond
+
+func (e *Entry) listPause() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return max(e.cfg.ListEvery, time.Duration(len(e.listed))*ListPerVM)
+}
+
 // Refresh reads the VM list once and watches the peers it gives.
 func (e *Entry) Refresh(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, e.cfg.ListEvery)
--- a/internal/slopes/measure.go
+++ b/internal/slopes/measure.go
@@ -15,6 +15,7 @@
 	"kingcupplank.example/kingcup/engine"
 	"kingcupplank.example/kingcup/engine/engineclient"
 	"kingcupplank.example/kingcup/internal/app"
+	platformv1 "kingcupplank.example/kingcup/proto/kingcup/platform/v1"
 	kingcupv1 "kingcupplank.example/kingcup/proto/kingcup/v1"
 )
 
@@ -392,3 +393,15 @@
 	err = until("change in force", func() bool { return n.inForce(resp.GetVersion()) == size })
 	return accepted, time.Since(began), err
 }
+
+// listBytes is the size of the VM list's answer at the target size.
+func (t Target) listBytes() int {
+	list := &platformv1.ListVmsResponse{}
+	for i := range t.Entries + t.Servers {
+		list.Vms = append(list.Vms, &platformv1.Vm{
+			Name: fmt.Sprintf("server-%04d", i), Address: fmt.Sprintf("10.%d.%d.%d:7001", i%8, i/250, i%250),
+			FailureDomain: fmt.Sprintf("region-a-domain-%d", i%numDomains), Role: "agent", Models: []string{"model-01"},
+		})
+	}
+	return proto.Size(list)
+}
--- a/internal/slopes/report.go
+++ b/internal/slopes/report.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"io"
 	"time"
+
+	"kingcupplank.example/kingcup/internal/entry"
 )
 
 // Target is the size that the system is designed for.
@@ -12,7 +14,7 @@
 	Requests, Tokens          float64
 	Teams, Models             int
 	ChangesPerDay             float64
-	Poll, List, Heartbeat     time.Duration
+	Poll, Heartbeat           time.Duration
 	AgentLinks, PeersPerEntry int
 	Claimed                   float64
 }
@@ -22,7 +24,7 @@
 func DefaultTarget() Target {
 	return Target{
 		Entries: 330, Servers: 830, Requests: 8300, Tokens: 2.2e6, Teams: 1500, Models: 15,
-		ChangesPerDay: 430, Poll: 4 * time.Second, List: 5 * time.Second, Heartbeat: time.Second,
+		ChangesPerDay: 430, Poll: 4 * time.Second, Heartbeat: time.Second,
 		AgentLinks: 96, PeersPerEntry: 4, Claimed: 0.05,
 	}
 }
@@ -106,16 +108,20 @@
 	watchers := float64(t.Entries) * float64(t.AgentLinks) / float64(t.Servers)
 	beats := 1 / t.Heartbeat.Seconds()
 	config := c.Memory.Slope * float64(t.Teams+t.Models) / 1024 / 1024
+	list := time.Duration(t.Entries+t.Servers) * entry.ListPerVM
+	listRate := float64(t.listBytes()) / list.Seconds()
+	fmt.Fprintf(w, "\nVM list: %d bytes, read by an entry every %v: %.1f KB/s\n", t.listBytes(), list, listRate/1024)
 	fmt.Fprintln(w, "\n## Control at the target size, a node")
 	fmt.Fprintln(w, "| role | links | heartbeats/s | cpu of one core | KB/s | memory MB |")
 	fmt.Fprintln(w, "|---|---|---|---|---|---|")
 	for _, r := range []struct {
 		name  string
 		links float64
-	}{{"entry", links}, {"agent", watchers}} {
+		other float64
+	}{{"entry", links, listRate}, {"agent", watchers, 0}} {
 		n := r.links * beats
 		fmt.Fprintf(w, "| %s | %.0f | %.0f | %.2f %% | %.1f | %.1f links + %.1f configuration |\n", r.name, r.links, n,
-			n*watched.CPU.Slope/1e6*100, n*watched.Bytes.Slope/1024, r.links*watched.Memory.Slope/1024/1024, config)
+			n*watched.CPU.Slope/1e6*100, (n*watched.Bytes.Slope+r.other)/1024, r.links*watched.Memory.Slope/1024/1024, config)
 	}
 	fmt.Fprintln(w, "\n## Data at the target size, a node")
 	fmt.Fprintln(w, "| role | requests/s | tokens/s | streams | cores | memory MB of streams |")
@@ -134,7 +140,7 @@
 	processes := float64(t.Entries + t.Servers)
 	fmt.Fprintln(w, "\n## Platform table at the target size")
 	fmt.Fprintf(w, "reads/s: configuration heads %.0f, VM lists %.0f, deltas in the %v after a change %.0f\n",
-		processes/t.Poll.Seconds(), float64(t.Entries)/t.List.Seconds(), t.Poll, processes/t.Poll.Seconds())
+		processes/t.Poll.Seconds(), float64(t.Entries)/list.Seconds(), t.Poll, processes/t.Poll.Seconds())
 	wave := processes / numDomains
 	fmt.Fprintf(w, "a failure domain's %.0f processes back at once: %.0f reads (head, deltas, list) and %.0f snapshots of %d bytes\n",
 		wave, wave*readsAtStart, wave, c.SnapshotBytes)
