--- a/cmd/kingcupctl/operators.go
+++ b/cmd/kingcupctl/operators.go
@@ -74,12 +74,18 @@
 
 func putModel(ctx context.Context, o options, conns []grpc.ClientConnInterface, args []string) error {
 	r := newRowFlags("model")
-	kind, most, version := r.fs.String("kind", "generation", ""), r.fs.Uint("max-tokens", 0, ""), r.fs.String("model-version", "1", "")
-	return r.put(ctx, o, conns, args, func(name string) *kingcupv1.Row {
-		m := &kingcupv1.Model{Name: name, Version: *version, MaxTokens: uint32(*most), Kind: kingcupv1.ModelKind_MODEL_KIND_GENERATION}
-		if *kind == "service" {
-			m.Kind = kingcupv1.ModelKind_MODEL_KIND_SERVICE
+	most, version := r.fs.Uint("max-tokens", 0, ""), r.fs.String("model-version", "1", "")
+	kind := kingcupv1.ModelKind_MODEL_KIND_GENERATION
+	r.fs.Func("kind", "", func(word string) error {
+		kinds := map[string]kingcupv1.ModelKind{"generation": kind, "service": kingcupv1.ModelKind_MODEL_KIND_SERVICE}
+		if kinds[word] == 0 {
+			return errors.New("must be generation or service")
 		}
+		kind = kinds[word]
+		return nil
+	})
+	return r.put(ctx, o, conns, args, func(name string) *kingcupv1.Row {
+		m := &kingcupv1.Model{Name: name, Version: *version, MaxTokens: uint32(*most), Kind: kind}
 		return &kingcupv1.Row{Row: &kingcupv1.Row_Model{Model: m}}
 	})
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -35,6 +35,8 @@
 	groups  []string
 	member  map[string]string
 	checks  []func() error
+
+	takesArgs bool
 }
 
 // New returns an empty set; summary is one line for -help.
@@ -162,11 +164,12 @@
 func (s *Set) Parse(args []string, lookup func(string) (string, bool)) (help, version bool, errs []error) {
 	showVersion := s.flags.Bool("version", false, "print the version and exit")
 	s.member["version"] = s.groups[0]
-	if err := s.flags.Parse(args); err != nil {
-		if err == flag.ErrHelp {
-			return true, false, nil
-		}
-		return false, false, []error{err}
+	help, errs = s.parseFlags(args)
+	if help {
+		return true, false, nil
+	}
+	if extra := s.flags.Args(); len(extra) > 0 && !s.takesArgs && len(errs) == 0 {
+		errs = append(errs, fmt.Errorf("unexpected argument %q", extra[0]))
 	}
 	given := make(map[string]bool)
 	s.flags.Visit(func(f *flag.Flag) { given[f.Name] = true })
@@ -187,6 +190,29 @@
 	return false, *showVersion, errs
 }
 
+// parseFlags goes on behind a flag whose value is wrong, so that all wrong values
+// are found. Behind a flag that does not exist nothing can be told: the next word
+// may be its value.
+func (s *Set) parseFlags(args []string) (help bool, errs []error) {
+	for {
+		err := s.flags.Parse(args)
+		if err == nil {
+			return false, errs
+		}
+		if err == flag.ErrHelp {
+			return true, nil
+		}
+		errs = append(errs, err)
+		if len(s.flags.Args()) == 0 || strings.Contains(err.Error(), "not defined") {
+			return false, errs
+		}
+		args = s.flags.Args()
+	}
+}
+
+// TakeArgs lets arguments follow the flags.
+func (s *Set) TakeArgs() { s.takesArgs = true }
+
 // EnvName is the variable of a flag.
 func EnvName(flagName string) string {
 	return EnvPrefix + strings.ToUpper(strings.ReplaceAll(flagName, "-", "_"))
--- a/scripts/local.sh
+++ b/scripts/local.sh
@@ -36,7 +36,7 @@
 ctl status
 ctl generate -team small-farm -model plan-writer "tokens=30 Draft the autumn harvest plan"
 ctl call -team small-farm -service desk -once -id slot-7 "confirm baler, Tuesday"
-ctl burn
+bin/kingcupctl -admin 127.0.0.1:7012 burn
 if [ "${1:-}" != -once ]; then
   echo "serving; logs in bin/local.log; Enter ends it"
   read -r _
