--- a/internal/slopes/report.go
+++ b/internal/slopes/report.go
@@ -11,13 +11,13 @@
 
 // Target is the size that the system is designed for.
 type Target struct {
-	Entries, Servers          int
-	Requests, Tokens          float64
-	Teams, Models             int
-	ChangesPerDay             float64
-	Poll, Heartbeat           time.Duration
+	Entries, Servers                        int
+	Requests, Tokens                        float64
+	Teams, Models                           int
+	ChangesPerDay                           float64
+	Poll, Heartbeat                         time.Duration
 	AgentLinks, PeersPerEntry, ClaimWriters int
-	Claimed                   float64
+	Claimed                                 float64
 }
 
 // DefaultTarget is the plan of the users for the next two years. The share of
