A yamux frame leaves in one segment

Ruled out: reconnections (all sessions stayed). Change: the connection joins a data frame's header and body.

--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -40,7 +40,7 @@
 		if err != nil {
 			return
 		}
-		mux, err := yamux.Server(conn, yamuxConfig())
+		mux, err := yamux.Server(&corked{Conn: conn}, yamuxConfig())
 		if err != nil {
 			conn.Close()
 			continue
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -72,7 +72,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "dial %s", address)
 	}
-	mux, err := yamux.Client(conn, yamuxConfig())
+	mux, err := yamux.Client(&corked{Conn: conn}, yamuxConfig())
 	if err != nil {
 		conn.Close()
 		return nil, errors.Wrap(err, "yamux client")
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/binary"
 	"io"
+	"net"
 	"testing"
 	"time"
 
@@ -90,3 +91,29 @@
 		require.LessOrEqual(t, cap(fr.buf), MaxFrame)
 	})
 }
+
+// writes records what reaches a connection in one Write each.
+type writes struct {
+	net.Conn
+	all [][]byte
+}
+
+func (w *writes) Write(p []byte) (int, error) {
+	w.all = append(w.all, bytes.Clone(p))
+	return len(p), nil
+}
+
+// A data frame's header and body must leave together; frames without a body, such
+// as pings and window updates, must not wait for anything.
+func TestCorkedJoinsHeaderAndBody(t *testing.T) {
+	out := &writes{}
+	c := &corked{Conn: out}
+	data := []byte{0, 0, 0, 0, 0, 0, 0, 1, 0, 0, 0, 3}
+	ping := []byte{0, 2, 0, 1, 0, 0, 0, 0, 0, 0, 0, 9}
+	for _, p := range [][]byte{ping, data, []byte("abc"), data, []byte("xyz"), ping} {
+		n, err := c.Write(p)
+		require.NoError(t, err)
+		require.Equal(t, len(p), n)
+	}
+	require.Equal(t, [][]byte{ping, append(bytes.Clone(data), "abc"...), append(bytes.Clone(data), "xyz"...), ping}, out.all)
+}
