Claims of two teams never share a row

Cause, found in reading: team a with request b/c and team a/b with request c had the same row, so one caller could be given the other's recorded answer. Change: the team's length is part of the row's key. Test: drawn teams and ids with slashes; without the length it fails at once.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strconv"
 	"strings"
 	"time"
 
@@ -40,8 +41,11 @@
 
 const rowPrefix = "claim/"
 
+// row is the key's row in the table. The team's length is part of it: team "a"
+// with request "b/c" and team "a/b" with request "c" would otherwise share a row,
+// and one caller would be given the other's answer.
 func (k Key) row() string {
-	return rowPrefix + k.Team + "/" + k.RequestID
+	return rowPrefix + strconv.Itoa(len(k.Team)) + "/" + k.Team + "/" + k.RequestID
 }
 
 // Record is what the table holds for a key.
--- /dev/null
+++ b/claim/claim_test.go
@@ -0,0 +1,58 @@
+package claim
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"kingcupplank.example/kingcup/internal/standin/tables"
+	"kingcupplank.example/kingcup/platform"
+)
+
+// Two different keys must never share a row, whatever their teams and ids hold.
+func TestKeysNeverShareARow(t *testing.T) {
+	text := rapid.StringMatching(`[ab0-9/]{0,6}`)
+	rapid.Check(t, func(t *rapid.T) {
+		a := Key{text.Draw(t, "team"), text.Draw(t, "id")}
+		b := Key{text.Draw(t, "other team"), text.Draw(t, "other id")}
+		require.Equal(t, a == b, a.row() == b.row())
+		require.True(t, IsRow(a.row()))
+	})
+}
+
+// A key is claimed, given back, claimed again and finished, while answers are
+// lost at every step. Each step must take effect once and be seen by the next.
+func TestClaimLifeWithLostAnswers(t *testing.T) {
+	ctx := context.Background()
+	table := tables.New()
+	c := New(table, time.Millisecond)
+	defer c.Close()
+	key := Key{"team", "id"}
+	lose := func() { table.LoseAnswers(1, 1) }
+
+	lose()
+	held, existing, err := c.Claim(ctx, key, Record{Nonce: "first"})
+	require.NoError(t, err)
+	require.Nil(t, existing)
+	_, existing, err = c.Claim(ctx, key, Record{Nonce: "second"})
+	require.NoError(t, err)
+	require.Equal(t, "first", existing.Nonce)
+
+	lose()
+	require.NoError(t, c.Release(ctx, held))
+	held, _, err = c.Claim(ctx, key, Record{Nonce: "third"})
+	require.NoError(t, err)
+	lose()
+	require.NoError(t, c.Finish(ctx, held, []byte("answer")))
+	_, existing, err = c.Claim(ctx, key, Record{Nonce: "fourth"})
+	require.NoError(t, err)
+	require.Equal(t, Done, existing.State)
+	require.Equal(t, "answer", string(existing.Answer))
+
+	table.SetOutage(true)
+	_, _, err = c.Claim(ctx, Key{"team", "other"}, Record{Nonce: "fifth"})
+	require.ErrorIs(t, err, platform.ErrUnavailable)
+}
