A silent writer of claims is passed by

Cause, found in reading: a claim whose writer is stalled asked it again at every try, six times two seconds, and was then refused. Change: after one wait the row is written from the entry itself; the second of the two writes meets a conflict. Test: six of twenty entries stalled, 28 calls all answered within 10 s, each ran once.

--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -71,34 +71,38 @@
 	name string
 }
 
-// Put implements claim.Putter. If the other entry can't be reached the row is
-// written from here; if its answer is lost the write may have been applied, and
-// the claim reads its nonce back.
+// Put implements claim.Putter. If the other entry can't be reached or does not
+// answer, the row is written from here. The other write may have been applied or
+// may still be: then one of the two meets a conflict, and the claim tells its own
+// row by the nonce.
 func (w *remoteWriter) Put(ctx context.Context, key string, revision uint64, value []byte) (uint64, error) {
-	put := &innerv1.ClaimPut{Key: key, Revision: revision, Value: value}
-	st, sent, err := w.e.open(ctx, w.name, &innerv1.Open{Kind: &innerv1.Open_ClaimPut{ClaimPut: put}})
-	if err != nil && !sent {
+	done, err := w.ask(ctx, &innerv1.ClaimPut{Key: key, Revision: revision, Value: value})
+	switch {
+	case err != nil:
 		return w.e.claims.Routed().Put(ctx, key, revision, value)
+	case done.GetConflict():
+		return 0, &platform.ConflictError{Keys: []string{key}}
+	case done.GetUnavailable():
+		return 0, platform.ErrUnavailable
 	}
+	return done.GetRevision(), nil
+}
+
+func (w *remoteWriter) ask(ctx context.Context, put *innerv1.ClaimPut) (*innerv1.ClaimDone, error) {
+	st, _, err := w.e.open(ctx, w.name, &innerv1.Open{Kind: &innerv1.Open_ClaimPut{ClaimPut: put}})
 	if err != nil {
-		return 0, errors.Wrap(platform.ErrUnsettled, err.Error())
+		return nil, err
 	}
 	defer st.close()
 	reply := &innerv1.Reply{}
 	st.SetReadDeadline(time.Now().Add(w.e.cfg.AcceptTimeout))
 	if err := st.Recv(reply); err != nil {
-		return 0, errors.Wrap(platform.ErrUnsettled, err.Error())
+		return nil, err
 	}
-	done := reply.GetClaimDone()
-	switch {
-	case done == nil:
-		return 0, errors.Wrap(platform.ErrUnsettled, "entry refused to write a claim")
-	case done.GetConflict():
-		return 0, &platform.ConflictError{Keys: []string{key}}
-	case done.GetUnavailable():
-		return 0, platform.ErrUnavailable
+	if reply.GetClaimDone() == nil {
+		return nil, errors.New("entry does not write claims")
 	}
-	return done.GetRevision(), nil
+	return reply.GetClaimDone(), nil
 }
 
 // handleClaimPut writes a claim's row for another entry.
--- a/internal/proof/outcome_test.go
+++ b/internal/proof/outcome_test.go
@@ -431,6 +431,37 @@
 	})
 }
 
+// Six of twenty entries are stalled, writers of claims among them. Calls at the
+// others must still be answered, after one wait for the silent writer, because the
+// claim is then written from the caller's own entry.
+func TestStalledClaimWriterIsPassedBy(t *testing.T) {
+	virtual(t, func(t *testing.T) {
+		s := newSystem(t, setup{entries: 20, servers: 1})
+		defer s.close()
+		time.Sleep(20 * time.Second)
+		for i := 14; i < 20; i++ {
+			s.net.Stall(s.eopts[i].InnerAddress)
+		}
+		var wg sync.WaitGroup
+		for i := range 28 {
+			wg.Go(func() {
+				began := time.Now()
+				_, err := s.book(i%14, fmt.Sprintf("c%d", i))
+				require.NoError(t, err)
+				require.Less(t, time.Since(began), 10*time.Second)
+			})
+		}
+		wg.Wait()
+		for i := 14; i < 20; i++ {
+			s.net.Heal(s.eopts[i].InnerAddress)
+		}
+		time.Sleep(time.Minute)
+		for i := range 28 {
+			require.Equal(t, 1, s.service.Ran(team, fmt.Sprintf("c%d", i)))
+		}
+	})
+}
+
 // unconditional is a table that drops the conditions of commits.
 type unconditional struct{ platform.Table }
 
