A lease holder frozen across processes

The one fault of the table that had only virtual time: an entry is stopped with SIGSTOP after its lease is committed and before it hears so, the lease lapses, another entry orders, the first thaws.

--- a/internal/proof/process_test.go
+++ b/internal/proof/process_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -14,12 +15,16 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
 	"google.golang.org/grpc"
 
 	"kingcupplank.example/kingcup/client"
 	"kingcupplank.example/kingcup/failure"
 	"kingcupplank.example/kingcup/internal/app"
+	"kingcupplank.example/kingcup/internal/entry"
 	"kingcupplank.example/kingcup/internal/settings"
+	"kingcupplank.example/kingcup/lease"
+	"kingcupplank.example/kingcup/platform/tableclient"
 	kingcupv1 "kingcupplank.example/kingcup/proto/kingcup/v1"
 )
 
@@ -53,6 +58,7 @@
 	objs  string
 	procs map[string]*exec.Cmd
 	args  map[string][]string
+	conns []grpc.ClientConnInterface
 }
 
 // nextPort counts the ports that this test process has given out.
@@ -122,19 +128,20 @@
 	}
 	p.start("table", "kingcup-standin", "-kind", "table", "-address", p.table, "-object-address", p.objs, "-vms", strings.Join(vms, ","))
 	for i, s := range servers {
-		p.start(fmt.Sprintf("engine-%d", i), "kingcup-standin", "-kind", "engine", "-address", s.extra, "-models", model, "-step", "10ms")
+		p.start(fmt.Sprintf("engine-%d", i), "kingcup-standin", "-kind", "engine", "-address", s.extra, "-models", model, "-step", "10ms", "-checks-term=false")
 		p.start(s.name, "kingcup-agent", "-name", s.name, "-failure-domain", fmt.Sprintf("d%d", i), "-inner-address", s.inner, "-engine-address", s.extra)
 	}
 	var conns []grpc.ClientConnInterface
 	for i, e := range entries {
 		p.start(e.name, "kingcup-entry", "-name", e.name, "-failure-domain", fmt.Sprintf("d%d", i), "-inner-address", e.inner,
-			"-caller-address", e.extra, "-list-every", "200ms", "-heartbeat", "100ms")
+			"-caller-address", e.extra, "-list-every", "200ms", "-heartbeat", "100ms", "-lease-ttl", "2s")
 		conn, err := app.DialGRPC(e.extra)
 		require.NoError(p.t, err)
 		p.t.Cleanup(func() { conn.Close() })
 		conns = append(conns, conn)
 	}
 	p.configure(conns)
+	p.conns = conns
 	return client.New(client.Options{Refusals: 100, Resumes: 200, ResumeEvery: 50 * time.Millisecond}, conns...)
 }
 
@@ -218,6 +225,62 @@
 	requireWholeSoon(t, at, done, 600)
 }
 
+// Real processes: an entry takes the lease for orders and is frozen with SIGSTOP
+// before it hears so. Its lease lapses, another entry orders under a higher term,
+// the first thaws. Its order must be refused and must not reach the engine, which
+// ignores terms.
+func TestProcessFrozenLeaseHolder(t *testing.T) {
+	p := newProcesses(t)
+	p.startAll()
+	order := func(entry int, model string) error {
+		_, err := kingcupv1.NewOperatorServiceClient(p.conns[entry]).Order(t.Context(), &kingcupv1.OrderRequest{
+			BackendServer: "server-0", Verb: kingcupv1.OrderVerb_ORDER_VERB_LOAD, Model: model,
+		})
+		return err
+	}
+	p.faults("delay_ms=5000")
+	frozen := make(chan error, 1)
+	go func() { frozen <- order(0, "old") }()
+	until(t, "lease taken", func() bool {
+		term, err := lease.Term(t.Context(), p.tableClient(), entry.OrderLease("server-0"))
+		return err == nil && term == 1
+	})
+	p.signal("entry-0", syscall.SIGSTOP)
+	p.faults("")
+	until(t, "order under the next lease", func() bool { return order(1, "new") == nil })
+	p.signal("entry-0", syscall.SIGCONT)
+	err := <-frozen
+	require.True(t, failure.IsNotRun(err), "%v", err)
+	until(t, "new model loaded", func() bool { return slices.Contains(p.models("server-0"), "new") })
+	require.NotContains(t, p.models("server-0"), "old")
+}
+
+// faults sets the fault switches of the table's stand-in.
+func (p *processes) faults(query string) {
+	status, _, err := fasthttp.Post(nil, "http://"+p.objs+"/faults?"+query, nil)
+	require.NoError(p.t, err)
+	require.Equal(p.t, fasthttp.StatusOK, status)
+}
+
+func (p *processes) tableClient() *tableclient.Client {
+	conn, err := app.DialGRPC(p.table)
+	require.NoError(p.t, err)
+	p.t.Cleanup(func() { conn.Close() })
+	return tableclient.New(conn)
+}
+
+// models are the models that a server has loaded, as entry 1 knows.
+func (p *processes) models(server string) []string {
+	resp, err := kingcupv1.NewOperatorServiceClient(p.conns[1]).BackendServers(p.t.Context(), &kingcupv1.BackendServersRequest{})
+	require.NoError(p.t, err)
+	for _, b := range resp.GetServers() {
+		if b.GetName() == server {
+			return b.GetModels()
+		}
+	}
+	return nil
+}
+
 // Real processes: entries and agents get SIGTERM twice under load. Each process
 // must end by itself with code 0 and every stream must be whole.
 func TestProcessesTerminatedUnderLoad(t *testing.T) {
--- a/internal/standin/tables/http.go
+++ b/internal/standin/tables/http.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"time"
 
 	"github.com/fasthttp/router"
 	"github.com/pkg/errors"
@@ -11,7 +12,7 @@
 )
 
 // HTTP serves the object store under /objects/ and the fault switches under
-// /faults: POST /faults?outage=true&lose_before=1&lose_after=2.
+// /faults: POST /faults?outage=true&lose_before=1&lose_after=2&delay_ms=500.
 func (t *Table) HTTP() fasthttp.RequestHandler {
 	r := router.New()
 	r.PUT("/objects/{key:*}", t.putObject)
@@ -49,5 +50,6 @@
 	if err == nil {
 		t.SetOutage(outage)
 	}
+	t.SetDelay(time.Duration(args.GetUintOrZero("delay_ms")) * time.Millisecond)
 	t.LoseAnswers(args.GetUintOrZero("lose_before"), args.GetUintOrZero("lose_after"))
 }
--- a/internal/standin/tables/tables.go
+++ b/internal/standin/tables/tables.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -31,6 +32,7 @@
 	outage     bool
 	loseBefore int
 	loseAfter  int
+	delay      time.Duration
 }
 
 // New returns an empty table.
@@ -53,6 +55,13 @@
 	t.loseBefore, t.loseAfter = before, after
 }
 
+// SetDelay holds the answer of each commit back for d after it is applied.
+func (t *Table) SetDelay(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.delay = d
+}
+
 // SetVMs sets the VM list.
 func (t *Table) SetVMs(vms []platform.VM) {
 	t.mu.Lock()
@@ -77,21 +86,27 @@
 
 // Commit implements platform.Table.
 func (t *Table) Commit(_ context.Context, txn platform.Txn) (uint64, error) {
+	rev, delay, err := t.commit(txn)
+	time.Sleep(delay)
+	return rev, err
+}
+
+func (t *Table) commit(txn platform.Txn) (uint64, time.Duration, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.outage {
-		return 0, platform.ErrUnavailable
+		return 0, 0, platform.ErrUnavailable
 	}
 	if t.loseBefore > 0 {
 		t.loseBefore--
-		return 0, platform.ErrUnsettled
+		return 0, 0, platform.ErrUnsettled
 	}
 	rev, err := t.apply(txn)
 	if t.loseAfter > 0 {
 		t.loseAfter--
-		return 0, platform.ErrUnsettled
+		return 0, 0, platform.ErrUnsettled
 	}
-	return rev, err
+	return rev, t.delay, err
 }
 
 func (t *Table) apply(txn platform.Txn) (uint64, error) {
