--- a/internal/proof/stream_test.go
+++ b/internal/proof/stream_test.go
@@ -27,6 +27,9 @@
 	mu      sync.Mutex
 	tokens  [][]byte
 	servers []string
+	// longest is the longest wait between two tokens.
+	longest time.Duration
+	last    time.Time
 	res     client.Result
 	err     error
 }
@@ -44,6 +47,10 @@
 		t.Errorf("token %d came, %d was due", tok.Index, len(s.tokens))
 	}
 	s.tokens = append(s.tokens, append([]byte(nil), tok.Text...))
+	if !s.last.IsZero() {
+		s.longest = max(s.longest, time.Since(s.last))
+	}
+	s.last = time.Now()
 }
 
 // server is the backend server that has the generation now.
@@ -207,6 +214,7 @@
 				fault(s, at)
 				<-done
 				requireWhole(t, at, tokens)
+				t.Logf("longest wait between two tokens: %v", at.longest)
 			})
 		})
 	}
