--- a/internal/entry/inflight.go
+++ b/internal/entry/inflight.go
@@ -133,19 +133,19 @@
 // start offers the generation to backend servers until one accepts it.
 func (f *inflight) start(ctx context.Context) (*agentStream, error) {
 	for range f.e.cfg.Tries {
-		link := f.pick()
-		if link == "" {
+		server := f.pick()
+		if server == "" {
 			break
 		}
-		st, err := f.offer(ctx, link)
+		st, err := f.offer(ctx, server)
 		if err == nil {
-			return f.announced(link, st)
+			return f.announced(server, st)
 		}
 		if ctx.Err() != nil {
 			return nil, f.ended(ctx)
 		}
 		fail := failure.As(err)
-		f.refused(link, fail)
+		f.refused(server, fail)
 		if f.ran && f.req.GetNonIdempotent() {
 			return nil, fail
 		}
