Storage interfaces leave the platform folder

Cause: the folder platform/ is to hold only what translates for the users' platform, but held the product's own interfaces for its table, object store and VM list. Change: they move to storage and vmlist, unchanged; no behaviour differs.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -13,7 +13,7 @@
 	"github.com/pkg/errors"
 
 	"kingcupplank.example/kingcup/internal/wait"
-	"kingcupplank.example/kingcup/platform"
+	"kingcupplank.example/kingcup/storage"
 )
 
 // State of a claimed request.
@@ -71,14 +71,14 @@
 }
 
 // Putter writes the row of a claim if it is at a revision; 0 means absent.
-// Errors are those of platform.Table.Commit.
+// Errors are those of storage.Table.Commit.
 type Putter interface {
 	Put(ctx context.Context, key string, revision uint64, value []byte) (uint64, error)
 }
 
 // Claims is safe for concurrent use.
 type Claims struct {
-	table platform.Table
+	table storage.Table
 	group *grouper
 	// routed groups writes that several processes send here.
 	routed *grouper
@@ -90,7 +90,7 @@
 const RoutedWindow = 25 * time.Millisecond
 
 // New keeps claims in table, grouped over window. Close ends it.
-func New(table platform.Table, window time.Duration) *Claims {
+func New(table storage.Table, window time.Duration) *Claims {
 	return &Claims{
 		table: table, group: newGrouper(table, window), routed: newGrouper(table, RoutedWindow),
 		route: func(string) Putter { return nil },
@@ -135,7 +135,7 @@
 		if err == nil {
 			return &Held{Key: key, Record: rec, revision: rev}, nil, nil
 		}
-		if errors.Is(err, platform.ErrUnavailable) && try == 0 {
+		if errors.Is(err, storage.ErrUnavailable) && try == 0 {
 			return nil, nil, err
 		}
 		// The answer was lost, or somebody holds the key; that may be this
@@ -156,7 +156,7 @@
 			return nil, &found, nil
 		}
 	}
-	return nil, nil, errors.Wrap(platform.ErrUnsettled, "claim")
+	return nil, nil, errors.Wrap(storage.ErrUnsettled, "claim")
 }
 
 // Look reads the record of key; nil if there is none.
@@ -193,7 +193,7 @@
 	var err error
 	for range settleTries {
 		_, err = c.put(ctx, h.Key, h.revision, rec)
-		var conflict *platform.ConflictError
+		var conflict *storage.ConflictError
 		if err == nil || errors.As(err, &conflict) {
 			// Only this claim's holder writes over its revision, so a
 			// conflict means that an earlier try was applied.
@@ -217,14 +217,14 @@
 	return c.group.Put(ctx, key.row(), revision, value)
 }
 
-func (c *Claims) read(ctx context.Context, key Key) (platform.Row, Record, error) {
+func (c *Claims) read(ctx context.Context, key Key) (storage.Row, Record, error) {
 	rows, err := c.table.Read(ctx, key.row())
 	if err != nil || len(rows) == 0 {
-		return platform.Row{}, Record{}, err
+		return storage.Row{}, Record{}, err
 	}
 	var rec Record
 	if err := json.Unmarshal(rows[0].Value, &rec); err != nil {
-		return platform.Row{}, Record{}, errors.Wrap(err, "parse claim")
+		return storage.Row{}, Record{}, errors.Wrap(err, "parse claim")
 	}
 	return rows[0], rec, nil
 }
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -10,7 +10,7 @@
 	"pgregory.net/rapid"
 
 	"kingcupplank.example/kingcup/internal/standin/tables"
-	"kingcupplank.example/kingcup/platform"
+	"kingcupplank.example/kingcup/storage"
 )
 
 // Two different keys must never share a row. Keys that look alike when joined are
@@ -59,5 +59,5 @@
 
 	table.SetOutage(true)
 	_, _, err = c.Claim(ctx, Key{"team", "other"}, Record{Nonce: "fifth"})
-	require.ErrorIs(t, err, platform.ErrUnavailable)
+	require.ErrorIs(t, err, storage.ErrUnavailable)
 }
--- a/claim/grouper.go
+++ b/claim/grouper.go
@@ -8,7 +8,7 @@
 
 	"github.com/pkg/errors"
 
-	"kingcupplank.example/kingcup/platform"
+	"kingcupplank.example/kingcup/storage"
 )
 
 // maxGroup bounds the rows of one transaction.
@@ -20,7 +20,7 @@
 // whose condition fails is taken out and the others are tried again, so that
 // one conflict does not fail its neighbours.
 type grouper struct {
-	table  platform.Table
+	table  storage.Table
 	window time.Duration
 	in     chan *op
 	ctx    context.Context
@@ -40,7 +40,7 @@
 	err      error
 }
 
-func newGrouper(table platform.Table, window time.Duration) *grouper {
+func newGrouper(table storage.Table, window time.Duration) *grouper {
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &grouper{table: table, window: window, in: make(chan *op), ctx: ctx, cancel: cancel}
 	g.wg.Go(g.run)
@@ -59,9 +59,9 @@
 	select {
 	case g.in <- o:
 	case <-ctx.Done():
-		return 0, errors.Wrap(platform.ErrUnavailable, ctx.Err().Error())
+		return 0, errors.Wrap(storage.ErrUnavailable, ctx.Err().Error())
 	case <-g.ctx.Done():
-		return 0, platform.ErrUnavailable
+		return 0, storage.ErrUnavailable
 	}
 	// The answer is waited for even when ctx ends: a claim that is applied
 	// after its caller gave up would bar the key for ever.
@@ -107,7 +107,7 @@
 func (g *grouper) commit(group []*op) {
 	for len(group) > 0 {
 		rev, err := g.commitOnce(group)
-		var conflict *platform.ConflictError
+		var conflict *storage.ConflictError
 		if !errors.As(err, &conflict) {
 			answer(group, result{revision: rev, err: err})
 			return
@@ -116,17 +116,17 @@
 			if !slices.Contains(conflict.Keys, o.key) {
 				return false
 			}
-			o.done <- result{err: &platform.ConflictError{Keys: []string{o.key}}}
+			o.done <- result{err: &storage.ConflictError{Keys: []string{o.key}}}
 			return true
 		})
 	}
 }
 
 func (g *grouper) commitOnce(group []*op) (uint64, error) {
-	var txn platform.Txn
+	var txn storage.Txn
 	for _, o := range group {
-		txn.Conditions = append(txn.Conditions, platform.Condition{Key: o.key, Revision: o.revision})
-		txn.Writes = append(txn.Writes, platform.Write{Key: o.key, Value: o.value})
+		txn.Conditions = append(txn.Conditions, storage.Condition{Key: o.key, Revision: o.revision})
+		txn.Writes = append(txn.Writes, storage.Write{Key: o.key, Value: o.value})
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), commitTimeout)
 	defer cancel()
--- a/cmd/kingcup-standin/main.go
+++ b/cmd/kingcup-standin/main.go
@@ -17,7 +17,7 @@
 	"kingcupplank.example/kingcup/internal/standin/engines"
 	"kingcupplank.example/kingcup/internal/standin/services"
 	"kingcupplank.example/kingcup/internal/standin/tables"
-	"kingcupplank.example/kingcup/platform"
+	"kingcupplank.example/kingcup/vmlist"
 )
 
 func main() {
@@ -76,15 +76,15 @@
 }
 
 // parseVM reads name=role:ip:port:failure-domain[:model+model].
-func parseVM(text string) (platform.VM, error) {
+func parseVM(text string) (vmlist.VM, error) {
 	const least = 4
 	name, rest, ok := strings.Cut(text, "=")
 	parts := strings.Split(rest, ":")
 	if !ok || len(parts) < least {
-		return platform.VM{}, errors.Errorf("-vms: invalid value %q: want name=role:ip:port:failure-domain[:model+model]", text)
+		return vmlist.VM{}, errors.Errorf("-vms: invalid value %q: want name=role:ip:port:failure-domain[:model+model]", text)
 	}
-	vm := platform.VM{
-		Name: name, Role: platform.Role(parts[0]), Address: parts[1] + ":" + parts[2], FailureDomain: parts[3],
+	vm := vmlist.VM{
+		Name: name, Role: vmlist.Role(parts[0]), Address: parts[1] + ":" + parts[2], FailureDomain: parts[3],
 	}
 	if len(parts) > least {
 		vm.Models = strings.Split(parts[4], "+")
--- a/conf/store.go
+++ b/conf/store.go
@@ -10,8 +10,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"kingcupplank.example/kingcup/internal/wait"
-	"kingcupplank.example/kingcup/platform"
 	kingcupv1 "kingcupplank.example/kingcup/proto/kingcup/v1"
+	"kingcupplank.example/kingcup/storage"
 )
 
 // Keys of the configuration in the table and the object store.
@@ -46,12 +46,12 @@
 
 // Store commits and loads configuration. It is safe for concurrent use.
 type Store struct {
-	table   platform.Table
-	objects platform.Objects
+	table   storage.Table
+	objects storage.Objects
 }
 
 // NewStore keeps deltas in table and snapshots in objects.
-func NewStore(table platform.Table, objects platform.Objects) *Store {
+func NewStore(table storage.Table, objects storage.Objects) *Store {
 	return &Store{table: table, objects: objects}
 }
 
@@ -83,8 +83,8 @@
 }
 
 // Commit makes d the next version if the head is still d.Version - 1. Errors:
-// *ConflictError, platform.ErrUnavailable (certainly not committed),
-// platform.ErrUnsettled (may be committed).
+// *ConflictError, storage.ErrUnavailable (certainly not committed),
+// storage.ErrUnsettled (may be committed).
 func (s *Store) Commit(ctx context.Context, d *kingcupv1.Delta) error {
 	h, err := s.readHead(ctx)
 	if err != nil {
@@ -97,9 +97,9 @@
 	if err != nil {
 		return errors.Wrap(err, "marshal delta")
 	}
-	txn := platform.Txn{
-		Conditions: []platform.Condition{{Key: headKey, Revision: h.revision}},
-		Writes: []platform.Write{
+	txn := storage.Txn{
+		Conditions: []storage.Condition{{Key: headKey, Revision: h.revision}},
+		Writes: []storage.Write{
 			{Key: headKey, Value: strconv.AppendUint(nil, d.GetVersion(), 10)},
 			{Key: deltaKey(d.GetVersion()), Value: value},
 		},
@@ -110,17 +110,17 @@
 // commitSettled repeats a commit whose answer was lost until it is known who
 // holds the version. The repeat is safe: the transaction is conditional on the
 // head's revision, so it takes effect once at most, however often it is sent.
-func (s *Store) commitSettled(ctx context.Context, d *kingcupv1.Delta, txn platform.Txn) error {
+func (s *Store) commitSettled(ctx context.Context, d *kingcupv1.Delta, txn storage.Txn) error {
 	sent := false
 	for range settleTries {
 		_, err := s.table.Commit(ctx, txn)
-		var conflict *platform.ConflictError
+		var conflict *storage.ConflictError
 		switch {
 		case err == nil:
 			return nil
 		case errors.As(err, &conflict):
 			return s.conflict(ctx, d, d.GetVersion())
-		case errors.Is(err, platform.ErrUnsettled):
+		case errors.Is(err, storage.ErrUnsettled):
 			sent = true
 		case !sent:
 			return err
@@ -129,7 +129,7 @@
 			break
 		}
 	}
-	return errors.Wrapf(platform.ErrUnsettled, "change %s", d.GetChangeId())
+	return errors.Wrapf(storage.ErrUnsettled, "change %s", d.GetChangeId())
 }
 
 // conflict decides whether the version that stands in the way is d itself,
@@ -137,7 +137,7 @@
 func (s *Store) conflict(ctx context.Context, d *kingcupv1.Delta, at uint64) error {
 	rows, err := s.table.Read(ctx, deltaKey(d.GetVersion()))
 	if err != nil {
-		return errors.Wrap(platform.ErrUnsettled, err.Error())
+		return errors.Wrap(storage.ErrUnsettled, err.Error())
 	}
 	if len(rows) == 1 {
 		stored := &kingcupv1.Delta{}
@@ -204,9 +204,9 @@
 		return nil
 	}
 	last := version - KeptDeltas
-	var txn platform.Txn
+	var txn storage.Txn
 	for v := last - min(last, SnapshotEvery); v <= last; v++ {
-		txn.Writes = append(txn.Writes, platform.Write{Key: deltaKey(v), Delete: true})
+		txn.Writes = append(txn.Writes, storage.Write{Key: deltaKey(v), Delete: true})
 	}
 	_, err := s.table.Commit(ctx, txn)
 	return err
--- a/internal/app/options.go
+++ b/internal/app/options.go
@@ -13,9 +13,10 @@
 
 	"kingcupplank.example/kingcup/internal/settings"
 	"kingcupplank.example/kingcup/internal/wire"
-	"kingcupplank.example/kingcup/platform"
-	"kingcupplank.example/kingcup/platform/objectclient"
-	"kingcupplank.example/kingcup/platform/tableclient"
+	"kingcupplank.example/kingcup/storage"
+	"kingcupplank.example/kingcup/storage/objectclient"
+	"kingcupplank.example/kingcup/storage/tableclient"
+	"kingcupplank.example/kingcup/vmlist"
 )
 
 // Common are the settings of every daemon.
@@ -73,9 +74,9 @@
 
 // Platform is what the platform gives.
 type Platform struct {
-	Table   platform.Table
-	Objects platform.Objects
-	VMs     platform.VMList
+	Table   storage.Table
+	Objects storage.Objects
+	VMs     vmlist.Lister
 }
 
 // DialPlatform connects to the platform that the settings name.
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -19,8 +19,8 @@
 	"kingcupplank.example/kingcup/internal/standin/services"
 	"kingcupplank.example/kingcup/internal/standin/tables"
 	"kingcupplank.example/kingcup/internal/wire"
-	"kingcupplank.example/kingcup/platform"
 	kingcupv1 "kingcupplank.example/kingcup/proto/kingcup/v1"
+	"kingcupplank.example/kingcup/vmlist"
 )
 
 // Names that the shown configuration uses.
@@ -111,8 +111,8 @@
 		return err
 	}
 	s.agents = append(s.agents, a)
-	s.Table.PutVM(platform.VM{
-		Name: name, Address: inner, FailureDomain: opts.FailureDomain, Role: platform.RoleAgent, Models: []string{serves},
+	s.Table.PutVM(vmlist.VM{
+		Name: name, Address: inner, FailureDomain: opts.FailureDomain, Role: vmlist.RoleAgent, Models: []string{serves},
 	})
 	return nil
 }
@@ -132,7 +132,7 @@
 	opts.Heartbeat = 200 * time.Millisecond
 	opts.ListEvery = time.Second
 	var log logrus.FieldLogger = app.NewLog(opts.Common)
-	s.Table.PutVM(platform.VM{Name: opts.Name, Address: inner, FailureDomain: opts.FailureDomain, Role: platform.RoleEntry})
+	s.Table.PutVM(vmlist.VM{Name: opts.Name, Address: inner, FailureDomain: opts.FailureDomain, Role: vmlist.RoleEntry})
 	e, err := app.StartEntry(opts, s.platform(), wire.TCP{}, log)
 	if err != nil {
 		return err
--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -9,9 +9,10 @@
 
 	"kingcupplank.example/kingcup/claim"
 	"kingcupplank.example/kingcup/internal/wire"
-	"kingcupplank.example/kingcup/platform"
 	innerv1 "kingcupplank.example/kingcup/proto/kingcup/inner/v1"
+	"kingcupplank.example/kingcup/storage"
 	"kingcupplank.example/kingcup/subset"
+	"kingcupplank.example/kingcup/vmlist"
 )
 
 // claimWriters is how many entries write claims for all, once there are twice as
@@ -21,10 +22,10 @@
 
 // chooseWriters picks the entries that write claims, the same at every entry
 // whose list is the same.
-func chooseWriters(listed map[string]platform.VM) []string {
+func chooseWriters(listed map[string]vmlist.VM) []string {
 	var names []string
 	for _, vm := range listed {
-		if vm.Role == platform.RoleEntry && !vm.Leaving {
+		if vm.Role == vmlist.RoleEntry && !vm.Leaving {
 			names = append(names, vm.Name)
 		}
 	}
@@ -81,9 +82,9 @@
 	case err != nil:
 		return w.e.claims.Routed().Put(ctx, key, revision, value)
 	case done.GetConflict():
-		return 0, &platform.ConflictError{Keys: []string{key}}
+		return 0, &storage.ConflictError{Keys: []string{key}}
 	case done.GetUnavailable():
-		return 0, platform.ErrUnavailable
+		return 0, storage.ErrUnavailable
 	}
 	return done.GetRevision(), nil
 }
@@ -112,11 +113,11 @@
 	}
 	revision, err := e.claims.Routed().Put(ctx, put.GetKey(), put.GetRevision(), put.GetValue())
 	done := &innerv1.ClaimDone{Revision: revision}
-	var conflict *platform.ConflictError
+	var conflict *storage.ConflictError
 	switch {
 	case errors.As(err, &conflict):
 		done.Conflict = true
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, storage.ErrUnavailable):
 		done.Unavailable = true
 	case err != nil:
 		// Without an answer the sender takes the write for unsettled, which
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -24,10 +24,10 @@
 	"kingcupplank.example/kingcup/internal/wire"
 	"kingcupplank.example/kingcup/lease"
 	"kingcupplank.example/kingcup/placement"
-	"kingcupplank.example/kingcup/platform"
 	innerv1 "kingcupplank.example/kingcup/proto/kingcup/inner/v1"
 	kingcupv1 "kingcupplank.example/kingcup/proto/kingcup/v1"
 	"kingcupplank.example/kingcup/retry"
+	"kingcupplank.example/kingcup/vmlist"
 )
 
 // Config sets an Entry.
@@ -64,7 +64,7 @@
 	Links    *link.Manager
 	Claims   *claim.Claims
 	Leases   *lease.Manager
-	VMs      platform.VMList
+	VMs      vmlist.Lister
 	Log      logrus.FieldLogger
 	Observer Observer
 }
@@ -88,7 +88,7 @@
 	links  *link.Manager
 	claims *claim.Claims
 	leases *lease.Manager
-	vms    platform.VMList
+	vms    vmlist.Lister
 	log    logrus.FieldLogger
 	seen   Observer
 	place  placement.Policy
@@ -97,7 +97,7 @@
 	active  atomic.Int64
 
 	mu     sync.Mutex
-	listed map[string]platform.VM
+	listed map[string]vmlist.VM
 	// writers are the entries that write claims; none in a small system.
 	writers []string
 	budgets map[string]*retry.Budget
@@ -119,7 +119,7 @@
 		log:     deps.Log,
 		seen:    deps.Observer,
 		place:   placement.Default(),
-		listed:  make(map[string]platform.VM),
+		listed:  make(map[string]vmlist.VM),
 		budgets: make(map[string]*retry.Budget),
 	}
 	if e.claims != nil {
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -10,8 +10,8 @@
 	"kingcupplank.example/kingcup/internal/link"
 	"kingcupplank.example/kingcup/internal/wait"
 	"kingcupplank.example/kingcup/placement"
-	"kingcupplank.example/kingcup/platform"
 	"kingcupplank.example/kingcup/subset"
+	"kingcupplank.example/kingcup/vmlist"
 )
 
 // Run reads the platform's VM list until ctx ends. While the list is away the
@@ -47,7 +47,7 @@
 		e.log.WithError(err).Debug("VM list not read")
 		return
 	}
-	listed := make(map[string]platform.VM, len(vms))
+	listed := make(map[string]vmlist.VM, len(vms))
 	for _, vm := range vms {
 		listed[vm.Name] = vm
 	}
@@ -60,15 +60,15 @@
 
 // choose picks the peers to watch: for each model a bounded subset of the
 // agents that serve it, and some other entries.
-func (e *Entry) choose(listed map[string]platform.VM) []link.Peer {
+func (e *Entry) choose(listed map[string]vmlist.VM) []link.Peer {
 	byModel := make(map[string][]subset.Item)
 	var entries []subset.Item
 	for _, vm := range listed {
 		item := subset.Item{Name: vm.Name, FailureDomain: vm.FailureDomain}
-		if vm.Role == platform.RoleEntry && vm.Name != e.cfg.Identity.Name {
+		if vm.Role == vmlist.RoleEntry && vm.Name != e.cfg.Identity.Name {
 			entries = append(entries, item)
 		}
-		if vm.Role == platform.RoleAgent {
+		if vm.Role == vmlist.RoleAgent {
 			for _, m := range vm.Models {
 				byModel[m] = append(byModel[m], item)
 			}
@@ -126,9 +126,9 @@
 // staleBeat is the age of a heartbeat from which its sender is not asked.
 const staleBeat = 3 * time.Second
 
-func (e *Entry) server(st link.Status, listed map[string]platform.VM) (placement.Server, bool) {
+func (e *Entry) server(st link.Status, listed map[string]vmlist.VM) (placement.Server, bool) {
 	vm := listed[st.Peer.Name]
-	if vm.Role != platform.RoleAgent || st.Heartbeat == nil {
+	if vm.Role != vmlist.RoleAgent || st.Heartbeat == nil {
 		return placement.Server{}, false
 	}
 	hb := st.Heartbeat
--- a/internal/entry/members_test.go
+++ b/internal/entry/members_test.go
@@ -7,19 +7,19 @@
 	"github.com/stretchr/testify/require"
 
 	"kingcupplank.example/kingcup/internal/wire"
-	"kingcupplank.example/kingcup/platform"
+	"kingcupplank.example/kingcup/vmlist"
 )
 
-func vms(entries, servers, models int) map[string]platform.VM {
-	out := make(map[string]platform.VM)
+func vms(entries, servers, models int) map[string]vmlist.VM {
+	out := make(map[string]vmlist.VM)
 	for i := range entries {
 		name := fmt.Sprint("entry-", i)
-		out[name] = platform.VM{Name: name, Role: platform.RoleEntry, FailureDomain: fmt.Sprint("d", i%8)}
+		out[name] = vmlist.VM{Name: name, Role: vmlist.RoleEntry, FailureDomain: fmt.Sprint("d", i%8)}
 	}
 	for i := range servers {
 		name := fmt.Sprint("server-", i)
-		out[name] = platform.VM{
-			Name: name, Role: platform.RoleAgent, FailureDomain: fmt.Sprint("d", i/models%8),
+		out[name] = vmlist.VM{
+			Name: name, Role: vmlist.RoleAgent, FailureDomain: fmt.Sprint("d", i/models%8),
 			Models: []string{fmt.Sprint("m", i%models)},
 		}
 	}
@@ -44,7 +44,7 @@
 			}
 		}
 		for name, vm := range listed {
-			if vm.Role == platform.RoleAgent {
+			if vm.Role == vmlist.RoleAgent {
 				require.GreaterOrEqual(t, watchers[name], size.least, name)
 			}
 		}
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -11,9 +11,10 @@
 	"kingcupplank.example/kingcup/conf"
 	"kingcupplank.example/kingcup/failure"
 	"kingcupplank.example/kingcup/internal/link"
-	"kingcupplank.example/kingcup/platform"
 	innerv1 "kingcupplank.example/kingcup/proto/kingcup/inner/v1"
 	kingcupv1 "kingcupplank.example/kingcup/proto/kingcup/v1"
+	"kingcupplank.example/kingcup/storage"
+	"kingcupplank.example/kingcup/vmlist"
 )
 
 // applyTries bounds the tries of a change that names no expected version.
@@ -77,7 +78,7 @@
 		return failure.NotRun(kingcupv1.Reason_REASON_CONFLICT, 0, "%v", err)
 	case errors.Is(err, conf.ErrInvalid), errors.Is(err, conf.ErrGap):
 		return failure.NotRun(kingcupv1.Reason_REASON_INVALID, 0, "%v", err)
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, storage.ErrUnavailable):
 		return failure.NotRun(kingcupv1.Reason_REASON_STORE_UNAVAILABLE, storeRetry, "%v", err)
 	}
 	return failure.Unknown(kingcupv1.Reason_REASON_STORE_UNAVAILABLE, storeRetry, "%v", err)
@@ -173,7 +174,7 @@
 	resp := &kingcupv1.BackendServersResponse{ConfigVersion: e.sync.Replica().Version()}
 	for _, name := range slices.Sorted(maps.Keys(listed)) {
 		vm := listed[name]
-		if vm.Role != platform.RoleAgent {
+		if vm.Role != vmlist.RoleAgent {
 			continue
 		}
 		resp.Servers = append(resp.Servers, e.describe(vm))
@@ -181,7 +182,7 @@
 	return resp, nil
 }
 
-func (e *Entry) describe(vm platform.VM) *kingcupv1.BackendServer {
+func (e *Entry) describe(vm vmlist.VM) *kingcupv1.BackendServer {
 	out := &kingcupv1.BackendServer{
 		Name: vm.Name, Address: vm.Address, FailureDomain: vm.FailureDomain, Models: vm.Models, Leaving: vm.Leaving,
 	}
--- a/internal/proof/config_test.go
+++ b/internal/proof/config_test.go
@@ -15,9 +15,9 @@
 	"kingcupplank.example/kingcup/internal/standin/tables"
 	"kingcupplank.example/kingcup/internal/wire"
 	"kingcupplank.example/kingcup/lease"
-	"kingcupplank.example/kingcup/platform"
 	innerv1 "kingcupplank.example/kingcup/proto/kingcup/inner/v1"
 	kingcupv1 "kingcupplank.example/kingcup/proto/kingcup/v1"
+	"kingcupplank.example/kingcup/storage"
 )
 
 // casIn and casOut are one change in a history of the configuration's head.
@@ -136,7 +136,7 @@
 		virtual(t, func(t *testing.T) {
 			ops, _, _ := raceOperators(t, setup{
 				entries: 2, servers: 2, seed: seed,
-				table: func(in *tables.Table) platform.Table { return unconditional{in} },
+				table: func(in *tables.Table) storage.Table { return unconditional{in} },
 			})
 			caught = caught || !porcupine.CheckOperations(headRegister, ops)
 		})
--- a/internal/proof/outcome_test.go
+++ b/internal/proof/outcome_test.go
@@ -15,9 +15,9 @@
 	"kingcupplank.example/kingcup/failure"
 	"kingcupplank.example/kingcup/internal/standin/tables"
 	"kingcupplank.example/kingcup/internal/wire"
-	"kingcupplank.example/kingcup/platform"
 	innerv1 "kingcupplank.example/kingcup/proto/kingcup/inner/v1"
 	kingcupv1 "kingcupplank.example/kingcup/proto/kingcup/v1"
+	"kingcupplank.example/kingcup/storage"
 )
 
 func (s *system) book(entry int, id string) (*kingcupv1.CallResponse, error) {
@@ -463,9 +463,9 @@
 }
 
 // unconditional is a table that drops the conditions of commits.
-type unconditional struct{ platform.Table }
+type unconditional struct{ storage.Table }
 
-func (u unconditional) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+func (u unconditional) Commit(ctx context.Context, txn storage.Txn) (uint64, error) {
 	txn.Conditions = nil
 	return u.Table.Commit(ctx, txn)
 }
@@ -478,7 +478,7 @@
 		virtual(t, func(t *testing.T) {
 			ops, most := raceForKeys(t, setup{
 				entries: 2, servers: 1, seed: seed,
-				table: func(in *tables.Table) platform.Table { return unconditional{in} },
+				table: func(in *tables.Table) storage.Table { return unconditional{in} },
 			})
 			caught = caught || most > 1 || !porcupine.CheckOperations(keyedOutcomes, ops)
 		})
--- a/internal/proof/process_test.go
+++ b/internal/proof/process_test.go
@@ -23,8 +23,8 @@
 	"kingcupplank.example/kingcup/internal/entry"
 	"kingcupplank.example/kingcup/internal/settings"
 	"kingcupplank.example/kingcup/lease"
-	"kingcupplank.example/kingcup/platform/tableclient"
 	kingcupv1 "kingcupplank.example/kingcup/proto/kingcup/v1"
+	"kingcupplank.example/kingcup/storage/tableclient"
 )
 
 // raceVariable, when set, builds the programs with the race detector. A program
--- a/internal/proof/system_test.go
+++ b/internal/proof/system_test.go
@@ -26,8 +26,9 @@
 	"kingcupplank.example/kingcup/internal/standin/services"
 	"kingcupplank.example/kingcup/internal/standin/tables"
 	"kingcupplank.example/kingcup/internal/wire"
-	"kingcupplank.example/kingcup/platform"
 	kingcupv1 "kingcupplank.example/kingcup/proto/kingcup/v1"
+	"kingcupplank.example/kingcup/storage"
+	"kingcupplank.example/kingcup/vmlist"
 )
 
 const (
@@ -144,7 +145,7 @@
 	seed             uint64
 	buffer           int
 	// table replaces the platform's table, for broken variants.
-	table func(*tables.Table) platform.Table
+	table func(*tables.Table) storage.Table
 }
 
 func newSystem(t *testing.T, o setup) *system {
@@ -196,7 +197,7 @@
 	}
 	s.nodes = append(s.nodes, n)
 	s.startAgent(n)
-	s.table.PutVM(platform.VM{Name: name, Address: name, FailureDomain: n.opts.FailureDomain, Role: platform.RoleAgent, Models: []string{serves}})
+	s.table.PutVM(vmlist.VM{Name: name, Address: name, FailureDomain: n.opts.FailureDomain, Role: vmlist.RoleAgent, Models: []string{serves}})
 }
 
 // platform is what the platform gives to one process: nothing, while its region
@@ -209,20 +210,20 @@
 
 // gated is a table that cannot be reached while away is true.
 type gated struct {
-	platform.Table
+	storage.Table
 	away func() bool
 }
 
-func (g gated) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+func (g gated) Commit(ctx context.Context, txn storage.Txn) (uint64, error) {
 	if g.away() {
-		return 0, platform.ErrUnavailable
+		return 0, storage.ErrUnavailable
 	}
 	return g.Table.Commit(ctx, txn)
 }
 
-func (g gated) Read(ctx context.Context, keys ...string) ([]platform.Row, error) {
+func (g gated) Read(ctx context.Context, keys ...string) ([]storage.Row, error) {
 	if g.away() {
-		return nil, platform.ErrUnavailable
+		return nil, storage.ErrUnavailable
 	}
 	return g.Table.Read(ctx, keys...)
 }
@@ -255,7 +256,7 @@
 	o := app.DefaultEntry(s.common(fmt.Sprintf("entry-%d", i), i))
 	o.CallerAddress = o.Name + "-callers"
 	o.Random = s.random.Uint64
-	s.table.PutVM(platform.VM{Name: o.Name, Address: o.InnerAddress, FailureDomain: o.FailureDomain, Role: platform.RoleEntry})
+	s.table.PutVM(vmlist.VM{Name: o.Name, Address: o.InnerAddress, FailureDomain: o.FailureDomain, Role: vmlist.RoleEntry})
 	s.eopts = append(s.eopts, o)
 	s.entries = append(s.entries, nil)
 	s.startEntry(i)
--- a/internal/slopes/claims.go
+++ b/internal/slopes/claims.go
@@ -8,7 +8,7 @@
 
 	"kingcupplank.example/kingcup/claim"
 	"kingcupplank.example/kingcup/internal/standin/tables"
-	"kingcupplank.example/kingcup/platform"
+	"kingcupplank.example/kingcup/storage"
 )
 
 // Claims is what claims of one entry cost the table.
@@ -21,12 +21,12 @@
 
 // slowTable answers after the time that a table in another failure domain takes.
 type slowTable struct {
-	platform.Table
+	storage.Table
 	delay time.Duration
 }
 
-// Commit implements platform.Table.
-func (s slowTable) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+// Commit implements storage.Table.
+func (s slowTable) Commit(ctx context.Context, txn storage.Txn) (uint64, error) {
 	time.Sleep(s.delay)
 	return s.Table.Commit(ctx, txn)
 }
--- a/internal/slopes/nodes.go
+++ b/internal/slopes/nodes.go
@@ -17,8 +17,8 @@
 	"kingcupplank.example/kingcup/internal/standin/services"
 	"kingcupplank.example/kingcup/internal/standin/tables"
 	"kingcupplank.example/kingcup/internal/wire"
-	"kingcupplank.example/kingcup/platform"
 	kingcupv1 "kingcupplank.example/kingcup/proto/kingcup/v1"
+	"kingcupplank.example/kingcup/vmlist"
 )
 
 // Names of the measured configuration.
@@ -86,7 +86,7 @@
 		return err
 	}
 	n.agents = append(n.agents, a)
-	n.table.PutVM(platform.VM{Name: c.Name, Address: c.InnerAddress, FailureDomain: c.FailureDomain, Role: platform.RoleAgent, Models: []string{serves}})
+	n.table.PutVM(vmlist.VM{Name: c.Name, Address: c.InnerAddress, FailureDomain: c.FailureDomain, Role: vmlist.RoleAgent, Models: []string{serves}})
 	return nil
 }
 
@@ -99,7 +99,7 @@
 	o := app.DefaultEntry(c)
 	o.CallerAddress = "127.0.0.1:0"
 	o.AgentLinks, o.Heartbeat, o.ListEvery = links, n.heartbeat, 500*time.Millisecond
-	n.table.PutVM(platform.VM{Name: c.Name, Address: c.InnerAddress, FailureDomain: c.FailureDomain, Role: platform.RoleEntry})
+	n.table.PutVM(vmlist.VM{Name: c.Name, Address: c.InnerAddress, FailureDomain: c.FailureDomain, Role: vmlist.RoleEntry})
 	e, err := app.StartEntry(o, n.platform(), n.network, n.log)
 	if err != nil {
 		return err
--- a/internal/standin/tables/http.go
+++ b/internal/standin/tables/http.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
-	"kingcupplank.example/kingcup/platform"
+	"kingcupplank.example/kingcup/storage"
 )
 
 // HTTP serves the object store under /objects/ and the fault switches under
@@ -35,7 +35,7 @@
 func (t *Table) getObject(ctx *fasthttp.RequestCtx) {
 	value, err := t.Get(ctx, objectKey(ctx))
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, storage.ErrNotFound):
 		ctx.Error(err.Error(), fasthttp.StatusNotFound)
 	case err != nil:
 		ctx.Error(err.Error(), fasthttp.StatusServiceUnavailable)
--- a/internal/standin/tables/server.go
+++ b/internal/standin/tables/server.go
@@ -7,8 +7,8 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
-	"kingcupplank.example/kingcup/platform"
 	platformv1 "kingcupplank.example/kingcup/proto/kingcup/platform/v1"
+	"kingcupplank.example/kingcup/storage"
 )
 
 // Server serves a Table over gRPC.
@@ -18,7 +18,7 @@
 }
 
 func rpcError(err error) error {
-	if errors.Is(err, platform.ErrUnavailable) {
+	if errors.Is(err, storage.ErrUnavailable) {
 		return status.Error(codes.ResourceExhausted, "outage")
 	}
 	return status.Error(codes.Unavailable, err.Error())
@@ -26,15 +26,15 @@
 
 // Commit implements TableService.
 func (s *Server) Commit(ctx context.Context, req *platformv1.CommitRequest) (*platformv1.CommitResponse, error) {
-	var txn platform.Txn
+	var txn storage.Txn
 	for _, c := range req.GetConditions() {
-		txn.Conditions = append(txn.Conditions, platform.Condition{Key: c.GetKey(), Revision: c.GetRevision()})
+		txn.Conditions = append(txn.Conditions, storage.Condition{Key: c.GetKey(), Revision: c.GetRevision()})
 	}
 	for _, w := range req.GetWrites() {
-		txn.Writes = append(txn.Writes, platform.Write{Key: w.GetKey(), Value: w.GetValue(), Delete: w.GetDelete()})
+		txn.Writes = append(txn.Writes, storage.Write{Key: w.GetKey(), Value: w.GetValue(), Delete: w.GetDelete()})
 	}
 	rev, err := s.Table.Commit(ctx, txn)
-	var conflict *platform.ConflictError
+	var conflict *storage.ConflictError
 	if errors.As(err, &conflict) {
 		return &platformv1.CommitResponse{Conflicts: conflict.Keys}, nil
 	}
@@ -62,7 +62,7 @@
 	return &platformv1.ScanResponse{Rows: protoRows(rows)}, nil
 }
 
-func protoRows(rows []platform.Row) []*platformv1.TableRow {
+func protoRows(rows []storage.Row) []*platformv1.TableRow {
 	out := make([]*platformv1.TableRow, 0, len(rows))
 	for _, r := range rows {
 		out = append(out, &platformv1.TableRow{Key: r.Key, Value: r.Value, Revision: r.Revision})
--- a/internal/standin/tables/tables.go
+++ b/internal/standin/tables/tables.go
@@ -11,7 +11,8 @@
 
 	"github.com/pkg/errors"
 
-	"kingcupplank.example/kingcup/platform"
+	"kingcupplank.example/kingcup/storage"
+	"kingcupplank.example/kingcup/vmlist"
 )
 
 // Counts are the operations that a Table has taken.
@@ -19,13 +20,13 @@
 	Commits, Rows, Reads uint64
 }
 
-// Table implements platform.Table, platform.Objects and platform.VMList. It is
+// Table implements storage.Table, storage.Objects and vmlist.Lister. It is
 // safe for concurrent use.
 type Table struct {
 	mu       sync.Mutex
-	rows     map[string]platform.Row
+	rows     map[string]storage.Row
 	objects  map[string][]byte
-	vms      []platform.VM
+	vms      []vmlist.VM
 	revision uint64
 	counts   Counts
 
@@ -37,7 +38,7 @@
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{rows: make(map[string]platform.Row), objects: make(map[string][]byte)}
+	return &Table{rows: make(map[string]storage.Row), objects: make(map[string][]byte)}
 }
 
 // SetOutage makes every operation fail until it is lifted.
@@ -63,17 +64,17 @@
 }
 
 // SetVMs sets the VM list.
-func (t *Table) SetVMs(vms []platform.VM) {
+func (t *Table) SetVMs(vms []vmlist.VM) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.vms = slices.Clone(vms)
 }
 
 // PutVM adds or replaces one VM.
-func (t *Table) PutVM(vm platform.VM) {
+func (t *Table) PutVM(vm vmlist.VM) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.vms = slices.DeleteFunc(t.vms, func(o platform.VM) bool { return o.Name == vm.Name })
+	t.vms = slices.DeleteFunc(t.vms, func(o vmlist.VM) bool { return o.Name == vm.Name })
 	t.vms = append(t.vms, vm)
 }
 
@@ -84,32 +85,32 @@
 	return t.counts
 }
 
-// Commit implements platform.Table.
-func (t *Table) Commit(_ context.Context, txn platform.Txn) (uint64, error) {
+// Commit implements storage.Table.
+func (t *Table) Commit(_ context.Context, txn storage.Txn) (uint64, error) {
 	rev, delay, err := t.commit(txn)
 	time.Sleep(delay)
 	return rev, err
 }
 
-func (t *Table) commit(txn platform.Txn) (uint64, time.Duration, error) {
+func (t *Table) commit(txn storage.Txn) (uint64, time.Duration, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.outage {
-		return 0, 0, platform.ErrUnavailable
+		return 0, 0, storage.ErrUnavailable
 	}
 	if t.loseBefore > 0 {
 		t.loseBefore--
-		return 0, 0, platform.ErrUnsettled
+		return 0, 0, storage.ErrUnsettled
 	}
 	rev, err := t.apply(txn)
 	if t.loseAfter > 0 {
 		t.loseAfter--
-		return 0, 0, platform.ErrUnsettled
+		return 0, 0, storage.ErrUnsettled
 	}
 	return rev, t.delay, err
 }
 
-func (t *Table) apply(txn platform.Txn) (uint64, error) {
+func (t *Table) apply(txn storage.Txn) (uint64, error) {
 	t.counts.Commits++
 	var failed []string
 	for _, c := range txn.Conditions {
@@ -118,7 +119,7 @@
 		}
 	}
 	if len(failed) > 0 {
-		return 0, &platform.ConflictError{Keys: failed}
+		return 0, &storage.ConflictError{Keys: failed}
 	}
 	t.revision++
 	for _, w := range txn.Writes {
@@ -127,20 +128,20 @@
 			delete(t.rows, w.Key)
 			continue
 		}
-		t.rows[w.Key] = platform.Row{Key: w.Key, Value: slices.Clone(w.Value), Revision: t.revision}
+		t.rows[w.Key] = storage.Row{Key: w.Key, Value: slices.Clone(w.Value), Revision: t.revision}
 	}
 	return t.revision, nil
 }
 
-// Read implements platform.Table.
-func (t *Table) Read(_ context.Context, keys ...string) ([]platform.Row, error) {
+// Read implements storage.Table.
+func (t *Table) Read(_ context.Context, keys ...string) ([]storage.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.outage {
-		return nil, platform.ErrUnavailable
+		return nil, storage.ErrUnavailable
 	}
 	t.counts.Reads++
-	out := make([]platform.Row, 0, len(keys))
+	out := make([]storage.Row, 0, len(keys))
 	for _, k := range keys {
 		if r, ok := t.rows[k]; ok {
 			out = append(out, r)
@@ -149,55 +150,55 @@
 	return out, nil
 }
 
-// Scan implements platform.Table.
-func (t *Table) Scan(_ context.Context, prefix string) ([]platform.Row, error) {
+// Scan implements storage.Table.
+func (t *Table) Scan(_ context.Context, prefix string) ([]storage.Row, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.outage {
-		return nil, platform.ErrUnavailable
+		return nil, storage.ErrUnavailable
 	}
 	t.counts.Reads++
-	var out []platform.Row
+	var out []storage.Row
 	for k, r := range t.rows {
 		if strings.HasPrefix(k, prefix) {
 			out = append(out, r)
 		}
 	}
-	slices.SortFunc(out, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(out, func(a, b storage.Row) int { return strings.Compare(a.Key, b.Key) })
 	return out, nil
 }
 
-// Put implements platform.Objects.
+// Put implements storage.Objects.
 func (t *Table) Put(_ context.Context, key string, value []byte) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.outage {
-		return platform.ErrUnavailable
+		return storage.ErrUnavailable
 	}
 	t.objects[key] = slices.Clone(value)
 	return nil
 }
 
-// Get implements platform.Objects.
+// Get implements storage.Objects.
 func (t *Table) Get(_ context.Context, key string) ([]byte, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.outage {
-		return nil, platform.ErrUnavailable
+		return nil, storage.ErrUnavailable
 	}
 	value, ok := t.objects[key]
 	if !ok {
-		return nil, errors.Wrap(platform.ErrNotFound, key)
+		return nil, errors.Wrap(storage.ErrNotFound, key)
 	}
 	return slices.Clone(value), nil
 }
 
-// ListVMs implements platform.VMList.
-func (t *Table) ListVMs(context.Context) ([]platform.VM, error) {
+// ListVMs implements vmlist.Lister.
+func (t *Table) ListVMs(context.Context) ([]vmlist.VM, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.outage {
-		return nil, platform.ErrUnavailable
+		return nil, storage.ErrUnavailable
 	}
 	return slices.Clone(t.vms), nil
 }
--- a/lease/fence.go
+++ b/lease/fence.go
@@ -6,7 +6,7 @@
 
 	"github.com/pkg/errors"
 
-	"kingcupplank.example/kingcup/platform"
+	"kingcupplank.example/kingcup/storage"
 )
 
 // ErrStale refuses an order whose term is below one that was seen.
@@ -15,7 +15,7 @@
 // Fence admits orders for one resource in rising terms. It is safe for
 // concurrent use; orders pass one at a time.
 type Fence struct {
-	table platform.Table
+	table storage.Table
 	name  string
 
 	mu     sync.Mutex
@@ -24,7 +24,7 @@
 }
 
 // NewFence guards the resource whose lease is called name.
-func NewFence(table platform.Table, name string) *Fence {
+func NewFence(table storage.Table, name string) *Fence {
 	return &Fence{table: table, name: name}
 }
 
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -10,7 +10,7 @@
 
 	"github.com/pkg/errors"
 
-	"kingcupplank.example/kingcup/platform"
+	"kingcupplank.example/kingcup/storage"
 )
 
 // ErrHeld says that another holder has the lease.
@@ -48,13 +48,13 @@
 
 // Manager acquires leases. It is safe for concurrent use.
 type Manager struct {
-	table  platform.Table
+	table  storage.Table
 	holder string
 	ttl    time.Duration
 }
 
 // NewManager acquires leases for holder.
-func NewManager(table platform.Table, holder string, ttl time.Duration) *Manager {
+func NewManager(table storage.Table, holder string, ttl time.Duration) *Manager {
 	return &Manager{table: table, holder: holder, ttl: ttl}
 }
 
@@ -63,7 +63,7 @@
 }
 
 // Acquire takes the lease called name under a new, higher term. It returns
-// ErrHeld, an error of the platform, or *platform.ConflictError if another
+// ErrHeld, an error of the platform, or *storage.ConflictError if another
 // holder was faster. A commit whose answer was lost counts as not acquired:
 // the term it may have used up is skipped.
 func (m *Manager) Acquire(ctx context.Context, name string) (Lease, error) {
@@ -92,7 +92,7 @@
 }
 
 // Term reads the highest term that was given out for name.
-func Term(ctx context.Context, table platform.Table, name string) (uint64, error) {
+func Term(ctx context.Context, table storage.Table, name string) (uint64, error) {
 	m := Manager{table: table}
 	rec, _, err := m.read(ctx, name)
 	return rec.Term, err
@@ -115,9 +115,9 @@
 	if err != nil {
 		return errors.Wrap(err, "marshal lease")
 	}
-	_, err = m.table.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: key(name), Revision: revision}},
-		Writes:     []platform.Write{{Key: key(name), Value: value}},
+	_, err = m.table.Commit(ctx, storage.Txn{
+		Conditions: []storage.Condition{{Key: key(name), Revision: revision}},
+		Writes:     []storage.Write{{Key: key(name), Value: value}},
 	})
 	return err
 }
--- a/platform/objectclient/client.go
+++ b/storage/objectclient/client.go
@@ -1,4 +1,4 @@
-// Package objectclient implements platform.Objects over HTTP.
+// Package objectclient implements storage.Objects over HTTP.
 package objectclient
 
 import (
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
-	"kingcupplank.example/kingcup/platform"
+	"kingcupplank.example/kingcup/storage"
 )
 
 const timeout = 5 * time.Second
@@ -24,13 +24,13 @@
 	return &Client{base: "http://" + address + "/objects/", http: &fasthttp.Client{}}
 }
 
-// Put implements platform.Objects.
+// Put implements storage.Objects.
 func (c *Client) Put(ctx context.Context, key string, value []byte) error {
 	_, err := c.do(ctx, fasthttp.MethodPut, key, value)
 	return err
 }
 
-// Get implements platform.Objects.
+// Get implements storage.Objects.
 func (c *Client) Get(ctx context.Context, key string) ([]byte, error) {
 	return c.do(ctx, fasthttp.MethodGet, key, nil)
 }
@@ -48,13 +48,13 @@
 		deadline = time.Now().Add(timeout)
 	}
 	if err := c.http.DoDeadline(req, resp, deadline); err != nil {
-		return nil, errors.Wrap(platform.ErrUnavailable, err.Error())
+		return nil, errors.Wrap(storage.ErrUnavailable, err.Error())
 	}
 	switch resp.StatusCode() {
 	case fasthttp.StatusOK:
 		return append([]byte(nil), resp.Body()...), nil
 	case fasthttp.StatusNotFound:
-		return nil, errors.Wrap(platform.ErrNotFound, key)
+		return nil, errors.Wrap(storage.ErrNotFound, key)
 	}
-	return nil, errors.Wrapf(platform.ErrUnavailable, "status %d", resp.StatusCode())
+	return nil, errors.Wrapf(storage.ErrUnavailable, "status %d", resp.StatusCode())
 }
--- a/platform/platform.go
+++ b/storage/storage.go
@@ -1,7 +1,7 @@
-// Package platform describes what the system takes from the platform it runs
-// on: a transactional table, an object store and a list of VMs. The list lags
-// and all three have outages. Implementations are safe for concurrent use.
-package platform
+// Package storage describes where the system keeps what must outlive its VMs: a
+// transactional table and an object store, both with outages. Implementations
+// are safe for concurrent use.
+package storage
 
 import (
 	"context"
@@ -75,28 +75,3 @@
 	// Get returns ErrNotFound when there is no object.
 	Get(ctx context.Context, key string) ([]byte, error)
 }
-
-// Role says what a VM runs.
-type Role string
-
-// The roles a VM can have.
-const (
-	RoleEntry Role = "entry"
-	RoleAgent Role = "agent"
-)
-
-// VM is one virtual machine in the platform's list.
-type VM struct {
-	Name          string
-	Address       string
-	FailureDomain string
-	Leaving       bool
-	Role          Role
-	// Models are the models and services that the VM was created for.
-	Models []string
-}
-
-// VMList is the platform's lagging list of live and leaving VMs.
-type VMList interface {
-	ListVMs(ctx context.Context) ([]VM, error)
-}
--- a/platform/tableclient/client.go
+++ b/storage/tableclient/client.go
@@ -1,4 +1,4 @@
-// Package tableclient implements platform.Table and platform.VMList over the
+// Package tableclient implements storage.Table and vmlist.Lister over the
 // table service's gRPC protocol.
 package tableclient
 
@@ -10,8 +10,9 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
-	"kingcupplank.example/kingcup/platform"
 	platformv1 "kingcupplank.example/kingcup/proto/kingcup/platform/v1"
+	"kingcupplank.example/kingcup/storage"
+	"kingcupplank.example/kingcup/vmlist"
 )
 
 // Client talks to one table service. It is safe for concurrent use.
@@ -24,8 +25,8 @@
 	return &Client{rpc: platformv1.NewTableServiceClient(conn)}
 }
 
-// Commit implements platform.Table.
-func (c *Client) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+// Commit implements storage.Table.
+func (c *Client) Commit(ctx context.Context, txn storage.Txn) (uint64, error) {
 	req := &platformv1.CommitRequest{}
 	for _, cond := range txn.Conditions {
 		req.Conditions = append(req.Conditions, &platformv1.Condition{Key: cond.Key, Revision: cond.Revision})
@@ -38,7 +39,7 @@
 		return 0, commitError(err)
 	}
 	if !resp.GetCommitted() {
-		return 0, &platform.ConflictError{Keys: resp.GetConflicts()}
+		return 0, &storage.ConflictError{Keys: resp.GetConflicts()}
 	}
 	return resp.GetRevision(), nil
 }
@@ -48,51 +49,51 @@
 // code can follow an applied commit, so it counts as unsettled.
 func commitError(err error) error {
 	if status.Code(err) == codes.ResourceExhausted {
-		return errors.Wrap(platform.ErrUnavailable, err.Error())
+		return errors.Wrap(storage.ErrUnavailable, err.Error())
 	}
-	return errors.Wrap(platform.ErrUnsettled, err.Error())
+	return errors.Wrap(storage.ErrUnsettled, err.Error())
 }
 
-// Read implements platform.Table.
-func (c *Client) Read(ctx context.Context, keys ...string) ([]platform.Row, error) {
+// Read implements storage.Table.
+func (c *Client) Read(ctx context.Context, keys ...string) ([]storage.Row, error) {
 	resp, err := c.rpc.Read(ctx, &platformv1.ReadRequest{Keys: keys})
 	if err != nil {
-		return nil, errors.Wrap(platform.ErrUnavailable, err.Error())
+		return nil, errors.Wrap(storage.ErrUnavailable, err.Error())
 	}
 	return rows(resp.GetRows()), nil
 }
 
-// Scan implements platform.Table.
-func (c *Client) Scan(ctx context.Context, prefix string) ([]platform.Row, error) {
+// Scan implements storage.Table.
+func (c *Client) Scan(ctx context.Context, prefix string) ([]storage.Row, error) {
 	resp, err := c.rpc.Scan(ctx, &platformv1.ScanRequest{Prefix: prefix})
 	if err != nil {
-		return nil, errors.Wrap(platform.ErrUnavailable, err.Error())
+		return nil, errors.Wrap(storage.ErrUnavailable, err.Error())
 	}
 	return rows(resp.GetRows()), nil
 }
 
-func rows(in []*platformv1.TableRow) []platform.Row {
-	out := make([]platform.Row, 0, len(in))
+func rows(in []*platformv1.TableRow) []storage.Row {
+	out := make([]storage.Row, 0, len(in))
 	for _, r := range in {
-		out = append(out, platform.Row{Key: r.GetKey(), Value: r.GetValue(), Revision: r.GetRevision()})
+		out = append(out, storage.Row{Key: r.GetKey(), Value: r.GetValue(), Revision: r.GetRevision()})
 	}
 	return out
 }
 
-// ListVMs implements platform.VMList.
-func (c *Client) ListVMs(ctx context.Context) ([]platform.VM, error) {
+// ListVMs implements vmlist.Lister.
+func (c *Client) ListVMs(ctx context.Context) ([]vmlist.VM, error) {
 	resp, err := c.rpc.ListVms(ctx, &platformv1.ListVmsRequest{})
 	if err != nil {
-		return nil, errors.Wrap(platform.ErrUnavailable, err.Error())
+		return nil, errors.Wrap(storage.ErrUnavailable, err.Error())
 	}
-	out := make([]platform.VM, 0, len(resp.GetVms()))
+	out := make([]vmlist.VM, 0, len(resp.GetVms()))
 	for _, v := range resp.GetVms() {
-		out = append(out, platform.VM{
+		out = append(out, vmlist.VM{
 			Name:          v.GetName(),
 			Address:       v.GetAddress(),
 			FailureDomain: v.GetFailureDomain(),
 			Leaving:       v.GetLeaving(),
-			Role:          platform.Role(v.GetRole()),
+			Role:          vmlist.Role(v.GetRole()),
 			Models:        v.GetModels(),
 		})
 	}
