--- /dev/null
+++ b/backends/registry.go
@@ -0,0 +1,316 @@
+// Package backends keeps what a process believes of the backend servers: which
+// exist, which are leaving, how loaded they are and how well they answer.
+//
+// A Registry is safe for concurrent use; its lock is a leaf.
+package backends
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"kingcupplank.example/kingcup/placement"
+)
+
+// Server is a backend server as the directory lists it.
+type Server struct {
+	// ID names one start of a server; a restart has a new one.
+	ID            string
+	Service       string
+	Address       string
+	FailureDomain string
+	// Slots is how many requests it runs at once.
+	Slots int
+	// Leaving is set once the server has said that it will end.
+	Leaving bool
+	// ColdFor is how much longer the server is slow after its start.
+	ColdFor time.Duration
+}
+
+// Capacity is the memory of a server, 0 where a service has no engines.
+type Capacity func(service string) (memoryTokens int)
+
+const (
+	// lapseGrace is how long an entry that lapsed during an outage of the
+	// directory is still used after its return: the platform promises that
+	// servers which live have registered again by then.
+	lapseGrace = 2 * time.Second
+	// outageFrom is the silence of the directory from which a missing entry may
+	// have lapsed without its server having ended.
+	outageFrom = time.Second
+	// fullFor is how long a server that refused for lack of room is ranked last.
+	// Engines free a slot every 100 to 200 ms when full; shorter asks it again in
+	// vain, and each refusal uses the shared retry budget.
+	fullFor = 250 * time.Millisecond
+	// lostFor is how long a server that could not be reached is ranked last; it is
+	// the order of a restart.
+	lostFor = 1 * time.Second
+	// healthGain is the weight of the newest answer in a server's failure rate;
+	// about the last ten answers count.
+	healthGain = 0.1
+	// healthHalfLife is the time in which an old failure rate halves. A server that
+	// gets no requests for its failures would otherwise never be tried again.
+	healthHalfLife = 5 * time.Second
+)
+
+type server struct {
+	Server
+	// gone is set when the entry has vanished or another start of the server
+	// answers at its address.
+	gone bool
+	// suspectUntil is when a vanished entry counts as gone.
+	suspectUntil time.Duration
+	coldUntil    time.Duration
+	avoidUntil   time.Duration
+	running      int
+	tokens       int
+	failures     float64
+	judged       time.Duration
+}
+
+// failureRate is the share of failures as it stood, faded by its age.
+func (s *server) failureRate(now time.Duration) float64 {
+	return s.failures * math.Exp2(-float64(now-s.judged)/float64(healthHalfLife))
+}
+
+// judge notes one more answer.
+func (s *server) judge(failed float64, now time.Duration) {
+	s.failures = s.failureRate(now)*(1-healthGain) + failed*healthGain
+	s.judged = now
+}
+
+// Registry holds the servers. Times are of one steady clock, given by callers.
+type Registry struct {
+	domain   string
+	capacity Capacity
+	policy   placement.Policy
+
+	mu      sync.Mutex
+	servers map[string]*server
+	leaving func(Server, Notice)
+}
+
+// Notice says why a server is taken to be leaving.
+type Notice string
+
+// The notices.
+const (
+	NoticeDraining Notice = "draining"
+	NoticeVanished Notice = "entry vanished"
+	NoticeReplaced Notice = "another server has its address"
+)
+
+// New returns an empty registry of a process in domain. leaving is told once of
+// each server that begins to leave; it is called without the lock.
+func New(domain string, capacity Capacity, leaving func(Server, Notice)) *Registry {
+	return &Registry{
+		domain: domain, capacity: capacity, leaving: leaving,
+		policy: placement.Direct(), servers: make(map[string]*server),
+	}
+}
+
+type leave struct {
+	s Server
+	n Notice
+}
+
+func (r *Registry) tell(left []leave) {
+	for _, l := range left {
+		r.leaving(l.s, l.n)
+	}
+}
+
+// Reset replaces the directory. outage is how long it was silent before.
+func (r *Registry) Reset(list []Server, outage, now time.Duration) {
+	r.mu.Lock()
+	listed := make(map[string]bool, len(list))
+	var left []leave
+	for _, s := range list {
+		listed[s.ID] = true
+		left = r.put(left, s, now)
+	}
+	for id, s := range r.servers {
+		if !listed[id] {
+			left = r.vanish(left, s, outage, now)
+		}
+	}
+	r.mu.Unlock()
+	r.tell(left)
+}
+
+// Put adds or changes a server.
+func (r *Registry) Put(s Server, now time.Duration) {
+	r.mu.Lock()
+	left := r.put(nil, s, now)
+	r.mu.Unlock()
+	r.tell(left)
+}
+
+func (r *Registry) put(left []leave, s Server, now time.Duration) []leave {
+	old := r.servers[s.ID]
+	if old == nil {
+		old = &server{}
+		r.servers[s.ID] = old
+	}
+	news := s.Leaving && !old.Leaving && !old.gone
+	was := old.Leaving
+	old.Server = s
+	old.Leaving = s.Leaving || was
+	old.suspectUntil = 0
+	old.coldUntil = now + s.ColdFor
+	if news {
+		left = append(left, leave{s, NoticeDraining})
+	}
+	return left
+}
+
+// Remove notes that a server's entry has vanished. outage is how long the
+// directory had been silent before it said so.
+func (r *Registry) Remove(id string, outage, now time.Duration) {
+	r.mu.Lock()
+	var left []leave
+	if s := r.servers[id]; s != nil {
+		left = r.vanish(nil, s, outage, now)
+	}
+	r.mu.Unlock()
+	r.tell(left)
+}
+
+func (r *Registry) vanish(left []leave, s *server, outage, now time.Duration) []leave {
+	if s.gone || s.suspectUntil > 0 && now < s.suspectUntil {
+		return left
+	}
+	if outage > outageFrom && !s.Leaving && s.suspectUntil == 0 {
+		s.suspectUntil = now + lapseGrace
+		return left
+	}
+	s.gone = true
+	if !s.Leaving {
+		left = append(left, leave{s.Server, NoticeVanished})
+	}
+	if s.running == 0 {
+		delete(r.servers, s.ID)
+	}
+	return left
+}
+
+// Expire turns entries whose grace has passed into gone ones; call it now and
+// then.
+func (r *Registry) Expire(now time.Duration) {
+	r.mu.Lock()
+	var left []leave
+	for _, s := range r.servers {
+		if s.suspectUntil > 0 && now >= s.suspectUntil {
+			left = r.vanish(left, s, 0, now)
+		}
+	}
+	r.mu.Unlock()
+	r.tell(left)
+}
+
+// Replaced notes that another server answers at a server's address.
+func (r *Registry) Replaced(id string) {
+	r.mu.Lock()
+	s := r.servers[id]
+	news := s != nil && !s.gone
+	var left []leave
+	if news {
+		s.gone = true
+		left = append(left, leave{s.Server, NoticeReplaced})
+	}
+	r.mu.Unlock()
+	r.tell(left)
+}
+
+// Query asks for a server.
+type Query struct {
+	Service string
+	// Tokens is the memory that the request is expected to need at its peak.
+	Tokens int
+	// Tried are the servers that are not to be asked again.
+	Tried []string
+	// Near is the failure domain to prefer, the process's own if empty.
+	Near string
+	// Draw is random.
+	Draw uint64
+}
+
+// Candidate is what a choice was made on, for the log.
+type Candidate struct {
+	Running, Tokens, Of int
+}
+
+// Acquire picks a server and counts the request as running there until the
+// lease is done. It returns nil if no server can take the request.
+func (r *Registry) Acquire(q Query, now time.Duration) *Lease {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	views, list := r.views(q.Service, now)
+	near := q.Near
+	if near == "" {
+		near = r.domain
+	}
+	req := &placement.Request{FailureDomain: near, Tried: q.Tried, Tokens: q.Tokens}
+	i := r.policy.Best(req, views, q.Draw)
+	if i < 0 {
+		return nil
+	}
+	s := list[i]
+	l := &Lease{reg: r, s: s, tokens: q.Tokens, Server: s.Server, Of: len(list), Running: s.running, Tokens: s.tokens}
+	s.running++
+	s.tokens += q.Tokens
+	return l
+}
+
+// views lists the servers of a service in the order of their ids, so that equal
+// draws give equal choices.
+func (r *Registry) views(service string, now time.Duration) ([]placement.Server, []*server) {
+	var list []*server
+	for _, s := range r.servers {
+		if s.Service == service && !s.gone {
+			list = append(list, s)
+		}
+	}
+	slices.SortFunc(list, func(a, b *server) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	memory := r.capacity(service)
+	views := make([]placement.Server, len(list))
+	for i, s := range list {
+		views[i] = placement.Server{
+			Name: s.ID, FailureDomain: s.FailureDomain, Leaving: s.Leaving, Connected: true,
+			Running: s.running, Slots: s.Slots,
+			MemoryForecast: uint64(s.tokens), MemoryTotal: uint64(memory),
+			FailureRate: s.failureRate(now), Avoid: now < s.avoidUntil || s.suspectUntil > 0, Cold: now < s.coldUntil,
+		}
+	}
+	return views, list
+}
+
+// Ready counts the servers of a service that take requests.
+func (r *Registry) Ready(service string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, s := range r.servers {
+		if s.Service == service && !s.gone && !s.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
+// State tells whether a server is listed and whether it is leaving.
+func (r *Registry) State(id string) (listed, leaving bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.servers[id]
+	if s == nil {
+		return false, false
+	}
+	return !s.gone, s.Leaving || s.gone
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,233 @@
+// Package gateway wires the program that serves callers on the users' platform:
+// ingress, relay, upstream, and the copies of directory and configuration.
+package gateway
+
+import (
+	"context"
+	"net"
+	"runtime/debug"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"go.uber.org/dig"
+
+	"kingcupplank.example/kingcup/backends"
+	"kingcupplank.example/kingcup/internal/admin"
+	"kingcupplank.example/kingcup/internal/clock"
+	"kingcupplank.example/kingcup/internal/follow"
+	"kingcupplank.example/kingcup/internal/gatewaymetrics"
+	"kingcupplank.example/kingcup/internal/relay"
+	"kingcupplank.example/kingcup/platform/directory"
+	"kingcupplank.example/kingcup/platform/ingress"
+	"kingcupplank.example/kingcup/platform/operator"
+	"kingcupplank.example/kingcup/platform/settings"
+	"kingcupplank.example/kingcup/platform/store"
+	"kingcupplank.example/kingcup/platform/upstream"
+	"kingcupplank.example/kingcup/routing"
+)
+
+// Options are the gateway's own settings.
+type Options struct {
+	// FeedWait is how long a call to the store waits for changes.
+	FeedWait time.Duration
+	// DirectoryGap is the least time between two calls for the directory.
+	DirectoryGap time.Duration
+	// Leave is how long after SIGTERM connections are still taken, until the
+	// balancer has noticed.
+	Leave time.Duration
+	// MetricsPort serves metrics and reports; 0 for none.
+	MetricsPort int
+}
+
+// DefaultOptions are the defaults of the flags.
+func DefaultOptions() Options {
+	return Options{FeedWait: time.Second, DirectoryGap: 100 * time.Millisecond, Leave: 3 * time.Second, MetricsPort: 9464}
+}
+
+// Gateway is a running gateway.
+type Gateway struct {
+	log      logrus.FieldLogger
+	opts     Options
+	set      *settings.Settings
+	relay    *relay.Relay
+	callers  *ingress.Server
+	registry *backends.Registry
+	upstream *upstream.Client
+	admin    *admin.Server
+	stopping atomic.Bool
+	cancel   context.CancelFunc
+	wg       sync.WaitGroup
+}
+
+// savedParts gives this process's part of the repeats that need not be earned first: it
+// is allowed to all processes together, and no process knows how many there are.
+const savedParts = 12
+
+// memoryShare is the part of the VM's memory at which the garbage collector works
+// harder, so that a burst does not run into the limit.
+const memoryShare = 0.6
+
+// Start runs a gateway.
+func Start(opts Options, set *settings.Settings, log logrus.FieldLogger) (*Gateway, error) {
+	debug.SetMemoryLimit(int64(memoryShare * float64(set.MemoryBytes)))
+	c := dig.New()
+	for _, p := range providers(opts, set, log) {
+		if err := c.Provide(p); err != nil {
+			return nil, errors.Wrap(err, "wire gateway")
+		}
+	}
+	var g *Gateway
+	err := c.Invoke(func(r *relay.Relay, reg *backends.Registry, up *upstream.Client, rep *routing.Replica, rec *gatewaymetrics.Recorder, st *store.Client) error {
+		g = &Gateway{log: log, opts: opts, set: set, relay: r, registry: reg, upstream: up}
+		return g.run(rep, rec, st)
+	})
+	return g, dig.RootCause(err)
+}
+
+// late holds what is needed before it can be made: the registry tells the relay,
+// and the relay asks the registry.
+type late struct{ relay atomic.Pointer[relay.Relay] }
+
+func providers(opts Options, set *settings.Settings, log logrus.FieldLogger) []any {
+	return []any{
+		func() logrus.FieldLogger { return log },
+		func() *late { return &late{} },
+		func() clock.Source { return clock.SinceBoot },
+		func() *store.Client { return store.New(set.Store) },
+		upstream.New,
+		gatewaymetrics.New,
+		routing.NewReplica,
+		func(rep *routing.Replica, l *late) *backends.Registry {
+			return backends.New(set.FailureDomain, memoryOf(rep), func(s backends.Server, n backends.Notice) {
+				log.WithFields(logrus.Fields{"server": s.ID, "service": s.Service, "notice": string(n)}).Info("server is leaving")
+				if r := l.relay.Load(); r != nil {
+					r.Evacuate(s)
+				}
+			})
+		},
+		func(rep *routing.Replica, reg *backends.Registry, up *upstream.Client, now clock.Source, rec *gatewaymetrics.Recorder, l *late) *relay.Relay {
+			cfg := relay.Config{
+				RevokeBound: set.Bounds.Revoke, ApplyBound: set.Bounds.ApplyConfig,
+				RetryRatio: set.Bounds.RetryRatio, RetrySaved: max(1, float64(set.Bounds.RetryExtra)/savedParts),
+			}
+			r := relay.New(cfg, relay.Deps{Replica: rep, Registry: reg, Upstream: up, Now: now, Log: log, Observer: rec})
+			l.relay.Store(r)
+			return r
+		},
+	}
+}
+
+func memoryOf(rep *routing.Replica) backends.Capacity {
+	return func(service string) int {
+		cfg, _ := rep.Current()
+		if cfg == nil {
+			return 0
+		}
+		if s := cfg.Service(service); s != nil && s.Engine != nil {
+			return s.Engine.MemoryTokens
+		}
+		return 0
+	}
+}
+
+func (g *Gateway) run(rep *routing.Replica, rec *gatewaymetrics.Recorder, st *store.Client) error {
+	callers, err := net.Listen("tcp", g.set.Callers)
+	if err != nil {
+		return errors.Wrap(err, "callers' address")
+	}
+	ready, err := net.Listen("tcp", g.set.Ready)
+	if err != nil {
+		callers.Close()
+		return errors.Wrap(err, "readiness address")
+	}
+	g.callers = ingress.New(callers, g.relay)
+	rep.OnChange(func(c *routing.Config) { g.callers.SetLimits(c.Limits) })
+	rec.Gauge("kingcup_gateway_in_progress", "Requests without a final answer.", func() float64 { return float64(g.relay.InProgress()) })
+	if err := g.serveMetrics(rec); err != nil {
+		callers.Close()
+		ready.Close()
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	g.cancel = cancel
+	g.wg.Go(func() { g.callers.Serve() })
+	go ingress.NewReady(g.Ready).Serve(ready)
+	op := follow.New(follow.Config{Name: operator.Table, Wait: g.opts.FeedWait}, st.Table(operator.Table),
+		&operator.Sink{Replica: rep, Log: g.log}, clock.SinceBoot, g.log)
+	dir := follow.New(follow.Config{Name: directory.Table, Wait: g.opts.FeedWait, Gap: g.opts.DirectoryGap}, st.Table(directory.Table),
+		&directory.Sink{Registry: g.registry, Now: clock.SinceBoot, Log: g.log}, clock.SinceBoot, g.log)
+	g.wg.Go(func() { op.Run(ctx) })
+	g.wg.Go(func() { dir.Run(ctx) })
+	g.wg.Go(func() { g.tend(ctx) })
+	return nil
+}
+
+func (g *Gateway) serveMetrics(rec *gatewaymetrics.Recorder) error {
+	if g.opts.MetricsPort == 0 {
+		return nil
+	}
+	l, err := net.Listen("tcp", net.JoinHostPort(g.set.IP, strconv.Itoa(g.opts.MetricsPort)))
+	if err != nil {
+		return errors.Wrap(err, "metrics address")
+	}
+	g.admin = admin.New(admin.Source{Registry: rec.Registry(), Ready: g.Ready, Report: rec.Report})
+	go g.admin.Serve(l)
+	return nil
+}
+
+// tendEvery is how often idle connections and lapsed entries are looked through.
+const tendEvery = 500 * time.Millisecond
+
+func (g *Gateway) tend(ctx context.Context) {
+	t := time.NewTicker(tendEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			g.upstream.Sweep()
+			g.registry.Expire(clock.SinceBoot())
+		}
+	}
+}
+
+// Ready tells the balancer whether callers may come.
+func (g *Gateway) Ready() bool { return !g.stopping.Load() && g.relay.Ready() }
+
+const (
+	// endMargin is kept between the end of the last answer and SIGKILL.
+	endMargin = 300 * time.Millisecond
+	idlePoll  = 50 * time.Millisecond
+)
+
+// Stop ends the gateway after SIGTERM: it stops being ready at once, takes
+// connections until the balancer has noticed, and ends when no request is left or
+// the time until SIGKILL is nearly over.
+func (g *Gateway) Stop() {
+	begun := time.Now()
+	g.stopping.Store(true)
+	g.callers.Stop()
+	g.log.WithField("in_progress", g.relay.InProgress()).Info("stopping")
+	last := g.set.Bounds.Shutdown - endMargin
+	for time.Since(begun) < last {
+		time.Sleep(idlePoll)
+		if time.Since(begun) >= g.opts.Leave && g.relay.InProgress() == 0 {
+			break
+		}
+	}
+	left := g.relay.InProgress()
+	g.cancel()
+	g.callers.Close()
+	g.log.WithField("in_progress", left).Info("stopped")
+}
+
+// Reload takes new settings. Addresses and bounds are fixed for a process; what
+// differs is logged.
+func (g *Gateway) Reload(set *settings.Settings) {
+	g.log.WithField("changed", *set != *g.set).Info("settings reloaded")
+}
--- /dev/null
+++ b/internal/gatewaymetrics/metrics.go
@@ -0,0 +1,113 @@
+// Package gatewaymetrics exports what a gateway does, as Prometheus metrics and
+// as burn of service levels.
+package gatewaymetrics
+
+import (
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"kingcupplank.example/kingcup/burn"
+	"kingcupplank.example/kingcup/internal/relay"
+	"kingcupplank.example/kingcup/routing"
+)
+
+// stallAfter is the pause between two events from which a stream counts as
+// stalled.
+const stallAfter = 180 * time.Millisecond
+
+// firstByteTarget is the wait for a first byte that counts as good in the burn
+// report.
+const firstByteTarget = 1900 * time.Millisecond
+
+// Recorder implements relay.Observer. It is safe for concurrent use.
+type Recorder struct {
+	registry *prometheus.Registry
+	finished *prometheus.CounterVec
+	first    *prometheus.HistogramVec
+	pause    prometheus.Histogram
+	attempts *prometheus.CounterVec
+	moves    *prometheus.CounterVec
+	epoch    time.Time
+
+	mu      sync.Mutex
+	tracker *burn.Tracker
+}
+
+var _ relay.Observer = (*Recorder)(nil)
+
+// New returns a recorder.
+func New() *Recorder {
+	r := &Recorder{
+		registry: prometheus.NewRegistry(), epoch: time.Now(), tracker: burn.NewTracker(),
+		finished: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kingcup_gateway_requests_total", Help: "Finished requests by service, kind and outcome.",
+		}, []string{"service", "kind", "outcome"}),
+		first: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "kingcup_gateway_first_byte_seconds", Help: "Time from request to the first byte of the answer.",
+			Buckets: []float64{.01, .03, .1, .15, .3, .6, 1, 1.5, 1.9, 4},
+		}, []string{"service", "kind"}),
+		pause: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "kingcup_gateway_event_pause_seconds", Help: "Time between two events of a stream.",
+			Buckets: []float64{.02, .033, .05, .1, .18, .5, 2},
+		}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kingcup_gateway_failed_attempts_total", Help: "Attempts at backend servers that gave no answer, by result.",
+		}, []string{"service", "result"}),
+		moves: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kingcup_gateway_moves_total", Help: "Moves of runs between engines, by result.",
+		}, []string{"result"}),
+	}
+	r.registry.MustRegister(r.finished, r.first, r.pause, r.attempts, r.moves)
+	return r
+}
+
+// Registry is what an admin server exports.
+func (r *Recorder) Registry() *prometheus.Registry { return r.registry }
+
+// Gauge exports a value that is read when it is scraped.
+func (r *Recorder) Gauge(name, help string, value func() float64) {
+	r.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
+}
+
+// Finished implements relay.Observer.
+func (r *Recorder) Finished(team, service string, kind routing.Kind, outcome string) {
+	r.finished.WithLabelValues(service, kind.String(), outcome).Inc()
+	if team != "" && outcome != relay.OutcomeCallerGone {
+		r.count(team, burn.LostAnswers, outcome == relay.OutcomeAnswered)
+	}
+}
+
+// FirstByte implements relay.Observer.
+func (r *Recorder) FirstByte(team, service string, kind routing.Kind, d time.Duration) {
+	r.first.WithLabelValues(service, kind.String()).Observe(d.Seconds())
+	r.count(team, burn.FirstToken, d <= firstByteTarget)
+}
+
+// Pause implements relay.Observer.
+func (r *Recorder) Pause(team string, d time.Duration) {
+	r.pause.Observe(d.Seconds())
+	r.count(team, burn.StallTime, d <= stallAfter)
+}
+
+// Attempt implements relay.Observer.
+func (r *Recorder) Attempt(service, result string) {
+	r.attempts.WithLabelValues(service, result).Inc()
+}
+
+// Moved implements relay.Observer.
+func (r *Recorder) Moved(result string) { r.moves.WithLabelValues(result).Inc() }
+
+func (r *Recorder) count(team string, o burn.Objective, good bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tracker.Count(time.Since(r.epoch), team, o, good)
+}
+
+// Report is the burn of all teams.
+func (r *Recorder) Report() []burn.Line {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.tracker.Report(time.Since(r.epoch))
+}
--- /dev/null
+++ b/internal/relay/move.go
@@ -0,0 +1,315 @@
+package relay
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"kingcupplank.example/kingcup/backends"
+)
+
+const (
+	// moveWithin is the part of a server's notice in which its runs are moved.
+	moveWithin = 1200 * time.Millisecond
+	// linkIdle is the duration of a copy of what is new below which nothing else
+	// waits on the links. A final copy behind another run's whole memory (0.2 to
+	// 0.4 s) would stop the stream for as long, beyond the longest pause.
+	linkIdle = 60 * time.Millisecond
+	// moveTargets is how many servers are tried for a copy.
+	moveTargets = 3
+	// awaitMove is how long a stream that broke waits for the move in progress.
+	awaitMove = 1500 * time.Millisecond
+	// tokenTime is the time of one output token on a moderately full engine, used
+	// only to order moves.
+	tokenTime = 9 * time.Millisecond
+)
+
+// copied is a copy of a run's memory at a server that counts it.
+type copied struct {
+	Copy
+	lease *backends.Lease
+}
+
+// run is a stream at a server.
+type run struct {
+	job *job
+
+	mu     sync.Mutex
+	server backends.Server
+	events uint64
+	// moving is closed when the move in progress is over, nil without one.
+	moving chan struct{}
+	copies []copied
+	ended  bool
+}
+
+func newRun(j *job, s backends.Server) *run { return &run{job: j, server: s} }
+
+func (u *run) delivered(event uint64) {
+	u.mu.Lock()
+	u.events = event
+	u.mu.Unlock()
+}
+
+// remaining is the expected time until the run ends by itself.
+func (u *run) remaining() time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	perEvent := 1
+	if u.job.engine != nil {
+		perEvent = max(1, u.job.engine.TokensPerEvent)
+	}
+	left := u.job.Generation.output() - int(u.events)*perEvent
+	return time.Duration(max(0, left)) * tokenTime
+}
+
+// beginMove marks the run as being moved from a server; false if it is not there
+// or is being moved already.
+func (u *run) beginMove(from string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.ended || u.moving != nil || u.server.ID != from {
+		return false
+	}
+	u.moving = make(chan struct{})
+	return true
+}
+
+func (u *run) endMove() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	close(u.moving)
+	u.moving = nil
+}
+
+// addCopy notes a copy; the newest is tried first. It reports whether the run
+// still wants it.
+func (u *run) addCopy(c copied) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.ended {
+		return false
+	}
+	u.copies = slices.DeleteFunc(u.copies, func(old copied) bool { return old.lease == c.lease })
+	u.copies = append([]copied{c}, u.copies...)
+	return true
+}
+
+// takeCopies waits for the move in progress and takes the copies over.
+func (u *run) takeCopies(ctx context.Context) []copied {
+	u.mu.Lock()
+	moving := u.moving
+	u.mu.Unlock()
+	if moving != nil {
+		t := time.NewTimer(awaitMove)
+		defer t.Stop()
+		select {
+		case <-moving:
+		case <-t.C:
+		case <-ctx.Done():
+		}
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	out := u.copies
+	u.copies = nil
+	return out
+}
+
+func (r *Relay) enlist(u *run) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.list(u, u.server.ID)
+}
+
+func (r *Relay) list(u *run, server string) {
+	if r.runs[server] == nil {
+		r.runs[server] = make(map[*run]struct{})
+	}
+	r.runs[server][u] = struct{}{}
+}
+
+func (r *Relay) unlist(u *run, server string) {
+	delete(r.runs[server], u)
+	if len(r.runs[server]) == 0 {
+		delete(r.runs, server)
+	}
+}
+
+// relocate notes that the run goes on at another server.
+func (r *Relay) relocate(u *run, to backends.Server) {
+	r.mu.Lock()
+	u.mu.Lock()
+	from := u.server.ID
+	u.server = to
+	u.mu.Unlock()
+	r.unlist(u, from)
+	r.list(u, to.ID)
+	r.mu.Unlock()
+	// The new server may have begun to leave between the copy and now.
+	if _, leaving := r.Registry.State(to.ID); leaving {
+		r.Evacuate(to)
+	}
+}
+
+// strike takes an ended run off the list and frees its copies.
+func (r *Relay) strike(u *run) {
+	u.mu.Lock()
+	u.ended = true
+	server, copies := u.server.ID, u.copies
+	u.copies = nil
+	u.mu.Unlock()
+	r.mu.Lock()
+	r.unlist(u, server)
+	r.mu.Unlock()
+	for _, c := range copies {
+		go r.drop(c)
+	}
+}
+
+// dropTimeout bounds the call that frees a copy; the copy expires by itself.
+const dropTimeout = time.Second
+
+func (r *Relay) drop(c copied) {
+	ctx, cancel := context.WithTimeout(context.Background(), dropTimeout)
+	defer cancel()
+	r.Upstream.Drop(ctx, c.Copy)
+	c.lease.Done(backends.Unjudged, r.Now())
+}
+
+// Evacuate moves the runs of a server that is leaving. It returns at once.
+func (r *Relay) Evacuate(s backends.Server) {
+	runs := r.movable(s.ID)
+	if len(runs) == 0 {
+		return
+	}
+	r.Log.WithFields(logrus.Fields{"server": s.ID, "runs": len(runs)}).Info("moving runs off a leaving server")
+	go r.evacuate(s, runs)
+}
+
+// movable lists the runs worth moving, those that would lose most first: runs
+// that are about to end by themselves come last.
+func (r *Relay) movable(server string) []*run {
+	r.mu.Lock()
+	var runs []*run
+	for u := range r.runs[server] {
+		if e := u.job.engine; e != nil && e.Moves && u.job.Generation != nil && !u.job.route.Resumable {
+			runs = append(runs, u)
+		}
+	}
+	r.mu.Unlock()
+	slices.SortFunc(runs, func(a, b *run) int { return cmp.Compare(b.remaining(), a.remaining()) })
+	return runs
+}
+
+// evacuate copies all runs first and stops them only then: a copy takes as long
+// as the run's memory is large, and copies queue on the server's link.
+func (r *Relay) evacuate(s backends.Server, runs []*run) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*moveWithin)
+	defer cancel()
+	until := time.Now().Add(moveWithin)
+	var begun []*move
+	for _, u := range runs {
+		if !u.beginMove(s.ID) {
+			continue
+		}
+		m := &move{relay: r, run: u, from: s}
+		if m.copy(ctx) {
+			begun = append(begun, m)
+		} else {
+			u.endMove()
+		}
+	}
+	var wg sync.WaitGroup
+	for _, m := range begun {
+		wg.Go(func() {
+			defer m.run.endMove()
+			m.finish(ctx, until)
+		})
+	}
+	wg.Wait()
+}
+
+// move takes one run from a server to another.
+type move struct {
+	relay *Relay
+	run   *run
+	from  backends.Server
+	to    copied
+	tried []string
+}
+
+// copy copies the run's memory to a server with room while the run goes on.
+func (m *move) copy(ctx context.Context) bool {
+	m.tried = []string{m.from.ID}
+	for range moveTargets {
+		q := backends.Query{
+			Service: m.run.job.service, Tokens: m.run.job.memory(), Tried: m.tried,
+			Near: m.from.FailureDomain, Draw: rand.Uint64(),
+		}
+		lease := m.relay.Registry.Acquire(q, m.relay.Now())
+		if lease == nil {
+			return false
+		}
+		m.to = copied{lease: lease}
+		_, err := m.transfer(ctx, false)
+		if err == nil {
+			return true
+		}
+		lease.Done(backends.Unjudged, m.relay.Now())
+		if !errors.Is(err, ErrNoRoom) {
+			return false
+		}
+		m.tried = append(m.tried, lease.Server.ID)
+	}
+	return false
+}
+
+// finish stops the run at its server once nothing else waits on the links, and
+// leaves the copy for the stream to go on from.
+func (m *move) finish(ctx context.Context, until time.Time) {
+	for time.Now().Before(until) {
+		took, err := m.transfer(ctx, false)
+		if err != nil {
+			return
+		}
+		if took < linkIdle {
+			break
+		}
+	}
+	m.transfer(ctx, true)
+}
+
+// transfer makes one copying call and notes its handle.
+func (m *move) transfer(ctx context.Context, final bool) (took time.Duration, err error) {
+	begun := time.Now()
+	to := m.to.lease.Server
+	handle, err := m.relay.Upstream.Move(ctx, m.from, m.run.job.ID, to.Address, final)
+	took = time.Since(begun)
+	entry := m.run.job.log.WithFields(logrus.Fields{"server": m.from.ID, "to": to.ID, "final": final, "took_ms": took.Milliseconds()})
+	if err != nil {
+		entry.WithError(err).Info("run is not moved")
+		m.relay.Observer.Moved("failed")
+	} else {
+		entry.Info("run is copied")
+		m.relay.Observer.Moved("copied")
+	}
+	if handle == "" {
+		return took, err
+	}
+	c := copied{Copy: Copy{Source: m.from.Address, Handle: handle}, lease: m.to.lease}
+	if err != nil && final {
+		// The run has stopped and only its server has its memory.
+		c.lease = m.relay.Registry.Rejoin(m.from.ID, m.run.job.memory())
+	}
+	if c.lease != nil && !m.run.addCopy(c) {
+		go m.relay.drop(c)
+	}
+	return took, err
+}
--- /dev/null
+++ b/internal/relay/place.go
@@ -0,0 +1,198 @@
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"kingcupplank.example/kingcup/backends"
+)
+
+const (
+	// roomPoll is the wait before servers that refused are asked again. A batch of
+	// a few dozen generations of seconds each frees a place every 100 to 200 ms.
+	roomPoll = 150 * time.Millisecond
+	// patienceShare is the part of a route's target that a request may wait for a
+	// server with room; the rest is needed to run it on time.
+	patienceShare = 0.5
+	// defaultPatience stands where a route has no target.
+	defaultPatience = 500 * time.Millisecond
+	// returnBase and returnSpread give when a refused caller may come back: not
+	// before running generations have had time to end, and not all at once.
+	returnBase   = 400 * time.Millisecond
+	returnSpread = 800 * time.Millisecond
+	// leastLeft is the time below which a request is not sent to another server:
+	// no answer could arrive in it.
+	leastLeft = 20 * time.Millisecond
+)
+
+// offer is a server's answer, and the lease that counts the request there.
+type offer struct {
+	lease  *backends.Lease
+	answer *Answer
+}
+
+// place asks servers until one answers. A server that certainly did not run the
+// request is followed by another; one whose outcome is unknown only where the
+// request may run again.
+func (r *Relay) place(ctx context.Context, j *job, after string) (*offer, *Refusal) {
+	if j.sent == 0 {
+		r.first(j.service)
+	}
+	for {
+		lease, refusal := r.acquire(ctx, j)
+		if refusal != nil {
+			return nil, refusal
+		}
+		if j.sent > 0 && !r.repeat(j.service) {
+			lease.Done(backends.Unjudged, r.Now())
+			j.log.WithField("sent", j.sent).Warn("retry budget is used up")
+			return nil, r.refuse(j, ReasonNoRoom)
+		}
+		answer, err := r.send(ctx, j, lease, &Attempt{After: after})
+		if err == nil {
+			return &offer{lease, answer}, nil
+		}
+		if refusal := r.passOver(ctx, j, lease, err); refusal != nil {
+			return nil, refusal
+		}
+	}
+}
+
+// send makes one attempt at the server of a lease.
+func (r *Relay) send(ctx context.Context, j *job, lease *backends.Lease, a *Attempt) (*Answer, error) {
+	a.Request, a.Server, a.Team = j.Request, lease.Server, j.team
+	a.Left = j.left()
+	a.Priority = -1
+	if j.Generation != nil {
+		a.Priority = j.priority
+	}
+	j.sent++
+	answer, err := r.Upstream.Send(ctx, a)
+	result := "answered"
+	if err != nil {
+		result = err.Error()
+	}
+	j.log.WithField("server", lease.Server.ID).WithField("try", j.sent).WithField("running", lease.Running).
+		WithField("tokens", lease.Tokens).WithField("of", lease.Of).WithField("result", result).Info("sent")
+	if err == nil {
+		j.ran++
+	}
+	return answer, err
+}
+
+// passOver judges a failed attempt. It returns nil if another server may be
+// asked.
+func (r *Relay) passOver(ctx context.Context, j *job, lease *backends.Lease, err error) *Refusal {
+	id := lease.Server.ID
+	j.tried = append(j.tried, id)
+	var refused *Refused
+	if errors.As(err, &refused) {
+		r.Observer.Attempt(j.service, string(refused.Why))
+		lease.Done(resultOf(refused.Why), r.Now())
+		if refused.Why == RefusedReplaced {
+			r.Registry.Replaced(id)
+		}
+		if ctx.Err() != nil || j.left() < leastLeft {
+			return r.refuse(j, ReasonDeadline)
+		}
+		return nil
+	}
+	j.ran++
+	if ctx.Err() != nil {
+		lease.Done(backends.Unjudged, r.Now())
+		return r.refuse(j, ReasonDeadline)
+	}
+	r.Observer.Attempt(j.service, "lost")
+	lease.Done(backends.Failed, r.Now())
+	if !j.mayRepeat() {
+		return r.refuse(j, ReasonLost)
+	}
+	return nil
+}
+
+func resultOf(why RefusedWhy) backends.Result {
+	switch why {
+	case RefusedFull:
+		return backends.Full
+	case RefusedUnreachable:
+		return backends.Unreachable
+	}
+	return backends.Unjudged
+}
+
+// mayRepeat reports whether the request may run once more.
+func (j *job) mayRepeat() bool {
+	return j.route.Repeatable() && j.ran < j.route.Servers && j.left() > leastLeft
+}
+
+// acquire takes a lease on a server, waiting a while for one with room.
+func (r *Relay) acquire(ctx context.Context, j *job) (*backends.Lease, *Refusal) {
+	for {
+		q := backends.Query{Service: j.service, Tokens: j.memory(), Tried: j.tried, Draw: rand.Uint64()}
+		if lease := r.Registry.Acquire(q, r.Now()); lease != nil {
+			return lease, nil
+		}
+		waited := r.Now() - j.arrived
+		if waited+roomPoll > j.patience() || j.left() < roomPoll {
+			if r.Registry.Ready(j.service) == 0 {
+				return nil, r.refuse(j, ReasonNoServer)
+			}
+			return nil, r.refuse(j, ReasonNoRoom)
+		}
+		if !sleep(ctx, roomPoll) {
+			return nil, r.refuse(j, ReasonDeadline)
+		}
+		// Those that refused may have room by now; the registry still ranks the
+		// ones that refused last behind the others.
+		j.tried = slices.DeleteFunc(j.tried, func(string) bool { return j.ran == 0 })
+	}
+}
+
+func (j *job) patience() time.Duration {
+	if j.route.Target <= 0 {
+		return defaultPatience
+	}
+	return time.Duration(patienceShare * float64(j.route.Target))
+}
+
+// refuse is the refusal of a request that may have been sent before.
+func (r *Relay) refuse(j *job, why Reason) *Refusal {
+	f := &Refusal{Reason: why, Run: j.ran > 0}
+	if !f.Run {
+		f.RetryAfter = returnBase + time.Duration(rand.Float64()*float64(returnSpread))
+	}
+	return f
+}
+
+// memory is the memory in tokens that a generation is expected to reach.
+func (j *job) memory() int {
+	g := j.Generation
+	if g == nil {
+		return 0
+	}
+	return g.PromptTokens + g.output()
+}
+
+// output is the expected output in tokens: the caller's estimate, which is right
+// at the median, or half of the most that it allows.
+func (g *Generation) output() int {
+	if g.Hint > 0 && (g.MaxOutput == 0 || g.Hint < g.MaxOutput) {
+		return g.Hint
+	}
+	return g.MaxOutput / 2
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,256 @@
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"kingcupplank.example/kingcup/backends"
+	"kingcupplank.example/kingcup/internal/clock"
+	"kingcupplank.example/kingcup/retry"
+	"kingcupplank.example/kingcup/routing"
+)
+
+// Config tunes a Relay.
+type Config struct {
+	// RevokeBound is how long after its removal a key may still be served, 0 for
+	// no bound.
+	RevokeBound time.Duration
+	// ApplyBound is how long a new version may take to be in force.
+	ApplyBound time.Duration
+	// RetryRatio and RetrySaved are this process's part of the repeats allowed.
+	RetryRatio, RetrySaved float64
+}
+
+// Observer counts what a Relay does. Its methods must not block.
+type Observer interface {
+	Finished(team, service string, kind routing.Kind, outcome string)
+	FirstByte(team, service string, kind routing.Kind, d time.Duration)
+	Pause(team string, d time.Duration)
+	Attempt(service, result string)
+	Moved(result string)
+}
+
+// Deps are the parts a Relay works with.
+type Deps struct {
+	Replica  *routing.Replica
+	Registry *backends.Registry
+	Upstream Upstream
+	Now      clock.Source
+	Log      logrus.FieldLogger
+	Observer Observer
+}
+
+// Relay serves requests. It is safe for concurrent use; mu is a leaf.
+type Relay struct {
+	cfg Config
+	Deps
+
+	mu      sync.Mutex
+	budgets map[string]*retry.Budget
+	runs    map[string]map[*run]struct{}
+	active  int
+}
+
+// New returns a Relay.
+func New(cfg Config, deps Deps) *Relay {
+	return &Relay{
+		cfg: cfg, Deps: deps,
+		budgets: make(map[string]*retry.Budget),
+		runs:    make(map[string]map[*run]struct{}),
+	}
+}
+
+const (
+	// staleRetry is when a caller may come back to be served by another VM.
+	staleRetry = 100 * time.Millisecond
+	// noConfigRetry is the wait for a first configuration; a VM that starts has
+	// one after a few answers of the store.
+	noConfigRetry = 300 * time.Millisecond
+	// revokeMargin is the part of the bound on removed keys after which an
+	// unconfirmed key is refused; the rest covers timers that fire late.
+	revokeMargin = 0.85
+)
+
+// job is a request on its way.
+type job struct {
+	*Request
+	route    *routing.Route
+	service  string
+	engine   *routing.Engine
+	team     string
+	priority int
+	arrived  time.Duration
+	deadline time.Time
+	version  uint64
+	// tried are servers not to ask again, ran how many may have run the request.
+	tried []string
+	ran   int
+	sent  int
+	log   logrus.FieldLogger
+}
+
+func (j *job) left() time.Duration { return time.Until(j.deadline) }
+
+// Serve answers one request. ctx ends when the caller leaves.
+func (r *Relay) Serve(ctx context.Context, req *Request, out Responder) {
+	r.count(1)
+	defer r.count(-1)
+	j, refusal := r.admit(req)
+	if refusal != nil {
+		r.Log.WithFields(logrus.Fields{"request": req.ID, "reason": refusal.Reason, "path": req.Path, "config_age": r.configAge()}).Info("refused")
+		r.Observer.Finished("", "", 0, string(refusal.Reason))
+		out.Refuse(*refusal)
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, j.deadline)
+	defer cancel()
+	var outcome string
+	if j.route.Kind == routing.Stream {
+		outcome = r.stream(ctx, j, out)
+	} else {
+		outcome = r.plain(ctx, j, out)
+	}
+	r.Observer.Finished(j.team, j.service, j.route.Kind, outcome)
+	j.log.WithFields(logrus.Fields{
+		"outcome": outcome, "sent": j.sent, "ran": j.ran, "took_ms": (r.Now() - j.arrived).Milliseconds(),
+	}).Info("finished")
+}
+
+func (r *Relay) count(n int) {
+	r.mu.Lock()
+	r.active += n
+	r.mu.Unlock()
+}
+
+// InProgress counts the requests that have no final answer yet.
+func (r *Relay) InProgress() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.active
+}
+
+func (r *Relay) configAge() time.Duration {
+	_, confirmed := r.Replica.Current()
+	return r.Now() - confirmed
+}
+
+// admit matches a request against the configuration in force.
+func (r *Relay) admit(req *Request) (*job, *Refusal) {
+	cfg, confirmed := r.Replica.Current()
+	if cfg == nil {
+		return nil, &Refusal{Reason: ReasonNoConfig, RetryAfter: noConfigRetry}
+	}
+	now := r.Now()
+	age := now - confirmed
+	route := cfg.Match(req.Host, req.Path)
+	if route == nil {
+		// Behind its time this process may not know a route that others serve.
+		if r.cfg.ApplyBound > 0 && age > r.cfg.ApplyBound {
+			return nil, &Refusal{Reason: ReasonStale, RetryAfter: staleRetry}
+		}
+		return nil, &Refusal{Reason: ReasonNoRoute}
+	}
+	j := &job{Request: req, route: route, arrived: now, version: cfg.Version, priority: route.Priority}
+	if cfg.NeedsKey(route) {
+		if refusal := r.authorize(j, cfg, age); refusal != nil {
+			return nil, refusal
+		}
+	}
+	j.service = route.Pick(rand.Float64())
+	if s := cfg.Service(j.service); s != nil {
+		j.engine = s.Engine
+	}
+	if j.engine != nil && req.Generation != nil && req.Generation.PromptTokens > j.engine.MemoryTokens {
+		return nil, &Refusal{Reason: ReasonTooLarge}
+	}
+	j.deadline = time.Now().Add(allowed(req.Wait, route.Timeout))
+	j.log = r.Log.WithFields(logrus.Fields{
+		"request": req.ID, "route": route.Name, "service": j.service, "team": j.team,
+		"config": cfg.Version, "config_age_ms": age.Milliseconds(),
+	})
+	return j, nil
+}
+
+// authorize finds the team of the request's key.
+func (r *Relay) authorize(j *job, cfg *routing.Config, age time.Duration) *Refusal {
+	// A key that was removed since the last confirmation would still be found, so
+	// beyond the bound no key is trusted; another VM may know better.
+	if r.KeysStale(age) {
+		return &Refusal{Reason: ReasonStale, RetryAfter: staleRetry}
+	}
+	team := cfg.Team(j.Key)
+	if team == nil {
+		if j.Key != "" && r.cfg.ApplyBound > 0 && age > r.cfg.ApplyBound {
+			return &Refusal{Reason: ReasonStale, RetryAfter: staleRetry}
+		}
+		return &Refusal{Reason: ReasonKey}
+	}
+	j.team = team.Name
+	if team.Ranked {
+		j.priority = team.Priority
+	}
+	return nil
+}
+
+// KeysStale reports whether a configuration confirmed age ago is too old to
+// trust keys.
+func (r *Relay) KeysStale(age time.Duration) bool {
+	return r.cfg.RevokeBound > 0 && age > time.Duration(revokeMargin*float64(r.cfg.RevokeBound))
+}
+
+// Ready reports whether requests with keys can be served.
+func (r *Relay) Ready() bool {
+	cfg, confirmed := r.Replica.Current()
+	return cfg != nil && !r.KeysStale(r.Now()-confirmed)
+}
+
+// defaultWait bounds requests for which neither caller nor route says how long
+// they may take.
+const defaultWait = 5 * time.Minute
+
+func allowed(wait, timeout time.Duration) time.Duration {
+	switch {
+	case wait <= 0 && timeout <= 0:
+		return defaultWait
+	case wait <= 0:
+		return timeout
+	case timeout <= 0:
+		return wait
+	}
+	return min(wait, timeout)
+}
+
+// first earns the service's repeats for a request's first arrival.
+func (r *Relay) first(service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.budget(service).First()
+}
+
+// repeat reports whether one more arrival is allowed.
+func (r *Relay) repeat(service string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.budget(service).Take()
+}
+
+// spend counts an arrival that must not be refused: a run that has stopped at its
+// server is lost if it does not go on.
+func (r *Relay) spend(service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.budget(service).Spend()
+}
+
+func (r *Relay) budget(service string) *retry.Budget {
+	b := r.budgets[service]
+	if b == nil {
+		b = &retry.Budget{Ratio: r.cfg.RetryRatio, Max: r.cfg.RetrySaved}
+		r.budgets[service] = b
+	}
+	return b
+}
--- /dev/null
+++ b/internal/relay/stream.go
@@ -0,0 +1,200 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"kingcupplank.example/kingcup/backends"
+)
+
+// errCaller says that the caller does not take the answer any more.
+var errCaller = errors.New("caller does not read")
+
+// session is a stream on its way to its caller.
+type session struct {
+	*Relay
+	job   *job
+	out   Responder
+	seq   sequence
+	run   *run
+	begun bool
+	last  time.Duration
+}
+
+// stream answers a request whose answer is a series of events.
+func (r *Relay) stream(ctx context.Context, j *job, out Responder) string {
+	o, refusal := r.place(ctx, j, j.After)
+	for refusal == nil && !o.streams() {
+		w, err := readWhole(o.answer)
+		o.lease.Done(backends.Failed, r.Now())
+		j.tried = append(j.tried, o.lease.Server.ID)
+		if !j.mayRepeat() {
+			if err == nil && w.proper() && w.Status >= 300 {
+				return r.deliver(w, out)
+			}
+			return r.giveUp(ctx, j, *r.refuse(j, ReasonSpoilt), out)
+		}
+		r.Observer.Attempt(j.service, "server error")
+		o, refusal = r.place(ctx, j, j.After)
+	}
+	if refusal != nil {
+		return r.giveUp(ctx, j, *refusal, out)
+	}
+	s := &session{Relay: r, job: j, out: out, seq: sequenceAfter(j.After)}
+	return s.relay(ctx, o)
+}
+
+// streams reports whether the answer is a stream of the server's own.
+func (o *offer) streams() bool {
+	a := o.answer
+	return a.Status == http.StatusOK && a.Events && a.Sealed && !a.Encoded
+}
+
+func (s *session) relay(ctx context.Context, o *offer) string {
+	s.run = newRun(s.job, o.lease.Server)
+	s.enlist(s.run)
+	defer func() { s.strike(s.run) }()
+	first := o.answer
+	for {
+		err := s.pump(ctx, first, o.answer)
+		o.answer.Body.Close()
+		if err == nil {
+			o.lease.Done(backends.Good, s.Now())
+			return s.end(first)
+		}
+		if ctx.Err() != nil || errors.Is(err, errCaller) {
+			o.lease.Done(backends.Unjudged, s.Now())
+			return s.cutOff(ctx, err)
+		}
+		next := s.goOn(ctx, o, err)
+		if next == nil {
+			return s.broken(ctx)
+		}
+		o = next
+	}
+}
+
+// pump passes events on until the answer ends; nil is a clean end.
+func (s *session) pump(ctx context.Context, first, answer *Answer) error {
+	events := newEventReader(answer.Body)
+	for {
+		event, err := events.next()
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		fresh, err := s.seq.take(event)
+		if err != nil {
+			return err
+		}
+		if !fresh {
+			continue
+		}
+		if !s.begun {
+			s.begun = true
+			s.Observer.FirstByte(s.job.team, s.job.service, s.job.route.Kind, s.Now()-s.job.arrived)
+			if s.out.Begin(first) != nil {
+				return errCaller
+			}
+		} else {
+			s.Observer.Pause(s.job.team, s.Now()-s.last)
+		}
+		s.last = s.Now()
+		if s.out.Write(event) != nil {
+			return errCaller
+		}
+		s.run.delivered(s.seq.last)
+	}
+}
+
+func (s *session) end(first *Answer) string {
+	if !s.begun && s.out.Begin(first) != nil {
+		return OutcomeCallerGone
+	}
+	s.out.End()
+	return OutcomeAnswered
+}
+
+// cutOff ends a stream whose caller left or whose time is up.
+func (s *session) cutOff(ctx context.Context, err error) string {
+	if errors.Is(err, errCaller) || context.Cause(ctx) == context.Canceled {
+		s.out.Abort()
+		return OutcomeCallerGone
+	}
+	if s.begun {
+		s.out.Abort()
+		return OutcomeTimeout
+	}
+	return s.giveUp(ctx, s.job, *s.refuse(s.job, ReasonDeadline), s.out)
+}
+
+// broken ends a stream that nothing can continue.
+func (s *session) broken(ctx context.Context) string {
+	if !s.begun {
+		return s.giveUp(ctx, s.job, *s.refuse(s.job, ReasonLost), s.out)
+	}
+	s.out.Abort()
+	return OutcomeBrokenOff
+}
+
+// goOn finds where a stream that broke at one server continues: at a copy of its
+// memory, or, where the route allows it, by a new run behind the last event.
+func (s *session) goOn(ctx context.Context, o *offer, cause error) *offer {
+	j := s.job
+	log := j.log.WithField("server", o.lease.Server.ID).WithField("after", s.seq.after())
+	if next := s.resumeCopy(ctx, o); next != nil {
+		log.WithField("to", next.lease.Server.ID).WithField("cause", cause.Error()).Info("stream goes on from its copy")
+		s.Observer.Moved("resumed")
+		return next
+	}
+	o.lease.Done(backends.Failed, s.Now())
+	if ctx.Err() != nil || !j.mayRepeat() {
+		log.WithError(cause).Warn("stream broke and cannot go on")
+		s.Observer.Moved("lost")
+		return nil
+	}
+	j.tried = append(j.tried, o.lease.Server.ID)
+	after := s.seq.after()
+	next, refusal := s.place(ctx, j, after)
+	if refusal != nil || !next.streams() {
+		log.WithError(cause).Warn("stream broke and no server goes on")
+		if refusal == nil {
+			next.answer.Body.Close()
+			next.lease.Done(backends.Failed, s.Now())
+		}
+		return nil
+	}
+	log.WithField("to", next.lease.Server.ID).WithField("cause", cause.Error()).Info("stream goes on by a new run")
+	s.relocate(s.run, next.lease.Server)
+	return next
+}
+
+// resumeCopy continues the run at a copy of its memory, if it has one.
+func (s *session) resumeCopy(ctx context.Context, o *offer) *offer {
+	copies := s.run.takeCopies(ctx)
+	for i, c := range copies {
+		s.spend(s.job.service)
+		answer, err := s.send(ctx, s.job, c.lease, &Attempt{After: s.seq.after(), From: &c.Copy})
+		next := &offer{c.lease, answer}
+		if err == nil && next.streams() {
+			s.job.ran--
+			o.lease.Done(backends.Unjudged, s.Now())
+			s.relocate(s.run, c.lease.Server)
+			for _, unused := range copies[i+1:] {
+				go s.drop(unused)
+			}
+			return next
+		}
+		if err == nil {
+			answer.Body.Close()
+		}
+		c.lease.Done(backends.Failed, s.Now())
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/relay/types.go
@@ -0,0 +1,174 @@
+// Package relay takes a caller's request to a backend server and its answer
+// back: it decides who may ask, which server is asked, when another one is, how a
+// stream goes on when its server leaves, and what a caller is told otherwise.
+//
+// The package knows no wire format; ingress and upstream translate.
+package relay
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"kingcupplank.example/kingcup/backends"
+)
+
+// Field is a header line that passes through unchanged.
+type Field struct{ Name, Value string }
+
+// Generation is what a caller says of a request to a model engine.
+type Generation struct {
+	PromptTokens int
+	// MaxOutput is the most tokens that the caller wants.
+	MaxOutput int
+	// Hint is the caller's estimate of the output in tokens, 0 if none.
+	Hint int
+}
+
+// Request is one attempt of a caller.
+type Request struct {
+	// ID is the caller's id of this attempt; the server echoes it.
+	ID     string
+	Host   string
+	Path   string
+	Method string
+	// Target is the request target as the caller wrote it.
+	Target string
+	// Header is what passes through to the server.
+	Header []Field
+	Body   []byte
+	// Wait is how long the caller waits for the answer, 0 if it did not say.
+	Wait time.Duration
+	Key  string
+	// After is the last event that the caller has of a stream, empty if none.
+	After string
+	// Generation is nil for plain requests.
+	Generation *Generation
+}
+
+// Attempt is a request as it is sent to one server.
+type Attempt struct {
+	Request *Request
+	Server  backends.Server
+	// Left is how long the server may take.
+	Left time.Duration
+	// Team is the name of the key's holder, empty if none.
+	Team string
+	// Priority ranks the request at an engine, -1 for none.
+	Priority int
+	// After is the last event already delivered, empty for none.
+	After string
+	// From is a copy of the run's memory to go on from, nil for a new run.
+	From *Copy
+}
+
+// Copy is a run's memory at another server.
+type Copy struct {
+	// Source is the address of the server that the run was on.
+	Source string
+	Handle string
+}
+
+// Answer is a server's answer, head first.
+type Answer struct {
+	Status int
+	Header []Field
+	// Length is the body's, -1 if the answer does not say.
+	Length int64
+	// Events marks a stream.
+	Events bool
+	// Sealed marks an answer that bears the server's signature.
+	Sealed bool
+	// Encoded marks a body that is not as the server made it.
+	Encoded bool
+	// Body ends with io.EOF only if it is whole.
+	Body io.ReadCloser
+}
+
+// Refused says that a server certainly did not and will not run a request.
+type Refused struct {
+	Why    RefusedWhy
+	Detail string
+}
+
+// RefusedWhy is why a server did not run a request.
+type RefusedWhy string
+
+// The reasons of servers.
+const (
+	// RefusedFull is a server without room.
+	RefusedFull RefusedWhy = "full"
+	// RefusedReplaced is another server at the address.
+	RefusedReplaced RefusedWhy = "replaced"
+	// RefusedUnreachable is a server that nothing could be sent to.
+	RefusedUnreachable RefusedWhy = "unreachable"
+)
+
+// Error implements error.
+func (r *Refused) Error() string { return fmt.Sprintf("not run, %s: %s", r.Why, r.Detail) }
+
+// Errors of an upstream; all others leave unknown whether a request has run.
+var (
+	// ErrNoRun says that the server runs no such request.
+	ErrNoRun = errors.New("no such run")
+	// ErrMoveBusy says that the run is being copied by another call.
+	ErrMoveBusy = errors.New("run is being copied")
+	// ErrNoRoom says that the target of a copy has no room or is unreachable.
+	ErrNoRoom = errors.New("no room for the copy")
+)
+
+// Upstream reaches backend servers. Implementations are safe for concurrent use.
+type Upstream interface {
+	// Send sends an attempt and waits for the answer's head. The attempt ends
+	// with ctx. Errors: *Refused, or one that leaves the outcome unknown.
+	Send(ctx context.Context, a *Attempt) (*Answer, error)
+	// Move copies the memory of a run to the server at the address to; a later
+	// call copies what is new. A final call stops the run first and closes its
+	// stream without an end. A handle may come with ErrNoRoom: then the run has
+	// stopped and its server keeps the memory.
+	Move(ctx context.Context, from backends.Server, id, to string, final bool) (handle string, err error)
+	// Drop frees a copy that will not be used.
+	Drop(ctx context.Context, c Copy)
+}
+
+// Responder takes the one final answer to a request: Refuse, or Begin, any
+// number of Write, and End or Abort.
+type Responder interface {
+	Refuse(f Refusal)
+	Begin(a *Answer) error
+	// Write passes bytes on at once.
+	Write(p []byte) error
+	End()
+	// Abort breaks off, so that the answer cannot look complete.
+	Abort()
+}
+
+// Reason is why a request got no answer of a server.
+type Reason string
+
+// The reasons.
+const (
+	ReasonNoConfig  Reason = "no configuration yet"
+	ReasonNoRoute   Reason = "no such route"
+	ReasonKey       Reason = "no or unknown key"
+	ReasonStale     Reason = "configuration not confirmed"
+	ReasonNoServer  Reason = "no server takes requests"
+	ReasonNoRoom    Reason = "servers have no room"
+	ReasonTooLarge  Reason = "larger than a server's memory"
+	ReasonDeadline  Reason = "time is up"
+	ReasonLost      Reason = "server lost"
+	ReasonSpoilt    Reason = "server's answer was spoilt"
+	ReasonMalformed Reason = "malformed request"
+)
+
+// Refusal is a final answer of the system's own.
+type Refusal struct {
+	Reason Reason
+	// Run says that the request may have run.
+	Run bool
+	// RetryAfter is when to come back, for a request that has not run.
+	RetryAfter time.Duration
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -23,6 +23,14 @@
 	MemoryForecast, MemoryTotal uint64
 	// Sent is the number of requests this entry has sent since that report.
 	Sent int
+	// Slots is how many requests the server runs at once, 0 if unknown.
+	Slots int
+	// FailureRate is the share of recent answers that were failures.
+	FailureRate float64
+	// Avoid marks a server that refused or could not be reached a moment ago.
+	Avoid bool
+	// Cold marks a server that is still slow after its start.
+	Cold bool
 }
 
 // Request is what a choice is made for.
@@ -33,6 +41,8 @@
 	FailureDomain string
 	// Tried are the servers that have refused the request.
 	Tried []string
+	// Tokens is the memory that the request is expected to need.
+	Tokens int
 }
 
 // Filter reports whether a server can take a request.
@@ -61,6 +71,45 @@
 	}
 }
 
+// Direct is the policy where requests go to servers without an agent in between,
+// and the load is what this process knows of. A failing server must lose against
+// every other, a server that refused a moment ago against all but failing ones.
+func Direct() Policy {
+	return Policy{
+		Filters: []Filter{NotLeaving, NotTried},
+		Scorers: []Scorer{
+			{Weight: 1.0, Score: Room},
+			{Weight: 1.0, Score: Healthy},
+			{Weight: 2.0, Score: NotAvoided},
+			{Weight: 0.3, Score: Warm},
+			{Weight: 0.03, Score: SameDomain},
+		},
+	}
+}
+
+// Best returns the index in servers of the one with the highest score, or -1.
+// Equal ones are drawn by random. It fits a view that is up to date: with one
+// that lags, Pick keeps entries from choosing the same server at once.
+func (p Policy) Best(r *Request, servers []Server, random uint64) int {
+	best, equal, top := -1, uint64(0), 0.0
+	for i := range servers {
+		if !p.passes(r, &servers[i]) {
+			continue
+		}
+		score := p.score(r, &servers[i])
+		switch {
+		case best < 0 || score > top:
+			best, equal, top = i, 1, score
+		case score == top:
+			equal++
+			if random%equal == 0 {
+				best = i
+			}
+		}
+	}
+	return best
+}
+
 // Pick returns the index in servers of the one to ask, or -1. Of two servers
 // drawn by random it takes the better one: with a view that lags, always taking
 // the best sends every entry to the same server at once.
--- a/placement/scorers.go
+++ b/placement/scorers.go
@@ -25,3 +25,35 @@
 	}
 	return 0
 }
+
+// Room prefers servers with free memory and free slots, whichever is scarcer,
+// once they have the request.
+func Room(r *Request, s *Server) float64 {
+	used := 0.0
+	if s.MemoryTotal > 0 {
+		used = (float64(s.MemoryForecast) + float64(r.Tokens)) / float64(s.MemoryTotal)
+	}
+	if s.Slots > 0 {
+		used = max(used, float64(s.Running+1)/float64(s.Slots))
+	}
+	return 1 - used
+}
+
+// Healthy prefers servers whose answers are not failures.
+func Healthy(_ *Request, s *Server) float64 { return 1 - s.FailureRate }
+
+// NotAvoided prefers servers that did not refuse a moment ago.
+func NotAvoided(_ *Request, s *Server) float64 {
+	if s.Avoid {
+		return 0
+	}
+	return 1
+}
+
+// Warm prefers servers that have been up for a while.
+func Warm(_ *Request, s *Server) float64 {
+	if s.Cold {
+		return 0
+	}
+	return 1
+}
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -33,6 +33,10 @@
 	return true
 }
 
+// Spend uses up a retry that is made in any case; later ones wait until it has
+// been earned.
+func (b *Budget) Spend() { b.tokens-- }
+
 // Backoff is an exponential wait with jitter.
 type Backoff struct {
 	Base, Max time.Duration
--- /dev/null
+++ b/routing/routing.go
@@ -0,0 +1,191 @@
+// Package routing holds one version of the configuration that callers' requests
+// are matched against: routes, services, limits and the teams' keys.
+//
+// A Config is immutable once built and safe for concurrent use.
+package routing
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Kind says how often a request may run.
+type Kind uint8
+
+// The kinds of requests.
+const (
+	// Idempotent requests may run more than once.
+	Idempotent Kind = iota
+	// Once marks requests that run at most once for each attempt of the caller.
+	Once
+	// Stream marks generations: a series of numbered events. Unless the route is
+	// resumable they run at most once.
+	Stream
+)
+
+// String implements fmt.Stringer.
+func (k Kind) String() string {
+	switch k {
+	case Idempotent:
+		return "idempotent"
+	case Once:
+		return "once"
+	}
+	return "stream"
+}
+
+// Weighted is a service's part of a route's requests.
+type Weighted struct {
+	Service string
+	// Weight is relative to the other weights of the route.
+	Weight int
+}
+
+// Route says where requests of a host and path prefix go.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Kind   Kind
+	// Timeout is the longest that a caller may be kept waiting; 0 is no bound.
+	Timeout time.Duration
+	// Target is the time to the answer, or to a stream's first event, within
+	// which it is on time.
+	Target time.Duration
+	// MaxPause is the longest pause between two events of a stream on time.
+	MaxPause time.Duration
+	// Servers is the most backend servers that may run one attempt of a caller.
+	Servers int
+	// Priority ranks requests; 0 is the most urgent.
+	Priority int
+	// Public routes need no key.
+	Public bool
+	// Resumable streams may be continued by a new run after a given event.
+	Resumable bool
+	Split     []Weighted
+}
+
+// Repeatable reports whether a request of the route may run again after a run
+// whose end is unknown.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Idempotent || r.Kind == Stream && r.Resumable
+}
+
+// Pick returns the service for a draw in [0, 1).
+func (r *Route) Pick(draw float64) string {
+	total := 0
+	for _, w := range r.Split {
+		total += w.Weight
+	}
+	left := draw * float64(total)
+	for _, w := range r.Split {
+		left -= float64(w.Weight)
+		if left < 0 {
+			return w.Service
+		}
+	}
+	if len(r.Split) == 0 {
+		return ""
+	}
+	return r.Split[len(r.Split)-1].Service
+}
+
+// Engine describes the model engines of a service.
+type Engine struct {
+	// Slots is the number of requests that run in one batch.
+	Slots int
+	// MemoryTokens is the memory for running requests and cached prefixes.
+	MemoryTokens int
+	// BytesPerToken is what a move transfers for a token of memory.
+	BytesPerToken int
+	// LinkMbps is an engine's link for moves, in Mbit/s.
+	LinkMbps float64
+	// TokensPerEvent is the number of tokens that one event holds.
+	TokensPerEvent int
+	// Moves and Backups say what the engines can do with a run's memory.
+	Moves, Backups bool
+	// CopyTTL is how long a copy waits to be used.
+	CopyTTL time.Duration
+}
+
+// Service is a group of backend servers that are alike.
+type Service struct {
+	Name string
+	// MaxConns is how many connections a server takes from all callers.
+	MaxConns int
+	// Engine is nil for plain services.
+	Engine *Engine
+}
+
+// Limits bound what a caller may send; zero is no bound.
+type Limits struct {
+	HeaderBytes, BodyBytes     int
+	HeaderTimeout, IdleTimeout time.Duration
+}
+
+// Team is a customer with its keys.
+type Team struct {
+	Name string
+	Keys []string
+	// Priority goes before the route's if Ranked.
+	Priority int
+	Ranked   bool
+}
+
+// Config is one version of the configuration.
+type Config struct {
+	Version  uint64
+	Limits   Limits
+	services map[string]*Service
+	byHost   map[string][]*Route
+	byKey    map[string]*Team
+	keyed    bool
+}
+
+// New builds a version. keyed says that the configuration names teams, so that
+// routes which are not public need a key.
+func New(version uint64, routes []*Route, services []*Service, teams []*Team, keyed bool, limits Limits) *Config {
+	c := &Config{
+		Version: version, Limits: limits, keyed: keyed,
+		services: make(map[string]*Service, len(services)),
+		byHost:   make(map[string][]*Route),
+		byKey:    make(map[string]*Team),
+	}
+	for _, s := range services {
+		c.services[s.Name] = s
+	}
+	for _, r := range routes {
+		host := strings.ToLower(r.Host)
+		c.byHost[host] = append(c.byHost[host], r)
+	}
+	for _, rs := range c.byHost {
+		slices.SortStableFunc(rs, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	for _, t := range teams {
+		for _, k := range t.Keys {
+			c.byKey[k] = t
+		}
+	}
+	return c
+}
+
+// Match returns the route of the host with the longest prefix of path, or nil.
+func (c *Config) Match(host, path string) *Route {
+	for _, r := range c.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Service returns a service, or nil.
+func (c *Config) Service(name string) *Service { return c.services[name] }
+
+// NeedsKey reports whether requests of a route must bear a team's key.
+func (c *Config) NeedsKey(r *Route) bool { return c.keyed && !r.Public }
+
+// Team returns the holder of a key, or nil.
+func (c *Config) Team(key string) *Team { return c.byKey[key] }
