Runs that begin after their server's notice are moved; copies stay near

Ruled out: late notices (entries heard within 1 ms of each other). Change: a run that begins on a leaving server is moved; copies go to the run's own failure domain unless it is nearly full (Copies policy). Tests: TestStreamThatBeginsAfterTheNoticeIsMoved failed first; TestCopiesStayInTheFailureDomain.

--- a/backends/registry.go
+++ b/backends/registry.go
@@ -85,6 +85,7 @@
 	domain   string
 	capacity Capacity
 	policy   placement.Policy
+	copies   placement.Policy
 
 	mu      sync.Mutex
 	servers map[string]*server
@@ -106,7 +107,7 @@
 func New(domain string, capacity Capacity, leaving func(Server, Notice)) *Registry {
 	return &Registry{
 		domain: domain, capacity: capacity, leaving: leaving,
-		policy: placement.Direct(), servers: make(map[string]*server),
+		policy: placement.Direct(), copies: placement.Copies(), servers: make(map[string]*server),
 	}
 }
 
@@ -232,6 +233,8 @@
 	Tried []string
 	// Near is the failure domain to prefer, the process's own if empty.
 	Near string
+	// Copy asks for a server to copy a run's memory to.
+	Copy bool
 	// Draw is random.
 	Draw uint64
 }
@@ -252,7 +255,11 @@
 		near = r.domain
 	}
 	req := &placement.Request{FailureDomain: near, Tried: q.Tried, Tokens: q.Tokens}
-	i := r.policy.Best(req, views, q.Draw)
+	policy := r.policy
+	if q.Copy {
+		policy = r.copies
+	}
+	i := policy.Best(req, views, q.Draw)
 	if i < 0 {
 		return nil
 	}
--- /dev/null
+++ b/internal/relay/fakes_test.go
@@ -0,0 +1,222 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"kingcupplank.example/kingcup/backends"
+	"kingcupplank.example/kingcup/routing"
+)
+
+const (
+	modelService = "model"
+	deskService  = "desk"
+	teamKey      = "key-1"
+)
+
+// world is a Relay over servers that a test plays.
+type world struct {
+	t        *testing.T
+	start    time.Time
+	replica  *routing.Replica
+	registry *backends.Registry
+	up       *fakeUpstream
+	relay    *Relay
+}
+
+func quietLog() *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
+func newWorld(t *testing.T, cfg Config) *world {
+	w := &world{t: t, start: time.Now(), replica: routing.NewReplica(), up: &fakeUpstream{}}
+	w.registry = backends.New("zone-1", func(s string) int {
+		if s == modelService {
+			return 30000
+		}
+		return 0
+	}, func(s backends.Server, _ backends.Notice) { w.relay.Evacuate(s) })
+	if cfg.RetrySaved == 0 {
+		cfg.RetrySaved = 100
+	}
+	w.relay = New(cfg, Deps{Replica: w.replica, Registry: w.registry, Upstream: w.up, Now: w.now, Log: quietLog(), Observer: noObserver{}})
+	w.apply(1)
+	return w
+}
+
+func (w *world) now() time.Duration { return time.Since(w.start) + time.Second }
+
+// apply puts a version of the standard configuration in force and confirms it.
+func (w *world) apply(version uint64, keys ...string) {
+	if keys == nil {
+		keys = []string{teamKey}
+	}
+	split := func(s string) []routing.Weighted { return []routing.Weighted{{Service: s, Weight: 1}} }
+	engine := &routing.Engine{Slots: 48, MemoryTokens: 30000, TokensPerEvent: 4, Moves: true, Backups: true}
+	w.replica.Apply(routing.New(version, []*routing.Route{
+		{Name: "plan", Host: "h", Prefix: "/plan/", Kind: routing.Stream, Timeout: 39 * time.Second, Target: 1800 * time.Millisecond, Servers: 1, Split: split(modelService)},
+		{Name: "check", Host: "h", Prefix: "/check/", Kind: routing.Stream, Timeout: 6 * time.Second, Target: 1500 * time.Millisecond, Servers: 2, Resumable: true, Split: split(modelService)},
+		{Name: "once", Host: "h", Prefix: "/once/", Kind: routing.Once, Target: 150 * time.Millisecond, Servers: 2, Split: split(deskService)},
+		{Name: "safe", Host: "h", Prefix: "/safe/", Kind: routing.Idempotent, Target: 150 * time.Millisecond, Servers: 2, Split: split(deskService)},
+		{Name: "open", Host: "h", Prefix: "/open/", Kind: routing.Idempotent, Public: true, Servers: 2, Split: split(deskService)},
+	}, []*routing.Service{{Name: modelService, Engine: engine}, {Name: deskService}},
+		[]*routing.Team{{Name: "team-1", Keys: keys}}, true, routing.Limits{}))
+	w.replica.Confirm(w.now())
+}
+
+func (w *world) server(id, service string) backends.Server {
+	s := backends.Server{ID: id, Service: service, Address: id + ":1", FailureDomain: "zone-1", Slots: 6}
+	w.registry.Put(s, w.now())
+	return s
+}
+
+func (w *world) drain(id, service string) {
+	s := backends.Server{ID: id, Service: service, Address: id + ":1", FailureDomain: "zone-1", Slots: 6, Leaving: true}
+	w.registry.Put(s, w.now())
+}
+
+func request(path string) *Request {
+	r := &Request{ID: "r1", Host: "h", Path: path, Method: "POST", Target: path, Key: teamKey, Wait: time.Second}
+	if strings.HasPrefix(path, "/plan/") || strings.HasPrefix(path, "/check/") {
+		r.Wait = 30 * time.Second
+		r.Generation = &Generation{PromptTokens: 3000, MaxOutput: 2000, Hint: 900}
+	}
+	return r
+}
+
+// serve answers a request and returns what the caller saw.
+func (w *world) serve(r *Request) *caller {
+	c := &caller{}
+	w.relay.Serve(w.t.Context(), r, c)
+	return c
+}
+
+// caller records an answer.
+type caller struct {
+	mu      sync.Mutex
+	refusal *Refusal
+	status  int
+	body    strings.Builder
+	ended   bool
+	aborted bool
+}
+
+func (c *caller) Refuse(f Refusal) { c.refusal = &f }
+
+func (c *caller) Begin(a *Answer) error {
+	c.status = a.Status
+	return nil
+}
+
+func (c *caller) Write(p []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.body.Write(p)
+	return nil
+}
+
+func (c *caller) End()   { c.ended = true }
+func (c *caller) Abort() { c.aborted = true }
+
+// whole requires an answer that came to its end.
+func (c *caller) whole(t *testing.T, body string) {
+	t.Helper()
+	require.Nil(t, c.refusal)
+	require.True(t, c.ended)
+	require.False(t, c.aborted)
+	require.Equal(t, body, c.body.String())
+}
+
+// fakeUpstream plays the servers.
+type fakeUpstream struct {
+	mu    sync.Mutex
+	sent  []*Attempt
+	moves []string
+	send  func(ctx context.Context, a *Attempt) (*Answer, error)
+	move  func(ctx context.Context, from backends.Server, id, to string, final bool) (string, error)
+}
+
+func (f *fakeUpstream) Send(ctx context.Context, a *Attempt) (*Answer, error) {
+	f.mu.Lock()
+	f.sent = append(f.sent, a)
+	f.mu.Unlock()
+	answer, err := f.send(ctx, a)
+	if err == nil {
+		// A real connection closes with its request's context.
+		if s, ok := answer.Body.(*io.PipeReader); ok {
+			context.AfterFunc(ctx, func() { s.CloseWithError(ctx.Err()) })
+		}
+	}
+	return answer, err
+}
+
+func (f *fakeUpstream) Move(ctx context.Context, from backends.Server, id, to string, final bool) (string, error) {
+	f.mu.Lock()
+	f.moves = append(f.moves, fmt.Sprintf("%s %s>%s %v", id, from.ID, to, final))
+	f.mu.Unlock()
+	return f.move(ctx, from, id, to, final)
+}
+
+func (f *fakeUpstream) Drop(context.Context, Copy) {}
+
+// servers lists the servers asked, in order.
+func (f *fakeUpstream) servers() (ids []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, a := range f.sent {
+		ids = append(ids, a.Server.ID)
+	}
+	return ids
+}
+
+func answer(status int, body string) *Answer {
+	return &Answer{Status: status, Length: int64(len(body)), Sealed: true, Body: io.NopCloser(strings.NewReader(body))}
+}
+
+func event(n int) string { return fmt.Sprintf("id: %d\ndata: t\n\n", n) }
+
+func events(from, to int) string {
+	var b strings.Builder
+	for n := from; n <= to; n++ {
+		b.WriteString(event(n))
+	}
+	return b.String()
+}
+
+// source is an answer's body that a test writes; closing it breaks it off.
+type source struct {
+	*io.PipeReader
+	w *io.PipeWriter
+}
+
+func newSource() *source {
+	r, w := io.Pipe()
+	return &source{r, w}
+}
+
+func (s *source) answer() *Answer {
+	return &Answer{Status: 200, Length: -1, Events: true, Sealed: true, Body: s.PipeReader}
+}
+
+// write passes bytes to the reader; a reader that has gone is no matter.
+func (s *source) write(text string) { io.WriteString(s.w, text) }
+
+func (s *source) breakOff() { s.w.CloseWithError(io.ErrUnexpectedEOF) }
+
+type noObserver struct{}
+
+func (noObserver) Finished(string, string, routing.Kind, string)         {}
+func (noObserver) FirstByte(string, string, routing.Kind, time.Duration) {}
+func (noObserver) Pause(string, time.Duration)                           {}
+func (noObserver) Attempt(string, string)                                {}
+func (noObserver) Moved(string)                                          {}
--- a/internal/relay/move.go
+++ b/internal/relay/move.go
@@ -122,10 +122,13 @@
 	return out
 }
 
+// enlist notes that a run has begun. Its server may have said that it is leaving
+// while the request was on its way, so that Evacuate did not see the run.
 func (r *Relay) enlist(u *run) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.list(u, u.server.ID)
+	r.mu.Unlock()
+	r.evacuateIfLeaving(u.server)
 }
 
 func (r *Relay) list(u *run, server string) {
@@ -152,9 +155,12 @@
 	r.unlist(u, from)
 	r.list(u, to.ID)
 	r.mu.Unlock()
-	// The new server may have begun to leave between the copy and now.
-	if _, leaving := r.Registry.State(to.ID); leaving {
-		r.Evacuate(to)
+	r.evacuateIfLeaving(to)
+}
+
+func (r *Relay) evacuateIfLeaving(s backends.Server) {
+	if _, leaving := r.Registry.State(s.ID); leaving {
+		r.Evacuate(s)
 	}
 }
 
@@ -251,7 +257,7 @@
 	for range moveTargets {
 		q := backends.Query{
 			Service: m.run.job.service, Tokens: m.run.job.memory(), Tried: m.tried,
-			Near: m.from.FailureDomain, Draw: rand.Uint64(),
+			Copy: true, Near: m.from.FailureDomain, Draw: rand.Uint64(),
 		}
 		lease := m.relay.Registry.Acquire(q, m.relay.Now())
 		if lease == nil {
--- /dev/null
+++ b/internal/relay/stream_test.go
@@ -0,0 +1,152 @@
+package relay
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"kingcupplank.example/kingcup/backends"
+)
+
+// movable lets copies take some time and closes the run's stream when it is
+// stopped, as engines do.
+func (w *world) movable(run *source, took time.Duration) {
+	w.up.move = func(_ context.Context, _ backends.Server, _, _ string, final bool) (string, error) {
+		if final {
+			run.breakOff()
+			return "h2", nil
+		}
+		time.Sleep(took)
+		return "h1", nil
+	}
+}
+
+// A server says that it is leaving while it runs a stream. The run's memory is
+// copied while it goes on, then it stops and goes on at the copy; the caller sees
+// every event once, and no half event of the old server.
+func TestStreamOutlivesItsServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, Config{})
+		w.server("a", modelService)
+		old := newSource()
+		w.movable(old, 20*time.Millisecond)
+		w.up.send = func(_ context.Context, a *Attempt) (*Answer, error) {
+			if a.From == nil {
+				return old.answer(), nil
+			}
+			require.Equal(t, &Copy{Source: "a:1", Handle: "h2"}, a.From)
+			require.Equal(t, "3", a.After)
+			next := newSource()
+			go func() {
+				next.write(events(4, 6))
+				next.w.Close()
+			}()
+			return next.answer(), nil
+		}
+		go func() {
+			old.write(events(1, 3) + "id: 4\nda")
+			w.server("b", modelService)
+			w.drain("a", modelService)
+		}()
+		w.serve(request("/plan/x")).whole(t, events(1, 6))
+		require.Equal(t, []string{"a", "b"}, w.up.servers())
+		require.Equal(t, "r1 a>b:1 false", w.up.moves[0])
+		require.Equal(t, "r1 a>b:1 true", w.up.moves[len(w.up.moves)-1])
+	})
+}
+
+// A request is on its way to a server, without an answer yet, when the server's
+// notice arrives. Its stream begins after the notice, so the list of streams to
+// move did not have it; it must be moved all the same or it dies with its server.
+func TestStreamThatBeginsAfterTheNoticeIsMoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, Config{})
+		w.server("a", modelService)
+		old := newSource()
+		w.movable(old, 20*time.Millisecond)
+		w.up.send = func(_ context.Context, a *Attempt) (*Answer, error) {
+			next := newSource()
+			if a.From == nil {
+				w.server("b", modelService)
+				w.drain("a", modelService)
+				go old.write(events(1, 2))
+				return old.answer(), nil
+			}
+			go func() {
+				next.write(events(3, 4))
+				next.w.Close()
+			}()
+			return next.answer(), nil
+		}
+		w.serve(request("/plan/x")).whole(t, events(1, 4))
+	})
+}
+
+// The server dies before the copy is complete and the route does not allow a new
+// run. The answer breaks off; it must not look complete.
+func TestStreamWithoutACopyBreaksOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, Config{})
+		w.server("a", modelService)
+		old := newSource()
+		w.up.send = func(context.Context, *Attempt) (*Answer, error) {
+			go func() {
+				old.write(events(1, 2) + "id: 3\n")
+				old.breakOff()
+			}()
+			return old.answer(), nil
+		}
+		c := w.serve(request("/plan/x"))
+		require.True(t, c.aborted)
+		require.False(t, c.ended)
+		require.Equal(t, events(1, 2), c.body.String())
+	})
+}
+
+// A server dies in the middle of a stream that may be resumed. A new run goes on
+// behind the last event that the caller has.
+func TestResumableStreamGoesOnByANewRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, Config{})
+		w.server("a", modelService)
+		w.server("b", modelService)
+		w.up.send = func(_ context.Context, a *Attempt) (*Answer, error) {
+			s := newSource()
+			if a.After == "" {
+				go func() {
+					s.write(events(1, 2) + "id: 3\nd")
+					s.breakOff()
+				}()
+				return s.answer(), nil
+			}
+			require.Equal(t, "2", a.After)
+			go func() {
+				s.write(events(3, 4))
+				s.w.Close()
+			}()
+			return s.answer(), nil
+		}
+		w.serve(request("/check/x")).whole(t, events(1, 4))
+		require.NotEqual(t, w.up.sent[0].Server.ID, w.up.sent[1].Server.ID)
+	})
+}
+
+// A server skips an event. Joined pieces would look like one answer; the stream
+// breaks off instead.
+func TestGapInAStreamBreaksItOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, Config{})
+		w.server("a", modelService)
+		w.up.send = func(context.Context, *Attempt) (*Answer, error) {
+			s := newSource()
+			go s.write(event(1) + event(3))
+			return s.answer(), nil
+		}
+		c := w.serve(request("/plan/x"))
+		require.True(t, c.aborted)
+		require.Equal(t, event(1), c.body.String())
+	})
+}
--- /dev/null
+++ b/placement/direct_test.go
@@ -0,0 +1,45 @@
+package placement
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A server's notice leaves under two seconds for its runs. Copies within the
+// failure domain take half the time, so they go there unless it is nearly full.
+func TestCopiesStayInTheFailureDomain(t *testing.T) {
+	servers := []Server{
+		{Name: "far", FailureDomain: "z2", MemoryTotal: 100, MemoryForecast: 10},
+		{Name: "near", FailureDomain: "z1", MemoryTotal: 100, MemoryForecast: 50},
+	}
+	r := &Request{FailureDomain: "z1", Tokens: 10}
+	require.Equal(t, 0, Direct().Best(r, servers, 1))
+	require.Equal(t, 1, Copies().Best(r, servers, 1))
+	servers[1].MemoryForecast = 95
+	require.Equal(t, 0, Copies().Best(r, servers, 1))
+}
+
+// Every request must not go to the first of equal servers: each entry starts
+// with the same view and would fill the same one.
+func TestBestSpreadsOverEqualServers(t *testing.T) {
+	servers := []Server{{Name: "a"}, {Name: "b"}, {Name: "c"}}
+	seen := make(map[int]int)
+	for random := range uint64(600) {
+		seen[Direct().Best(&Request{}, servers, random)]++
+	}
+	require.Len(t, seen, 3)
+	for _, n := range seen {
+		require.Greater(t, n, 100)
+	}
+}
+
+// A server whose answers are failures loses against one that is half full, and a
+// server that refused a moment ago against one that fails now and then.
+func TestFailingAndFullServersComeLast(t *testing.T) {
+	busy := Server{Name: "busy", Slots: 10, Running: 4}
+	failing := Server{Name: "failing", Slots: 10, FailureRate: 0.6}
+	full := Server{Name: "full", Slots: 10, Avoid: true}
+	require.Equal(t, 1, Direct().Best(&Request{}, []Server{failing, busy}, 0))
+	require.Equal(t, 0, Direct().Best(&Request{}, []Server{failing, full}, 0))
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -87,6 +87,15 @@
 	}
 }
 
+// Copies is the policy for the target of a copy of a run's memory. A copy across
+// failure domains takes twice as long, and a server that leaves gives little
+// time: another domain is taken only where the own one has no room.
+func Copies() Policy {
+	p := Direct()
+	p.Scorers = append(p.Scorers, Scorer{Weight: 0.6, Score: SameDomain})
+	return p
+}
+
 // Best returns the index in servers of the one with the highest score, or -1.
 // Equal ones are drawn by random. It fits a view that is up to date: with one
 // that lags, Pick keeps entries from choosing the same server at once.
