A stopping VM takes no stream that would outlast it

Change: from SIGTERM on, a request whose expected length at the usual pace exceeds 0.7 of the time left is refused as not run; the pace is measured from the streams that pass. Test: TestStoppingVMTakesNoStreamThatOutlastsIt failed first.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -212,6 +212,7 @@
 	begun := time.Now()
 	g.stopping.Store(true)
 	g.callers.Stop()
+	g.relay.EndAt(begun.Add(g.set.Bounds.Shutdown - endMargin))
 	g.log.WithField("in_progress", g.relay.InProgress()).Info("stopping")
 	last := g.set.Bounds.Shutdown - endMargin
 	for time.Since(begun) < last {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -53,6 +53,10 @@
 	budgets map[string]*retry.Budget
 	runs    map[string]map[*run]struct{}
 	active  int
+	// pace is the usual time between two events of a stream.
+	pace time.Duration
+	// ends is when this process will be gone, zero while none is known.
+	ends time.Time
 }
 
 // New returns a Relay.
@@ -61,9 +65,57 @@
 		cfg: cfg, Deps: deps,
 		budgets: make(map[string]*retry.Budget),
 		runs:    make(map[string]map[*run]struct{}),
+		pace:    startPace,
 	}
 }
 
+const (
+	// startPace is the time between two events that is assumed until streams have
+	// been seen: four tokens of 9 ms, as on a moderately full engine.
+	startPace = 36 * time.Millisecond
+	// paceGain is the weight of the newest pause in the usual one.
+	paceGain = 0.02
+	// movedOn is when a caller that is sent to another VM may come back: at once.
+	movedOn = 20 * time.Millisecond
+	// endReserve is the part of the time left that a stream must not need: output
+	// lengths are guesses, right at the median only.
+	endReserve = 0.3
+)
+
+// EndAt tells when this process will be gone. Requests that would not be answered
+// by then are sent to other VMs at once.
+func (r *Relay) EndAt(t time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ends = t
+}
+
+// outlasts reports whether a request would probably outlast this process. A
+// stream that is taken shortly before the end would be cut off in its middle.
+func (r *Relay) outlasts(j *job) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.ends.IsZero() {
+		return false
+	}
+	need := j.route.Target
+	if g := j.Generation; g != nil {
+		perEvent := 1
+		if j.engine != nil {
+			perEvent = max(1, j.engine.TokensPerEvent)
+		}
+		need += time.Duration(g.output()/perEvent) * r.pace
+	}
+	return need > time.Duration((1-endReserve)*float64(time.Until(r.ends)))
+}
+
+// paused notes the time between two events.
+func (r *Relay) paused(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pace += time.Duration(paceGain * float64(min(d, 4*startPace)-r.pace))
+}
+
 const (
 	// staleRetry is when a caller may come back to be served by another VM.
 	staleRetry = 100 * time.Millisecond
@@ -168,6 +220,9 @@
 		return nil, &Refusal{Reason: ReasonTooLarge}
 	}
 	j.deadline = time.Now().Add(allowed(req.Wait, route.Timeout))
+	if r.outlasts(j) {
+		return nil, &Refusal{Reason: ReasonStopping, RetryAfter: movedOn}
+	}
 	j.log = r.Log.WithFields(logrus.Fields{
 		"request": req.ID, "route": route.Name, "service": j.service, "team": j.team,
 		"config": cfg.Version, "config_age_ms": age.Milliseconds(),
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -104,6 +104,7 @@
 			}
 		} else {
 			s.Observer.Pause(s.job.team, s.Now()-s.last)
+			s.paused(s.Now() - s.last)
 		}
 		s.last = s.Now()
 		if s.out.Write(event) != nil {
--- a/internal/relay/stream_test.go
+++ b/internal/relay/stream_test.go
@@ -150,3 +150,36 @@
 		require.Equal(t, event(1), c.body.String())
 	})
 }
+
+// The VM has been told to stop and a caller's kept connection brings one more
+// long generation. It would be cut off in its middle, where the caller cannot
+// come back; refused at once, it is answered by another VM. Short requests are
+// still served.
+func TestStoppingVMTakesNoStreamThatOutlastsIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, Config{})
+		w.server("a", modelService)
+		w.server("d", deskService)
+		w.up.send = func(_ context.Context, a *Attempt) (*Answer, error) {
+			if a.Server.ID == "d" {
+				return answer(200, "ok"), nil
+			}
+			s := newSource()
+			go func() {
+				s.write(events(1, 2))
+				s.w.Close()
+			}()
+			return s.answer(), nil
+		}
+		w.relay.EndAt(time.Now().Add(5 * time.Second))
+		c := w.serve(request("/plan/x"))
+		require.Equal(t, ReasonStopping, c.refusal.Reason)
+		require.False(t, c.refusal.Run)
+		require.Empty(t, w.up.sent)
+		w.serve(request("/once/x")).whole(t, "ok")
+
+		short := request("/check/x")
+		short.Generation.Hint = 12
+		w.serve(short).whole(t, events(1, 2))
+	})
+}
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -161,6 +161,7 @@
 	ReasonDeadline  Reason = "time is up"
 	ReasonLost      Reason = "server lost"
 	ReasonSpoilt    Reason = "server's answer was spoilt"
+	ReasonStopping  Reason = "this VM is stopping"
 	ReasonMalformed Reason = "malformed request"
 )
 
