--- a/backends/lease.go
+++ b/backends/lease.go
@@ -27,8 +27,9 @@
 type Lease struct {
 	// Server is the server as listed when it was picked.
 	Server Server
-	// Running and Tokens were its load from this process, of Of servers listed.
-	Running, Tokens, Of int
+	// Load is what was known of its load before, of Of servers listed.
+	Load
+	Of int
 
 	reg    *Registry
 	s      *server
@@ -72,7 +73,7 @@
 	if s == nil || s.gone {
 		return nil
 	}
-	l := &Lease{reg: r, s: s, tokens: tokens, Server: s.Server, Of: 1, Running: s.running, Tokens: s.tokens}
+	l := &Lease{reg: r, s: s, tokens: tokens, Server: s.Server, Of: 1, Load: r.load(s)}
 	s.running++
 	s.tokens += tokens
 	return l
--- a/backends/registry.go
+++ b/backends/registry.go
@@ -89,6 +89,9 @@
 
 	mu      sync.Mutex
 	servers map[string]*server
+	// remote are the loads that other processes have told of, by process and
+	// server.
+	remote  map[string]map[string]Load
 	leaving func(Server, Notice)
 }
 
@@ -107,7 +110,7 @@
 func New(domain string, capacity Capacity, leaving func(Server, Notice)) *Registry {
 	return &Registry{
 		domain: domain, capacity: capacity, leaving: leaving,
-		policy: placement.Direct(), copies: placement.Copies(), servers: make(map[string]*server),
+		policy: placement.Direct(), copies: placement.Copies(), servers: make(map[string]*server), remote: make(map[string]map[string]Load),
 	}
 }
 
@@ -239,11 +242,6 @@
 	Draw uint64
 }
 
-// Candidate is what a choice was made on, for the log.
-type Candidate struct {
-	Running, Tokens, Of int
-}
-
 // Acquire picks a server and counts the request as running there until the
 // lease is done. It returns nil if no server can take the request.
 func (r *Registry) Acquire(q Query, now time.Duration) *Lease {
@@ -264,7 +262,7 @@
 		return nil
 	}
 	s := list[i]
-	l := &Lease{reg: r, s: s, tokens: q.Tokens, Server: s.Server, Of: len(list), Running: s.running, Tokens: s.tokens}
+	l := &Lease{reg: r, s: s, tokens: q.Tokens, Server: s.Server, Of: len(list), Load: r.load(s)}
 	s.running++
 	s.tokens += q.Tokens
 	return l
@@ -288,10 +286,11 @@
 	memory := r.capacity(service)
 	views := make([]placement.Server, len(list))
 	for i, s := range list {
+		load := r.load(s)
 		views[i] = placement.Server{
 			Name: s.ID, FailureDomain: s.FailureDomain, Leaving: s.Leaving, Connected: true,
-			Running: s.running, Slots: s.Slots,
-			MemoryForecast: uint64(s.tokens), MemoryTotal: uint64(memory),
+			Running: load.Running, Slots: s.Slots,
+			MemoryForecast: uint64(load.Tokens), MemoryTotal: uint64(memory),
 			FailureRate: s.failureRate(now), Avoid: now < s.avoidUntil || s.suspectUntil > 0, Cold: now < s.coldUntil,
 		}
 	}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -32,6 +33,9 @@
 	Revision uint64
 	// Clock is the store's steady clock when it made the answer.
 	Clock time.Duration
+	// Outage is how long the store was away until shortly before the answer, 0 if
+	// it was not. Rows may have lapsed meanwhile although their owners live.
+	Outage time.Duration
 }
 
 // Feed reads one table.
@@ -45,11 +49,11 @@
 
 // Sink takes what a feed brings. Its methods are called one at a time.
 type Sink interface {
-	// Reset replaces everything. outage is the time since the feed's last
-	// answer, 0 at the start.
+	// Reset replaces everything. outage is how long the store was away before, 0
+	// if it was not.
 	Reset(rows []Row, outage time.Duration)
 	// Apply takes changes, in order.
-	Apply(rows []Row)
+	Apply(rows []Row, outage time.Duration)
 	// Confirm says that all changes up to the time at are in.
 	Confirm(at time.Duration)
 }
@@ -70,32 +74,76 @@
 // moment would otherwise return as one burst.
 var backoff = retry.Backoff{Base: 100 * time.Millisecond, Max: 500 * time.Millisecond}
 
+// Shared is a page as one process passes it on to others.
+type Shared struct {
+	Page
+	// Since is the revision that the page goes on from.
+	Since uint64
+}
+
+// Sharing lets processes that follow the same table read it for each other. Every
+// call to the store has a price and its rate is bounded.
+type Sharing interface {
+	// Reads reports whether this process is one of those that read the store;
+	// the others live on what they are told. reached says whether the store
+	// answered this process last.
+	Reads(reached bool) bool
+	// Share passes on a page that was read.
+	Share(s Shared)
+}
+
 // Follower copies a table into a sink.
 type Follower struct {
-	cfg  Config
-	feed Feed
-	sink Sink
-	now  clock.Source
-	log  logrus.FieldLogger
+	cfg     Config
+	feed    Feed
+	sink    Sink
+	sharing Sharing
+	now     clock.Source
+	log     logrus.FieldLogger
+	// offered wakes a follower that waits for others.
+	offered chan struct{}
 
+	// mu guards what follows, and serializes the calls to sink.
+	mu       sync.Mutex
 	revision uint64
 	synced   bool
-	heard    time.Duration
-	failures int
+	// gap says that a page was missed.
+	gap bool
+	// heard is when the last page came in, made when the store made it, and tried
+	// when a call was last made.
+	heard, made, tried time.Duration
+	failures           int
+	// outage is how long the store was away before it returned at returned.
+	outage, returned time.Duration
 	// offset is the least that the local clock was ahead of the store's when an
 	// answer came in; the answer that was fastest on its way sets it.
 	offset      time.Duration
 	offsetKnown bool
 }
 
-// New returns a follower; Run starts it.
-func New(cfg Config, feed Feed, sink Sink, now clock.Source, log logrus.FieldLogger) *Follower {
-	return &Follower{cfg: cfg, feed: feed, sink: sink, now: now, log: log.WithField("table", cfg.Name)}
+// New returns a follower; Run starts it. A nil sharing reads alone.
+func New(cfg Config, feed Feed, sink Sink, sharing Sharing, now clock.Source, log logrus.FieldLogger) *Follower {
+	return &Follower{
+		cfg: cfg, feed: feed, sink: sink, sharing: sharing, now: now,
+		log: log.WithField("table", cfg.Name), offered: make(chan struct{}, 1),
+	}
 }
 
+// silentSlack is how much longer than a call may wait nothing may be heard before
+// a process that lives on others reads by itself.
+const silentSlack = 500 * time.Millisecond
+
+// probeStore is how often a process that the store does not answer tries it
+// while others keep it informed.
+const probeStore = time.Second
+
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		if f.leans() {
+			f.await(ctx)
+			continue
+		}
 		begun := f.now()
 		if err := f.step(ctx); err != nil && ctx.Err() == nil {
 			f.failed(ctx, err)
@@ -105,42 +153,138 @@
 	}
 }
 
+// leans reports whether others read the table for this process.
+func (f *Follower) leans() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.sharing == nil || !f.synced || f.gap || f.now()-f.made > f.cfg.Wait+silentSlack {
+		return false
+	}
+	if f.failures > 0 && f.now()-f.tried > probeStore {
+		return false
+	}
+	return !f.sharing.Reads(f.failures == 0)
+}
+
+// leanPoll is how often a process that lives on others looks whether it still may.
+const leanPoll = 100 * time.Millisecond
+
+func (f *Follower) await(ctx context.Context) {
+	t := time.NewTimer(leanPoll)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-f.offered:
+	case <-t.C:
+	}
+}
+
+// Offer takes a page that another process has read. One that leaves a gap is not
+// taken; the changes between are then read from the store.
+func (f *Follower) Offer(s Shared) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.synced || s.Since > f.revision {
+		if f.synced {
+			f.gap = true
+		}
+		return
+	}
+	f.take(s.Page, 0)
+	f.nudge()
+}
+
+func (f *Follower) nudge() {
+	select {
+	case f.offered <- struct{}{}:
+	default:
+	}
+}
+
 // step makes one call.
 func (f *Follower) step(ctx context.Context) error {
 	begun := f.now()
-	if !f.synced {
+	f.mu.Lock()
+	synced, since := f.synced, f.revision
+	wait := f.cfg.Wait
+	if f.gap || f.failures > 0 {
+		// What is missing is there already, and after an outage the age of the view
+		// must not wait for a change.
+		wait, f.gap = 0, false
+	}
+	f.tried = begun
+	f.mu.Unlock()
+	if !synced {
 		page, err := f.feed.Snapshot(ctx)
 		if err != nil {
 			return err
 		}
-		outage := time.Duration(0)
-		if f.heard > 0 {
-			outage = begun - f.heard
-		}
-		f.sink.Reset(page.Rows, outage)
-		f.took(page, begun)
-		f.synced = true
+		f.reset(page, begun)
 		return nil
 	}
-	page, err := f.feed.Changes(ctx, f.revision, f.cfg.Wait)
+	page, err := f.feed.Changes(ctx, since, wait)
 	if err != nil {
 		return err
 	}
-	if len(page.Rows) > 0 {
-		f.sink.Apply(page.Rows)
+	f.mu.Lock()
+	page.Outage = f.answered()
+	f.take(page, begun)
+	f.mu.Unlock()
+	if f.sharing != nil {
+		f.sharing.Share(Shared{Page: page, Since: since})
 	}
-	f.took(page, begun)
 	return nil
 }
 
-func (f *Follower) took(page Page, begun time.Duration) {
-	f.revision = max(f.revision, page.Revision)
+func (f *Follower) reset(page Page, begun time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.synced && page.Revision < f.revision {
+		return
+	}
+	f.sink.Reset(page.Rows, f.answered())
+	f.revision, f.synced = page.Revision, true
+	f.confirm(page.Clock, begun)
+}
+
+func (f *Follower) confirm(stamp, begun time.Duration) {
 	f.heard = f.now()
-	f.sink.Confirm(f.madeAt(page.Clock, begun))
+	f.made = max(f.made, f.madeAt(stamp, begun))
+	f.sink.Confirm(f.made)
+}
+
+// take applies a page; rows that another page has brought already are passed over.
+func (f *Follower) take(page Page, begun time.Duration) {
+	fresh := page.Rows[:0:0]
+	for _, row := range page.Rows {
+		if row.Revision > f.revision {
+			fresh = append(fresh, row)
+		}
+	}
+	if len(fresh) > 0 {
+		f.sink.Apply(fresh, page.Outage)
+	}
+	f.revision = max(f.revision, page.Revision)
+	f.confirm(page.Clock, begun)
+}
+
+// returnGrace is how long after the store's return what it says of lapsed rows is
+// still a matter of the outage.
+const returnGrace = 2 * time.Second
+
+// answered notes that the store has answered this process, and returns the outage
+// that the answer stands under.
+func (f *Follower) answered() time.Duration {
+	now := f.now()
 	if f.failures > 0 {
 		f.log.WithField("failures", f.failures).Info("store is back")
 		f.failures = 0
+		f.outage, f.returned = now-f.heard, now
 	}
+	if f.outage > 0 && now-f.returned < returnGrace {
+		return f.outage
+	}
+	return 0
 }
 
 // madeAt is the local time at which the store made an answer. A call waits at the
@@ -152,24 +296,36 @@
 		f.offset, f.offsetKnown = ahead, true
 	}
 	if made := stamp + f.offset; made >= begun {
-		return made
+		return min(made, f.heard)
 	}
-	// An answer made before its call: the store's clock began anew.
+	// An answer made before its call was held up on its way to this process, or
+	// the store's clock began anew.
 	f.offset = ahead
 	return begun
 }
 
 func (f *Follower) failed(ctx context.Context, err error) {
+	f.mu.Lock()
 	if errors.Is(err, ErrHistoryLost) {
 		f.log.WithField("revision", f.revision).Warn("feed has a gap, reading the table anew")
 		f.synced = false
+		f.mu.Unlock()
 		return
 	}
 	if f.failures == 0 {
 		f.log.WithError(err).WithField("revision", f.revision).Warn("store is lost")
 	}
-	sleep(ctx, backoff.After(f.failures, rand.Float64()))
+	pause := backoff.After(f.failures, rand.Float64())
 	f.failures++
+	f.mu.Unlock()
+	sleep(ctx, pause)
+}
+
+// Reached reports whether the store answered this process last.
+func (f *Follower) Reached() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.failures == 0
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- /dev/null
+++ b/internal/follow/follow_test.go
@@ -0,0 +1,336 @@
+package follow
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+)
+
+var errAway = errors.New("store away")
+
+// fakeStore is a table whose history a test writes.
+type fakeStore struct {
+	start time.Time
+
+	mu       sync.Mutex
+	rows     map[string]Row
+	log      []Row
+	revision uint64
+	oldest   uint64
+	away     bool
+	calls    int
+	changed  chan struct{}
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{start: time.Now(), rows: make(map[string]Row), changed: make(chan struct{})}
+}
+
+func (s *fakeStore) put(key, value string) { s.write(Row{Key: key, Value: []byte(value)}) }
+
+func (s *fakeStore) remove(key string) { s.write(Row{Key: key, Deleted: true}) }
+
+func (s *fakeStore) write(r Row) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	r.Revision = s.revision
+	s.log = append(s.log, r)
+	s.rows[r.Key] = r
+	if r.Deleted {
+		delete(s.rows, r.Key)
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// compact forgets the history.
+func (s *fakeStore) compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.oldest = s.revision
+}
+
+func (s *fakeStore) setAway(away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = away
+}
+
+func (s *fakeStore) called() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+func (s *fakeStore) page() Page {
+	return Page{Revision: s.revision, Clock: time.Since(s.start)}
+}
+
+func (s *fakeStore) Snapshot(context.Context) (Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.away {
+		return Page{}, errAway
+	}
+	p := s.page()
+	for _, r := range s.rows {
+		p.Rows = append(p.Rows, r)
+	}
+	return p, nil
+}
+
+func (s *fakeStore) Changes(ctx context.Context, since uint64, wait time.Duration) (Page, error) {
+	s.mu.Lock()
+	s.calls++
+	if s.away {
+		s.mu.Unlock()
+		return Page{}, errAway
+	}
+	if since < s.oldest {
+		s.mu.Unlock()
+		return Page{}, ErrHistoryLost
+	}
+	changed, none := s.changed, since >= s.revision
+	s.mu.Unlock()
+	if none {
+		select {
+		case <-changed:
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return Page{}, ctx.Err()
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.page()
+	for _, r := range s.log {
+		if r.Revision > since {
+			p.Rows = append(p.Rows, r)
+		}
+	}
+	return p, nil
+}
+
+// table is a sink that records.
+type table struct {
+	mu        sync.Mutex
+	rows      map[string]string
+	resets    int
+	outages   map[string]time.Duration
+	confirmed time.Duration
+}
+
+func newTable() *table {
+	return &table{rows: make(map[string]string), outages: make(map[string]time.Duration)}
+}
+
+func (t *table) Reset(rows []Row, outage time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.resets++
+	clear(t.rows)
+	for _, r := range rows {
+		t.rows[r.Key] = string(r.Value)
+	}
+}
+
+func (t *table) Apply(rows []Row, outage time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range rows {
+		if r.Deleted {
+			delete(t.rows, r.Key)
+			t.outages[r.Key] = outage
+			continue
+		}
+		t.rows[r.Key] = string(r.Value)
+	}
+}
+
+func (t *table) Confirm(at time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.confirmed = at
+}
+
+func (t *table) get(key string) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.rows[key]
+}
+
+func (t *table) age(now time.Duration) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return now - t.confirmed
+}
+
+func (t *table) outage(key string) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.outages[key]
+}
+
+type fixedSharing struct {
+	reads  func(reached bool) bool
+	shared func(Shared)
+}
+
+func (f fixedSharing) Reads(reached bool) bool { return f.reads(reached) }
+func (f fixedSharing) Share(s Shared)          { f.shared(s) }
+
+const testWait = 1500 * time.Millisecond
+
+// begin runs a follower in a bubble.
+func begin(t *testing.T, feed Feed, sink Sink, sharing Sharing) (f *Follower, now func() time.Duration) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	start := time.Now()
+	now = func() time.Duration { return time.Since(start) + time.Minute }
+	f = New(Config{Name: "t", Wait: testWait}, feed, sink, sharing, now, log)
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	go f.Run(ctx)
+	return f, now
+}
+
+// The store drops its history while a follower is behind: rows that were dropped
+// in the gap must not stay, so the table is read anew.
+func TestGapInTheHistoryReadsTheTableAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, sink := newFakeStore(), newTable()
+		store.put("a", "1")
+		store.put("b", "1")
+		begin(t, store, sink, nil)
+		time.Sleep(100 * time.Millisecond)
+		require.Equal(t, "1", sink.get("b"))
+		store.setAway(true)
+		time.Sleep(2 * time.Second)
+		store.remove("b")
+		store.put("a", "2")
+		store.compact()
+		store.setAway(false)
+		time.Sleep(time.Second)
+		require.Equal(t, "2", sink.get("a"))
+		require.Empty(t, sink.get("b"))
+		require.Equal(t, 2, sink.resets)
+	})
+}
+
+// The store is away. The age of the view must grow all the while, so that keys
+// are not trusted; after its return the view is fresh again within a second.
+func TestAgeGrowsWhileTheStoreIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, sink := newFakeStore(), newTable()
+		_, now := begin(t, store, sink, nil)
+		time.Sleep(5 * time.Second)
+		require.LessOrEqual(t, sink.age(now()), testWait)
+		store.setAway(true)
+		time.Sleep(5 * time.Second)
+		require.Greater(t, sink.age(now()), 3*time.Second)
+		store.setAway(false)
+		time.Sleep(time.Second)
+		require.LessOrEqual(t, sink.age(now()), time.Second)
+	})
+}
+
+// A row vanishes in a quiet moment, another shortly after the store was away. Only
+// the second may have lapsed while its owner lives; the first is gone at once.
+func TestOnlyOutagesExcuseLapsedRows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, sink := newFakeStore(), newTable()
+		store.put("a", "1")
+		store.put("b", "1")
+		begin(t, store, sink, nil)
+		time.Sleep(testWait + testWait/2)
+		store.remove("a")
+		time.Sleep(10 * time.Millisecond)
+		require.Zero(t, sink.outage("a"))
+		store.setAway(true)
+		// A call that waits at the store when the outage begins is still answered.
+		time.Sleep(testWait + 3*time.Second)
+		store.setAway(false)
+		time.Sleep(time.Second)
+		store.remove("b")
+		time.Sleep(10 * time.Millisecond)
+		require.Greater(t, sink.outage("b"), 2*time.Second)
+	})
+}
+
+// Two processes follow a table and one reads for both. The other makes no calls of
+// its own and has each change as soon; when the reader falls silent, it reads by
+// itself within the time in which keys are still trusted.
+func TestOneReadsForTheOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, far := newFakeStore(), newFakeStore()
+		reader, other := newTable(), newTable()
+		silent := false
+		var f *Follower
+		begin(t, store, reader, fixedSharing{
+			reads: func(bool) bool { return true },
+			shared: func(s Shared) {
+				if f != nil && !silent {
+					f.Offer(s)
+				}
+			},
+		})
+		synctest.Wait()
+		f, now := begin(t, far, other, fixedSharing{reads: func(bool) bool { return false }, shared: func(Shared) {}})
+		time.Sleep(10 * time.Millisecond)
+		require.Equal(t, 1, far.called())
+		store.put("a", "1")
+		time.Sleep(10 * time.Millisecond)
+		require.Equal(t, "1", other.get("a"))
+		time.Sleep(10 * time.Second)
+		require.Equal(t, 1, far.called())
+		require.LessOrEqual(t, other.age(now()), testWait+100*time.Millisecond)
+
+		silent = true
+		time.Sleep(testWait + 2*silentSlack)
+		require.Greater(t, far.called(), 1)
+	})
+}
+
+// A page from a peer is lost. The next one does not join on to what is known; its
+// rows must wait until the gap has been read, or a change would be missed for
+// good.
+func TestMissedPageIsReadFromTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, sink := newFakeStore(), newTable()
+		store.put("a", "1")
+		f, _ := begin(t, store, sink, fixedSharing{reads: func(bool) bool { return false }, shared: func(Shared) {}})
+		time.Sleep(10 * time.Millisecond)
+		store.put("a", "2")
+		store.put("b", "1")
+		f.Offer(Shared{Since: 2, Page: Page{Revision: 3, Clock: time.Since(store.start), Rows: []Row{{Key: "b", Value: []byte("1"), Revision: 3}}}})
+		time.Sleep(leanPoll + 10*time.Millisecond)
+		require.Equal(t, "2", sink.get("a"))
+		require.Equal(t, "1", sink.get("b"))
+	})
+}
+
+// Pages overtake each other on two links. An older one must not bring back what a
+// newer one has changed.
+func TestOlderPageChangesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, sink := newFakeStore(), newTable()
+		store.put("a", "1")
+		f, _ := begin(t, store, sink, fixedSharing{reads: func(bool) bool { return false }, shared: func(Shared) {}})
+		time.Sleep(10 * time.Millisecond)
+		row := func(v string, rev uint64) Page {
+			return Page{Revision: rev, Clock: time.Since(store.start), Rows: []Row{{Key: "a", Value: []byte(v), Revision: rev}}}
+		}
+		f.Offer(Shared{Since: 1, Page: row("3", 3)})
+		f.Offer(Shared{Since: 1, Page: row("2", 2)})
+		require.Equal(t, "3", sink.get("a"))
+	})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"kingcupplank.example/kingcup/internal/clock"
 	"kingcupplank.example/kingcup/internal/follow"
 	"kingcupplank.example/kingcup/internal/gatewaymetrics"
+	"kingcupplank.example/kingcup/internal/peers"
 	"kingcupplank.example/kingcup/internal/relay"
 	"kingcupplank.example/kingcup/platform/directory"
 	"kingcupplank.example/kingcup/platform/ingress"
@@ -45,7 +46,7 @@
 
 // DefaultOptions are the defaults of the flags.
 func DefaultOptions() Options {
-	return Options{FeedWait: time.Second, DirectoryGap: 100 * time.Millisecond, Leave: 3 * time.Second, MetricsPort: 9464}
+	return Options{FeedWait: 1500 * time.Millisecond, DirectoryGap: 100 * time.Millisecond, Leave: 3 * time.Second, MetricsPort: 9464}
 }
 
 // Gateway is a running gateway.
@@ -57,16 +58,13 @@
 	callers  *ingress.Server
 	registry *backends.Registry
 	upstream *upstream.Client
+	group    *group
 	admin    *admin.Server
 	stopping atomic.Bool
 	cancel   context.CancelFunc
 	wg       sync.WaitGroup
 }
 
-// savedParts gives this process's part of the repeats that need not be earned first: it
-// is allowed to all processes together, and no process knows how many there are.
-const savedParts = 12
-
 // memoryShare is the part of the VM's memory at which the garbage collector works
 // harder, so that a burst does not run into the limit.
 const memoryShare = 0.6
@@ -81,8 +79,8 @@
 		}
 	}
 	var g *Gateway
-	err := c.Invoke(func(r *relay.Relay, reg *backends.Registry, up *upstream.Client, rep *routing.Replica, rec *gatewaymetrics.Recorder, st *store.Client) error {
-		g = &Gateway{log: log, opts: opts, set: set, relay: r, registry: reg, upstream: up}
+	err := c.Invoke(func(r *relay.Relay, reg *backends.Registry, up *upstream.Client, rep *routing.Replica, rec *gatewaymetrics.Recorder, st *store.Client, gr *group) error {
+		g = &Gateway{log: log, opts: opts, set: set, relay: r, registry: reg, upstream: up, group: gr}
 		return g.run(rep, rec, st)
 	})
 	return g, dig.RootCause(err)
@@ -109,18 +107,28 @@
 				}
 			})
 		},
-		func(rep *routing.Replica, reg *backends.Registry, up *upstream.Client, now clock.Source, rec *gatewaymetrics.Recorder, l *late) *relay.Relay {
+		func(st *store.Client, reg *backends.Registry) *group {
+			self := peers.Member{Name: set.VM, Address: peerAddress(set), FailureDomain: set.FailureDomain}
+			return newGroup(self, st, reg, log)
+		},
+		func(rep *routing.Replica, reg *backends.Registry, up *upstream.Client, now clock.Source, rec *gatewaymetrics.Recorder, gr *group, l *late) *relay.Relay {
 			cfg := relay.Config{
 				RevokeBound: set.Bounds.Revoke, ApplyBound: set.Bounds.ApplyConfig,
-				RetryRatio: set.Bounds.RetryRatio, RetrySaved: max(1, float64(set.Bounds.RetryExtra)/savedParts),
+				RetryRatio: set.Bounds.RetryRatio, RetryExtra: set.Bounds.RetryExtra,
 			}
-			r := relay.New(cfg, relay.Deps{Replica: rep, Registry: reg, Upstream: up, Now: now, Log: log, Observer: rec})
+			r := relay.New(cfg, relay.Deps{Replica: rep, Registry: reg, Upstream: up, Now: now, Log: log, Observer: rec, Others: gr})
 			l.relay.Store(r)
 			return r
 		},
 	}
 }
 
+// peerAddress is where this gateway takes links: the first of the ports between
+// the system's own processes.
+func peerAddress(set *settings.Settings) string {
+	return net.JoinHostPort(set.IP, strconv.Itoa(set.PeerPorts[0]))
+}
+
 func memoryOf(rep *routing.Replica) backends.Capacity {
 	return func(service string) int {
 		cfg, _ := rep.Current()
@@ -144,28 +152,43 @@
 		callers.Close()
 		return errors.Wrap(err, "readiness address")
 	}
+	links, err := net.Listen("tcp", peerAddress(g.set))
+	if err != nil {
+		callers.Close()
+		ready.Close()
+		return errors.Wrap(err, "peers' address")
+	}
 	g.callers = ingress.New(callers, g.relay)
 	rep.OnChange(func(c *routing.Config) { g.callers.SetLimits(c.Limits) })
 	rec.Gauge("kingcup_gateway_in_progress", "Requests without a final answer.", func() float64 { return float64(g.relay.InProgress()) })
 	if err := g.serveMetrics(rec); err != nil {
 		callers.Close()
 		ready.Close()
+		links.Close()
 		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
 	g.wg.Go(func() { g.callers.Serve() })
 	go ingress.NewReady(g.Ready).Serve(ready)
-	op := follow.New(follow.Config{Name: operator.Table, Wait: g.opts.FeedWait}, st.Table(operator.Table),
-		&operator.Sink{Replica: rep, Log: g.log}, clock.SinceBoot, g.log)
-	dir := follow.New(follow.Config{Name: directory.Table, Wait: g.opts.FeedWait, Gap: g.opts.DirectoryGap}, st.Table(directory.Table),
-		&directory.Sink{Registry: g.registry, Now: clock.SinceBoot, Log: g.log}, clock.SinceBoot, g.log)
+	op := g.follow(operator.Table, 0, st, &operator.Sink{Replica: rep, Log: g.log})
+	dir := g.follow(directory.Table, g.opts.DirectoryGap, st, &directory.Sink{Registry: g.registry, Now: clock.SinceBoot, Log: g.log})
+	g.wg.Go(func() { g.group.links.Run(ctx, links) })
 	g.wg.Go(func() { op.Run(ctx) })
 	g.wg.Go(func() { dir.Run(ctx) })
+	g.wg.Go(func() { g.group.join(ctx) })
 	g.wg.Go(func() { g.tend(ctx) })
 	return nil
 }
 
+// follow copies a table, together with the peers.
+func (g *Gateway) follow(table string, gap time.Duration, st *store.Client, sink follow.Sink) *follow.Follower {
+	cfg := follow.Config{Name: table, Wait: g.opts.FeedWait, Gap: gap}
+	f := follow.New(cfg, st.Table(table), sink, sharing{g.group, table}, clock.SinceBoot, g.log)
+	g.group.followers[table] = f
+	return f
+}
+
 func (g *Gateway) serveMetrics(rec *gatewaymetrics.Recorder) error {
 	if g.opts.MetricsPort == 0 {
 		return nil
@@ -203,6 +226,8 @@
 	// endMargin is kept between the end of the last answer and SIGKILL.
 	endMargin = 300 * time.Millisecond
 	idlePoll  = 50 * time.Millisecond
+	// leaveMargin covers a request that is on its way when callers are last taken.
+	leaveMargin = 300 * time.Millisecond
 )
 
 // Stop ends the gateway after SIGTERM: it stops being ready at once, takes
@@ -212,7 +237,8 @@
 	begun := time.Now()
 	g.stopping.Store(true)
 	g.callers.Stop()
-	g.relay.EndAt(begun.Add(g.set.Bounds.Shutdown - endMargin))
+	g.group.stop()
+	g.relay.EndAt(begun.Add(g.set.Bounds.Shutdown-endMargin), begun.Add(g.opts.Leave-leaveMargin))
 	g.log.WithField("in_progress", g.relay.InProgress()).Info("stopping")
 	last := g.set.Bounds.Shutdown - endMargin
 	for time.Since(begun) < last {
--- /dev/null
+++ b/internal/gateway/peers.go
@@ -0,0 +1,222 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"kingcupplank.example/kingcup/backends"
+	"kingcupplank.example/kingcup/internal/follow"
+	"kingcupplank.example/kingcup/internal/peers"
+	peerv1 "kingcupplank.example/kingcup/proto/kingcup/peer/v1"
+	"kingcupplank.example/kingcup/retry"
+)
+
+// readers is how many gateways read the store for all: one may freeze or lose its
+// way to the store, and the other's view goes on without a gap.
+const readers = 2
+
+// membersTable holds a row for each gateway, by the name of its VM.
+const membersTable = "gateways"
+
+// memberRow is what a gateway writes of itself.
+type memberRow struct {
+	Address       string `json:"address"`
+	FailureDomain string `json:"failure_domain"`
+}
+
+// rows is what membership needs of the store.
+type rows interface {
+	Put(ctx context.Context, table, key string, data []byte) error
+	Remove(ctx context.Context, table, key string, revision uint64) error
+	Table(name string) follow.Feed
+}
+
+// group is this gateway among its peers. It implements peers.Receiver and
+// relay.Others.
+type group struct {
+	self     peers.Member
+	store    rows
+	registry *backends.Registry
+	log      logrus.FieldLogger
+	links    *peers.Manager
+	stopping atomic.Bool
+	// followers by table take the pages of peers.
+	followers map[string]*follow.Follower
+}
+
+func newGroup(self peers.Member, store rows, registry *backends.Registry, log logrus.FieldLogger) *group {
+	g := &group{self: self, store: store, registry: registry, log: log, followers: make(map[string]*follow.Follower)}
+	var d net.Dialer
+	g.links = peers.New(self, peers.Deps{
+		Dial:  func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) },
+		State: g.state, Receiver: g, Log: log, Forgotten: g.forgotten,
+	})
+	return g
+}
+
+// state is what this gateway tells of itself.
+func (g *group) state() *peerv1.State {
+	s := &peerv1.State{
+		From:     &peerv1.Member{Name: g.self.Name, Address: g.self.Address, FailureDomain: g.self.FailureDomain},
+		Stopping: g.stopping.Load(), StoreReached: g.reached(),
+	}
+	for id, l := range g.registry.Loads() {
+		s.Loads = append(s.Loads, &peerv1.Load{Server: id, Running: uint32(l.Running), Tokens: uint64(max(0, l.Tokens))})
+	}
+	return s
+}
+
+func (g *group) reached() bool {
+	for _, f := range g.followers {
+		if !f.Reached() {
+			return false
+		}
+	}
+	return true
+}
+
+// State implements peers.Receiver.
+func (g *group) State(peer string, s *peerv1.State) {
+	if s == nil {
+		g.registry.SetRemote(peer, nil)
+		return
+	}
+	loads := make(map[string]backends.Load, len(s.GetLoads()))
+	for _, l := range s.GetLoads() {
+		loads[l.GetServer()] = backends.Load{Running: int(l.GetRunning()), Tokens: int(l.GetTokens())}
+	}
+	g.registry.SetRemote(peer, loads)
+}
+
+// Page implements peers.Receiver.
+func (g *group) Page(p *peerv1.Page) {
+	f := g.followers[p.GetTable()]
+	if f == nil {
+		return
+	}
+	page := follow.Page{
+		Revision: p.GetRevision(), Clock: time.Duration(p.GetClockMs()) * time.Millisecond,
+		Outage: time.Duration(p.GetOutageMs()) * time.Millisecond,
+	}
+	for _, r := range p.GetRows() {
+		page.Rows = append(page.Rows, follow.Row{Key: r.GetKey(), Value: r.GetValue(), Revision: r.GetRevision(), Deleted: r.GetDeleted()})
+	}
+	f.Offer(follow.Shared{Page: page, Since: p.GetSince()})
+}
+
+// Known implements relay.Others.
+func (g *group) Known() int { return g.links.Known() }
+
+// Taking implements relay.Others.
+func (g *group) Taking() bool {
+	return slices.ContainsFunc(g.links.Live(), func(s *peerv1.State) bool { return !s.GetStopping() })
+}
+
+// stop tells the peers that this gateway is stopping.
+func (g *group) stop() {
+	g.stopping.Store(true)
+	g.links.Nudge()
+}
+
+// sharing lets the gateways read a table for each other. It implements
+// follow.Sharing.
+type sharing struct {
+	*group
+	table string
+}
+
+// Reads implements follow.Sharing: the first few gateways that the store answers
+// read, in the order of their names. Gateways may disagree on who lives; then a
+// few more read.
+func (s sharing) Reads(reached bool) bool {
+	before := 0
+	for _, p := range s.links.Live() {
+		if !p.GetStoreReached() || p.GetStopping() {
+			continue
+		}
+		if !reached {
+			return false
+		}
+		if p.GetFrom().GetName() < s.self.Name {
+			before++
+		}
+	}
+	return before < readers
+}
+
+// Share implements follow.Sharing.
+func (s sharing) Share(p follow.Shared) {
+	page := &peerv1.Page{
+		Table: s.table, Since: p.Since, Revision: p.Revision,
+		ClockMs: p.Clock.Milliseconds(), OutageMs: p.Outage.Milliseconds(),
+	}
+	for _, r := range p.Rows {
+		page.Rows = append(page.Rows, &peerv1.Row{Key: r.Key, Value: r.Value, Revision: r.Revision, Deleted: r.Deleted})
+	}
+	s.links.Spread(page)
+}
+
+var joinBackoff = retry.Backoff{Base: 200 * time.Millisecond, Max: 5 * time.Second}
+
+// join writes this gateway's row and then reads the others'. In this order two
+// gateways that start at once cannot miss each other: the one that reads last
+// finds the other's row, dials it and is known by that.
+func (g *group) join(ctx context.Context) {
+	for tries := 0; ctx.Err() == nil; tries++ {
+		members, err := g.announce(ctx)
+		if err == nil {
+			g.links.Learn(members)
+			g.log.WithField("peers", len(members)-1).Info("joined the gateways")
+			return
+		}
+		g.log.WithError(err).WithField("try", tries+1).Warn("cannot join the gateways yet")
+		t := time.NewTimer(joinBackoff.After(tries, rand.Float64()))
+		select {
+		case <-ctx.Done():
+			t.Stop()
+		case <-t.C:
+		}
+	}
+}
+
+func (g *group) announce(ctx context.Context) ([]peers.Member, error) {
+	data, err := json.Marshal(memberRow{Address: g.self.Address, FailureDomain: g.self.FailureDomain})
+	if err != nil {
+		return nil, err
+	}
+	if err := g.store.Put(ctx, membersTable, g.self.Name, data); err != nil {
+		return nil, err
+	}
+	page, err := g.store.Table(membersTable).Snapshot(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var out []peers.Member
+	for _, row := range page.Rows {
+		var m memberRow
+		if err := json.Unmarshal(row.Value, &m); err != nil {
+			g.log.WithError(err).WithField("row", row.Key).Warn("row of a gateway is unreadable, it is passed over")
+			continue
+		}
+		out = append(out, peers.Member{Name: row.Key, Address: m.Address, FailureDomain: m.FailureDomain, Revision: row.Revision})
+	}
+	return out, nil
+}
+
+// forgotten removes the row of a gateway that is gone, unless it has been written
+// anew.
+func (g *group) forgotten(m peers.Member) {
+	if m.Revision == 0 {
+		return
+	}
+	if err := g.store.Remove(context.Background(), membersTable, m.Name, m.Revision); err != nil {
+		g.log.WithError(err).WithField("peer", m.Name).Info("row of a forgotten gateway stays")
+	}
+}
--- a/internal/wire/cork.go
+++ b/internal/mux/cork.go
@@ -1,4 +1,4 @@
-package wire
+package mux
 
 import (
 	"encoding/binary"
--- a/internal/wire/frame.go
+++ b/internal/mux/frame.go
@@ -1,7 +1,6 @@
-// Package wire is the protocol between the system's own processes: protobuf
-// frames on yamux streams. Each stream begins with an Open frame from the
-// dialing side; the accepting side answers with Reply frames.
-package wire
+// Package mux carries protobuf frames on yamux streams between the system's own
+// processes.
+package mux
 
 import (
 	"bufio"
@@ -13,9 +12,6 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// Protocol is the version in every Open; a peer with another one is refused.
-const Protocol = 1
-
 // MaxFrame bounds a frame in bytes. A peer that announces more is cut off
 // before anything is allocated for it.
 const MaxFrame = 4 << 20
@@ -26,7 +22,6 @@
 var (
 	ErrFrameTooLarge = errors.New("frame exceeds the size bound")
 	ErrMalformed     = errors.New("malformed frame")
-	ErrProtocol      = errors.New("peer speaks another protocol version")
 )
 
 var scratch = sync.Pool{New: func() any { return new([]byte) }}
--- /dev/null
+++ b/internal/peers/peers.go
@@ -0,0 +1,387 @@
+// Package peers links gateways with each other: each one dials the others and
+// tells them its load on the backend servers, whether it is stopping, and what it
+// has read from the platform's store.
+//
+// Links lose nothing that matters: a state replaces the one before, and a receiver
+// that misses a page of a table notices the gap by its revisions.
+package peers
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"kingcupplank.example/kingcup/internal/mux"
+	peerv1 "kingcupplank.example/kingcup/proto/kingcup/peer/v1"
+	"kingcupplank.example/kingcup/retry"
+	"kingcupplank.example/kingcup/subset"
+)
+
+const (
+	// Period is the time between two states of a link. Placing works on loads of
+	// this age; at 60 bytes a server and twelve servers it is 5 KB/s a link.
+	Period = 150 * time.Millisecond
+	// Silence is the age from which a peer's state is not believed any more: four
+	// states are missing.
+	Silence = 600 * time.Millisecond
+	// MaxLinks bounds the peers that a gateway tells, so that its cost does not
+	// grow with the system.
+	MaxLinks = 32
+	// forgetAfter is how long a member that is not heard of is still dialed.
+	forgetAfter = 10 * time.Minute
+
+	dialTimeout  = 500 * time.Millisecond
+	writeTimeout = time.Second
+	// pageQueue is how many pages may wait for a link; a peer that misses some
+	// reads them from the store.
+	pageQueue = 32
+)
+
+var redial = retry.Backoff{Base: 200 * time.Millisecond, Max: 3 * time.Second}
+
+// Member is a gateway that takes links.
+type Member struct {
+	Name          string
+	Address       string
+	FailureDomain string
+	// Revision is that of the member's row, 0 if it was not read.
+	Revision uint64
+}
+
+// Receiver takes what peers tell. Its methods are called from several goroutines.
+type Receiver interface {
+	// State is told of every state, and of the peers whose states are too old
+	// with a nil state.
+	State(peer string, s *peerv1.State)
+	// Page is told of every page.
+	Page(p *peerv1.Page)
+}
+
+// Deps are the parts a Manager works with.
+type Deps struct {
+	Dial     func(ctx context.Context, address string) (net.Conn, error)
+	State    func() *peerv1.State
+	Receiver Receiver
+	// Forgotten is told of members that have not been reached for long.
+	Forgotten func(Member)
+	Log       logrus.FieldLogger
+}
+
+// Manager keeps the links. It is safe for concurrent use; mu is a leaf.
+type Manager struct {
+	self Member
+	Deps
+
+	mu      sync.Mutex
+	members map[string]*member
+	live    map[string]*peer
+	ctx     context.Context
+	wg      sync.WaitGroup
+}
+
+type member struct {
+	Member
+	cancel context.CancelFunc
+	pages  chan *peerv1.Page
+	nudge  chan struct{}
+}
+
+type peer struct {
+	state *peerv1.State
+	heard time.Time
+}
+
+// New returns a manager; Run starts it.
+func New(self Member, deps Deps) *Manager {
+	return &Manager{self: self, Deps: deps, members: make(map[string]*member), live: make(map[string]*peer)}
+}
+
+// Run takes links on l and keeps the own ones until ctx ends.
+func (m *Manager) Run(ctx context.Context, l net.Listener) {
+	m.mu.Lock()
+	m.ctx = ctx
+	m.mu.Unlock()
+	stop := context.AfterFunc(ctx, func() { l.Close() })
+	defer stop()
+	m.wg.Go(func() { m.watch(ctx) })
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			break
+		}
+		m.wg.Go(func() { m.receive(ctx, conn) })
+	}
+	m.wg.Wait()
+}
+
+// Learn adds members; the ones known stay, at their new address.
+func (m *Manager) Learn(list []Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.ctx == nil || m.ctx.Err() != nil {
+		return
+	}
+	for _, n := range m.choose(list) {
+		old := m.members[n.Name]
+		if old != nil && old.Address == n.Address {
+			continue
+		}
+		if old != nil {
+			old.cancel()
+		}
+		ctx, cancel := context.WithCancel(m.ctx)
+		added := &member{Member: n, cancel: cancel, pages: make(chan *peerv1.Page, pageQueue), nudge: make(chan struct{}, 1)}
+		m.members[n.Name] = added
+		m.wg.Go(func() { m.link(ctx, added) })
+	}
+}
+
+// choose bounds the members to link to, by the same rule at every gateway.
+func (m *Manager) choose(list []Member) []Member {
+	all := make(map[string]Member, len(list)+len(m.members))
+	for name, known := range m.members {
+		all[name] = known.Member
+	}
+	for _, n := range list {
+		if n.Name != m.self.Name {
+			all[n.Name] = n
+		}
+	}
+	items := make([]subset.Item, 0, len(all))
+	for _, n := range all {
+		items = append(items, subset.Item{Name: n.Name, FailureDomain: n.FailureDomain})
+	}
+	var out []Member
+	for _, it := range subset.Pick(m.self.Name, m.self.FailureDomain, items, MaxLinks) {
+		out = append(out, all[it.Name])
+	}
+	return out
+}
+
+// Known counts the gateways that this one has heard of, itself included.
+func (m *Manager) Known() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.members) + 1
+}
+
+// Live lists the peers whose state is believed, by name.
+func (m *Manager) Live() []*peerv1.State {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []*peerv1.State
+	for _, p := range m.live {
+		if time.Since(p.heard) < Silence {
+			out = append(out, p.state)
+		}
+	}
+	slices.SortFunc(out, func(a, b *peerv1.State) int {
+		return strings.Compare(a.GetFrom().GetName(), b.GetFrom().GetName())
+	})
+	return out
+}
+
+// Nudge sends the state at once, for a change that others act on.
+func (m *Manager) Nudge() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, n := range m.members {
+		select {
+		case n.nudge <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Spread sends a page to all peers. A link whose queue is full misses it.
+func (m *Manager) Spread(p *peerv1.Page) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, n := range m.members {
+		select {
+		case n.pages <- p:
+		default:
+			m.Log.WithField("peer", n.Name).WithField("table", p.GetTable()).Warn("link is slow, page is not sent")
+		}
+	}
+}
+
+// link keeps the connection to a member.
+func (m *Manager) link(ctx context.Context, n *member) {
+	begun := time.Now()
+	for tries := 0; ctx.Err() == nil; tries++ {
+		err := m.talk(ctx, n, func() { tries, begun = 0, time.Now() })
+		if ctx.Err() != nil {
+			return
+		}
+		if tries == 0 {
+			m.Log.WithError(err).WithField("peer", n.Name).Info("link to a peer is lost")
+		}
+		if time.Since(begun) > forgetAfter {
+			m.forget(n)
+			return
+		}
+		wait(ctx, redial.After(tries, rand.Float64()))
+	}
+}
+
+func (m *Manager) forget(n *member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.members[n.Name] == n {
+		delete(m.members, n.Name)
+	}
+	m.Log.WithField("peer", n.Name).Info("peer is forgotten")
+	go m.Forgotten(n.Member)
+}
+
+// talk dials a member and tells it states and pages until the link breaks.
+func (m *Manager) talk(ctx context.Context, n *member, up func()) error {
+	dctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := m.Dial(dctx, n.Address)
+	if err != nil {
+		return errors.Wrap(err, "dial peer")
+	}
+	session, err := mux.Client(conn)
+	if err != nil {
+		conn.Close()
+		return errors.Wrap(err, "session with peer")
+	}
+	defer session.Close()
+	stop := context.AfterFunc(ctx, func() { session.Close() })
+	defer stop()
+	out, err := session.OpenStream()
+	if err != nil {
+		return errors.Wrap(err, "stream to peer")
+	}
+	send := func(f *peerv1.Frame) error {
+		out.SetWriteDeadline(time.Now().Add(writeTimeout))
+		return errors.Wrap(mux.WriteFrame(out, f), "tell peer")
+	}
+	tick := time.NewTicker(Period)
+	defer tick.Stop()
+	for first := true; ; first = false {
+		if err := send(&peerv1.Frame{Kind: &peerv1.Frame_State{State: m.State()}}); err != nil {
+			return err
+		}
+		if first {
+			up()
+			m.Log.WithField("peer", n.Name).Info("linked to a peer")
+		}
+		if err := m.until(ctx, n, tick.C, session.CloseChan(), send); err != nil {
+			return err
+		}
+	}
+}
+
+var errLinkClosed = errors.New("peer closed the link")
+
+// until sends pages until it is time for the next state.
+func (m *Manager) until(ctx context.Context, n *member, tick <-chan time.Time, closed <-chan struct{}, send func(*peerv1.Frame) error) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-closed:
+			return errLinkClosed
+		case <-tick:
+			return nil
+		case <-n.nudge:
+			return nil
+		case p := <-n.pages:
+			if err := send(&peerv1.Frame{Kind: &peerv1.Frame_Page{Page: p}}); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// receive reads what a peer tells on a link that it has dialed.
+func (m *Manager) receive(ctx context.Context, conn net.Conn) {
+	session, err := mux.Server(conn)
+	if err != nil {
+		conn.Close()
+		return
+	}
+	defer session.Close()
+	stop := context.AfterFunc(ctx, func() { session.Close() })
+	defer stop()
+	in, err := session.AcceptStream()
+	if err != nil {
+		return
+	}
+	frames := mux.NewFrameReader(in)
+	for {
+		f := &peerv1.Frame{}
+		if err := frames.Read(f); err != nil {
+			return
+		}
+		switch k := f.GetKind().(type) {
+		case *peerv1.Frame_State:
+			m.heard(k.State)
+		case *peerv1.Frame_Page:
+			m.Receiver.Page(k.Page)
+		}
+	}
+}
+
+func (m *Manager) heard(s *peerv1.State) {
+	from := s.GetFrom()
+	name := from.GetName()
+	if name == "" || name == m.self.Name {
+		return
+	}
+	m.mu.Lock()
+	m.live[name] = &peer{state: s, heard: time.Now()}
+	known := m.members[name]
+	news := known == nil || known.Address != from.GetAddress()
+	m.mu.Unlock()
+	if news {
+		// A gateway that has just started is known here by its first word.
+		m.Learn([]Member{{Name: name, Address: from.GetAddress(), FailureDomain: from.GetFailureDomain()}})
+	}
+	m.Receiver.State(name, s)
+}
+
+// watch tells of peers that have fallen silent.
+func (m *Manager) watch(ctx context.Context) {
+	t := time.NewTicker(Silence / 2)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		var silent []string
+		m.mu.Lock()
+		for name, p := range m.live {
+			if time.Since(p.heard) >= Silence {
+				silent = append(silent, name)
+				delete(m.live, name)
+			}
+		}
+		m.mu.Unlock()
+		for _, name := range silent {
+			m.Log.WithField("peer", name).Info("peer is silent")
+			m.Receiver.State(name, nil)
+		}
+	}
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -30,8 +30,18 @@
 	registry *backends.Registry
 	up       *fakeUpstream
 	relay    *Relay
+	others   *others
 }
 
+// others are the other processes.
+type others struct {
+	known  int
+	taking bool
+}
+
+func (o *others) Known() int   { return o.known }
+func (o *others) Taking() bool { return o.taking }
+
 func quietLog() *logrus.Logger {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -46,10 +56,11 @@
 		}
 		return 0
 	}, func(s backends.Server, _ backends.Notice) { w.relay.Evacuate(s) })
-	if cfg.RetrySaved == 0 {
-		cfg.RetrySaved = 100
+	if cfg.RetryExtra == 0 {
+		cfg.RetryExtra = 100
 	}
-	w.relay = New(cfg, Deps{Replica: w.replica, Registry: w.registry, Upstream: w.up, Now: w.now, Log: quietLog(), Observer: noObserver{}})
+	w.others = &others{known: 1, taking: true}
+	w.relay = New(cfg, Deps{Replica: w.replica, Registry: w.registry, Upstream: w.up, Now: w.now, Log: quietLog(), Observer: noObserver{}, Others: w.others})
 	w.apply(1)
 	return w
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -21,8 +21,10 @@
 	RevokeBound time.Duration
 	// ApplyBound is how long a new version may take to be in force.
 	ApplyBound time.Duration
-	// RetryRatio and RetrySaved are this process's part of the repeats allowed.
-	RetryRatio, RetrySaved float64
+	// RetryRatio is the repeats allowed for each request, RetryExtra those that
+	// all processes together have besides.
+	RetryRatio float64
+	RetryExtra int
 }
 
 // Observer counts what a Relay does. Its methods must not block.
@@ -42,6 +44,15 @@
 	Now      clock.Source
 	Log      logrus.FieldLogger
 	Observer Observer
+	Others   Others
+}
+
+// Others tells of the other processes that serve callers.
+type Others interface {
+	// Known counts the processes, this one included; 0 if not known.
+	Known() int
+	// Taking reports whether another process takes requests.
+	Taking() bool
 }
 
 // Relay serves requests. It is safe for concurrent use; mu is a leaf.
@@ -55,8 +66,9 @@
 	active  int
 	// pace is the usual time between two events of a stream.
 	pace time.Duration
-	// ends is when this process will be gone, zero while none is known.
-	ends time.Time
+	// ends is when this process will be gone, zero while none is known; from
+	// lastCall on nothing that would outlast it is taken.
+	ends, lastCall time.Time
 }
 
 // New returns a Relay.
@@ -77,17 +89,21 @@
 	paceGain = 0.02
 	// movedOn is when a caller that is sent to another VM may come back: at once.
 	movedOn = 20 * time.Millisecond
+	// restartTime is when VMs that all stop at once are back: the first of them
+	// have ended by now and start within a second.
+	restartTime = time.Second
 	// endReserve is the part of the time left that a stream must not need: output
 	// lengths are guesses, right at the median only.
 	endReserve = 0.3
 )
 
 // EndAt tells when this process will be gone. Requests that would not be answered
-// by then are sent to other VMs at once.
-func (r *Relay) EndAt(t time.Time) {
+// by then are sent to other VMs, if there are any that take them, and from
+// lastCall on in any case: until then callers come who could not yet know.
+func (r *Relay) EndAt(t, lastCall time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.ends = t
+	r.ends, r.lastCall = t, lastCall
 }
 
 // outlasts reports whether a request would probably outlast this process. A
@@ -95,7 +111,9 @@
 func (r *Relay) outlasts(j *job) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.ends.IsZero() {
+	// Where all stop at once, a caller that is sent away meets the next one that
+	// stops; there the request has its best chance here.
+	if r.ends.IsZero() || time.Now().Before(r.lastCall) && !r.Others.Taking() {
 		return false
 	}
 	need := j.route.Target
@@ -109,6 +127,14 @@
 	return need > time.Duration((1-endReserve)*float64(time.Until(r.ends)))
 }
 
+// moveOn is when a caller that is sent to another VM may come back.
+func (r *Relay) moveOn() time.Duration {
+	if r.Others.Taking() {
+		return movedOn
+	}
+	return restartTime
+}
+
 // paused notes the time between two events.
 func (r *Relay) paused(d time.Duration) {
 	r.mu.Lock()
@@ -221,7 +247,7 @@
 	}
 	j.deadline = time.Now().Add(allowed(req.Wait, route.Timeout))
 	if r.outlasts(j) {
-		return nil, &Refusal{Reason: ReasonStopping, RetryAfter: movedOn}
+		return nil, &Refusal{Reason: ReasonStopping, RetryAfter: r.moveOn()}
 	}
 	j.log = r.Log.WithFields(logrus.Fields{
 		"request": req.ID, "route": route.Name, "service": j.service, "team": j.team,
@@ -301,11 +327,24 @@
 	r.budget(service).Spend()
 }
 
+const (
+	// partsUnknown is the number of processes assumed until it is known.
+	partsUnknown = 12
+	// partsMargin keeps a part of the shared extra for processes that have just
+	// started and are not known to all.
+	partsMargin = 0.8
+)
+
 func (r *Relay) budget(service string) *retry.Budget {
 	b := r.budgets[service]
 	if b == nil {
-		b = &retry.Budget{Ratio: r.cfg.RetryRatio, Max: r.cfg.RetrySaved}
+		b = &retry.Budget{Ratio: r.cfg.RetryRatio}
 		r.budgets[service] = b
 	}
+	parts := r.Others.Known()
+	if parts == 0 {
+		parts = partsUnknown
+	}
+	b.Max = max(1, partsMargin*float64(r.cfg.RetryExtra)/float64(parts))
 	return b
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -115,7 +115,8 @@
 // fails; requests are refused instead.
 func TestRepeatsKeepToTheBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, Config{RetryRatio: 0.2, RetrySaved: 5})
+		w := newWorld(t, Config{RetryRatio: 0.2, RetryExtra: 10})
+		w.others.known = 2
 		for _, id := range []string{"a", "b", "c", "d"} {
 			w.server(id, deskService)
 		}
--- a/internal/relay/stream_test.go
+++ b/internal/relay/stream_test.go
@@ -154,7 +154,8 @@
 // The VM has been told to stop and a caller's kept connection brings one more
 // long generation. It would be cut off in its middle, where the caller cannot
 // come back; refused at once, it is answered by another VM. Short requests are
-// still served.
+// still served, and where every VM is stopping, so are long ones for a while: the
+// caller would only be refused again. Later the first VMs are about to be back.
 func TestStoppingVMTakesNoStreamThatOutlastsIt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, Config{})
@@ -171,7 +172,7 @@
 			}()
 			return s.answer(), nil
 		}
-		w.relay.EndAt(time.Now().Add(5 * time.Second))
+		w.relay.EndAt(time.Now().Add(5*time.Second), time.Now().Add(2*time.Second))
 		c := w.serve(request("/plan/x"))
 		require.Equal(t, ReasonStopping, c.refusal.Reason)
 		require.False(t, c.refusal.Run)
@@ -181,5 +182,10 @@
 		short := request("/check/x")
 		short.Generation.Hint = 12
 		w.serve(short).whole(t, events(1, 2))
+
+		w.others.taking = false
+		w.serve(request("/plan/x")).whole(t, events(1, 2))
+		time.Sleep(2 * time.Second)
+		require.Equal(t, ReasonStopping, w.serve(request("/plan/x")).refusal.Reason)
 	})
 }
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/yamux"
 
 	"kingcupplank.example/kingcup/failure"
+	"kingcupplank.example/kingcup/internal/mux"
 	innerv1 "kingcupplank.example/kingcup/proto/kingcup/inner/v1"
 	kingcupv1 "kingcupplank.example/kingcup/proto/kingcup/v1"
 )
@@ -40,46 +41,46 @@
 		if err != nil {
 			return
 		}
-		mux, err := yamux.Server(&corked{Conn: conn}, yamuxConfig())
+		session, err := mux.Server(conn)
 		if err != nil {
 			conn.Close()
 			continue
 		}
-		if !s.add(mux) {
-			mux.Close()
+		if !s.add(session) {
+			session.Close()
 			return
 		}
-		go s.session(mux)
+		go s.session(session)
 	}
 }
 
-func (s *Server) add(mux *yamux.Session) bool {
+func (s *Server) add(session *yamux.Session) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
 		return false
 	}
-	s.sessions[mux] = struct{}{}
+	s.sessions[session] = struct{}{}
 	s.wg.Add(1)
 	return true
 }
 
-func (s *Server) session(mux *yamux.Session) {
+func (s *Server) session(session *yamux.Session) {
 	defer s.wg.Done()
 	ctx, cancel := context.WithCancel(context.Background())
 	var streams sync.WaitGroup
 	for {
-		conn, err := mux.AcceptStream()
+		conn, err := session.AcceptStream()
 		if err != nil {
 			break
 		}
 		streams.Go(func() { s.stream(ctx, newStream(conn)) })
 	}
 	cancel()
-	mux.Close()
+	session.Close()
 	streams.Wait()
 	s.mu.Lock()
-	delete(s.sessions, mux)
+	delete(s.sessions, session)
 	s.mu.Unlock()
 }
 
@@ -105,8 +106,8 @@
 	s.listener.Close()
 	s.mu.Lock()
 	s.closed = true
-	for mux := range s.sessions {
-		mux.Close()
+	for session := range s.sessions {
+		session.Close()
 	}
 	s.mu.Unlock()
 	s.wg.Wait()
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -1,8 +1,10 @@
+// Package wire is the protocol between entries and agents: protobuf frames on
+// yamux streams. Each stream begins with an Open frame from the dialing side; the
+// accepting side answers with Reply frames.
 package wire
 
 import (
 	"context"
-	"io"
 	"net"
 	"sync"
 	"time"
@@ -12,6 +14,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"kingcupplank.example/kingcup/failure"
+	"kingcupplank.example/kingcup/internal/mux"
 	innerv1 "kingcupplank.example/kingcup/proto/kingcup/inner/v1"
 )
 
@@ -35,23 +38,13 @@
 	return d.DialContext(ctx, "tcp", address)
 }
 
-const (
-	acceptBacklog = 1024
-	// A dead peer is noticed by its missing heartbeats before the keepalive;
-	// the keepalive closes sessions that nothing watches.
-	keepAlive    = 10 * time.Second
-	writeTimeout = 2 * time.Second
-	openTimeout  = 5 * time.Second
-)
+const openTimeout = 5 * time.Second
 
-func yamuxConfig() *yamux.Config {
-	cfg := yamux.DefaultConfig()
-	cfg.AcceptBacklog = acceptBacklog
-	cfg.KeepAliveInterval = keepAlive
-	cfg.ConnectionWriteTimeout = writeTimeout
-	cfg.LogOutput = io.Discard
-	return cfg
-}
+// Protocol is the version in every Open; a peer with another one is refused.
+const Protocol = 1
+
+// ErrProtocol is the refusal of a peer with another version.
+var ErrProtocol = errors.New("peer speaks another protocol version")
 
 // Identity is what a process says of itself in every Open.
 type Identity struct {
@@ -72,12 +65,12 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "dial %s", address)
 	}
-	mux, err := yamux.Client(&corked{Conn: conn}, yamuxConfig())
+	session, err := mux.Client(conn)
 	if err != nil {
 		conn.Close()
 		return nil, errors.Wrap(err, "yamux client")
 	}
-	return &Session{id: id, mux: mux}, nil
+	return &Session{id: id, mux: session}, nil
 }
 
 // Close ends the session and all its streams.
@@ -112,7 +105,7 @@
 // write.
 type Stream struct {
 	conn *yamux.Stream
-	in   *FrameReader
+	in   *mux.FrameReader
 	// writing serializes frames.
 	writing sync.Mutex
 
@@ -121,7 +114,7 @@
 }
 
 func newStream(conn *yamux.Stream) *Stream {
-	return &Stream{conn: conn, in: NewFrameReader(conn)}
+	return &Stream{conn: conn, in: mux.NewFrameReader(conn)}
 }
 
 // Close ends the stream and unblocks its reader.
@@ -143,7 +136,7 @@
 func (s *Stream) Send(msg proto.Message) error {
 	s.writing.Lock()
 	defer s.writing.Unlock()
-	return WriteFrame(s.conn, msg)
+	return mux.WriteFrame(s.conn, msg)
 }
 
 // Recv reads one frame into msg.
--- a/tools/without/main.go
+++ b/tools/without/main.go
@@ -58,7 +58,7 @@
 	{"engine streams released", "internal/agent/run.go", "defer cancel()\n\tsrc, err := a.generate", "_ = cancel\n\tsrc, err := a.generate", "./internal/proof", "TestSlowReaderIsCutOff"},
 	{"bound of a team's streams", "internal/agent/generation.go", "most > 0 && a.open", "most > 1000 && a.open", "./internal/proof", "TestStreamBoundOfATeam"},
 	{"links divided over the models", "internal/entry/members.go", "max(leastPerModel, e.cfg.AgentLinks/models)", "6", "./internal/entry", "TestEveryServerIsWatched"},
-	{"frame bound before allocation", "internal/wire/frame.go", "if size > MaxFrame {\n\t\treturn errors.Wrapf(ErrFrameTooLarge, \"%d bytes announced\", size)\n\t}", "", "./internal/wire", "TestOversizedFrame"},
+	{"frame bound before allocation", "internal/mux/frame.go", "if size > MaxFrame {\n\t\treturn errors.Wrapf(ErrFrameTooLarge, \"%d bytes announced\", size)\n\t}", "", "./internal/mux", "TestOversizedFrame"},
 }
 
 func main() {
