After the last call a stopping VM takes no stream that must not be repeated

Change: from the last call on (2.7 s after SIGTERM) streams that may not be repeated are refused whatever their estimate. Test: TestStoppingVMTakesNoStreamThatOutlastsIt, extended, failed first.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -116,6 +116,10 @@
 	if r.ends.IsZero() || time.Now().Before(r.lastCall) && !r.Others.Taking() {
 		return false
 	}
+	// A wrong estimate costs a caller its whole answer, a refusal a few milliseconds.
+	if !time.Now().Before(r.lastCall) && j.route.Kind == routing.Stream && !j.route.Resumable {
+		return true
+	}
 	need := j.route.Target
 	if g := j.Generation; g != nil {
 		perEvent := 1
--- a/internal/relay/stream_test.go
+++ b/internal/relay/stream_test.go
@@ -155,7 +155,8 @@
 // long generation. It would be cut off in its middle, where the caller cannot
 // come back; refused at once, it is answered by another VM. Short requests are
 // still served, and where every VM is stopping, so are long ones for a while: the
-// caller would only be refused again. Later the first VMs are about to be back.
+// caller would only be refused again. Later the first VMs are about to be back, and a
+// stream that must not be repeated is not risked on a guess of its length.
 func TestStoppingVMTakesNoStreamThatOutlastsIt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, Config{})
@@ -186,6 +187,8 @@
 		w.others.taking = false
 		w.serve(request("/plan/x")).whole(t, events(1, 2))
 		time.Sleep(2 * time.Second)
-		require.Equal(t, ReasonStopping, w.serve(request("/plan/x")).refusal.Reason)
+		brief := request("/plan/x")
+		brief.Generation.Hint = 12
+		require.Equal(t, ReasonStopping, w.serve(brief).refusal.Reason)
 	})
 }
