Servers are asked whether they leave while the store is away

Change: while the directory cannot be read, here or by peers, servers that run streams of this entry are asked every 250 ms; a leaving one is treated as if its entry said so. A call to the store waits 1 s instead of 1.5 s and is given up 0.6 s later, so that a silent outage is noticed in time. Test: TestStreamOutlivesAServerThatLeavesDuringAnOutage.

--- a/backends/registry.go
+++ b/backends/registry.go
@@ -103,6 +103,7 @@
 	NoticeDraining Notice = "draining"
 	NoticeVanished Notice = "entry vanished"
 	NoticeReplaced Notice = "another server has its address"
+	NoticeReported Notice = "its own report"
 )
 
 // New returns an empty registry of a process in domain. leaving is told once of
@@ -227,6 +228,19 @@
 	r.tell(left)
 }
 
+// Reported notes that a server itself says that it is leaving.
+func (r *Registry) Reported(id string) {
+	r.mu.Lock()
+	s := r.servers[id]
+	var left []leave
+	if s != nil && !s.gone && !s.Leaving {
+		s.Leaving = true
+		left = append(left, leave{s.Server, NoticeReported})
+	}
+	r.mu.Unlock()
+	r.tell(left)
+}
+
 // Query asks for a server.
 type Query struct {
 	Service string
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -321,6 +321,14 @@
 	sleep(ctx, pause)
 }
 
+// Away reports whether the table cannot be read, here or by others.
+func (f *Follower) Away() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	age := f.now() - f.made
+	return f.synced && (age > f.cfg.Wait+silentSlack/2 || f.failures > 0 && age > silentSlack)
+}
+
 // Reached reports whether the store answered this process last.
 func (f *Follower) Reached() bool {
 	f.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,7 +46,7 @@
 
 // DefaultOptions are the defaults of the flags.
 func DefaultOptions() Options {
-	return Options{FeedWait: 1500 * time.Millisecond, DirectoryGap: 100 * time.Millisecond, Leave: 3 * time.Second, MetricsPort: 9464}
+	return Options{FeedWait: time.Second, DirectoryGap: 100 * time.Millisecond, Leave: 3 * time.Second, MetricsPort: 9464}
 }
 
 // Gateway is a running gateway.
@@ -177,6 +177,7 @@
 	g.wg.Go(func() { op.Run(ctx) })
 	g.wg.Go(func() { dir.Run(ctx) })
 	g.wg.Go(func() { g.group.join(ctx) })
+	g.wg.Go(func() { g.relay.Scout(ctx, dir.Away) })
 	g.wg.Go(func() { g.tend(ctx) })
 	return nil
 }
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -150,11 +150,12 @@
 
 // fakeUpstream plays the servers.
 type fakeUpstream struct {
-	mu    sync.Mutex
-	sent  []*Attempt
-	moves []string
-	send  func(ctx context.Context, a *Attempt) (*Answer, error)
-	move  func(ctx context.Context, from backends.Server, id, to string, final bool) (string, error)
+	mu      sync.Mutex
+	sent    []*Attempt
+	moves   []string
+	leaving map[string]bool
+	send    func(ctx context.Context, a *Attempt) (*Answer, error)
+	move    func(ctx context.Context, from backends.Server, id, to string, final bool) (string, error)
 }
 
 func (f *fakeUpstream) Send(ctx context.Context, a *Attempt) (*Answer, error) {
@@ -180,6 +181,18 @@
 
 func (f *fakeUpstream) Drop(context.Context, Copy) {}
 
+func (f *fakeUpstream) Leaving(_ context.Context, s backends.Server) (bool, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.leaving[s.ID], nil
+}
+
+func (f *fakeUpstream) setLeaving(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.leaving = map[string]bool{id: true}
+}
+
 // servers lists the servers asked, in order.
 func (f *fakeUpstream) servers() (ids []string) {
 	f.mu.Lock()
--- a/internal/relay/move.go
+++ b/internal/relay/move.go
@@ -51,6 +51,12 @@
 
 func newRun(j *job, s backends.Server) *run { return &run{job: j, server: s} }
 
+// canMove reports whether the run can be moved and is lost otherwise.
+func (u *run) canMove() bool {
+	e := u.job.engine
+	return e != nil && e.Moves && u.job.Generation != nil && !u.job.route.Resumable
+}
+
 func (u *run) delivered(event uint64) {
 	u.mu.Lock()
 	u.events = event
@@ -205,7 +211,7 @@
 	r.mu.Lock()
 	var runs []*run
 	for u := range r.runs[server] {
-		if e := u.job.engine; e != nil && e.Moves && u.job.Generation != nil && !u.job.route.Resumable {
+		if u.canMove() {
 			runs = append(runs, u)
 		}
 	}
--- a/internal/relay/stream_test.go
+++ b/internal/relay/stream_test.go
@@ -192,3 +192,36 @@
 		require.Equal(t, ReasonStopping, w.serve(brief).refusal.Reason)
 	})
 }
+
+// The store is away when a server begins to leave, so its entry cannot say so. The
+// server itself is asked, and the stream is moved before the server ends.
+func TestStreamOutlivesAServerThatLeavesDuringAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, Config{})
+		w.server("a", modelService)
+		old := newSource()
+		w.movable(old, 20*time.Millisecond)
+		w.up.send = func(_ context.Context, a *Attempt) (*Answer, error) {
+			next := newSource()
+			if a.From == nil {
+				go old.write(events(1, 2))
+				return old.answer(), nil
+			}
+			go func() {
+				next.write(events(3, 4))
+				next.w.Close()
+			}()
+			return next.answer(), nil
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go w.relay.Scout(ctx, func() bool { return true })
+		time.AfterFunc(time.Second, func() {
+			w.server("b", modelService)
+			w.up.setLeaving("a")
+		})
+		time.AfterFunc(2500*time.Millisecond, old.breakOff)
+		w.serve(request("/plan/x")).whole(t, events(1, 4))
+		require.Equal(t, []string{"a", "b"}, w.up.servers())
+	})
+}
