Requests go where few prompts wait to be read

Placing saw memory and slots, of which there was plenty, not the prompts that an engine reads one after the other beside its steps. Change: a lease counts its prompt until the answer begins, gateways tell each other, and the direct policy prefers engines with few tokens to read.

--- a/backends/lease.go
+++ b/backends/lease.go
@@ -31,10 +31,27 @@
 	Load
 	Of int
 
-	reg    *Registry
-	s      *server
-	tokens int
-	once   sync.Once
+	reg *Registry
+	s   *server
+	// part is what the request adds to the server's load; reg.mu guards it.
+	part Load
+	once sync.Once
+}
+
+// lease counts a request at a server; mu is held.
+func (r *Registry) lease(s *server, q Query, of int) *Lease {
+	l := &Lease{reg: r, s: s, Server: s.Server, Of: of, Load: r.load(s), part: Load{Running: 1, Tokens: q.Tokens, Prompt: q.Prompt}}
+	s.own = s.own.plus(l.part)
+	return l
+}
+
+// Begun notes that the server has read the prompt.
+func (l *Lease) Begun() {
+	l.reg.mu.Lock()
+	defer l.reg.mu.Unlock()
+	prompt := Load{Prompt: l.part.Prompt}
+	l.part = l.part.minus(prompt)
+	l.s.own = l.s.own.minus(prompt)
 }
 
 // Done ends the lease; further calls do nothing.
@@ -46,8 +63,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := l.s
-	s.running--
-	s.tokens -= l.tokens
+	s.own = s.own.minus(l.part)
+	l.part = Load{}
 	switch result {
 	case Good:
 		s.judge(0, now)
@@ -59,7 +76,7 @@
 		s.judge(1, now)
 		s.avoidUntil = max(s.avoidUntil, now+lostFor)
 	}
-	if s.gone && s.running == 0 {
+	if s.gone && s.own.Running == 0 {
 		delete(r.servers, s.ID)
 	}
 }
@@ -73,8 +90,5 @@
 	if s == nil || s.gone {
 		return nil
 	}
-	l := &Lease{reg: r, s: s, tokens: tokens, Server: s.Server, Of: 1, Load: r.load(s)}
-	s.running++
-	s.tokens += tokens
-	return l
+	return r.lease(s, Query{Tokens: tokens}, 1)
 }
--- a/backends/load.go
+++ b/backends/load.go
@@ -1,17 +1,28 @@
 package backends
 
-// Load is requests at a server and the memory that they are expected to need.
+// Load is requests at a server.
 type Load struct {
-	Running, Tokens int
+	Running int
+	// Tokens is the memory that they are expected to need.
+	Tokens int
+	// Prompt is the prompt tokens of those that have not begun to answer: what a
+	// new request has to wait for.
+	Prompt int
+}
+
+func (l Load) plus(o Load) Load {
+	return Load{Running: l.Running + o.Running, Tokens: l.Tokens + o.Tokens, Prompt: l.Prompt + o.Prompt}
+}
+
+func (l Load) minus(o Load) Load {
+	return Load{Running: l.Running - o.Running, Tokens: l.Tokens - o.Tokens, Prompt: l.Prompt - o.Prompt}
 }
 
 // load is what is known of a server's load, here and at other processes.
 func (r *Registry) load(s *server) Load {
-	sum := Load{Running: s.running, Tokens: s.tokens}
+	sum := s.own
 	for _, loads := range r.remote {
-		l := loads[s.ID]
-		sum.Running += l.Running
-		sum.Tokens += l.Tokens
+		sum = sum.plus(loads[s.ID])
 	}
 	return sum
 }
@@ -22,8 +33,8 @@
 	defer r.mu.Unlock()
 	out := make(map[string]Load)
 	for id, s := range r.servers {
-		if s.running > 0 {
-			out[id] = Load{Running: s.running, Tokens: s.tokens}
+		if s.own.Running > 0 {
+			out[id] = s.own
 		}
 	}
 	return out
--- a/backends/registry.go
+++ b/backends/registry.go
@@ -63,8 +63,7 @@
 	suspectUntil time.Duration
 	coldUntil    time.Duration
 	avoidUntil   time.Duration
-	running      int
-	tokens       int
+	own          Load
 	failures     float64
 	judged       time.Duration
 }
@@ -194,7 +193,7 @@
 	if !s.Leaving {
 		left = append(left, leave{s.Server, NoticeVanished})
 	}
-	if s.running == 0 {
+	if s.own.Running == 0 {
 		delete(r.servers, s.ID)
 	}
 	return left
@@ -244,8 +243,9 @@
 // Query asks for a server.
 type Query struct {
 	Service string
-	// Tokens is the memory that the request is expected to need at its peak.
-	Tokens int
+	// Tokens is the memory that the request is expected to need at its peak, Prompt
+	// the prompt tokens that a server has to read before it answers.
+	Tokens, Prompt int
 	// Tried are the servers that are not to be asked again.
 	Tried []string
 	// Near is the failure domain to prefer, the process's own if empty.
@@ -276,10 +276,7 @@
 		return nil
 	}
 	s := list[i]
-	l := &Lease{reg: r, s: s, tokens: q.Tokens, Server: s.Server, Of: len(list), Load: r.load(s)}
-	s.running++
-	s.tokens += q.Tokens
-	return l
+	return r.lease(s, q, len(list))
 }
 
 // views lists the servers of a service in the order of their ids, so that equal
@@ -304,7 +301,7 @@
 		views[i] = placement.Server{
 			Name: s.ID, FailureDomain: s.FailureDomain, Leaving: s.Leaving, Connected: true,
 			Running: load.Running, Slots: s.Slots,
-			MemoryForecast: uint64(load.Tokens), MemoryTotal: uint64(memory),
+			MemoryForecast: uint64(max(0, load.Tokens)), PromptPending: max(0, load.Prompt), MemoryTotal: uint64(memory),
 			FailureRate: s.failureRate(now), Avoid: now < s.avoidUntil || s.suspectUntil > 0, Cold: now < s.coldUntil,
 		}
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -68,7 +68,7 @@
 		Stopping: g.stopping.Load(), StoreReached: g.reached(),
 	}
 	for id, l := range g.registry.Loads() {
-		s.Loads = append(s.Loads, &peerv1.Load{Server: id, Running: uint32(l.Running), Tokens: uint64(max(0, l.Tokens))})
+		s.Loads = append(s.Loads, &peerv1.Load{Server: id, Running: uint32(l.Running), Tokens: uint64(max(0, l.Tokens)), Prompt: uint64(max(0, l.Prompt))})
 	}
 	return s
 }
@@ -90,7 +90,7 @@
 	}
 	loads := make(map[string]backends.Load, len(s.GetLoads()))
 	for _, l := range s.GetLoads() {
-		loads[l.GetServer()] = backends.Load{Running: int(l.GetRunning()), Tokens: int(l.GetTokens())}
+		loads[l.GetServer()] = backends.Load{Running: int(l.GetRunning()), Tokens: int(l.GetTokens()), Prompt: int(l.GetPrompt())}
 	}
 	g.registry.SetRemote(peer, loads)
 }
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -74,13 +74,15 @@
 	j.sent++
 	answer, err := r.Upstream.Send(ctx, a)
 	entry := j.log.WithFields(logrus.Fields{
-		"server": lease.Server.ID, "try": j.sent, "running": lease.Running, "tokens": lease.Tokens, "of": lease.Of,
+		"server": lease.Server.ID, "try": j.sent, "running": lease.Running, "tokens": lease.Tokens,
+		"prompt": lease.Prompt, "of": lease.Of,
 	})
 	if err != nil {
 		entry.WithField("result", err.Error()).Info("sent")
 		return nil, err
 	}
 	j.ran++
+	lease.Begun()
 	entry.WithField("status", answer.Status).Info("sent")
 	return answer, nil
 }
@@ -133,7 +135,7 @@
 // acquire takes a lease on a server, waiting a while for one with room.
 func (r *Relay) acquire(ctx context.Context, j *job) (*backends.Lease, *Refusal) {
 	for {
-		q := backends.Query{Service: j.service, Tokens: j.memory(), Tried: j.tried, Draw: rand.Uint64()}
+		q := backends.Query{Service: j.service, Tokens: j.memory(), Prompt: j.prompt(), Tried: j.tried, Draw: rand.Uint64()}
 		if lease := r.Registry.Acquire(q, r.Now()); lease != nil {
 			return lease, nil
 		}
@@ -178,6 +180,13 @@
 	return g.PromptTokens + g.output()
 }
 
+func (j *job) prompt() int {
+	if j.Generation == nil {
+		return 0
+	}
+	return j.Generation.PromptTokens
+}
+
 // output is the expected output in tokens: the caller's estimate, which is right
 // at the median, or half of the most that it allows.
 func (g *Generation) output() int {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -23,6 +23,8 @@
 	MemoryForecast, MemoryTotal uint64
 	// Sent is the number of requests this entry has sent since that report.
 	Sent int
+	// PromptPending is the prompt tokens that are read before a new request's.
+	PromptPending int
 	// Slots is how many requests the server runs at once, 0 if unknown.
 	Slots int
 	// FailureRate is the share of recent answers that were failures.
@@ -79,6 +81,7 @@
 		Filters: []Filter{NotLeaving, NotTried},
 		Scorers: []Scorer{
 			{Weight: 1.0, Score: Room},
+			{Weight: 1.0, Score: PromptRead},
 			{Weight: 1.0, Score: Healthy},
 			{Weight: 2.0, Score: NotAvoided},
 			{Weight: 0.3, Score: Warm},
