A run on a leaving server is stopped only when the links are idle

Final copies waited 0.3 to 0.9 s behind other runs' memory while their streams stood still, beyond the longest pause of 180 ms. Ruled out: the first copies as such (the run goes on meanwhile). Change: while the links are busy only fresh copies are made, up to 4 s; a server that ends first leaves a stream that goes on from its copy within 50 ms.

--- a/internal/relay/move.go
+++ b/internal/relay/move.go
@@ -15,8 +15,10 @@
 )
 
 const (
-	// moveWithin is the part of a server's notice in which its runs are moved.
-	moveWithin = 1200 * time.Millisecond
+	// moveWithin is how long after a server's notice its runs go on there at most
+	// while the links are busy. Reclaimed engines end 1.5 s or more after it, others
+	// keep running for seconds.
+	moveWithin = 4 * time.Second
 	// linkIdle is the duration of a copy of what is new below which nothing else
 	// waits on the links. A final copy behind another run's whole memory (0.2 to
 	// 0.4 s) would stop the stream for as long, beyond the longest pause.
@@ -75,6 +77,13 @@
 	return time.Duration(max(0, left)) * tokenTime
 }
 
+// at reports whether the run is still at a server.
+func (u *run) at(server string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return !u.ended && u.server.ID == server
+}
+
 // beginMove marks the run as being moved from a server; false if it is not there
 // or is being moved already.
 func (u *run) beginMove(from string) bool {
@@ -223,7 +232,7 @@
 // evacuate copies all runs first and stops them only then: a copy takes as long
 // as the run's memory is large, and copies queue on the server's link.
 func (r *Relay) evacuate(s backends.Server, runs []*run) {
-	ctx, cancel := context.WithTimeout(context.Background(), 2*moveWithin)
+	ctx, cancel := context.WithTimeout(context.Background(), moveWithin+awaitMove)
 	defer cancel()
 	until := time.Now().Add(moveWithin)
 	var begun []*move
@@ -284,9 +293,12 @@
 }
 
 // finish stops the run at its server once nothing else waits on the links, and
-// leaves the copy for the stream to go on from.
+// leaves the copy for the stream to go on from. While the links are busy the copy
+// is only kept fresh: if the server ends first, the stream goes on from the copy
+// and reads what it lacks in a few ms, while a final copy that waits would stop it
+// for as long as the others take.
 func (m *move) finish(ctx context.Context, until time.Time) {
-	for time.Now().Before(until) {
+	for time.Now().Before(until) && m.run.at(m.from.ID) {
 		took, err := m.transfer(ctx, false)
 		if err != nil {
 			return
@@ -295,7 +307,9 @@
 			break
 		}
 	}
-	m.transfer(ctx, true)
+	if m.run.at(m.from.ID) {
+		m.transfer(ctx, true)
+	}
 }
 
 // transfer makes one copying call and notes its handle.
