--- a/cmd/kingcup-gateway/main.go
+++ b/cmd/kingcup-gateway/main.go
@@ -39,7 +39,7 @@
 	}
 	out := logging.NewWriter(os.Stdout)
 	log := logging.New(out, parsed).WithField("vm", set.VM)
-	opts := gateway.Options{FeedWait: *wait, DirectoryGap: *gap, Leave: *leave, MetricsPort: *metrics}
+	opts := gateway.Options{FeedWait: *wait, DirectoryGap: *gap, Leave: *leave, MetricsPort: *metrics, DroppedLines: out.Dropped}
 	g, err := gateway.Start(opts, set, log)
 	if err != nil {
 		out.Close()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -42,11 +42,16 @@
 	Leave time.Duration
 	// MetricsPort serves metrics and reports; 0 for none.
 	MetricsPort int
+	// DroppedLines counts the log lines that were not written.
+	DroppedLines func() uint64
 }
 
 // DefaultOptions are the defaults of the flags.
 func DefaultOptions() Options {
-	return Options{FeedWait: time.Second, DirectoryGap: 100 * time.Millisecond, Leave: 3 * time.Second, MetricsPort: 9464}
+	return Options{
+		FeedWait: time.Second, DirectoryGap: 100 * time.Millisecond, Leave: 3 * time.Second, MetricsPort: 9464,
+		DroppedLines: func() uint64 { return 0 },
+	}
 }
 
 // Gateway is a running gateway.
@@ -161,6 +166,18 @@
 	g.callers = ingress.New(callers, g.relay)
 	rep.OnChange(func(c *routing.Config) { g.callers.SetLimits(c.Limits) })
 	rec.Gauge("kingcup_gateway_in_progress", "Requests without a final answer.", func() float64 { return float64(g.relay.InProgress()) })
+	rec.Gauge("kingcup_gateway_config_version", "Version of the configuration in force.", func() float64 {
+		c, _ := rep.Current()
+		if c == nil {
+			return 0
+		}
+		return float64(c.Version)
+	})
+	rec.Gauge("kingcup_gateway_config_age_seconds", "Time since the configuration was known to be the newest.", func() float64 {
+		_, confirmed := rep.Current()
+		return (clock.SinceBoot() - confirmed).Seconds()
+	})
+	rec.Gauge("kingcup_gateway_log_lines_dropped", "Log lines that were not written.", func() float64 { return float64(g.opts.DroppedLines()) })
 	if err := g.serveMetrics(rec); err != nil {
 		callers.Close()
 		ready.Close()
