Choices among fewer servers where many gateways choose at once

Cause: on the grown sites (29 and 24 gateways, 53 and 44 engines) first tokens took 0.8 s at the median and a fifth of the generations was late with engines half empty: all gateways see the same loads, up to 150 ms old, and take the same best engine. Ruled out: overload (nothing refused, prompts at half of what engines read). Change: each choice draws three times the servers there are for each gateway, at least two, and takes the best of them; few gateways still see all. Test: TestBestSpreadsOverEqualServers and the policy tests run on the drawn choice.

--- a/backends/registry.go
+++ b/backends/registry.go
@@ -287,7 +287,7 @@
 	if q.Copy {
 		policy = r.copies
 	}
-	i := policy.Best(req, views, q.Draw)
+	i := policy.BestOf(r.draws(len(views)), req, views, q.Draw)
 	if i < 0 {
 		return nil
 	}
@@ -295,6 +295,16 @@
 	return r.lease(s, q, len(list))
 }
 
+// drawsPerProcess is the servers that each of the processes which choose at the same
+// time draws, as a multiple of the servers there are for each.
+const drawsPerProcess = 3
+
+// draws is how many servers a choice is made among. Loads of other processes are
+// some 100 ms old; if all took the best of all they would meet at the same one.
+func (r *Registry) draws(servers int) int {
+	return max(2, (drawsPerProcess*servers+len(r.remote))/(len(r.remote)+1))
+}
+
 // views describes the servers of a service to a policy. The result is valid until
 // mu is released.
 func (r *Registry) views(service string, now time.Duration) ([]placement.Server, []*server) {
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -46,7 +45,6 @@
 	callers string
 	ready   string
 	door    *fleet.Door
-	logged  *bytes.Buffer
 }
 
 // testBounds are short, so that tests are.
--- a/internal/standin/fleet/server.go
+++ b/internal/standin/fleet/server.go
@@ -36,7 +36,6 @@
 	copies map[string]string
 	behave Behaviour
 	state  string
-	count  int
 
 	stopped atomic.Bool
 }
--- a/placement/direct_test.go
+++ b/placement/direct_test.go
@@ -14,10 +14,10 @@
 		{Name: "near", FailureDomain: "z1", MemoryTotal: 100, MemoryForecast: 50},
 	}
 	r := &Request{FailureDomain: "z1", Tokens: 10}
-	require.Equal(t, 0, Direct().Best(r, servers, 1))
-	require.Equal(t, 1, Copies().Best(r, servers, 1))
+	require.Equal(t, 0, Direct().BestOf(2, r, servers, 1))
+	require.Equal(t, 1, Copies().BestOf(2, r, servers, 1))
 	servers[1].MemoryForecast = 95
-	require.Equal(t, 0, Copies().Best(r, servers, 1))
+	require.Equal(t, 0, Copies().BestOf(2, r, servers, 1))
 }
 
 // Every request must not go to the first of equal servers: each entry starts
@@ -26,7 +26,7 @@
 	servers := []Server{{Name: "a"}, {Name: "b"}, {Name: "c"}}
 	seen := make(map[int]int)
 	for random := range uint64(600) {
-		seen[Direct().Best(&Request{}, servers, random)]++
+		seen[Direct().BestOf(3, &Request{}, servers, random)]++
 	}
 	require.Len(t, seen, 3)
 	for _, n := range seen {
@@ -40,6 +40,6 @@
 	busy := Server{Name: "busy", Slots: 10, Running: 4}
 	failing := Server{Name: "failing", Slots: 10, FailureRate: 0.6}
 	full := Server{Name: "full", Slots: 10, Avoid: true}
-	require.Equal(t, 1, Direct().Best(&Request{}, []Server{failing, busy}, 0))
-	require.Equal(t, 0, Direct().Best(&Request{}, []Server{failing, full}, 0))
+	require.Equal(t, 1, Direct().BestOf(2, &Request{}, []Server{failing, busy}, 0))
+	require.Equal(t, 0, Direct().BestOf(2, &Request{}, []Server{failing, full}, 0))
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -6,7 +6,10 @@
 // The package is pure; all functions are safe for concurrent use.
 package placement
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 // Server is what an entry knows of one backend server.
 type Server struct {
@@ -103,25 +106,36 @@
 	return p
 }
 
-// Best returns the index in servers of the one with the highest score, or -1.
-// Equal ones are drawn by random. It fits a view that is up to date: with one
-// that lags, Pick keeps entries from choosing the same server at once.
-func (p Policy) Best(r *Request, servers []Server, random uint64) int {
-	best, equal, top := -1, uint64(0), 0.0
+// BestOf draws servers and returns the index of the one with the highest score, or
+// -1. With draws as many as servers it is the best of all: right for a view that is
+// up to date. Where others choose at the same moment by the same view, they would
+// all choose the same one; fewer draws spread them.
+func (p Policy) BestOf(draws int, r *Request, servers []Server, random uint64) int {
+	rng := rand.New(rand.NewPCG(random, random))
+	best, top, left := -1, 0.0, 0
 	for i := range servers {
+		if p.passes(r, &servers[i]) {
+			left++
+		}
+	}
+	draws = min(draws, left)
+	start := 0
+	if len(servers) > 0 {
+		start = rng.IntN(len(servers))
+	}
+	for k := range servers {
+		i := (start + k) % len(servers)
 		if !p.passes(r, &servers[i]) {
 			continue
 		}
-		score := p.score(r, &servers[i])
-		switch {
-		case best < 0 || score > top:
-			best, equal, top = i, 1, score
-		case score == top:
-			equal++
-			if random%equal == 0 {
-				best = i
+		// Each of those left is drawn with equal chance.
+		if rng.IntN(left) < draws {
+			draws--
+			if score := p.score(r, &servers[i]); best < 0 || score > top {
+				best, top = i, score
 			}
 		}
+		left--
 	}
 	return best
 }
