A generation on an engine is told to the other gateways at once

Cause: with 24 and more gateways some ten generations are placed between two states (150 ms), each without knowing of the others.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -120,6 +120,9 @@
 	return slices.ContainsFunc(g.links.Live(), func(s *peerv1.State) bool { return !s.GetStopping() })
 }
 
+// Placed implements relay.Others.
+func (g *group) Placed() { g.links.Nudge() }
+
 // stop tells the peers that this gateway is stopping.
 func (g *group) stop() {
 	g.stopping.Store(true)
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -41,6 +41,7 @@
 
 func (o *others) Known() int   { return o.known }
 func (o *others) Taking() bool { return o.taking }
+func (o *others) Placed()      {}
 
 func quietLog() *logrus.Logger {
 	log := logrus.New()
--- a/internal/relay/lane.go
+++ b/internal/relay/lane.go
@@ -144,6 +144,7 @@
 		if l.first(w, r.Now()) {
 			if lease := r.Registry.Acquire(r.engineQuery(j), r.Now()); lease != nil {
 				sent = true
+				r.Others.Placed()
 				return lease, nil
 			}
 			if r.Now()-asked > roomPoll {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -53,6 +53,8 @@
 	Known() int
 	// Taking reports whether another process takes requests.
 	Taking() bool
+	// Placed tells them that this process has put a generation on an engine.
+	Placed()
 }
 
 // Relay serves requests. It is safe for concurrent use; mu is a leaf.
