Copies go where there is room

Change: a copy goes first to a server whose peaks stay within 0.9 of its memory; up to eight are tried.

--- a/backends/registry.go
+++ b/backends/registry.go
@@ -297,7 +297,7 @@
 
 // drawsPerProcess is the servers that each of the processes which choose at the same
 // time draws, as a multiple of the servers there are for each.
-const drawsPerProcess = 3
+const drawsPerProcess = 5
 
 // draws is how many servers a choice is made among. Loads of other processes are
 // some 100 ms old; if all took the best of all they would meet at the same one.
--- a/internal/relay/lane.go
+++ b/internal/relay/lane.go
@@ -18,7 +18,7 @@
 	mostPrompt = 3500
 	// mostUsed is the part of an engine's memory that the peaks of its requests may
 	// add up to. Not all reach their peak at once.
-	mostUsed = 1.1
+	mostUsed = 1.0
 	// startRate is the prompt tokens a second that are assumed to go to engines
 	// until it has been seen.
 	startRate = 20000
--- a/internal/relay/move.go
+++ b/internal/relay/move.go
@@ -23,8 +23,11 @@
 	// waits on the links. A final copy behind another run's whole memory (0.2 to
 	// 0.4 s) would stop the stream for as long, beyond the longest pause.
 	linkIdle = 60 * time.Millisecond
-	// moveTargets is how many servers are tried for a copy.
-	moveTargets = 3
+	// moveTargets is how many servers are tried for a copy; a refusal takes a few ms.
+	moveTargets = 8
+	// copyRoom is the part of a server's memory that the peaks there may add up to
+	// for a copy to be sent to it first: copies to fuller ones were mostly refused.
+	copyRoom = 0.9
 	// awaitMove is how long a stream that broke waits for the move in progress.
 	awaitMove = 1500 * time.Millisecond
 	// tokenTime is the time of one output token on a moderately full engine, used
@@ -270,11 +273,7 @@
 func (m *move) copy(ctx context.Context) bool {
 	m.tried = []string{m.from.ID}
 	for range moveTargets {
-		q := backends.Query{
-			Service: m.run.job.service, Tokens: m.run.job.memory(), Tried: m.tried,
-			Copy: true, Near: m.from.FailureDomain, Draw: rand.Uint64(),
-		}
-		lease := m.relay.Registry.Acquire(q, m.relay.Now())
+		lease := m.target()
 		if lease == nil {
 			return false
 		}
@@ -292,6 +291,20 @@
 	return false
 }
 
+// target picks a server for the copy: one that has room for the run's peak, or
+// else any that has not refused.
+func (m *move) target() *backends.Lease {
+	q := backends.Query{
+		Service: m.run.job.service, Tokens: m.run.job.memory(), Tried: m.tried, MostUsed: copyRoom,
+		Copy: true, Near: m.from.FailureDomain, Draw: rand.Uint64(),
+	}
+	if lease := m.relay.Registry.Acquire(q, m.relay.Now()); lease != nil {
+		return lease
+	}
+	q.MostUsed = 0
+	return m.relay.Registry.Acquire(q, m.relay.Now())
+}
+
 // finish stops the run at its server once nothing else waits on the links, and
 // leaves the copy for the stream to go on from. While the links are busy the copy
 // is only kept fresh: if the server ends first, the stream goes on from the copy
