Long pages of a table are not passed on over thin links

Two readers pass the page, some 64 KB, to 28 peers each; over links of 10 Mbit/s that takes 1.5 s, and callers wait behind it. Ruled out: decoding (mean processor time unchanged), memory (no exits). Change: a page that would take more than 50 ms of the VM's link over all peers is only announced; peers notice the gap at once and read it from the store.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -188,6 +188,7 @@
 	if !f.synced || s.Since > f.revision {
 		if f.synced {
 			f.gap = true
+			f.nudge()
 		}
 		return
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -114,7 +114,7 @@
 		},
 		func(st *store.Client, reg *backends.Registry) *group {
 			self := peers.Member{Name: set.VM, Address: peerAddress(set), FailureDomain: set.FailureDomain}
-			return newGroup(self, st, reg, log)
+			return newGroup(self, st, reg, set.LinkMbps, log)
 		},
 		func(rep *routing.Replica, reg *backends.Registry, up *upstream.Client, now clock.Source, rec *gatewaymetrics.Recorder, gr *group, l *late) *relay.Relay {
 			cfg := relay.Config{
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"strings"
@@ -9,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"kingcupplank.example/kingcup/internal/follow"
 	"kingcupplank.example/kingcup/internal/standin/fleet"
 )
 
@@ -363,3 +365,25 @@
 	require.Equal(t, events(1, slowStream.Events), r.body)
 	<-stopped
 }
+
+// A configuration grows far beyond what a thin VM's link can pass on to its peers
+// without holding up callers. The peers are told that there is more, and read it
+// from the store themselves.
+func TestLongPagesAreNotPassedOn(t *testing.T) {
+	s := newSystem(t)
+	s.server(fleet.DeskService, fleet.Behaviour{})
+	s.linkMbps = 1
+	nodes := []*node{s.gateway("vm-a"), s.gateway("vm-b"), s.gateway("vm-c")}
+	for _, n := range nodes {
+		n.eventually(func() bool { return len(n.group.links.Live()) == len(nodes)-1 }, "linked")
+	}
+	var more []string
+	for i := range 400 {
+		more = append(more, fmt.Sprintf("/extra-%d/", i))
+	}
+	s.fleet.Configure(fleet.Key, more...)
+	last := nodes[len(nodes)-1]
+	last.eventually(func() bool { return last.do(plain("/extra-399/a")).status == http.StatusOK }, "in force")
+	require.True(t, nodes[0].group.tooLong(follow.Shared{Page: follow.Page{Rows: []follow.Row{{Value: make([]byte, 40000)}}}}))
+	require.False(t, nodes[0].group.tooLong(follow.Shared{Page: follow.Page{Rows: []follow.Row{{Value: make([]byte, 500)}}}}))
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -45,6 +45,8 @@
 	self     peers.Member
 	store    rows
 	registry *backends.Registry
+	// linkMbps is this VM's bandwidth in Mbit/s, 0 if it is not known.
+	linkMbps float64
 	log      logrus.FieldLogger
 	links    *peers.Manager
 	stopping atomic.Bool
@@ -52,8 +54,8 @@
 	followers map[string]*follow.Follower
 }
 
-func newGroup(self peers.Member, store rows, registry *backends.Registry, log logrus.FieldLogger) *group {
-	g := &group{self: self, store: store, registry: registry, log: log, followers: make(map[string]*follow.Follower)}
+func newGroup(self peers.Member, store rows, registry *backends.Registry, linkMbps float64, log logrus.FieldLogger) *group {
+	g := &group{self: self, store: store, registry: registry, linkMbps: linkMbps, log: log, followers: make(map[string]*follow.Follower)}
 	var d net.Dialer
 	g.links = peers.New(self, peers.Deps{
 		Dial:  func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) },
@@ -155,12 +157,35 @@
 	return before < readers
 }
 
-// Share implements follow.Sharing.
+// shareTime is the time of this VM's link that passing a page on may take. Beyond
+// it callers would wait behind the page: 64 KB for 28 peers take 1.5 s of a link of
+// 10 Mbit/s.
+const shareTime = 50 * time.Millisecond
+
+// rowOverhead is what a row takes in a page beside its value, in bytes.
+const rowOverhead = 64
+
+// tooLong reports whether a page would hold up the link.
+func (g *group) tooLong(p follow.Shared) bool {
+	size := 0
+	for _, r := range p.Rows {
+		size += len(r.Value) + rowOverhead
+	}
+	bits := 8 * float64(size*g.links.Known())
+	return g.linkMbps > 0 && bits > g.linkMbps*1e6*shareTime.Seconds()
+}
+
+// Share implements follow.Sharing. Of a page that is too long only its revision is
+// told; the peers notice the gap and read it from the store.
 func (s sharing) Share(p follow.Shared) {
 	page := &peerv1.Page{
 		Table: s.table, Since: p.Since, Revision: p.Revision,
 		ClockMs: p.Clock.Milliseconds(), OutageMs: p.Outage.Milliseconds(),
 	}
+	if s.tooLong(p) {
+		page.Since = p.Revision
+		p.Rows = nil
+	}
 	for _, r := range p.Rows {
 		page.Rows = append(page.Rows, &peerv1.Row{Key: r.Key, Value: r.Value, Revision: r.Revision, Deleted: r.Deleted})
 	}
