A fault soak of gateways as real processes

internal/soak: seeded faults from outside (proxies in front of the store and every server, signals, servers that leave, die or refuse, lost history, removed keys), callers and servers checked for every promise they can see.

--- a/internal/proof/gateway_process_test.go
+++ b/internal/proof/gateway_process_test.go
@@ -4,11 +4,9 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -16,7 +14,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"kingcupplank.example/kingcup/internal/standin"
 	"kingcupplank.example/kingcup/internal/standin/fleet"
 )
 
@@ -28,38 +25,17 @@
 	out      *bytes.Buffer
 }
 
-func writeSettings(t *testing.T, callers, store string) string {
-	t.Helper()
-	ip, port, err := net.SplitHostPort(standin.OwnAddress())
-	require.NoError(t, err)
-	peers, err := strconv.Atoi(port)
-	require.NoError(t, err)
-	data, err := json.Marshal(map[string]any{
-		"nodeName": "vm-1", "zone": "zone-1", "ip": ip, "internalPortRange": []int{peers, peers + 1},
-		"listenAddrs": map[string]string{"frontend": callers, "ready": standin.OwnAddress()},
-		"limits":      map[string]any{"memoryMb": 128, "maxFds": 1000},
-		"bounds": map[string]any{
-			"drainTimeoutMs": 2000, "gracePeriodS": 6, "configApplyMs": 2000, "revokeTimeoutMs": 5000,
-			"retryBudgetRatio": 0.2, "retryWindowS": 10, "retryMinExtra": 50,
-		},
-		"platform": map[string]string{"address": store}, "heartbeatIntervalMs": 1200, "something new": true,
-	})
-	require.NoError(t, err)
-	path := filepath.Join(t.TempDir(), "settings.json")
-	require.NoError(t, os.WriteFile(path, data, 0o600))
-	return path
-}
-
 func startGatewayProcess(t *testing.T, f *fleet.Fleet) *gatewayProcess {
 	t.Helper()
 	dir, err := binaries()
 	require.NoError(t, err)
 	door, err := f.Store.Open()
 	require.NoError(t, err)
-	g := &gatewayProcess{callers: standin.OwnAddress(), out: &bytes.Buffer{}}
-	g.settings = writeSettings(t, g.callers, door.Address)
+	node := fleet.NewNode("vm-1", door.Address)
+	g := &gatewayProcess{callers: node.Callers, settings: filepath.Join(t.TempDir(), "settings.json"), out: &bytes.Buffer{}}
+	require.NoError(t, node.WriteSettings(g.settings))
 	g.cmd = exec.Command(filepath.Join(dir, "kingcup-gateway"), "-metrics-port", "0", "-leave", "500ms")
-	g.cmd.Env = append(os.Environ(), "KINGCUPPLANK_BOOT="+g.settings, "GORACE=halt_on_error=1")
+	g.cmd.Env = append(os.Environ(), fleet.BootVariable+"="+g.settings, "GORACE=halt_on_error=1")
 	g.cmd.Stdout, g.cmd.Stderr = g.out, os.Stderr
 	require.NoError(t, g.cmd.Start())
 	t.Cleanup(func() { g.cmd.Process.Kill() })
@@ -116,7 +92,7 @@
 	require.NoError(t, os.WriteFile(path, []byte(`{"nodeName":"","zone":"z","ip":"x"}`), 0o600))
 	for _, boot := range []string{path, "", path + ".none"} {
 		cmd := exec.Command(filepath.Join(dir, "kingcup-gateway"))
-		cmd.Env = append(os.Environ(), "KINGCUPPLANK_BOOT="+boot)
+		cmd.Env = append(os.Environ(), fleet.BootVariable+"="+boot)
 		out, err := cmd.CombinedOutput()
 		var exit *exec.ExitError
 		require.ErrorAs(t, err, &exit)
--- /dev/null
+++ b/internal/soak/faults.go
@@ -0,0 +1,206 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"syscall"
+	"time"
+
+	"kingcupplank.example/kingcup/internal/standin/fleet"
+	"kingcupplank.example/kingcup/internal/wait"
+)
+
+// fault is a kind of harm. It returns what it did, and what undoes it.
+type fault func(s *Soak, ctx context.Context) (did string, undo func())
+
+// faults are drawn with equal chance.
+var faults = []fault{harmStore, harmStore, harmServer, harmServer, kill, pause, terminate, hup, reclaim, crash, refuse, compact, revoke}
+
+const (
+	shortest, longest = 200 * time.Millisecond, 3 * time.Second
+	// between is the mean time between two faults; they overlap.
+	between = 500 * time.Millisecond
+)
+
+func (s *Soak) intN(n int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rng.IntN(n)
+}
+
+func (s *Soak) duration(from, to time.Duration) time.Duration {
+	return from + time.Duration(s.intN(int(to-from)))
+}
+
+// harm plays faults until ctx ends, and undoes what is left.
+func (s *Soak) harm(ctx context.Context, wg *sync.WaitGroup) {
+	begun := time.Now()
+	for wait.For(ctx, s.duration(0, 2*between)) {
+		did, undo := faults[s.intN(len(faults))](s, ctx)
+		lasts := s.duration(shortest, longest)
+		s.mu.Lock()
+		s.faults = append(s.faults, fmt.Sprintf("%.2fs for %v: %s", time.Since(begun).Seconds(), lasts.Round(time.Millisecond), did))
+		s.mu.Unlock()
+		if undo != nil {
+			wg.Go(func() {
+				wait.For(ctx, lasts)
+				undo()
+			})
+		}
+	}
+}
+
+func (s *Soak) drawNode() *gateway { return s.nodes[s.intN(len(s.nodes))] }
+
+// harmStore harms the way of one gateway, or of all, to the store.
+func harmStore(s *Soak, _ context.Context) (string, func()) {
+	if s.intN(3) == 0 {
+		f := fleet.Fault(1 + s.intN(3))
+		s.fleet.Store.SetFault(f)
+		return fmt.Sprintf("store fault %d for all", f), func() { s.fleet.Store.SetFault(fleet.Sound) }
+	}
+	g, m := s.drawNode(), Mode(1+s.intN(int(modes)-1))
+	g.door.Set(m)
+	return fmt.Sprintf("store mode %d for %s", m, g.node.Name), func() { g.door.Set(Pass) }
+}
+
+// harmServer harms the connections of a server.
+func harmServer(s *Soak, _ context.Context) (string, func()) {
+	s.mu.Lock()
+	p := s.proxies[s.rng.IntN(len(s.proxies))]
+	s.mu.Unlock()
+	m := Mode(1 + s.intN(int(modes)-1))
+	p.Set(m)
+	return fmt.Sprintf("connections to %s mode %d", p.target, m), func() { p.Set(Pass) }
+}
+
+func kill(s *Soak, ctx context.Context) (string, func()) {
+	g := s.drawNode()
+	g.signal(syscall.SIGKILL)
+	return "kill " + g.node.Name, func() { g.restart(context.WithoutCancel(ctx), s.Binary, longest) }
+}
+
+func pause(s *Soak, _ context.Context) (string, func()) {
+	g := s.drawNode()
+	g.signal(syscall.SIGSTOP)
+	return "pause " + g.node.Name, func() { g.signal(syscall.SIGCONT) }
+}
+
+// terminate stops a gateway as planned work does, sometimes with a second signal.
+func terminate(s *Soak, ctx context.Context) (string, func()) {
+	const grace = 6 * time.Second
+	g := s.drawNode()
+	g.signal(syscall.SIGTERM)
+	if s.intN(2) == 0 {
+		time.AfterFunc(shortest, func() { g.signal(syscall.SIGTERM) })
+	}
+	return "terminate " + g.node.Name, func() {
+		g.signal(syscall.SIGCONT)
+		g.restart(context.WithoutCancel(ctx), s.Binary, grace)
+	}
+}
+
+func hup(s *Soak, _ context.Context) (string, func()) {
+	g := s.drawNode()
+	g.signal(syscall.SIGHUP)
+	return "hup " + g.node.Name, nil
+}
+
+// victim draws a server that no fault has ended, if its service has another.
+func (s *Soak) victim() *fleet.Server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	left := make(map[string][]*fleet.Server)
+	for _, srv := range s.servers {
+		if !s.leaving[srv] {
+			left[srv.Service] = append(left[srv.Service], srv)
+		}
+	}
+	srvs := left[fleet.ModelService]
+	if s.rng.IntN(2) == 0 {
+		srvs = left[fleet.DeskService]
+	}
+	if len(srvs) < 2 {
+		return nil
+	}
+	srv := srvs[s.rng.IntN(len(srvs))]
+	s.leaving[srv] = true
+	return srv
+}
+
+// replace puts a new server in the place of one that ended.
+func (s *Soak) replace(old *fleet.Server) {
+	if _, err := s.add(old.Service); err != nil {
+		s.mu.Lock()
+		s.faults = append(s.faults, "no replacement: "+err.Error())
+		s.mu.Unlock()
+	}
+}
+
+// reclaim ends a server after a notice.
+func reclaim(s *Soak, _ context.Context) (string, func()) {
+	const notice = 1500 * time.Millisecond
+	srv := s.victim()
+	if srv == nil {
+		return "nothing to reclaim", nil
+	}
+	srv.Drain(true)
+	return "reclaim " + srv.ID, func() {
+		time.Sleep(notice)
+		srv.Kill()
+		srv.Leave()
+		s.replace(srv)
+	}
+}
+
+// crash ends a server without a word; its entry lapses later.
+func crash(s *Soak, _ context.Context) (string, func()) {
+	srv := s.victim()
+	if srv == nil {
+		return "nothing to crash", nil
+	}
+	srv.Kill()
+	return "crash " + srv.ID, func() {
+		srv.Leave()
+		s.replace(srv)
+	}
+}
+
+// refuse lets a plain server refuse everything.
+func refuse(s *Soak, _ context.Context) (string, func()) {
+	s.mu.Lock()
+	var srv *fleet.Server
+	for _, o := range s.servers {
+		if o.Service == fleet.DeskService && !s.leaving[o] {
+			srv = o
+		}
+	}
+	s.mu.Unlock()
+	if srv == nil {
+		return "nothing to fill", nil
+	}
+	srv.SetBehaviour(fleet.Behaviour{Full: true})
+	return "full " + srv.ID, func() { srv.SetBehaviour(fleet.Behaviour{}) }
+}
+
+func compact(s *Soak, _ context.Context) (string, func()) {
+	s.fleet.Store.Compact()
+	return "history is dropped", nil
+}
+
+// revoke replaces the team's key; callers use the old one for a while.
+func revoke(s *Soak, _ context.Context) (string, func()) {
+	s.mu.Lock()
+	old := s.valid
+	s.valid = fmt.Sprintf("key-%d", len(s.faults)+2)
+	fresh := s.valid
+	s.mu.Unlock()
+	s.fleet.Configure(fresh)
+	s.history.revoke(old)
+	return "revoke " + old, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.key = s.valid
+	}
+}
--- /dev/null
+++ b/internal/soak/soak.go
@@ -0,0 +1,300 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"kingcupplank.example/kingcup/internal/standin/fleet"
+	"kingcupplank.example/kingcup/internal/wait"
+)
+
+const (
+	streamEvents = 60
+	eventEvery   = 15 * time.Millisecond
+	copyTime     = 30 * time.Millisecond
+	// revokeBound is what gateways are told, and revokeSlack what a request may take
+	// from its caller to the moment at which it is checked.
+	revokeBound = 3 * time.Second
+	callers     = 8
+	// settleTime is how long after the last fault everything must be served again.
+	settleTime = 8 * time.Second
+)
+
+// Options of a run.
+type Options struct {
+	Seed     uint64
+	Lasts    time.Duration
+	Gateways int
+	// Binary is the gateway's program, Dir a folder for settings and logs.
+	Binary, Dir string
+}
+
+// Soak is one run.
+type Soak struct {
+	Options
+	fleet   *fleet.Fleet
+	history *History
+	nodes   []*gateway
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	proxies []*Proxy
+	servers []*fleet.Server
+	// leaving are servers that a fault has ended or will end.
+	leaving map[*fleet.Server]bool
+	// key is what callers use, valid the one of the newest configuration.
+	key, valid string
+	faults     []string
+}
+
+// gateway is a gateway's process and its proxy towards the store.
+type gateway struct {
+	node  fleet.Node
+	door  *Proxy
+	path  string
+	log   *os.File
+	mu    sync.Mutex
+	cmd   *exec.Cmd
+	ended chan struct{}
+}
+
+// Result is what a run found.
+type Result struct {
+	// Faults are the faults played, Broken the promises broken.
+	Faults, Broken []string
+	// Attempts and Served count callers' requests.
+	Attempts, Served int
+}
+
+// Run plays a seed.
+func Run(ctx context.Context, o Options) (*Result, error) {
+	s := &Soak{
+		Options: o, fleet: fleet.New(), history: newHistory(), rng: rand.New(rand.NewPCG(o.Seed, 1)),
+		leaving: make(map[*fleet.Server]bool), key: fleet.Key, valid: fleet.Key,
+	}
+	defer s.close()
+	if err := s.start(); err != nil {
+		return nil, err
+	}
+	if err := s.settled(ctx, "at the start"); err != nil {
+		return nil, err
+	}
+	s.play(ctx)
+	res := &Result{Faults: s.faults}
+	if err := s.settled(ctx, "after the last fault"); err != nil {
+		res.Broken = append(res.Broken, err.Error())
+	}
+	s.mu.Lock()
+	servers := s.servers
+	s.mu.Unlock()
+	res.Broken = append(res.Broken, s.history.Check(servers, revokeBound)...)
+	for _, a := range s.history.attempts {
+		res.Attempts++
+		if a.Status == 200 && a.Whole {
+			res.Served++
+		}
+	}
+	return res, nil
+}
+
+func (s *Soak) start() error {
+	s.fleet.Via = s.via
+	for range 3 {
+		if _, err := s.add(fleet.ModelService); err != nil {
+			return err
+		}
+		if _, err := s.add(fleet.DeskService); err != nil {
+			return err
+		}
+	}
+	for i := range s.Gateways {
+		if err := s.addGateway(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// via puts a proxy in front of a server.
+func (s *Soak) via(address string) (string, error) {
+	p, err := NewProxy(address)
+	if err != nil {
+		return "", err
+	}
+	s.mu.Lock()
+	s.proxies = append(s.proxies, p)
+	s.mu.Unlock()
+	return p.Address, nil
+}
+
+func (s *Soak) add(service string) (*fleet.Server, error) {
+	b := fleet.Behaviour{}
+	if service == fleet.ModelService {
+		b = fleet.Behaviour{Events: streamEvents, EventEvery: eventEvery, CopyTime: copyTime}
+	}
+	srv, err := s.fleet.Add(service, "zone-1", b)
+	if err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	s.servers = append(s.servers, srv)
+	s.mu.Unlock()
+	return srv, nil
+}
+
+func (s *Soak) addGateway(i int) error {
+	door, err := s.fleet.Store.Open()
+	if err != nil {
+		return err
+	}
+	proxy, err := NewProxy(door.Address)
+	if err != nil {
+		return err
+	}
+	name := fmt.Sprintf("vm-%d", i)
+	g := &gateway{node: fleet.NewNode(name, proxy.Address), door: proxy, path: filepath.Join(s.Dir, name+".json")}
+	g.node.RevokeMs = int(revokeBound.Milliseconds())
+	if err := g.node.WriteSettings(g.path); err != nil {
+		return err
+	}
+	if g.log, err = os.Create(filepath.Join(s.Dir, name+".log")); err != nil {
+		return err
+	}
+	s.nodes = append(s.nodes, g)
+	s.mu.Lock()
+	s.proxies = append(s.proxies, proxy)
+	s.mu.Unlock()
+	return g.start(s.Binary)
+}
+
+// start runs the process, and again whenever it has ended.
+func (g *gateway) start(binary string) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	cmd := exec.Command(binary, "-metrics-port", "0", "-leave", "300ms")
+	cmd.Env = append(os.Environ(), fleet.BootVariable+"="+g.path, "GORACE=halt_on_error=1")
+	cmd.Stdout, cmd.Stderr = g.log, g.log
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	ended := make(chan struct{})
+	g.cmd, g.ended = cmd, ended
+	go func() {
+		cmd.Wait()
+		close(ended)
+	}()
+	return nil
+}
+
+func (g *gateway) signal(sig syscall.Signal) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.cmd.Process.Signal(sig)
+}
+
+// restart waits for the end of the process, for at most d, and starts it anew.
+func (g *gateway) restart(ctx context.Context, binary string, d time.Duration) {
+	g.mu.Lock()
+	ended := g.ended
+	g.mu.Unlock()
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ended:
+	case <-t.C:
+		g.signal(syscall.SIGKILL)
+		<-ended
+	case <-ctx.Done():
+		return
+	}
+	if err := g.start(binary); err != nil {
+		fmt.Fprintln(g.log, "soak: restart:", err)
+	}
+}
+
+// play runs callers and faults for the time of the run.
+func (s *Soak) play(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, s.Lasts)
+	defer cancel()
+	var wg sync.WaitGroup
+	for i := range callers {
+		rng := rand.New(rand.NewPCG(s.Seed, uint64(i)+100))
+		wg.Go(func() { s.caller(ctx, rng) })
+	}
+	wg.Go(func() { s.harm(ctx, &wg) })
+	wg.Wait()
+}
+
+var paths = []string{fleet.OncePath, fleet.SafePath, fleet.PlanPath, fleet.CheckPath}
+
+// caller makes one request after the other until the run ends; what is in progress
+// then is finished.
+func (s *Soak) caller(ctx context.Context, rng *rand.Rand) {
+	for wait.For(ctx, time.Duration(rng.IntN(60))*time.Millisecond) {
+		s.attempt(s.nodes[rng.IntN(len(s.nodes))], paths[rng.IntN(len(paths))])
+	}
+}
+
+// attemptTimeout bounds an attempt; a caller leaves then.
+const attemptTimeout = 10 * time.Second
+
+func (s *Soak) attempt(g *gateway, path string) Attempt {
+	ctx, cancel := context.WithTimeout(context.Background(), attemptTimeout)
+	defer cancel()
+	s.mu.Lock()
+	key := s.key
+	s.mu.Unlock()
+	a := Attempt{As: fleet.As{ID: fleet.NextID(), Key: key}, Path: path, Sent: time.Now()}
+	var err error
+	if a.stream() {
+		a.Status, err = fleet.StreamAs(ctx, g.node.Callers, path, a.As, func(e string) { a.Events = append(a.Events, e) })
+	} else {
+		a.Status, a.Body, err = fleet.CallAs(ctx, g.node.Callers, path, a.As)
+	}
+	a.Whole = err == nil
+	s.history.add(a)
+	return a
+}
+
+// settled waits until every gateway serves every kind of request.
+func (s *Soak) settled(ctx context.Context, when string) error {
+	for _, p := range s.proxies {
+		p.Set(Pass)
+	}
+	s.fleet.Store.SetFault(fleet.Sound)
+	deadline := time.Now().Add(settleTime)
+	for _, g := range s.nodes {
+		for _, path := range paths {
+			for {
+				a := s.attempt(g, path)
+				if a.Status == 200 && a.Whole {
+					break
+				}
+				if time.Now().After(deadline) || !wait.For(ctx, 50*time.Millisecond) {
+					return fmt.Errorf("%s does not serve %s %s: status %d", g.node.Name, path, when, a.Status)
+				}
+			}
+		}
+	}
+	return nil
+}
+
+func (s *Soak) close() {
+	for _, g := range s.nodes {
+		g.signal(syscall.SIGCONT)
+		g.signal(syscall.SIGKILL)
+		<-g.ended
+		g.log.Close()
+	}
+	for _, p := range s.proxies {
+		p.Close()
+	}
+	s.fleet.Close()
+}
--- a/internal/standin/fleet/caller.go
+++ b/internal/standin/fleet/caller.go
@@ -12,25 +12,39 @@
 
 var attempts atomic.Uint64
 
-func request(ctx context.Context, address, path string) (*http.Request, error) {
+// NextID is the id of a caller's next attempt.
+func NextID() string { return fmt.Sprintf("attempt-%d", attempts.Add(1)) }
+
+// As makes a caller's request as the holder of a key, under an id.
+type As struct{ ID, Key string }
+
+// client opens a connection for each request, as callers do that retry.
+var client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+
+func request(ctx context.Context, address, path string, as As) (*http.Request, error) {
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, strings.NewReader("body"))
 	if err != nil {
 		return nil, err
 	}
 	r.Host = Host
-	r.Header.Set("X-Api-Key", Key)
-	r.Header.Set("X-Kingcupplank-Attempt-Id", fmt.Sprintf("attempt-%d", attempts.Add(1)))
+	r.Header.Set("X-Api-Key", as.Key)
+	r.Header.Set("X-Kingcupplank-Attempt-Id", as.ID)
 	r.Header.Set("X-Kingcupplank-Deadline-Ms", "20000")
 	return r, nil
 }
 
 // Call makes a caller's plain request to a gateway.
 func Call(ctx context.Context, address, path string) (status int, body string, err error) {
-	r, err := request(ctx, address, path)
+	return CallAs(ctx, address, path, As{NextID(), Key})
+}
+
+// CallAs makes a plain request of a given caller.
+func CallAs(ctx context.Context, address, path string, as As) (status int, body string, err error) {
+	r, err := request(ctx, address, path, as)
 	if err != nil {
 		return 0, "", err
 	}
-	resp, err := http.DefaultClient.Do(r)
+	resp, err := client.Do(r)
 	if err != nil {
 		return 0, "", err
 	}
@@ -42,28 +56,37 @@
 // Stream makes a caller's generation and hands each event on. A nil error is a
 // whole answer.
 func Stream(ctx context.Context, address, path string, each func(event string)) error {
-	r, err := request(ctx, address, path)
+	status, err := StreamAs(ctx, address, path, As{NextID(), Key}, each)
+	if err == nil && status != http.StatusOK {
+		return fmt.Errorf("status %d", status)
+	}
+	return err
+}
+
+// StreamAs makes a generation of a given caller; events come with status 200 only.
+func StreamAs(ctx context.Context, address, path string, as As, each func(event string)) (status int, err error) {
+	r, err := request(ctx, address, path, as)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	r.Header.Set("X-Kingcupplank-Model-Id", "m")
 	r.Header.Set("X-Kingcupplank-Token-Usage", "100,400")
-	resp, err := http.DefaultClient.Do(r)
+	resp, err := client.Do(r)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("status %d", resp.StatusCode)
+		return resp.StatusCode, nil
 	}
 	in := bufio.NewReader(resp.Body)
 	for event := ""; ; {
 		line, err := in.ReadString('\n')
-		if err == io.EOF && event == "" {
-			return nil
+		if err == io.EOF && event == "" && line == "" {
+			return resp.StatusCode, nil
 		}
 		if err != nil {
-			return err
+			return resp.StatusCode, err
 		}
 		event += line
 		if line == "\n" {
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -23,6 +23,9 @@
 // Fleet is a small platform: a store, servers and an operator.
 type Fleet struct {
 	Store *Store
+	// Via, if set, puts something in front of a new server and returns the address
+	// that the server announces.
+	Via func(address string) (string, error)
 
 	mu      sync.Mutex
 	servers []*Server
@@ -55,7 +58,7 @@
 	f.next++
 	id := fmt.Sprintf("i-%s-%d", service, f.next)
 	f.mu.Unlock()
-	s, err := newServer(f.Store, service, zone, id, b, f.byAddress)
+	s, err := newServer(f, service, zone, id, b)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/standin/fleet/server.go
+++ b/internal/standin/fleet/server.go
@@ -16,6 +16,8 @@
 	ID, Method, Target, Body string
 	Header                   http.Header
 	At                       time.Time
+	// Continued says that the request went on from a copy of its run.
+	Continued bool
 }
 
 // Server is a backend server: a plain service, or a model engine if Events is set.
@@ -67,13 +69,20 @@
 func (u *run) halt() { u.once.Do(func() { close(u.stop) }) }
 
 // newServer starts a server and announces it.
-func newServer(store *Store, service, zone, id string, b Behaviour, peers func(string) *Server) (*Server, error) {
+func newServer(f *Fleet, service, zone, id string, b Behaviour) (*Server, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
+	address := l.Addr().String()
+	if f.Via != nil {
+		if address, err = f.Via(address); err != nil {
+			l.Close()
+			return nil, err
+		}
+	}
 	s := &Server{
-		ID: id, Service: service, Address: l.Addr().String(), Zone: zone, store: store, listener: l, peers: peers,
+		ID: id, Service: service, Address: address, Zone: zone, store: f.Store, listener: l, peers: f.byAddress,
 		runs: make(map[string]*run), copies: make(map[string]string), behave: b, state: "ready",
 	}
 	mux := http.NewServeMux()
@@ -169,7 +178,7 @@
 	s.mu.Lock()
 	s.seen = append(s.seen, Seen{
 		ID: r.Header.Get("X-Kingcupplank-Attempt-Id"), Method: r.Method, Target: r.RequestURI,
-		Body: string(body), Header: r.Header.Clone(), At: time.Now(),
+		Body: string(body), Header: r.Header.Clone(), At: time.Now(), Continued: r.Header.Get("Kv-From") != "",
 	})
 	s.mu.Unlock()
 	if b.Raw != nil {
