--- a/flow/queue_test.go
+++ b/flow/queue_test.go
@@ -13,7 +13,7 @@
 type request struct {
 	Waiter
 	target, took time.Duration
-	sent, gone   bool
+	sent         bool
 }
 
 // load gives n requests a second for a while: half of them urgent and short-lived,
