--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -217,6 +217,8 @@
 	f.tried = begun
 	f.mu.Unlock()
 	if !synced {
+		ctx, cancel := context.WithTimeout(ctx, f.snapshotTimeout())
+		defer cancel()
 		page, err := f.feed.Snapshot(ctx)
 		if err != nil {
 			return err
@@ -238,6 +240,22 @@
 	return nil
 }
 
+const (
+	// snapshotTimeout bounds the first try to read a table. A connection that fell
+	// silent must not hold up the start.
+	snapshotTimeout = 800 * time.Millisecond
+	// snapshotDoublings is how often it is doubled after failures. When hundreds of
+	// VMs start at once and read long tables, the store's link is busy for seconds;
+	// tries that are all given up too early would keep it so.
+	snapshotDoublings = 3
+)
+
+func (f *Follower) snapshotTimeout() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return snapshotTimeout << min(f.failures, snapshotDoublings)
+}
+
 func (f *Follower) reset(page Page, begun time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -28,6 +28,8 @@
 	away     bool
 	calls    int
 	changed  chan struct{}
+	// slow is how long a snapshot takes.
+	slow time.Duration
 }
 
 func newFakeStore() *fakeStore {
@@ -75,7 +77,12 @@
 	return Page{Revision: s.revision, Clock: time.Since(s.start)}
 }
 
-func (s *fakeStore) Snapshot(context.Context) (Page, error) {
+func (s *fakeStore) Snapshot(ctx context.Context) (Page, error) {
+	select {
+	case <-time.After(s.slow):
+	case <-ctx.Done():
+		return Page{}, ctx.Err()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
@@ -336,3 +343,16 @@
 		require.Equal(t, "3", sink.get("a"))
 	})
 }
+
+// All VMs start at once, and the store needs seconds for each table. Tries that
+// are given up too early keep its link busy without end; they must become longer.
+func TestSlowSnapshotIsWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, sink := newFakeStore(), newTable()
+		store.slow = 3 * time.Second
+		store.put("a", "1")
+		begin(t, store, sink, nil)
+		time.Sleep(8 * time.Second)
+		require.Equal(t, "1", sink.get("a"))
+	})
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -192,6 +192,9 @@
 	s.links.Spread(page)
 }
 
+// membersTimeout bounds reading the rows of all gateways.
+const membersTimeout = 3 * time.Second
+
 var joinBackoff = retry.Backoff{Base: 200 * time.Millisecond, Max: 5 * time.Second}
 
 // join writes this gateway's row and then reads the others'. In this order two
@@ -218,6 +221,8 @@
 	if err := g.store.Put(ctx, membersTable, g.self.Name, data); err != nil {
 		return nil, err
 	}
+	ctx, cancel := context.WithTimeout(ctx, membersTimeout)
+	defer cancel()
 	page, err := g.store.Table(membersTable).Snapshot(ctx)
 	if err != nil {
 		return nil, err
