--- a/internal/relay/lane.go
+++ b/internal/relay/lane.go
@@ -115,11 +115,7 @@
 
 // waiter describes a generation to its queue.
 func (r *Relay) waiter(j *job) *flow.Waiter {
-	r.mu.Lock()
-	pace := r.pace
-	r.mu.Unlock()
-	perEvent := max(1, j.engine.TokensPerEvent)
-	run := readTime + time.Duration(longer*float64(j.Generation.output()/perEvent)*float64(pace))
+	run := readTime + time.Duration(longer*float64(j.events())*float64(r.usualPause()))
 	lastBy := j.arrived + j.left() - run
 	if s := j.route.Silence; s > 0 {
 		lastBy = min(lastBy, j.arrived+time.Duration(silenceShare*float64(s))-readTime)
--- a/internal/relay/move.go
+++ b/internal/relay/move.go
@@ -30,9 +30,6 @@
 	copyRoom = 0.9
 	// awaitMove is how long a stream that broke waits for the move in progress.
 	awaitMove = 1500 * time.Millisecond
-	// tokenTime is the time of one output token on a moderately full engine, used
-	// only to order moves.
-	tokenTime = 9 * time.Millisecond
 )
 
 // copied is a copy of a run's memory at a server that counts it.
@@ -47,7 +44,8 @@
 
 	mu     sync.Mutex
 	server backends.Server
-	events uint64
+	// made is the last event passed on.
+	made uint64
 	// moving is closed when the move in progress is over, nil without one.
 	moving chan struct{}
 	copies []copied
@@ -64,20 +62,15 @@
 
 func (u *run) delivered(event uint64) {
 	u.mu.Lock()
-	u.events = event
+	u.made = event
 	u.mu.Unlock()
 }
 
-// remaining is the expected time until the run ends by itself.
-func (u *run) remaining() time.Duration {
+// remaining is the number of events that the run is expected to make yet.
+func (u *run) remaining() int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	perEvent := 1
-	if u.job.engine != nil {
-		perEvent = max(1, u.job.engine.TokensPerEvent)
-	}
-	left := u.job.Generation.output() - int(u.events)*perEvent
-	return time.Duration(max(0, left)) * tokenTime
+	return max(0, u.job.events()-int(u.made))
 }
 
 // at reports whether the run is still at a server.
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -196,3 +196,12 @@
 	}
 	return g.MaxOutput / 2
 }
+
+// events is the expected number of events of a generation's stream.
+func (j *job) events() int {
+	perEvent := 1
+	if j.engine != nil {
+		perEvent = max(1, j.engine.TokensPerEvent)
+	}
+	return j.Generation.output() / perEvent
+}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -37,7 +37,7 @@
 			r.Observer.FirstByte(j.team, j.service, j.route.Kind, r.Now()-j.arrived)
 			if w.failed() {
 				o.lease.Done(backends.Failed, r.Now())
-				if j.mayRepeat() {
+				if j.mayRepeat() && !w.more {
 					r.Observer.Attempt(j.service, "server error")
 					j.tried = append(j.tried, o.lease.Server.ID)
 					spare = w
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -36,8 +36,10 @@
 			if err == nil && w.proper() && w.Status >= 300 {
 				return r.deliver(w, out)
 			}
+			o.answer.Body.Close()
 			return r.giveUp(ctx, j, *r.refuse(j, ReasonSpoilt), out)
 		}
+		o.answer.Body.Close()
 		r.Observer.Attempt(j.service, "server error")
 		o, refusal = r.place(ctx, j, j.After)
 	}
