--- a/cmd/kingcup-gateway/main.go
+++ b/cmd/kingcup-gateway/main.go
@@ -51,15 +51,30 @@
 	out.Close()
 }
 
-// run runs until SIGTERM. SIGHUP says that the settings file has changed.
+// lookEvery is how often the settings file is compared: it may change without a
+// signal.
+const lookEvery = 5 * time.Second
+
+// run lasts until SIGTERM. SIGHUP says that the settings file has changed.
 func run(g *gateway.Gateway, path string, log logrus.FieldLogger) {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	for sig := range signals {
-		if sig != syscall.SIGHUP {
-			g.Stop()
-			return
+	look := time.NewTicker(lookEvery)
+	defer look.Stop()
+	last := modified(path)
+	for {
+		select {
+		case sig := <-signals:
+			if sig != syscall.SIGHUP {
+				g.Stop()
+				return
+			}
+		case <-look.C:
+			if now := modified(path); now == last {
+				continue
+			}
 		}
+		last = modified(path)
 		set, err := platformsettings.Load(path)
 		if err != nil {
 			log.WithError(err).Error("settings are not reloaded, the old ones stay")
@@ -68,3 +83,12 @@
 		g.Reload(set)
 	}
 }
+
+// modified is when a file changed; the zero time for one that is not there.
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,7 +58,8 @@
 type Gateway struct {
 	log      logrus.FieldLogger
 	opts     Options
-	set      *settings.Settings
+	set      atomic.Pointer[settings.Settings]
+	store    *store.Client
 	relay    *relay.Relay
 	callers  *ingress.Server
 	registry *backends.Registry
@@ -85,8 +86,9 @@
 	}
 	var g *Gateway
 	err := c.Invoke(func(r *relay.Relay, reg *backends.Registry, up *upstream.Client, rep *routing.Replica, rec *gatewaymetrics.Recorder, st *store.Client, gr *group) error {
-		g = &Gateway{log: log, opts: opts, set: set, relay: r, registry: reg, upstream: up, group: gr}
-		return g.run(rep, rec, st)
+		g = &Gateway{log: log, opts: opts, store: st, relay: r, registry: reg, upstream: up, group: gr}
+		g.set.Store(set)
+		return g.run(set, rep, rec)
 	})
 	return g, dig.RootCause(err)
 }
@@ -117,17 +119,20 @@
 			return newGroup(self, st, reg, set.LinkMbps, log)
 		},
 		func(rep *routing.Replica, reg *backends.Registry, up *upstream.Client, now clock.Source, rec *gatewaymetrics.Recorder, gr *group, l *late) *relay.Relay {
-			cfg := relay.Config{
-				RevokeBound: set.Bounds.Revoke, ApplyBound: set.Bounds.ApplyConfig,
-				RetryRatio: set.Bounds.RetryRatio, RetryExtra: set.Bounds.RetryExtra,
-			}
-			r := relay.New(cfg, relay.Deps{Replica: rep, Registry: reg, Upstream: up, Now: now, Log: log, Observer: rec, Others: gr})
+			r := relay.New(relayConfig(set), relay.Deps{Replica: rep, Registry: reg, Upstream: up, Now: now, Log: log, Observer: rec, Others: gr})
 			l.relay.Store(r)
 			return r
 		},
 	}
 }
 
+func relayConfig(set *settings.Settings) relay.Config {
+	return relay.Config{
+		RevokeBound: set.Bounds.Revoke, ApplyBound: set.Bounds.ApplyConfig,
+		RetryRatio: set.Bounds.RetryRatio, RetryExtra: set.Bounds.RetryExtra,
+	}
+}
+
 // peerAddress is where this gateway takes links: the first of the ports between
 // the system's own processes.
 func peerAddress(set *settings.Settings) string {
@@ -147,17 +152,17 @@
 	}
 }
 
-func (g *Gateway) run(rep *routing.Replica, rec *gatewaymetrics.Recorder, st *store.Client) error {
-	callers, err := net.Listen("tcp", g.set.Callers)
+func (g *Gateway) run(set *settings.Settings, rep *routing.Replica, rec *gatewaymetrics.Recorder) error {
+	callers, err := net.Listen("tcp", set.Callers)
 	if err != nil {
 		return errors.Wrap(err, "callers' address")
 	}
-	ready, err := net.Listen("tcp", g.set.Ready)
+	ready, err := net.Listen("tcp", set.Ready)
 	if err != nil {
 		callers.Close()
 		return errors.Wrap(err, "readiness address")
 	}
-	links, err := net.Listen("tcp", peerAddress(g.set))
+	links, err := net.Listen("tcp", peerAddress(set))
 	if err != nil {
 		callers.Close()
 		ready.Close()
@@ -178,7 +183,7 @@
 		return (clock.SinceBoot() - confirmed).Seconds()
 	})
 	rec.Gauge("kingcup_gateway_log_lines_dropped", "Log lines that were not written.", func() float64 { return float64(g.opts.DroppedLines()) })
-	if err := g.serveMetrics(rec); err != nil {
+	if err := g.serveMetrics(set, rec); err != nil {
 		callers.Close()
 		ready.Close()
 		links.Close()
@@ -188,8 +193,8 @@
 	g.cancel = cancel
 	g.wg.Go(func() { g.callers.Serve() })
 	go ingress.NewReady(g.Ready).Serve(ready)
-	op := g.follow(operator.Table, 0, st, &operator.Sink{Replica: rep, Log: g.log})
-	dir := g.follow(directory.Table, g.opts.DirectoryGap, st, &directory.Sink{Registry: g.registry, Now: clock.SinceBoot, Log: g.log})
+	op := g.follow(operator.Table, 0, &operator.Sink{Replica: rep, Log: g.log})
+	dir := g.follow(directory.Table, g.opts.DirectoryGap, &directory.Sink{Registry: g.registry, Now: clock.SinceBoot, Log: g.log})
 	g.wg.Go(func() { g.group.links.Run(ctx, links) })
 	g.wg.Go(func() { op.Run(ctx) })
 	g.wg.Go(func() { dir.Run(ctx) })
@@ -200,18 +205,18 @@
 }
 
 // follow copies a table, together with the peers.
-func (g *Gateway) follow(table string, gap time.Duration, st *store.Client, sink follow.Sink) *follow.Follower {
+func (g *Gateway) follow(table string, gap time.Duration, sink follow.Sink) *follow.Follower {
 	cfg := follow.Config{Name: table, Wait: g.opts.FeedWait, Gap: gap}
-	f := follow.New(cfg, st.Table(table), sink, sharing{g.group, table}, clock.SinceBoot, g.log)
+	f := follow.New(cfg, g.store.Table(table), sink, sharing{g.group, table}, clock.SinceBoot, g.log)
 	g.group.followers[table] = f
 	return f
 }
 
-func (g *Gateway) serveMetrics(rec *gatewaymetrics.Recorder) error {
+func (g *Gateway) serveMetrics(set *settings.Settings, rec *gatewaymetrics.Recorder) error {
 	if g.opts.MetricsPort == 0 {
 		return nil
 	}
-	l, err := net.Listen("tcp", net.JoinHostPort(g.set.IP, strconv.Itoa(g.opts.MetricsPort)))
+	l, err := net.Listen("tcp", net.JoinHostPort(set.IP, strconv.Itoa(g.opts.MetricsPort)))
 	if err != nil {
 		return errors.Wrap(err, "metrics address")
 	}
@@ -256,9 +261,9 @@
 	g.stopping.Store(true)
 	g.callers.Stop()
 	g.group.stop()
-	g.relay.EndAt(begun.Add(g.set.Bounds.Shutdown-endMargin), begun.Add(g.opts.Leave-leaveMargin))
+	g.relay.EndAt(begun.Add(g.set.Load().Bounds.Shutdown-endMargin), begun.Add(g.opts.Leave-leaveMargin))
 	g.log.WithField("in_progress", g.relay.InProgress()).Info("stopping")
-	last := g.set.Bounds.Shutdown - endMargin
+	last := g.set.Load().Bounds.Shutdown - endMargin
 	for time.Since(begun) < last {
 		time.Sleep(idlePoll)
 		if time.Since(begun) >= g.opts.Leave && g.relay.InProgress() == 0 {
@@ -271,10 +276,17 @@
 	g.log.WithField("in_progress", left).Info("stopped")
 }
 
-// Reload takes new settings. Addresses and bounds are fixed for a process; what
-// differs is logged.
+// Reload takes new settings: the store's address, the bounds and the memory. The
+// addresses that a process serves are fixed while it lives.
 func (g *Gateway) Reload(set *settings.Settings) {
-	g.log.WithField("changed", *set != *g.set).Info("settings reloaded")
+	old := g.set.Swap(set)
+	g.log.WithField("changed", *set != *old).Info("settings reloaded")
+	if *set == *old {
+		return
+	}
+	g.store.SetAddress(set.Store)
+	g.relay.Configure(relayConfig(set))
+	debug.SetMemoryLimit(int64(memoryShare * float64(set.MemoryBytes)))
 }
 
 // Close ends the gateway at once.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -394,3 +394,36 @@
 	require.True(t, nodes[0].group.tooLong(follow.Shared{Page: follow.Page{Rows: []follow.Row{{Value: make([]byte, 40000)}}}}))
 	require.False(t, nodes[0].group.tooLong(follow.Shared{Page: follow.Page{Rows: []follow.Row{{Value: make([]byte, 500)}}}}))
 }
+
+// The platform moves the store to another address and changes a bound while the
+// gateway runs. Both hold without a restart.
+func TestReloadedSettingsHold(t *testing.T) {
+	s := newSystem(t)
+	s.server(fleet.DeskService, fleet.Behaviour{})
+	n := s.gateway("vm-1")
+	n.eventually(func() bool { return n.do(plain(fleet.OncePath)).status == http.StatusOK }, "served")
+	door, err := s.fleet.Store.Open()
+	require.NoError(t, err)
+	changed := *n.set.Load()
+	changed.Store, changed.Bounds.Revoke = door.Address, 2*time.Second
+	n.Reload(&changed)
+	n.door.SetFault(fleet.Reset)
+	time.Sleep(3 * time.Second)
+	require.Equal(t, http.StatusOK, n.do(plain(fleet.OncePath)).status)
+	door.SetFault(fleet.Reset)
+	n.eventually(func() bool { return n.do(plain(fleet.OncePath)).status == http.StatusServiceUnavailable }, "bound holds")
+}
+
+// A caller sends half a body and falls silent. It is told that its request did not
+// run, and holds nothing.
+func TestHalfABodyIsGivenUp(t *testing.T) {
+	s := newSystem(t)
+	s.server(fleet.DeskService, fleet.Behaviour{})
+	n := s.gateway("vm-1")
+	n.eventually(func() bool { return n.do(plain(fleet.OncePath)).status == http.StatusOK }, "served")
+	c := n.dial()
+	_, err := fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: %s\r\nX-Api-Key: %s\r\nContent-Length: 10\r\n\r\nhalf", fleet.OncePath, fleet.Host, fleet.Key)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusRequestTimeout, c.read().status)
+	require.Zero(t, n.relay.InProgress())
+}
--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -33,15 +33,17 @@
 )
 
 func (r *Relay) budget(service string) *retry.Budget {
+	cfg := r.cfg.Load()
 	b := r.budgets[service]
 	if b == nil {
-		b = &retry.Budget{Ratio: r.cfg.RetryRatio}
+		b = &retry.Budget{}
 		r.budgets[service] = b
 	}
+	b.Ratio = cfg.RetryRatio
 	parts := r.Others.Known()
 	if parts == 0 {
 		parts = partsUnknown
 	}
-	b.Max = max(1, partsMargin*float64(r.cfg.RetryExtra)/float64(parts))
+	b.Max = max(1, partsMargin*float64(cfg.RetryExtra)/float64(parts))
 	return b
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -59,7 +60,7 @@
 
 // Relay serves requests. It is safe for concurrent use; mu is a leaf.
 type Relay struct {
-	cfg Config
+	cfg atomic.Pointer[Config]
 	Deps
 
 	mu      sync.Mutex
@@ -76,15 +77,20 @@
 
 // New returns a Relay.
 func New(cfg Config, deps Deps) *Relay {
-	return &Relay{
-		cfg: cfg, Deps: deps,
+	r := &Relay{
+		Deps:    deps,
 		budgets: make(map[string]*retry.Budget),
 		runs:    make(map[string]map[*run]struct{}),
 		lanes:   make(map[string]*lane),
 		pace:    startPace,
 	}
+	r.Configure(cfg)
+	return r
 }
 
+// Configure changes the tuning.
+func (r *Relay) Configure(cfg Config) { r.cfg.Store(&cfg) }
+
 const (
 	// staleRetry is when a caller may come back to be served by another VM.
 	staleRetry = 100 * time.Millisecond
@@ -170,7 +176,7 @@
 	route := cfg.Match(req.Host, req.Path)
 	if route == nil {
 		// Behind its time this process may not know a route that others serve.
-		if r.cfg.ApplyBound > 0 && age > r.cfg.ApplyBound {
+		if r.cfg.Load().ApplyBound > 0 && age > r.cfg.Load().ApplyBound {
 			return nil, &Refusal{Reason: ReasonStale, RetryAfter: staleRetry}
 		}
 		return nil, &Refusal{Reason: ReasonNoRoute}
@@ -208,7 +214,7 @@
 	}
 	team := cfg.Team(j.Key)
 	if team == nil {
-		if j.Key != "" && r.cfg.ApplyBound > 0 && age > r.cfg.ApplyBound {
+		if j.Key != "" && r.cfg.Load().ApplyBound > 0 && age > r.cfg.Load().ApplyBound {
 			return &Refusal{Reason: ReasonStale, RetryAfter: staleRetry}
 		}
 		return &Refusal{Reason: ReasonKey}
@@ -223,7 +229,8 @@
 // KeysStale reports whether a configuration confirmed age ago is too old to
 // trust keys.
 func (r *Relay) KeysStale(age time.Duration) bool {
-	return r.cfg.RevokeBound > 0 && age > time.Duration(revokeMargin*float64(r.cfg.RevokeBound))
+	bound := r.cfg.Load().RevokeBound
+	return bound > 0 && age > time.Duration(revokeMargin*float64(bound))
 }
 
 // Ready reports whether requests with keys can be served.
--- a/tools/without/gateway.go
+++ b/tools/without/gateway.go
@@ -7,7 +7,7 @@
 	{"budget of repeats", "internal/relay/place.go", "if j.sent > 0 && !r.repeat(j.service) {", "if false {", "./internal/relay", "TestRepeatsKeepToTheBudget"},
 	{"signature of a success", "internal/relay/plain.go", "return w.Status >= 300 || w.Sealed && !w.Encoded", "return true", "./internal/relay", "TestUnsealedSuccessIsNotPassedOn"},
 	{"age of keys", "internal/relay/relay.go", "if r.KeysStale(age) {\n\t\treturn", "if false {\n\t\treturn", "./internal/relay", "TestKeysAreNotTrustedWithoutConfirmation"},
-	{"unknown routes on an old view", "internal/relay/relay.go", "if r.cfg.ApplyBound > 0 && age > r.cfg.ApplyBound {\n\t\t\treturn nil, &Refusal{Reason: ReasonStale", "if false {\n\t\t\treturn nil, &Refusal{Reason: ReasonStale", "./internal/relay", "TestUnknownRouteIsNotFinalWithoutConfirmation"},
+	{"unknown routes on an old view", "internal/relay/relay.go", "if r.cfg.Load().ApplyBound > 0 && age > r.cfg.Load().ApplyBound {\n\t\t\treturn nil, &Refusal{Reason: ReasonStale", "if false {\n\t\t\treturn nil, &Refusal{Reason: ReasonStale", "./internal/relay", "TestUnknownRouteIsNotFinalWithoutConfirmation"},
 	{"streams that outlast a stopping VM", "internal/relay/relay.go", "if r.outlasts(j) {", "if false {", "./internal/relay", "TestStoppingVMTakesNoStreamThatOutlastsIt"},
 	{"streams that begin after the notice", "internal/relay/move.go", "r.mu.Unlock()\n\tr.evacuateIfLeaving(u.server)", "r.mu.Unlock()", "./internal/relay", "TestStreamThatBeginsAfterTheNoticeIsMoved"},
 	{"reports while the store is away", "internal/relay/scout.go", "r.Registry.Reported(s.ID)", "", "./internal/relay", "TestStreamOutlivesAServerThatLeavesDuringAnOutage"},
