The speed at which engines read prompts is measured

Cause: found in reading: the bounds on prompts that wait at an engine and the weight of a waiting prompt were a fixed speed (7,000 tokens a second). Change: the speed is measured from the first events that come (tokens ahead and own, over the time), and bound, score and the time a request needs are worked out from it. Test: TestReadingSpeedIsMeasured.

--- a/backends/registry.go
+++ b/backends/registry.go
@@ -261,6 +261,8 @@
 	// Tokens is the memory that the request is expected to need at its peak, Prompt
 	// the prompt tokens that a server has to read before it answers.
 	Tokens, Prompt int
+	// PromptSpeed is the prompt tokens a second that servers read.
+	PromptSpeed float64
 	// MostUsed bounds the part of its memory that the server may have in use, the
 	// request included, MostPrompt the prompt tokens that it reads before; 0 is no
 	// bound.
@@ -286,7 +288,7 @@
 	if near == "" {
 		near = r.domain
 	}
-	req := &placement.Request{FailureDomain: near, Tried: q.Tried, Tokens: q.Tokens, MostUsed: q.MostUsed, MostPrompt: q.MostPrompt}
+	req := &placement.Request{FailureDomain: near, Tried: q.Tried, Tokens: q.Tokens, PromptSpeed: q.PromptSpeed, MostUsed: q.MostUsed, MostPrompt: q.MostPrompt}
 	policy := r.policy
 	if q.Copy {
 		policy = r.copies
--- a/internal/relay/lane.go
+++ b/internal/relay/lane.go
@@ -12,10 +12,6 @@
 )
 
 const (
-	// mostPrompt is the prompt tokens that may be read at an engine before a new
-	// request's: about half a second, so that the first token comes within the 1.5
-	// to 1.9 s that users ask for, and the engine never runs out of prompts.
-	mostPrompt = 3500
 	// mostUsed is the part of an engine's memory that the peaks of its requests may
 	// add up to. Not all reach their peak at once.
 	mostUsed = 1.0
@@ -25,8 +21,6 @@
 	// turnPoll is how often the request whose turn it is looks for room: loads come
 	// from other gateways too.
 	turnPoll = 20 * time.Millisecond
-	// readTime is the usual time of reading a prompt and making the first token.
-	readTime = 450 * time.Millisecond
 	// longer is how much longer than estimated an answer may become and still be
 	// whole in time; estimates are right at the median only.
 	longer = 1.5
@@ -115,14 +109,15 @@
 
 // waiter describes a generation to its queue.
 func (r *Relay) waiter(j *job) *flow.Waiter {
-	run := readTime + time.Duration(longer*float64(j.events())*float64(r.usualPause()))
+	read := r.readTime(j)
+	run := read + time.Duration(longer*float64(j.events())*float64(r.usualPause()))
 	lastBy := j.arrived + j.left() - run
 	if s := j.route.Silence; s > 0 {
-		lastBy = min(lastBy, j.arrived+time.Duration(silenceShare*float64(s))-readTime)
+		lastBy = min(lastBy, j.arrived+time.Duration(silenceShare*float64(s))-read)
 	}
 	return &flow.Waiter{
 		Priority: j.priority, Prompt: j.prompt(), Arrived: j.arrived,
-		OnTimeBy: j.arrived + j.route.Target - readTime,
+		OnTimeBy: j.arrived + j.route.Target - read,
 		LastBy:   max(lastBy, j.arrived+j.patience()),
 	}
 }
@@ -161,8 +156,10 @@
 }
 
 func (r *Relay) engineQuery(j *job) backends.Query {
+	speed := r.readSpeed()
 	return backends.Query{
-		Service: j.service, Tokens: j.memory(), Prompt: j.prompt(), MostUsed: mostUsed, MostPrompt: mostPrompt,
+		Service: j.service, Tokens: j.memory(), Prompt: j.prompt(), PromptSpeed: speed,
+		MostUsed: mostUsed, MostPrompt: int(speed * promptWait.Seconds()),
 		Tried: j.tried, Draw: rand.Uint64(),
 	}
 }
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -72,6 +72,7 @@
 		a.Priority = j.priority
 	}
 	j.sent++
+	begun := r.Now()
 	answer, err := r.Upstream.Send(ctx, a)
 	entry := j.log.WithFields(logrus.Fields{
 		"server": lease.Server.ID, "try": j.sent, "running": lease.Running, "tokens": lease.Tokens,
@@ -83,6 +84,9 @@
 	}
 	j.ran++
 	lease.Begun()
+	if a.From == nil {
+		r.prompted(lease.Prompt+j.prompt(), r.Now()-begun)
+	}
 	entry.WithField("status", answer.Status).Info("sent")
 	return answer, nil
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -58,7 +58,8 @@
 	Placed()
 }
 
-// Relay serves requests. It is safe for concurrent use; mu is a leaf.
+// Relay serves requests. It is safe for concurrent use; mu is taken before the lock
+// of a run and those of Others.
 type Relay struct {
 	cfg atomic.Pointer[Config]
 	Deps
@@ -70,6 +71,8 @@
 	active  int
 	// pace is the usual time between two events of a stream.
 	pace time.Duration
+	// speed is the prompt tokens a second that an engine reads.
+	speed float64
 	// ends is when this process will be gone, zero while none is known; from
 	// lastCall on nothing that would outlast it is taken.
 	ends, lastCall time.Time
@@ -83,6 +86,7 @@
 		runs:    make(map[string]map[*run]struct{}),
 		lanes:   make(map[string]*lane),
 		pace:    startPace,
+		speed:   startSpeed,
 	}
 	r.Configure(cfg)
 	return r
--- /dev/null
+++ b/internal/relay/speed.go
@@ -0,0 +1,40 @@
+package relay
+
+import "time"
+
+const (
+	// startSpeed is the prompt tokens a second that an engine is assumed to read
+	// beside its running streams until it has been seen: chunks of some 110 tokens
+	// between steps of 15 ms.
+	startSpeed = 7000
+	// speedGain is the weight of the newest prompt in the measured speed.
+	speedGain = 0.05
+	// promptWait is how long the prompts that an engine has to read may keep a new
+	// one waiting: the first token then comes within the 1.5 to 1.9 s that users ask
+	// for, and the engine never runs out of prompts.
+	promptWait = 500 * time.Millisecond
+)
+
+// prompted notes the time that an engine took to read a prompt, and those that it
+// had to read before. Engines differ by a factor of ten; a fixed speed would send
+// slow ones more than they can begin in time.
+func (r *Relay) prompted(tokens int, took time.Duration) {
+	if tokens <= 0 || took <= 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.speed += speedGain * (float64(tokens)/took.Seconds() - r.speed)
+}
+
+// readSpeed is the prompt tokens a second that an engine reads.
+func (r *Relay) readSpeed() float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.speed
+}
+
+// readTime is the usual time of reading a prompt.
+func (r *Relay) readTime(j *job) time.Duration {
+	return time.Duration(float64(j.prompt()) / r.readSpeed() * float64(time.Second))
+}
--- a/internal/relay/stream_test.go
+++ b/internal/relay/stream_test.go
@@ -225,3 +225,28 @@
 		require.Equal(t, []string{"a", "b"}, w.up.servers())
 	})
 }
+
+// Engines are four times slower than assumed. After some streams the gateway knows:
+// no more prompts go to an engine than it reads in half a second, so that the next
+// caller is queued here, where an engine with room may come first.
+func TestReadingSpeedIsMeasured(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, Config{})
+		w.server("a", modelService)
+		const speed = startSpeed / 4
+		w.up.send = func(_ context.Context, a *Attempt) (*Answer, error) {
+			time.Sleep(time.Duration(float64(a.Request.Generation.PromptTokens) / speed * float64(time.Second)))
+			s := newSource()
+			go func() {
+				s.write(event(1))
+				s.w.Close()
+			}()
+			return s.answer(), nil
+		}
+		for range 100 {
+			w.serve(request("/plan/x")).whole(t, event(1))
+		}
+		require.InEpsilon(t, speed, w.relay.readSpeed(), 0.1)
+		require.InEpsilon(t, speed/2, w.relay.engineQuery(&job{Request: request("/plan/x")}).MostPrompt, 0.1)
+	})
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -48,6 +48,8 @@
 	Tried []string
 	// Tokens is the memory that the request is expected to need.
 	Tokens int
+	// PromptSpeed is the prompt tokens a second that servers read.
+	PromptSpeed float64
 	// MostUsed bounds the part of memory in use with the request, MostPrompt the
 	// prompt tokens to be read before it; 0 is no bound.
 	MostUsed   float64
--- a/placement/scorers.go
+++ b/placement/scorers.go
@@ -58,12 +58,11 @@
 	return 1
 }
 
-// promptSecond is the prompt tokens that an engine reads in about a second beside
-// its running streams: chunks of some 110 tokens between steps of 15 ms.
-const promptSecond = 7000
-
 // PromptRead prefers servers with few prompts to read first: the first token waits
-// for all of them, in a second for every promptSecond tokens.
-func PromptRead(_ *Request, s *Server) float64 {
-	return 1 - float64(s.PromptPending)/promptSecond
+// for all of them, and loses a point for every second.
+func PromptRead(r *Request, s *Server) float64 {
+	if r.PromptSpeed <= 0 {
+		return 0
+	}
+	return 1 - float64(s.PromptPending)/r.PromptSpeed
 }
