An entry lets the ends of its last answers leave before it stops

The entry stopped its server as soon as its last handler had returned, before the answer's end was written. Change: up to a second for the ends of answers.

--- a/internal/app/entry.go
+++ b/internal/app/entry.go
@@ -184,10 +184,32 @@
 // Shutdown refuses new work, waits for work in progress and ends the entry.
 func (r *Entry) Shutdown(ctx context.Context) int {
 	left := r.Entry.Shutdown(ctx)
+	stopGRPC(r.grpc, lastWrites)
 	r.Close()
 	return left
 }
 
+// lastWrites bounds the time in which the ends of the last answers leave.
+const lastWrites = time.Second
+
+// stopGRPC lets what the handlers have returned leave before connections close. A
+// request is over for the entry when its handler returns, but its end is written
+// after that: cut off then, the caller takes a whole answer for a broken one.
+func stopGRPC(srv *grpc.Server, within time.Duration) {
+	done := make(chan struct{})
+	go func() {
+		srv.GracefulStop()
+		close(done)
+	}()
+	t := time.NewTimer(within)
+	defer t.Stop()
+	select {
+	case <-done:
+	case <-t.C:
+		srv.Stop()
+	}
+}
+
 // Close ends the entry at once, as the end of its process does.
 func (r *Entry) Close() {
 	r.closing.Do(r.close)
--- /dev/null
+++ b/internal/app/entry_test.go
@@ -0,0 +1,52 @@
+package app
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc"
+
+	kingcupv1 "kingcupplank.example/kingcup/proto/kingcup/v1"
+)
+
+// slowListener delays what the server writes, as a busy VM does.
+type slowListener struct{ net.Listener }
+
+type slowConn struct{ net.Conn }
+
+func (l slowListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return slowConn{c}, err
+}
+
+func (c slowConn) Write(p []byte) (int, error) {
+	time.Sleep(100 * time.Millisecond)
+	return c.Conn.Write(p)
+}
+
+// An entry stops when its last handler has returned. The end of that answer is
+// still on its way; the caller must get it, not a broken connection.
+func TestEndsOfAnswersLeaveBeforeTheEntryStops(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	returned := make(chan struct{})
+	srv := grpc.NewServer(grpc.UnknownServiceHandler(func(_ any, stream grpc.ServerStream) error {
+		defer close(returned)
+		return stream.SendMsg(&kingcupv1.CallRequest{RequestId: "r"})
+	}))
+	go srv.Serve(slowListener{l})
+	conn, err := DialGRPC(l.Addr().String())
+	require.NoError(t, err)
+	defer conn.Close()
+	st, err := conn.NewStream(t.Context(), &grpc.StreamDesc{ServerStreams: true}, "/any/Method")
+	require.NoError(t, err)
+	require.NoError(t, st.SendMsg(&kingcupv1.CallRequest{}))
+	require.NoError(t, st.CloseSend())
+	<-returned
+	stopGRPC(srv, 5*time.Second)
+	require.NoError(t, st.RecvMsg(&kingcupv1.CallRequest{}))
+	require.ErrorIs(t, st.RecvMsg(&kingcupv1.CallRequest{}), io.EOF)
+}
