Gateways with queues take turns at engines that have room

Cause: engines that join empty, or get room, are seen by all gateways within milliseconds, and each with a queue sends there before it hears of the others. Ruled out: slow starts of engines (coldRemainingMs is zero there, and alone they answer in 0.4 s); the bound on prompts (0.5 s) itself, which holds for what is known. Change: gateways tell how many requests wait for each service; while another one's wait, an engine is taken only by the gateway whose turn it is, by weighted rendezvous hashing over periods of 60 ms on the store's clock.

--- a/backends/registry.go
+++ b/backends/registry.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"kingcupplank.example/kingcup/flow"
 	"kingcupplank.example/kingcup/placement"
 )
 
@@ -272,6 +273,9 @@
 	Tried []string
 	// Near is the failure domain to prefer, the process's own if empty.
 	Near string
+	// Turns bounds the choice to servers where it is this process's turn, nil for
+	// all.
+	Turns *flow.Turns
 	// Copy asks for a server to copy a run's memory to.
 	Copy bool
 	// Draw is random.
@@ -289,11 +293,16 @@
 		near = r.domain
 	}
 	req := &placement.Request{FailureDomain: near, Tried: q.Tried, Tokens: q.Tokens, PromptSpeed: q.PromptSpeed, MostUsed: q.MostUsed, MostPrompt: q.MostPrompt}
+	draws := r.draws(len(views))
+	if q.Turns != nil {
+		// Nobody else takes these servers now.
+		req.Mine, draws = q.Turns.Mine, len(views)
+	}
 	policy := r.policy
 	if q.Copy {
 		policy = r.copies
 	}
-	i := policy.BestOf(r.draws(len(views)), req, views, q.Draw)
+	i := policy.BestOf(draws, req, views, q.Draw)
 	if i < 0 {
 		return nil
 	}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -349,6 +349,15 @@
 	return f.synced && (age > f.cfg.Wait+silentSlack/2 || f.failures > 0 && age > silentSlack)
 }
 
+// StoreTime is the store's steady clock now, as near as the answers so far tell: a
+// clock that all processes share to within a few ms. It is false before the first
+// answer.
+func (f *Follower) StoreTime() (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.now() - f.offset, f.offsetKnown
+}
+
 // Reached reports whether the store answered this process last.
 func (f *Follower) Reached() bool {
 	f.mu.Lock()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -427,3 +427,41 @@
 	require.Equal(t, http.StatusRequestTimeout, c.read().status)
 	require.Zero(t, n.relay.InProgress())
 }
+
+// Requests wait at two gateways for an engine with room. Both learn of each other's
+// queue, and of each engine they agree whose turn it is, so that they do not both
+// send there what only one of them may.
+func TestGatewaysWithQueuesTakeTurns(t *testing.T) {
+	s := newSystem(t)
+	s.server(fleet.ModelService, fleet.Behaviour{})
+	a, b := s.gateway("vm-a"), s.gateway("vm-b")
+	require.Nil(t, a.group.Turns(fleet.ModelService))
+	a.group.Queued(fleet.ModelService, 3)
+	b.group.Queued(fleet.ModelService, 1)
+	sees := func(n *node, other string) func() bool {
+		return func() bool {
+			list := n.group.contenders(fleet.ModelService)
+			return len(list) == 1 && list[0].Name == other
+		}
+	}
+	a.eventually(sees(a, "vm-b"), "a knows b's queue")
+	b.eventually(sees(b, "vm-a"), "b knows a's queue")
+	const asked = 500
+	same, both := 0, 0
+	for i := range asked {
+		turnA, turnB := a.group.Turns(fleet.ModelService), b.group.Turns(fleet.ModelService)
+		if turnA.Period != turnB.Period {
+			continue
+		}
+		same++
+		server := fmt.Sprint("engine-", i)
+		if turnA.Mine(server) == turnB.Mine(server) {
+			both++
+		}
+	}
+	require.Zero(t, both)
+	require.Greater(t, same, asked/2, "the clocks are far apart")
+	a.group.Queued(fleet.ModelService, 0)
+	b.group.Queued(fleet.ModelService, 0)
+	a.eventually(func() bool { return a.group.Turns(fleet.ModelService) == nil }, "nobody waits")
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -6,15 +6,18 @@
 	"math/rand/v2"
 	"net"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"kingcupplank.example/kingcup/backends"
+	"kingcupplank.example/kingcup/flow"
 	"kingcupplank.example/kingcup/internal/follow"
 	"kingcupplank.example/kingcup/internal/peers"
 	"kingcupplank.example/kingcup/internal/wait"
+	"kingcupplank.example/kingcup/platform/operator"
 	peerv1 "kingcupplank.example/kingcup/proto/kingcup/peer/v1"
 	"kingcupplank.example/kingcup/retry"
 )
@@ -52,10 +55,14 @@
 	stopping atomic.Bool
 	// followers by table take the pages of peers.
 	followers map[string]*follow.Follower
+
+	// mu guards queues, the requests that wait here by service. It is a leaf.
+	mu     sync.Mutex
+	queues map[string]int
 }
 
 func newGroup(self peers.Member, store rows, registry *backends.Registry, linkMbps float64, log logrus.FieldLogger) *group {
-	g := &group{self: self, store: store, registry: registry, linkMbps: linkMbps, log: log, followers: make(map[string]*follow.Follower)}
+	g := &group{self: self, store: store, registry: registry, linkMbps: linkMbps, log: log, followers: make(map[string]*follow.Follower), queues: make(map[string]int)}
 	var d net.Dialer
 	g.links = peers.New(self, peers.Deps{
 		Dial:  func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) },
@@ -73,6 +80,11 @@
 	for id, l := range g.registry.Loads() {
 		s.Loads = append(s.Loads, &peerv1.Load{Server: id, Running: uint32(l.Running), Tokens: uint64(max(0, l.Tokens)), Prompt: uint64(max(0, l.Prompt))})
 	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for service, n := range g.queues {
+		s.Queues = append(s.Queues, &peerv1.Queue{Service: service, Waiting: uint32(n)})
+	}
 	return s
 }
 
@@ -125,6 +137,63 @@
 // Placed implements relay.Others.
 func (g *group) Placed() { g.links.Nudge() }
 
+// Queued implements relay.Others.
+func (g *group) Queued(service string, n int) {
+	g.mu.Lock()
+	was := g.queues[service]
+	if n > 0 {
+		g.queues[service] = n
+	} else {
+		delete(g.queues, service)
+	}
+	g.mu.Unlock()
+	if was == 0 && n > 0 {
+		g.links.Nudge()
+	}
+}
+
+// turnPeriod is how long a server is one gateway's: longer than a state takes to
+// reach all peers of a small VM (20 ms), and short beside the 400 ms that an engine
+// reads a prompt.
+const turnPeriod = 60 * time.Millisecond
+
+// Turns implements relay.Others. Periods are counted on the store's clock, which
+// all gateways know.
+func (g *group) Turns(service string) *flow.Turns {
+	f := g.followers[operator.Table]
+	if f == nil {
+		return nil
+	}
+	now, known := f.StoreTime()
+	if !known {
+		return nil
+	}
+	t := &flow.Turns{Self: g.self.Name, Period: int64(now / turnPeriod), Contenders: g.contenders(service)}
+	if len(t.Contenders) == 0 {
+		return nil
+	}
+	t.Contenders = append(t.Contenders, flow.Contender{Name: g.self.Name, Waiting: g.waiting(service)})
+	return t
+}
+
+// contenders lists the peers that have requests waiting for a service.
+func (g *group) contenders(service string) (out []flow.Contender) {
+	for _, s := range g.links.Live() {
+		for _, q := range s.GetQueues() {
+			if q.GetService() == service {
+				out = append(out, flow.Contender{Name: s.GetFrom().GetName(), Waiting: int(q.GetWaiting())})
+			}
+		}
+	}
+	return out
+}
+
+func (g *group) waiting(service string) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.queues[service]
+}
+
 // stop tells the peers that this gateway is stopping.
 func (g *group) stop() {
 	g.stopping.Store(true)
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"kingcupplank.example/kingcup/backends"
+	"kingcupplank.example/kingcup/flow"
 	"kingcupplank.example/kingcup/routing"
 )
 
@@ -37,12 +38,40 @@
 type others struct {
 	known  int
 	taking bool
+	// mu guards queued, which the relay told last, and turns, which it is told.
+	mu     sync.Mutex
+	queued int
+	turns  *flow.Turns
 }
 
 func (o *others) Known() int   { return o.known }
 func (o *others) Taking() bool { return o.taking }
 func (o *others) Placed()      {}
 
+func (o *others) Queued(_ string, n int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.queued = n
+}
+
+func (o *others) Turns(string) *flow.Turns {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.turns
+}
+
+func (o *others) set(turns *flow.Turns) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.turns = turns
+}
+
+func (o *others) waiting() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.queued
+}
+
 func quietLog() *logrus.Logger {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
--- a/internal/relay/lane.go
+++ b/internal/relay/lane.go
@@ -39,6 +39,8 @@
 	mu    sync.Mutex
 	queue *flow.Queue
 	turns map[*flow.Waiter]chan struct{}
+	// unplaced counts the requests that have found no server with room yet.
+	unplaced int
 }
 
 func (r *Relay) lane(service string) *lane {
@@ -108,6 +110,15 @@
 	return false
 }
 
+// queued tells the others how many requests wait. Only those count that have found
+// no server with room: a request that is placed at once contends with nobody.
+func (r *Relay) queued(service string, l *lane, change int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.unplaced += change
+	r.Others.Queued(service, l.unplaced)
+}
+
 // waiter describes a generation to its queue.
 func (r *Relay) waiter(j *job) *flow.Waiter {
 	read := r.readTime(j)
@@ -130,8 +141,13 @@
 	if turn == nil {
 		return nil, r.crowded(j)
 	}
-	sent := false
-	defer func() { l.leave(w, sent, r.Now()) }()
+	sent, queued := false, false
+	defer func() {
+		l.leave(w, sent, r.Now())
+		if queued {
+			r.queued(j.service, l, -1)
+		}
+	}()
 	for asked := r.Now(); ; {
 		if l.first(w, r.Now()) {
 			if lease := r.Registry.Acquire(r.engineQuery(j), r.Now()); lease != nil {
@@ -150,6 +166,10 @@
 		if l.refuses(w, r.Now()) {
 			return nil, r.crowded(j)
 		}
+		if !queued {
+			queued = true
+			r.queued(j.service, l, 1)
+		}
 		if !await(ctx, turn) {
 			return nil, r.refuse(j, ReasonDeadline)
 		}
@@ -161,7 +181,7 @@
 	return backends.Query{
 		Service: j.service, Tokens: j.memory(0), Prompt: j.prompt(), PromptSpeed: speed,
 		MostUsed: mostUsed, MostPrompt: int(speed * promptWait.Seconds()),
-		Tried: j.tried, Draw: rand.Uint64(),
+		Tried: j.tried, Turns: r.Others.Turns(j.service), Draw: rand.Uint64(),
 	}
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"kingcupplank.example/kingcup/backends"
+	"kingcupplank.example/kingcup/flow"
 	"kingcupplank.example/kingcup/internal/clock"
 	"kingcupplank.example/kingcup/retry"
 	"kingcupplank.example/kingcup/routing"
@@ -56,6 +57,11 @@
 	Taking() bool
 	// Placed tells them that this process has put a generation on an engine.
 	Placed()
+	// Queued tells them how many requests wait here for a service.
+	Queued(service string, n int)
+	// Turns is whose turn it is at the servers of a service, nil while no other
+	// process has requests waiting for it.
+	Turns(service string) *flow.Turns
 }
 
 // Relay serves requests. It is safe for concurrent use; mu is taken before the lock
--- a/internal/relay/stream_test.go
+++ b/internal/relay/stream_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"kingcupplank.example/kingcup/backends"
+	"kingcupplank.example/kingcup/flow"
 	"kingcupplank.example/kingcup/routing"
 )
 
@@ -308,3 +309,40 @@
 		require.Equal(t, 900, last["hint"])
 	})
 }
+
+// Requests wait at another gateway too, and an engine gets room. The request is not
+// sent while it is the other's turn there: both would send at once. It says that it
+// waits, so that it gets its turn, and goes when it has it.
+func TestRequestsWaitForTheirTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, Config{})
+		w.server("a", modelService)
+		run := newSource()
+		w.up.send = func(context.Context, *Attempt) (*Answer, error) { return run.answer(), nil }
+		turns := func(period int64) *flow.Turns {
+			return &flow.Turns{Self: "self", Period: period, Contenders: []flow.Contender{{Name: "self", Waiting: 1}, {Name: "other", Waiting: 1}}}
+		}
+		var mine, others int64
+		for !turns(mine).Mine("a") {
+			mine++
+		}
+		for turns(others).Mine("a") {
+			others++
+		}
+		w.others.set(turns(others))
+		done := make(chan *caller)
+		go func() { done <- w.serve(request("/plan/x")) }()
+		time.Sleep(300 * time.Millisecond)
+		synctest.Wait()
+		require.Empty(t, w.up.servers())
+		require.Equal(t, 1, w.others.waiting())
+		w.others.set(turns(mine))
+		time.Sleep(2 * turnPoll)
+		synctest.Wait()
+		require.Equal(t, []string{"a"}, w.up.servers())
+		require.Zero(t, w.others.waiting())
+		run.write(event(1))
+		run.w.Close()
+		(<-done).whole(t, event(1))
+	})
+}
