What gateways spend on telling each other their state is bounded

Change: at most 100 states a second for all links (150 ms up to 15 links, 320 ms at 32), silence follows the period, state and pages are encoded once for all links. What others act on at once (a placed generation, stopping, a queue) is still told at once. Tests: TestStatesAreBoundedForAllLinks, TestStateIsMadeOnceForSeveralLinks; BenchmarkStateForLinks.

--- a/internal/mux/frame.go
+++ b/internal/mux/frame.go
@@ -30,19 +30,31 @@
 func WriteFrame(w io.Writer, msg proto.Message) error {
 	p := scratch.Get().(*[]byte)
 	defer scratch.Put(p)
-	buf := append((*p)[:0], make([]byte, headerLen)...)
-	buf, err := proto.MarshalOptions{}.MarshalAppend(buf, msg)
+	buf, err := appendFrame((*p)[:0], msg)
+	if err != nil {
+		return err
+	}
 	*p = buf
+	_, err = w.Write(buf)
+	return err
+}
+
+// Frame encodes msg with its length in front, for a message that goes to several
+// peers.
+func Frame(msg proto.Message) ([]byte, error) { return appendFrame(nil, msg) }
+
+func appendFrame(buf []byte, msg proto.Message) ([]byte, error) {
+	buf = append(buf, make([]byte, headerLen)...)
+	buf, err := proto.MarshalOptions{}.MarshalAppend(buf, msg)
 	if err != nil {
-		return errors.Wrap(ErrMalformed, err.Error())
+		return nil, errors.Wrap(ErrMalformed, err.Error())
 	}
 	size := len(buf) - headerLen
 	if size > MaxFrame {
-		return errors.Wrapf(ErrFrameTooLarge, "%d bytes", size)
+		return nil, errors.Wrapf(ErrFrameTooLarge, "%d bytes", size)
 	}
 	binary.BigEndian.PutUint32(buf, uint32(size))
-	_, err = w.Write(buf)
-	return err
+	return buf, nil
 }
 
 // FrameReader reads frames into a buffer that it reuses. It is for one
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -26,12 +26,6 @@
 )
 
 const (
-	// Period is the time between two states of a link. Placing works on loads of
-	// this age; at 60 bytes a server and twelve servers it is 5 KB/s a link.
-	Period = 150 * time.Millisecond
-	// Silence is the age from which a peer's state is not believed any more: four
-	// states are missing.
-	Silence = 600 * time.Millisecond
 	// MaxLinks bounds the peers that a gateway tells, so that its cost does not
 	// grow with the system.
 	MaxLinks = 32
@@ -85,12 +79,14 @@
 	live    map[string]*peer
 	ctx     context.Context
 	wg      sync.WaitGroup
+
+	state stateFrame
 }
 
 type member struct {
 	Member
 	cancel context.CancelFunc
-	pages  chan *peerv1.Page
+	pages  chan []byte
 	nudge  chan struct{}
 }
 
@@ -138,7 +134,7 @@
 			old.cancel()
 		}
 		ctx, cancel := context.WithCancel(m.ctx)
-		added := &member{Member: n, cancel: cancel, pages: make(chan *peerv1.Page, pageQueue), nudge: make(chan struct{}, 1)}
+		added := &member{Member: n, cancel: cancel, pages: make(chan []byte, pageQueue), nudge: make(chan struct{}, 1)}
 		m.members[n.Name] = added
 		m.wg.Go(func() { m.link(ctx, added) })
 	}
@@ -179,7 +175,7 @@
 	defer m.mu.Unlock()
 	var out []*peerv1.State
 	for _, p := range m.live {
-		if time.Since(p.heard) < Silence {
+		if time.Since(p.heard) < silence(len(m.members)) {
 			out = append(out, p.state)
 		}
 	}
@@ -191,6 +187,7 @@
 
 // Nudge sends the state at once, for a change that others act on.
 func (m *Manager) Nudge() {
+	m.state.outdate()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, n := range m.members {
@@ -203,11 +200,16 @@
 
 // Spread sends a page to all peers. A link whose queue is full misses it.
 func (m *Manager) Spread(p *peerv1.Page) {
+	frame, err := mux.Frame(&peerv1.Frame{Kind: &peerv1.Frame_Page{Page: p}})
+	if err != nil {
+		m.Log.WithError(err).WithField("table", p.GetTable()).Warn("page cannot be sent, peers read it from the store")
+		return
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, n := range m.members {
 		select {
-		case n.pages <- p:
+		case n.pages <- frame:
 		default:
 			m.Log.WithField("peer", n.Name).WithField("table", p.GetTable()).Warn("link is slow, page is not sent")
 		}
@@ -263,16 +265,22 @@
 	if err != nil {
 		return errors.Wrap(err, "stream to peer")
 	}
-	send := func(f *peerv1.Frame) error {
+	send := func(frame []byte) error {
 		out.SetWriteDeadline(time.Now().Add(writeTimeout))
-		return errors.Wrap(mux.WriteFrame(out, f), "tell peer")
+		_, err := out.Write(frame)
+		return errors.Wrap(err, "tell peer")
 	}
-	tick := time.NewTicker(Period)
+	tick := time.NewTimer(0)
 	defer tick.Stop()
 	for first := true; ; first = false {
-		if err := send(&peerv1.Frame{Kind: &peerv1.Frame_State{State: m.State()}}); err != nil {
+		frame, err := m.state.get(m.State)
+		if err != nil {
+			return err
+		}
+		if err := send(frame); err != nil {
 			return err
 		}
+		tick.Reset(period(m.Known() - 1))
 		if first {
 			up()
 			m.Log.WithField("peer", n.Name).Info("linked to a peer")
@@ -286,7 +294,7 @@
 var errLinkClosed = errors.New("peer closed the link")
 
 // until sends pages until it is time for the next state.
-func (m *Manager) until(ctx context.Context, n *member, tick <-chan time.Time, closed <-chan struct{}, send func(*peerv1.Frame) error) error {
+func (m *Manager) until(ctx context.Context, n *member, tick <-chan time.Time, closed <-chan struct{}, send func([]byte) error) error {
 	for {
 		select {
 		case <-ctx.Done():
@@ -297,8 +305,8 @@
 			return nil
 		case <-n.nudge:
 			return nil
-		case p := <-n.pages:
-			if err := send(&peerv1.Frame{Kind: &peerv1.Frame_Page{Page: p}}); err != nil {
+		case frame := <-n.pages:
+			if err := send(frame); err != nil {
 				return err
 			}
 		}
@@ -354,7 +362,7 @@
 
 // watch tells of peers that have fallen silent.
 func (m *Manager) watch(ctx context.Context) {
-	t := time.NewTicker(Silence / 2)
+	t := time.NewTicker(silence(0) / 2)
 	defer t.Stop()
 	for {
 		select {
@@ -365,7 +373,7 @@
 		var silent []string
 		m.mu.Lock()
 		for name, p := range m.live {
-			if time.Since(p.heard) >= Silence {
+			if time.Since(p.heard) >= silence(len(m.members)) {
 				silent = append(silent, name)
 				delete(m.live, name)
 			}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -116,3 +116,56 @@
 	}
 	require.Less(t, time.Since(begun), time.Second)
 }
+
+// What a gateway spends on states does not grow with the number of its links, and a
+// peer is believed for as long as a few states may be lost.
+func TestStatesAreBoundedForAllLinks(t *testing.T) {
+	require.Equal(t, leastPeriod, period(2))
+	for _, links := range []int{16, 28, MaxLinks} {
+		require.LessOrEqual(t, float64(links)/period(links).Seconds(), float64(statesPerSecond))
+		require.GreaterOrEqual(t, silence(links), missing*period(links))
+	}
+}
+
+// A state is made once for all links that tell it at the same time, but never an
+// old one after a change that others act on.
+func TestStateIsMadeOnceForSeveralLinks(t *testing.T) {
+	made := 0
+	state := func() *peerv1.State {
+		made++
+		return &peerv1.State{Stopping: made > 1}
+	}
+	var f stateFrame
+	one, err := f.get(state)
+	require.NoError(t, err)
+	two, err := f.get(state)
+	require.NoError(t, err)
+	require.Equal(t, one, two)
+	require.Equal(t, 1, made)
+	f.outdate()
+	three, err := f.get(state)
+	require.NoError(t, err)
+	require.NotEqual(t, one, three)
+}
+
+// Before, each link made and encoded the state for itself, 5.5 us at 40 servers.
+// After: 0.06 us for each link after the first.
+func BenchmarkStateForLinks(b *testing.B) {
+	loads := make([]*peerv1.Load, 40)
+	for i := range loads {
+		loads[i] = &peerv1.Load{Server: "i-0123456789", Running: 2, Tokens: 7000, Prompt: 3000}
+	}
+	state := func() *peerv1.State { return &peerv1.State{From: &peerv1.Member{Name: "vm"}, Loads: loads} }
+	b.Run("each", func(b *testing.B) {
+		for b.Loop() {
+			var f stateFrame
+			f.get(state)
+		}
+	})
+	b.Run("once", func(b *testing.B) {
+		var f stateFrame
+		for b.Loop() {
+			f.get(state)
+		}
+	})
+}
