A stopping gateway lets the end of its last answer leave

The first mend hung, because Shutdown waits for Serve, and the portions' Close did not end their Accept. Change: ingress.Server.Finish closes the portions first, then shuts their servers down within 200 ms, inside the 300 ms kept before SIGKILL.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -251,6 +251,9 @@
 	idlePoll  = 50 * time.Millisecond
 	// leaveMargin covers a request that is on its way when callers are last taken.
 	leaveMargin = 300 * time.Millisecond
+	// lastWrites bounds the time in which the ends of the last answers leave; it is
+	// less than endMargin, so that SIGKILL does not come first.
+	lastWrites = 200 * time.Millisecond
 )
 
 // Stop ends the gateway after SIGTERM: it stops being ready at once, takes
@@ -271,8 +274,8 @@
 		}
 	}
 	left := g.relay.InProgress()
+	g.callers.Finish(lastWrites)
 	g.cancel()
-	g.callers.Close()
 	g.log.WithField("in_progress", left).Info("stopped")
 }
 
