A long table is read in parts; a late part does not begin it anew

Cause (finding "nothing is served for 30 s after all were killed at 300 gateways"): the time to read a whole table was bounded by 0.8 s, doubled after failures; 3,000 servers take longer over a link of 10 Mbit/s that 300 gateways' start fills, and each failure read the table from its first page.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -41,8 +41,9 @@
 
 // Feed reads one table.
 type Feed interface {
-	// Snapshot returns all rows.
-	Snapshot(ctx context.Context) (Page, error)
+	// Snapshot returns all rows. patience bounds the time without progress: a long
+	// table is read in parts.
+	Snapshot(ctx context.Context, patience time.Duration) (Page, error)
 	// Changes waits until rows have changed since a revision, or for wait.
 	// Errors: ErrHistoryLost, or the store's.
 	Changes(ctx context.Context, since uint64, wait time.Duration) (Page, error)
@@ -217,9 +218,7 @@
 	f.tried = begun
 	f.mu.Unlock()
 	if !synced {
-		ctx, cancel := context.WithTimeout(ctx, f.snapshotTimeout())
-		defer cancel()
-		page, err := f.feed.Snapshot(ctx)
+		page, err := f.feed.Snapshot(ctx, f.snapshotPatience())
 		if err != nil {
 			return err
 		}
@@ -241,19 +240,19 @@
 }
 
 const (
-	// snapshotTimeout bounds the first try to read a table. A connection that fell
-	// silent must not hold up the start.
-	snapshotTimeout = 800 * time.Millisecond
+	// snapshotPatience is how long the first try to read a table waits for each part
+	// of it. A connection that fell silent must not hold up the start.
+	snapshotPatience = 800 * time.Millisecond
 	// snapshotDoublings is how often it is doubled after failures. When hundreds of
 	// VMs start at once and read long tables, the store's link is busy for seconds;
 	// tries that are all given up too early would keep it so.
 	snapshotDoublings = 3
 )
 
-func (f *Follower) snapshotTimeout() time.Duration {
+func (f *Follower) snapshotPatience() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return snapshotTimeout << min(f.failures, snapshotDoublings)
+	return snapshotPatience << min(f.failures, snapshotDoublings)
 }
 
 func (f *Follower) reset(page Page, begun time.Duration) {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -77,7 +77,9 @@
 	return Page{Revision: s.revision, Clock: time.Since(s.start)}
 }
 
-func (s *fakeStore) Snapshot(ctx context.Context) (Page, error) {
+func (s *fakeStore) Snapshot(ctx context.Context, patience time.Duration) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
 	select {
 	case <-time.After(s.slow):
 	case <-ctx.Done():
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -261,8 +261,8 @@
 	s.links.Spread(page)
 }
 
-// membersTimeout bounds reading the rows of all gateways.
-const membersTimeout = 3 * time.Second
+// membersPatience bounds the wait for each page of the rows of all gateways.
+const membersPatience = 3 * time.Second
 
 var joinBackoff = retry.Backoff{Base: 200 * time.Millisecond, Max: 5 * time.Second}
 
@@ -290,9 +290,7 @@
 	if err := g.store.Put(ctx, membersTable, g.self.Name, data); err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, membersTimeout)
-	defer cancel()
-	page, err := g.store.Table(membersTable).Snapshot(ctx)
+	page, err := g.store.Table(membersTable).Snapshot(ctx, membersPatience)
 	if err != nil {
 		return nil, err
 	}
--- a/tools/without/gateway.go
+++ b/tools/without/gateway.go
@@ -14,7 +14,7 @@
 	{"whole events only", "internal/relay/events.go", "if err != nil {\n\t\t\treturn nil, e.broken(err)\n\t\t}", "if err != nil {\n\t\t\tif len(e.buf) > 0 {\n\t\t\t\treturn e.buf, nil\n\t\t\t}\n\t\t\treturn nil, err\n\t\t}", "./internal/relay", "TestStreamOutlivesItsServer$|TestStreamWithoutACopyBreaksOff"},
 	{"gap in a stream", "internal/relay/events.go", "if id != s.last+1 {", "if false {", "./internal/relay", "TestGapInAStreamBreaksItOff"},
 	{"gap in the pages", "internal/follow/follow.go", "if !f.synced || s.Since > f.revision {", "if !f.synced {", "./internal/follow", "TestMissedPageIsReadFromTheStore"},
-	{"longer tries to read a table", "internal/follow/follow.go", "return snapshotTimeout << min(f.failures, snapshotDoublings)", "return snapshotTimeout", "./internal/follow", "TestSlowSnapshotIsWaitedFor"},
+	{"longer tries to read a table", "internal/follow/follow.go", "return snapshotPatience << min(f.failures, snapshotDoublings)", "return snapshotPatience", "./internal/follow", "TestSlowSnapshotIsWaitedFor"},
 	{"older pages", "internal/follow/follow.go", "if row.Revision > f.revision {", "if true {", "./internal/follow", "TestOlderPageChangesNothing"},
 	{"grace only after an outage", "internal/follow/follow.go", "if f.outage > 0 && now-f.returned < returnGrace {\n\t\treturn f.outage\n\t}\n\treturn 0", "return time.Minute", "./internal/follow", "TestOnlyOutagesExcuseLapsedRows"},
 	{"grace of lapsed entries", "backends/registry.go", "if outage > outageFrom && !s.Leaving && s.suspectUntil == 0 {", "if false {", "./backends", "TestLapsedEntryHasAGrace"},
