A gateway is ready once it knows the servers

Change: ready needs the directory read once. A request refused before it is placed logs the configuration's version and age in ms like all other lines (it was a bare number of ns, also where there was no configuration). Test: TestGatewayIsReadyOnceItKnowsTheServers (503 without the change); the stand-in's store can be slow for one table.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -109,6 +109,8 @@
 	mu       sync.Mutex
 	revision uint64
 	synced   bool
+	// filled is set by the first whole table and stays.
+	filled bool
 	// gap says that a page was missed.
 	gap bool
 	// heard is when the last page came in, made when the store made it, and tried
@@ -262,7 +264,7 @@
 		return
 	}
 	f.sink.Reset(page.Rows, f.answered())
-	f.revision, f.synced = page.Revision, true
+	f.revision, f.synced, f.filled = page.Revision, true, true
 	f.confirm(page.Clock, begun)
 }
 
@@ -340,6 +342,13 @@
 	wait.For(ctx, pause)
 }
 
+// Filled reports whether the table has been read. It may be out of date since.
+func (f *Follower) Filled() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.filled
+}
+
 // Away reports whether the table cannot be read, here or by others.
 func (f *Follower) Away() bool {
 	f.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -64,11 +64,13 @@
 	callers  *ingress.Server
 	registry *backends.Registry
 	upstream *upstream.Client
-	group    *group
-	admin    *admin.Server
-	stopping atomic.Bool
-	cancel   context.CancelFunc
-	wg       sync.WaitGroup
+	// directory copies the table of backend servers.
+	directory *follow.Follower
+	group     *group
+	admin     *admin.Server
+	stopping  atomic.Bool
+	cancel    context.CancelFunc
+	wg        sync.WaitGroup
 }
 
 // memoryShare is the part of the VM's memory at which the garbage collector works
@@ -192,14 +194,14 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
 	g.wg.Go(func() { g.callers.Serve() })
-	go ingress.NewReady(g.Ready).Serve(ready)
 	op := g.follow(operator.Table, 0, &operator.Sink{Replica: rep, Log: g.log})
-	dir := g.follow(directory.Table, g.opts.DirectoryGap, &directory.Sink{Registry: g.registry, Now: clock.SinceBoot, Log: g.log})
+	g.directory = g.follow(directory.Table, g.opts.DirectoryGap, &directory.Sink{Registry: g.registry, Now: clock.SinceBoot, Log: g.log})
+	go ingress.NewReady(g.Ready).Serve(ready)
 	g.wg.Go(func() { g.group.links.Run(ctx, links) })
 	g.wg.Go(func() { op.Run(ctx) })
-	g.wg.Go(func() { dir.Run(ctx) })
+	g.wg.Go(func() { g.directory.Run(ctx) })
 	g.wg.Go(func() { g.group.join(ctx) })
-	g.wg.Go(func() { g.relay.Scout(ctx, dir.Away) })
+	g.wg.Go(func() { g.relay.Scout(ctx, g.directory.Away) })
 	g.wg.Go(func() { g.tend(ctx) })
 	return nil
 }
@@ -242,8 +244,12 @@
 	}
 }
 
-// Ready tells the balancer whether callers may come.
-func (g *Gateway) Ready() bool { return !g.stopping.Load() && g.relay.Ready() }
+// Ready tells the balancer whether callers may come. A gateway that has just started
+// may know the configuration well before a long directory: each request would be
+// refused for lack of a server, while other gateways could serve it.
+func (g *Gateway) Ready() bool {
+	return !g.stopping.Load() && g.relay.Ready() && g.directory.Filled()
+}
 
 const (
 	// endMargin is kept between the end of the last answer and SIGKILL.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -465,3 +465,14 @@
 	b.group.Queued(fleet.ModelService, 0)
 	a.eventually(func() bool { return a.group.Turns(fleet.ModelService) == nil }, "nobody waits")
 }
+
+// All VMs lost power, and reading the directory of thousands of servers takes longer
+// than reading the configuration. A gateway that says it is ready in between refuses
+// every caller for lack of a server; so it is ready only when it knows both.
+func TestGatewayIsReadyOnceItKnowsTheServers(t *testing.T) {
+	s := newSystem(t)
+	s.server(fleet.DeskService, fleet.Behaviour{})
+	s.fleet.Store.SetSlow("servers", 400*time.Millisecond)
+	n := s.gateway("vm-1")
+	require.Equal(t, http.StatusOK, n.do(plain(fleet.OncePath)).status)
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -151,7 +151,7 @@
 	defer r.count(-1)
 	j, refusal := r.admit(req)
 	if refusal != nil {
-		r.Log.WithFields(logrus.Fields{"request": req.ID, "reason": refusal.Reason, "path": req.Path, "config_age": r.configAge()}).Info("refused")
+		r.Log.WithFields(r.refused(req, refusal)).Info("refused")
 		r.Observer.Finished("", "", 0, string(refusal.Reason))
 		out.Refuse(*refusal)
 		return
@@ -191,9 +191,13 @@
 	return r.active
 }
 
-func (r *Relay) configAge() time.Duration {
-	_, confirmed := r.Replica.Current()
-	return r.Now() - confirmed
+// refused is what the log says of a request that is refused before it is placed.
+func (r *Relay) refused(req *Request, f *Refusal) logrus.Fields {
+	out := logrus.Fields{"request": req.ID, "reason": f.Reason, "path": req.Path}
+	if cfg, confirmed := r.Replica.Current(); cfg != nil {
+		out["config"], out["config_age_ms"] = cfg.Version, (r.Now() - confirmed).Milliseconds()
+	}
+	return out
 }
 
 // admit matches a request against the configuration in force.
--- a/internal/standin/fleet/store.go
+++ b/internal/standin/fleet/store.go
@@ -62,13 +62,15 @@
 	changed chan struct{}
 	doors   []*Door
 	calls   int
+	// slow is how long reading a table takes.
+	slow map[string]time.Duration
 }
 
 // NewStore returns an empty store without a door.
 func NewStore() *Store {
 	s := &Store{
 		start: time.Now(), stopped: make(chan struct{}),
-		rows: make(map[string]Row), changed: make(chan struct{}),
+		rows: make(map[string]Row), changed: make(chan struct{}), slow: make(map[string]time.Duration),
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /kingcupplank/rows-get", s.get)
@@ -110,6 +112,13 @@
 	d.fault = f
 }
 
+// SetSlow changes how long reading a table takes.
+func (s *Store) SetSlow(table string, d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slow[table] = d
+}
+
 // SetFault changes what happens to calls at all doors.
 func (s *Store) SetFault(f Fault) {
 	s.mu.Lock()
@@ -212,6 +221,10 @@
 func (s *Store) get(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	s.mu.Lock()
+	slow := s.slow[q.Get("tableName")]
+	s.mu.Unlock()
+	time.Sleep(slow)
+	s.mu.Lock()
 	defer s.mu.Unlock()
 	var rows []Row
 	for _, row := range s.rows {
