Copies off leaving servers take turns at their targets

One engine that had joined empty was given four copies in 50 ms, and two requests that others sent there waited 2.5 and 5.6 s for their first token; copies were not told to the others before the next state. Change: a copy goes first to a near engine where it is this gateway's turn; contenders are the gateways with requests at leaving servers of that failure domain, which all know from the loads. Taking a target is told at once. Tests: TestCopiesOfSeveralGatewaysSpread (fails without either part), TestMoversAreCountedByDomain.

--- a/backends/load.go
+++ b/backends/load.go
@@ -50,3 +50,25 @@
 	}
 	r.remote[process] = loads
 }
+
+// Movers counts, by process, the requests at servers of a failure domain that are
+// leaving. Those of this process have the name self.
+func (r *Registry) Movers(self, domain string) map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make(map[string]int)
+	for id, s := range r.servers {
+		if s.FailureDomain != domain || !s.Leaving && !s.gone {
+			continue
+		}
+		if s.own.Running > 0 {
+			out[self] += s.own.Running
+		}
+		for process, loads := range r.remote {
+			if n := loads[id].Running; n > 0 {
+				out[process] += n
+			}
+		}
+	}
+	return out
+}
--- a/backends/registry.go
+++ b/backends/registry.go
@@ -271,8 +271,10 @@
 	MostPrompt int
 	// Tried are the servers that are not to be asked again.
 	Tried []string
-	// Near is the failure domain to prefer, the process's own if empty.
-	Near string
+	// Near is the failure domain to prefer, the process's own if empty; Within drops
+	// all others.
+	Near   string
+	Within bool
 	// Turns bounds the choice to servers where it is this process's turn, nil for
 	// all.
 	Turns *flow.Turns
@@ -292,7 +294,7 @@
 	if near == "" {
 		near = r.domain
 	}
-	req := &placement.Request{FailureDomain: near, Tried: q.Tried, Tokens: q.Tokens, PromptSpeed: q.PromptSpeed, MostUsed: q.MostUsed, MostPrompt: q.MostPrompt}
+	req := &placement.Request{FailureDomain: near, Tried: q.Tried, Tokens: q.Tokens, PromptSpeed: q.PromptSpeed, MostUsed: q.MostUsed, MostPrompt: q.MostPrompt, Within: q.Within}
 	draws := r.draws(len(views))
 	if q.Turns != nil {
 		// Nobody else takes these servers now.
--- a/backends/registry_test.go
+++ b/backends/registry_test.go
@@ -149,3 +149,21 @@
 		r.Acquire(Query{Service: svc, Tokens: 4000, Prompt: 3000, Draw: 7}, 0).Done(Good, 0)
 	}
 }
+
+// A server leaves. Which processes have requests there, and how many, is known from
+// what they told before: they all have to copy their runs off it at once.
+func TestMoversAreCountedByDomain(t *testing.T) {
+	r, _ := newRegistry()
+	far := entry("far")
+	far.FailureDomain = "zone-2"
+	r.Reset([]Server{entry("a"), entry("b"), far}, 0, 0)
+	lease := r.Acquire(Query{Service: svc, Tried: []string{"b", "far"}}, 0)
+	defer lease.Done(Unjudged, 0)
+	r.SetRemote("vm-2", map[string]Load{"a": {Running: 3}, "b": {Running: 5}, "far": {Running: 2}})
+	require.Empty(t, r.Movers("vm-1", "zone-1"))
+	leaving := entry("a")
+	leaving.Leaving = true
+	r.Put(leaving, 0)
+	require.Equal(t, map[string]int{"vm-1": 1, "vm-2": 3}, r.Movers("vm-1", "zone-1"))
+	require.Empty(t, r.Movers("vm-1", "zone-2"))
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -157,9 +157,31 @@
 // reads a prompt.
 const turnPeriod = 60 * time.Millisecond
 
-// Turns implements relay.Others. Periods are counted on the store's clock, which
-// all gateways know.
+// Turns implements relay.Others.
 func (g *group) Turns(service string) *flow.Turns {
+	others := g.contenders(service)
+	if len(others) == 0 {
+		return nil
+	}
+	return g.turns(append(others, flow.Contender{Name: g.self.Name, Waiting: g.waiting(service)}))
+}
+
+// MoveTurns implements relay.Others.
+func (g *group) MoveTurns(domain string) *flow.Turns {
+	movers := g.registry.Movers(g.self.Name, domain)
+	if len(movers) < 2 {
+		return nil
+	}
+	list := make([]flow.Contender, 0, len(movers))
+	for name, n := range movers {
+		list = append(list, flow.Contender{Name: name, Waiting: n})
+	}
+	return g.turns(list)
+}
+
+// turns shares servers out among contenders. Periods are counted on the store's
+// clock, which all gateways know; nil if this one does not know it yet.
+func (g *group) turns(list []flow.Contender) *flow.Turns {
 	f := g.followers[operator.Table]
 	if f == nil {
 		return nil
@@ -168,12 +190,7 @@
 	if !known {
 		return nil
 	}
-	t := &flow.Turns{Self: g.self.Name, Period: int64(now / turnPeriod), Contenders: g.contenders(service)}
-	if len(t.Contenders) == 0 {
-		return nil
-	}
-	t.Contenders = append(t.Contenders, flow.Contender{Name: g.self.Name, Waiting: g.waiting(service)})
-	return t
+	return &flow.Turns{Self: g.self.Name, Period: int64(now / turnPeriod), Contenders: list}
 }
 
 // contenders lists the peers that have requests waiting for a service.
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -38,15 +38,27 @@
 type others struct {
 	known  int
 	taking bool
-	// mu guards queued, which the relay told last, and turns, which it is told.
+	// mu guards queued and placed, which the relay told, and turns, which it is told.
 	mu     sync.Mutex
 	queued int
 	turns  *flow.Turns
+	placed int
 }
 
 func (o *others) Known() int   { return o.known }
 func (o *others) Taking() bool { return o.taking }
-func (o *others) Placed()      {}
+
+func (o *others) Placed() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.placed++
+}
+
+func (o *others) placings() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.placed
+}
 
 func (o *others) Queued(_ string, n int) {
 	o.mu.Lock()
@@ -60,6 +72,8 @@
 	return o.turns
 }
 
+func (o *others) MoveTurns(string) *flow.Turns { return o.Turns("") }
+
 func (o *others) set(turns *flow.Turns) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/relay/move.go
+++ b/internal/relay/move.go
@@ -298,18 +298,30 @@
 	return false
 }
 
-// target picks a server for the copy: one that has room for the run's peak, or
-// else any that has not refused.
+// target picks a server for the copy: one that has room for the run, or else any
+// that has not refused.
+//
+// All gateways hear of a leaving server within milliseconds and copy its runs at
+// once. By the same view of the loads they would all choose the same few servers:
+// one that joined empty was given four copies, and callers whom others sent there
+// waited for 5 s. So each takes those where it is its turn, as long as they are near.
 func (m *move) target() *backends.Lease {
+	r := m.relay
 	q := backends.Query{
 		Service: m.run.job.service, Tokens: m.run.memory(), Tried: m.tried, MostUsed: copyRoom,
 		Copy: true, Near: m.from.FailureDomain, Draw: rand.Uint64(),
 	}
-	if lease := m.relay.Registry.Acquire(q, m.relay.Now()); lease != nil {
-		return lease
+	first := q
+	first.Turns, first.Within = r.Others.MoveTurns(m.from.FailureDomain), true
+	anyRoom := q
+	anyRoom.MostUsed = 0
+	for _, q := range []backends.Query{first, q, anyRoom} {
+		if lease := r.Registry.Acquire(q, r.Now()); lease != nil {
+			r.Others.Placed()
+			return lease
+		}
 	}
-	q.MostUsed = 0
-	return m.relay.Registry.Acquire(q, m.relay.Now())
+	return nil
 }
 
 // finish stops the run at its server once nothing else waits on the links, and
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -55,13 +55,17 @@
 	Known() int
 	// Taking reports whether another process takes requests.
 	Taking() bool
-	// Placed tells them that this process has put a generation on an engine.
+	// Placed tells them that this process has put a generation, or a copy of one, on
+	// an engine.
 	Placed()
 	// Queued tells them how many requests wait here for a service.
 	Queued(service string, n int)
 	// Turns is whose turn it is at the servers of a service, nil while no other
 	// process has requests waiting for it.
 	Turns(service string) *flow.Turns
+	// MoveTurns is whose turn it is to copy runs off the servers that leave a failure
+	// domain, nil while only this process has such runs.
+	MoveTurns(domain string) *flow.Turns
 }
 
 // Relay serves requests. It is safe for concurrent use; mu is taken before the lock
--- a/internal/relay/stream_test.go
+++ b/internal/relay/stream_test.go
@@ -346,3 +346,50 @@
 		(<-done).whole(t, event(1))
 	})
 }
+
+// A server leaves with runs of several gateways, and one engine is emptier than the
+// others. If all copied there it would be overfull; each takes an engine where it is
+// its turn, and tells the others at once. Where none of those is near, it takes the
+// emptiest after all.
+func TestCopiesOfSeveralGatewaysSpread(t *testing.T) {
+	targetOf := func(t *testing.T, mine func(server string) bool) string {
+		w := newWorld(t, Config{})
+		w.server("a", modelService)
+		run := newSource()
+		w.movable(run, time.Millisecond)
+		w.up.send = func(_ context.Context, a *Attempt) (*Answer, error) {
+			if a.From == nil {
+				return run.answer(), nil
+			}
+			next := newSource()
+			go func() {
+				next.write(events(3, 4))
+				next.w.Close()
+			}()
+			return next.answer(), nil
+		}
+		done := make(chan *caller)
+		go func() { done <- w.serve(request("/plan/x")) }()
+		run.write(events(1, 2))
+		synctest.Wait()
+		w.server("empty", modelService)
+		w.server("fuller", modelService)
+		w.registry.SetRemote("vm-2", map[string]backends.Load{"fuller": {Running: 2, Tokens: 8000}})
+		turns := &flow.Turns{Self: "self", Contenders: []flow.Contender{{Name: "self", Waiting: 1}, {Name: "vm-2", Waiting: 3}}}
+		for turns.Mine("empty") != mine("empty") || turns.Mine("fuller") != mine("fuller") {
+			turns.Period++
+		}
+		w.others.set(turns)
+		told := w.others.placings()
+		w.drain("a", modelService)
+		(<-done).whole(t, events(1, 4))
+		require.Greater(t, w.others.placings(), told)
+		return w.up.servers()[1]
+	}
+	synctest.Test(t, func(t *testing.T) {
+		require.Equal(t, "fuller", targetOf(t, func(server string) bool { return server == "fuller" }))
+	})
+	synctest.Test(t, func(t *testing.T) {
+		require.Equal(t, "empty", targetOf(t, func(string) bool { return false }))
+	})
+}
--- a/placement/filters.go
+++ b/placement/filters.go
@@ -21,6 +21,11 @@
 	return !slices.Contains(r.Tried, s.Name)
 }
 
+// InDomain drops servers of other failure domains if the request asks for that.
+func InDomain(r *Request, s *Server) bool {
+	return !r.Within || s.FailureDomain == r.FailureDomain
+}
+
 // WithinBounds drops servers that are too busy for the request. A server that has
 // nothing to do takes whatever comes.
 func WithinBounds(r *Request, s *Server) bool {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -54,6 +54,8 @@
 	// prompt tokens to be read before it; 0 is no bound.
 	MostUsed   float64
 	MostPrompt int
+	// Within drops servers of other failure domains.
+	Within bool
 	// Mine tells whose turn it is at a server, nil where there are no turns.
 	Mine func(server string) bool
 }
@@ -89,7 +91,7 @@
 // every other, a server that refused a moment ago against all but failing ones.
 func Direct() Policy {
 	return Policy{
-		Filters: []Filter{NotLeaving, NotTried, WithinBounds, InTurn},
+		Filters: []Filter{NotLeaving, NotTried, InDomain, WithinBounds, InTurn},
 		Scorers: []Scorer{
 			{Weight: 1.0, Score: Room},
 			{Weight: 1.0, Score: PromptRead},
