Urgent requests go first at all gateways, not only in their own queue

Ruled out: that short requests wait because long ones go first (their priority is the team's, so both have the same). Change: gateways tell the rank of what goes next in their queue and how many have it. A request shares turns only with those at least as urgent, and leaves one engine with room to each more urgent one elsewhere.

--- a/backends/registry.go
+++ b/backends/registry.go
@@ -298,7 +298,7 @@
 	draws := r.draws(len(views))
 	if q.Turns != nil {
 		// Nobody else takes these servers now.
-		req.Mine, draws = q.Turns.Mine, len(views)
+		req.Mine, req.Yield, draws = q.Turns.Mine, q.Turns.Yield, len(views)
 	}
 	policy := r.policy
 	if q.Copy {
--- a/flow/queue.go
+++ b/flow/queue.go
@@ -46,6 +46,21 @@
 // Len is the number of waiters.
 func (q *Queue) Len() int { return len(q.waiting) }
 
+// First returns the rank of the next waiter and how many have it.
+func (q *Queue) First(now time.Duration) (rank, n int) {
+	next := q.Next(now)
+	if next == nil {
+		return 0, 0
+	}
+	rank = next.Rank(now)
+	for _, w := range q.waiting {
+		if w.Rank(now) == rank {
+			n++
+		}
+	}
+	return rank, n
+}
+
 // Next returns the waiter whose turn it is, nil if none waits.
 //
 // Requests that can still be on time go before those that cannot. Serving in the
@@ -63,19 +78,31 @@
 }
 
 func before(a, b *Waiter, now time.Duration) bool {
-	lateA, lateB := now > a.OnTimeBy, now > b.OnTimeBy
-	if lateA != lateB {
-		return lateB
+	rankA, rankB := a.Rank(now), b.Rank(now)
+	if rankA != rankB {
+		return rankA < rankB
 	}
-	if a.Priority != b.Priority {
-		return a.Priority < b.Priority
-	}
-	if lateA {
+	if a.late(now) {
 		return a.Arrived < b.Arrived
 	}
 	return a.OnTimeBy < b.OnTimeBy
 }
 
+// lateRank is added to the rank of a request that cannot be on time any more; it is
+// above all priorities.
+const lateRank = 1000
+
+// Rank orders requests by urgency, 0 first: those that can be on time before all
+// others, then by priority.
+func (w *Waiter) Rank(now time.Duration) int {
+	if w.late(now) {
+		return lateRank + w.Priority
+	}
+	return w.Priority
+}
+
+func (w *Waiter) late(now time.Duration) bool { return now > w.OnTimeBy }
+
 // Wait estimates how long a request would wait behind those that go before it.
 func (q *Queue) Wait(w *Waiter, now time.Duration) time.Duration {
 	ahead := 0
--- a/flow/turns.go
+++ b/flow/turns.go
@@ -11,6 +11,31 @@
 type Contender struct {
 	Name    string
 	Waiting int
+	// Rank is that of the most urgent of them, and First the number of those that
+	// have it.
+	Rank, First int
+}
+
+// TurnsFor shares servers out for a request of some rank that waits at self, among
+// the others that have requests waiting too. It shares with those that are at least
+// as urgent only, and leaves a server to each request elsewhere that is more urgent:
+// otherwise those would get no more than their part of the servers that get room,
+// and wait as long as all others.
+func TurnsFor(self Contender, others []Contender, rank int, period int64) *Turns {
+	t := &Turns{Self: self.Name, Period: period}
+	for _, c := range others {
+		if c.Rank <= rank {
+			t.Contenders = append(t.Contenders, c)
+		}
+		if c.Rank < rank {
+			t.Yield += c.First
+		}
+	}
+	if len(t.Contenders) == 0 {
+		return nil
+	}
+	t.Contenders = append(t.Contenders, self)
+	return t
 }
 
 // Turns gives each server to one contender for a while. When a server gets room,
@@ -29,6 +54,8 @@
 	// everywhere.
 	Period     int64
 	Contenders []Contender
+	// Yield is the number of servers with room that are left to others.
+	Yield int
 }
 
 // Mine reports whether it is this process's turn at a server. Without other
--- a/flow/turns_test.go
+++ b/flow/turns_test.go
@@ -11,7 +11,7 @@
 // In each period a server belongs to exactly one contender, and to each one in
 // proportion to what waits there.
 func TestTurnsShareServersInProportion(t *testing.T) {
-	contenders := []Contender{{"a", 1}, {"b", 1}, {"c", 4}}
+	contenders := []Contender{{Name: "a", Waiting: 1}, {Name: "b", Waiting: 1}, {Name: "c", Waiting: 4}}
 	won := make(map[string]int)
 	const periods = 6000
 	for period := range int64(periods) {
@@ -30,9 +30,31 @@
 	require.InEpsilon(t, 4*periods/6, won["c"], 0.1)
 }
 
+// Short urgent requests and long ones wait at several processes. An urgent one shares
+// servers with urgent ones only, and a long one leaves each urgent one a server; one
+// that is late goes behind all that can be on time.
+func TestUrgentRequestsGoFirstElsewhereToo(t *testing.T) {
+	urgent, long, late := &Waiter{Priority: 0, OnTimeBy: seconds(9)}, &Waiter{Priority: 1, OnTimeBy: seconds(9)}, &Waiter{Priority: 0, OnTimeBy: seconds(1)}
+	now := seconds(2)
+	self := Contender{Name: "self", Waiting: 1}
+	others := []Contender{
+		{Name: "a", Waiting: 3, First: 2, Rank: urgent.Rank(now)},
+		{Name: "b", Waiting: 1, First: 1, Rank: long.Rank(now)},
+		{Name: "c", Waiting: 1, First: 1, Rank: late.Rank(now)},
+	}
+	t1 := TurnsFor(self, others, urgent.Rank(now), 1)
+	require.Len(t, t1.Contenders, 2)
+	require.Zero(t, t1.Yield)
+	t2 := TurnsFor(self, others, long.Rank(now), 1)
+	require.Len(t, t2.Contenders, 3)
+	require.Equal(t, 2, t2.Yield)
+	require.Equal(t, 3, TurnsFor(self, others, late.Rank(now), 1).Yield)
+	require.Nil(t, TurnsFor(self, others[1:], urgent.Rank(now), 1))
+}
+
 func TestTurnsWithoutOthersAreAlwaysMine(t *testing.T) {
 	require.True(t, (*Turns)(nil).Mine("s"))
-	require.True(t, (&Turns{Self: "a", Contenders: []Contender{{"a", 3}}}).Mine("s"))
+	require.True(t, (&Turns{Self: "a", Contenders: []Contender{{Name: "a", Waiting: 3}}}).Mine("s"))
 }
 
 // crowd plays processes that each have a queue in front of the same engines and
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"kingcupplank.example/kingcup/flow"
 	"kingcupplank.example/kingcup/internal/follow"
 	"kingcupplank.example/kingcup/internal/standin/fleet"
 )
@@ -435,9 +436,9 @@
 	s := newSystem(t)
 	s.server(fleet.ModelService, fleet.Behaviour{})
 	a, b := s.gateway("vm-a"), s.gateway("vm-b")
-	require.Nil(t, a.group.Turns(fleet.ModelService))
-	a.group.Queued(fleet.ModelService, 3)
-	b.group.Queued(fleet.ModelService, 1)
+	require.Nil(t, a.group.Turns(fleet.ModelService, 0))
+	a.group.Queued(fleet.ModelService, flow.Contender{Waiting: 3, Rank: 1, First: 3})
+	b.group.Queued(fleet.ModelService, flow.Contender{Waiting: 1, Rank: 1, First: 1})
 	sees := func(n *node, other string) func() bool {
 		return func() bool {
 			list := n.group.contenders(fleet.ModelService)
@@ -449,7 +450,7 @@
 	const asked = 500
 	same, both := 0, 0
 	for i := range asked {
-		turnA, turnB := a.group.Turns(fleet.ModelService), b.group.Turns(fleet.ModelService)
+		turnA, turnB := a.group.Turns(fleet.ModelService, 1), b.group.Turns(fleet.ModelService, 1)
 		if turnA.Period != turnB.Period {
 			continue
 		}
@@ -461,9 +462,11 @@
 	}
 	require.Zero(t, both)
 	require.Greater(t, same, asked/2, "the clocks are far apart")
-	a.group.Queued(fleet.ModelService, 0)
-	b.group.Queued(fleet.ModelService, 0)
-	a.eventually(func() bool { return a.group.Turns(fleet.ModelService) == nil }, "nobody waits")
+	require.Equal(t, 3, b.group.Turns(fleet.ModelService, 2).Yield)
+	require.Nil(t, a.group.Turns(fleet.ModelService, 0), "what is more urgent needs no turn")
+	a.group.Queued(fleet.ModelService, flow.Contender{})
+	b.group.Queued(fleet.ModelService, flow.Contender{})
+	a.eventually(func() bool { return a.group.Turns(fleet.ModelService, 1) == nil }, "nobody waits")
 }
 
 // All VMs lost power, and reading the directory of thousands of servers takes longer
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -56,13 +56,13 @@
 	// followers by table take the pages of peers.
 	followers map[string]*follow.Follower
 
-	// mu guards queues, the requests that wait here by service. It is a leaf.
+	// mu guards queues, what waits here by service. It is a leaf.
 	mu     sync.Mutex
-	queues map[string]int
+	queues map[string]flow.Contender
 }
 
 func newGroup(self peers.Member, store rows, registry *backends.Registry, linkMbps float64, log logrus.FieldLogger) *group {
-	g := &group{self: self, store: store, registry: registry, linkMbps: linkMbps, log: log, followers: make(map[string]*follow.Follower), queues: make(map[string]int)}
+	g := &group{self: self, store: store, registry: registry, linkMbps: linkMbps, log: log, followers: make(map[string]*follow.Follower), queues: make(map[string]flow.Contender)}
 	var d net.Dialer
 	g.links = peers.New(self, peers.Deps{
 		Dial:  func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) },
@@ -82,8 +82,8 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for service, n := range g.queues {
-		s.Queues = append(s.Queues, &peerv1.Queue{Service: service, Waiting: uint32(n)})
+	for service, q := range g.queues {
+		s.Queues = append(s.Queues, &peerv1.Queue{Service: service, Waiting: uint32(q.Waiting), Rank: uint32(q.Rank), First: uint32(q.First)})
 	}
 	return s
 }
@@ -137,17 +137,19 @@
 // Placed implements relay.Others.
 func (g *group) Placed() { g.links.Nudge() }
 
-// Queued implements relay.Others.
-func (g *group) Queued(service string, n int) {
+// Queued implements relay.Others. What others act on is told at once: that there is
+// a queue, or that something more urgent waits there than before.
+func (g *group) Queued(service string, q flow.Contender) {
+	q.Name = g.self.Name
 	g.mu.Lock()
 	was := g.queues[service]
-	if n > 0 {
-		g.queues[service] = n
+	if q.Waiting > 0 {
+		g.queues[service] = q
 	} else {
 		delete(g.queues, service)
 	}
 	g.mu.Unlock()
-	if was == 0 && n > 0 {
+	if q.Waiting > 0 && (was.Waiting == 0 || q.Rank < was.Rank) {
 		g.links.Nudge()
 	}
 }
@@ -158,39 +160,38 @@
 const turnPeriod = 60 * time.Millisecond
 
 // Turns implements relay.Others.
-func (g *group) Turns(service string) *flow.Turns {
-	others := g.contenders(service)
-	if len(others) == 0 {
+func (g *group) Turns(service string, rank int) *flow.Turns {
+	period, known := g.period()
+	if !known {
 		return nil
 	}
-	return g.turns(append(others, flow.Contender{Name: g.self.Name, Waiting: g.waiting(service)}))
+	self := flow.Contender{Name: g.self.Name, Waiting: g.waiting(service)}
+	return flow.TurnsFor(self, g.contenders(service), rank, period)
 }
 
 // MoveTurns implements relay.Others.
 func (g *group) MoveTurns(domain string) *flow.Turns {
+	period, known := g.period()
 	movers := g.registry.Movers(g.self.Name, domain)
-	if len(movers) < 2 {
+	if !known || len(movers) < 2 {
 		return nil
 	}
-	list := make([]flow.Contender, 0, len(movers))
+	t := &flow.Turns{Self: g.self.Name, Period: period}
 	for name, n := range movers {
-		list = append(list, flow.Contender{Name: name, Waiting: n})
+		t.Contenders = append(t.Contenders, flow.Contender{Name: name, Waiting: n})
 	}
-	return g.turns(list)
+	return t
 }
 
-// turns shares servers out among contenders. Periods are counted on the store's
-// clock, which all gateways know; nil if this one does not know it yet.
-func (g *group) turns(list []flow.Contender) *flow.Turns {
+// period numbers the present span of turns, on the store's clock, which all gateways
+// know; false while this one does not know it.
+func (g *group) period() (int64, bool) {
 	f := g.followers[operator.Table]
 	if f == nil {
-		return nil
+		return 0, false
 	}
 	now, known := f.StoreTime()
-	if !known {
-		return nil
-	}
-	return &flow.Turns{Self: g.self.Name, Period: int64(now / turnPeriod), Contenders: list}
+	return int64(now / turnPeriod), known
 }
 
 // contenders lists the peers that have requests waiting for a service.
@@ -198,7 +199,7 @@
 	for _, s := range g.links.Live() {
 		for _, q := range s.GetQueues() {
 			if q.GetService() == service {
-				out = append(out, flow.Contender{Name: s.GetFrom().GetName(), Waiting: int(q.GetWaiting())})
+				out = append(out, flow.Contender{Name: s.GetFrom().GetName(), Waiting: int(q.GetWaiting()), Rank: int(q.GetRank()), First: int(q.GetFirst())})
 			}
 		}
 	}
@@ -208,7 +209,7 @@
 func (g *group) waiting(service string) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.queues[service]
+	return g.queues[service].Waiting
 }
 
 // stop tells the peers that this gateway is stopping.
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -60,19 +60,19 @@
 	return o.placed
 }
 
-func (o *others) Queued(_ string, n int) {
+func (o *others) Queued(_ string, q flow.Contender) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.queued = n
+	o.queued = q.Waiting
 }
 
-func (o *others) Turns(string) *flow.Turns {
+func (o *others) Turns(string, int) *flow.Turns {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.turns
 }
 
-func (o *others) MoveTurns(string) *flow.Turns { return o.Turns("") }
+func (o *others) MoveTurns(string) *flow.Turns { return o.Turns("", 0) }
 
 func (o *others) set(turns *flow.Turns) {
 	o.mu.Lock()
--- a/internal/relay/lane.go
+++ b/internal/relay/lane.go
@@ -110,13 +110,14 @@
 	return false
 }
 
-// queued tells the others how many requests wait. Only those count that have found
-// no server with room: a request that is placed at once contends with nobody.
+// queued tells the others what waits here. Only requests count that have found no
+// server with room: one that is placed at once contends with nobody.
 func (r *Relay) queued(service string, l *lane, change int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.unplaced += change
-	r.Others.Queued(service, l.unplaced)
+	rank, first := l.queue.First(r.Now())
+	r.Others.Queued(service, flow.Contender{Waiting: l.unplaced, Rank: rank, First: first})
 }
 
 // waiter describes a generation to its queue.
@@ -150,7 +151,7 @@
 	}()
 	for asked := r.Now(); ; {
 		if l.first(w, r.Now()) {
-			if lease := r.Registry.Acquire(r.engineQuery(j), r.Now()); lease != nil {
+			if lease := r.Registry.Acquire(r.engineQuery(j, w.Rank(r.Now())), r.Now()); lease != nil {
 				sent = true
 				r.Others.Placed()
 				return lease, nil
@@ -169,6 +170,9 @@
 		if !queued {
 			queued = true
 			r.queued(j.service, l, 1)
+		} else {
+			// What goes next becomes late as time passes.
+			r.queued(j.service, l, 0)
 		}
 		if !await(ctx, turn) {
 			return nil, r.refuse(j, ReasonDeadline)
@@ -176,12 +180,13 @@
 	}
 }
 
-func (r *Relay) engineQuery(j *job) backends.Query {
+// engineQuery asks for an engine for a request of a rank.
+func (r *Relay) engineQuery(j *job, rank int) backends.Query {
 	speed := r.readSpeed()
 	return backends.Query{
 		Service: j.service, Tokens: j.memory(0), Prompt: j.prompt(), PromptSpeed: speed,
 		MostUsed: mostUsed, MostPrompt: int(speed * promptWait.Seconds()),
-		Tried: j.tried, Turns: r.Others.Turns(j.service), Draw: rand.Uint64(),
+		Tried: j.tried, Turns: r.Others.Turns(j.service, rank), Draw: rand.Uint64(),
 	}
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -58,11 +58,11 @@
 	// Placed tells them that this process has put a generation, or a copy of one, on
 	// an engine.
 	Placed()
-	// Queued tells them how many requests wait here for a service.
-	Queued(service string, n int)
-	// Turns is whose turn it is at the servers of a service, nil while no other
-	// process has requests waiting for it.
-	Turns(service string) *flow.Turns
+	// Queued tells them what waits here for a service; the name is left out.
+	Queued(service string, q flow.Contender)
+	// Turns is whose turn it is at the servers of a service for a request of some
+	// rank, nil while no other process has one waiting that is as urgent.
+	Turns(service string, rank int) *flow.Turns
 	// MoveTurns is whose turn it is to copy runs off the servers that leave a failure
 	// domain, nil while only this process has such runs.
 	MoveTurns(domain string) *flow.Turns
--- a/placement/filters.go
+++ b/placement/filters.go
@@ -40,6 +40,3 @@
 	}
 	return float64(s.MemoryForecast)+float64(r.Tokens) <= r.MostUsed*float64(s.MemoryTotal)
 }
-
-// InTurn drops servers where it is another process's turn.
-func InTurn(r *Request, s *Server) bool { return r.Mine == nil || r.Mine(s.Name) }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -56,8 +56,10 @@
 	MostPrompt int
 	// Within drops servers of other failure domains.
 	Within bool
-	// Mine tells whose turn it is at a server, nil where there are no turns.
-	Mine func(server string) bool
+	// Mine tells whose turn it is at a server, nil where there are no turns. Yield is
+	// the number of servers that are left to others.
+	Mine  func(server string) bool
+	Yield int
 }
 
 // Filter reports whether a server can take a request.
@@ -91,7 +93,7 @@
 // every other, a server that refused a moment ago against all but failing ones.
 func Direct() Policy {
 	return Policy{
-		Filters: []Filter{NotLeaving, NotTried, InDomain, WithinBounds, InTurn},
+		Filters: []Filter{NotLeaving, NotTried, InDomain, WithinBounds},
 		Scorers: []Scorer{
 			{Weight: 1.0, Score: Room},
 			{Weight: 1.0, Score: PromptRead},
@@ -118,11 +120,10 @@
 // all choose the same one; fewer draws spread them.
 func (p Policy) BestOf(draws int, r *Request, servers []Server, random uint64) int {
 	rng := rand.New(rand.NewPCG(random, random))
-	best, top, left := -1, 0.0, 0
-	for i := range servers {
-		if p.passes(r, &servers[i]) {
-			left++
-		}
+	best, top := -1, 0.0
+	able, left := p.count(r, servers)
+	if able <= r.Yield {
+		return -1
 	}
 	draws = min(draws, left)
 	start := 0
@@ -131,7 +132,7 @@
 	}
 	for k := range servers {
 		i := (start + k) % len(servers)
-		if !p.passes(r, &servers[i]) {
+		if !p.passes(r, &servers[i]) || !inTurn(r, &servers[i]) {
 			continue
 		}
 		// Each of those left is drawn with equal chance.
@@ -146,6 +147,23 @@
 	return best
 }
 
+// count returns how many servers can take the request, and at how many of them it is
+// this process's turn.
+func (p Policy) count(r *Request, servers []Server) (able, mine int) {
+	for i := range servers {
+		if !p.passes(r, &servers[i]) {
+			continue
+		}
+		able++
+		if inTurn(r, &servers[i]) {
+			mine++
+		}
+	}
+	return able, mine
+}
+
+func inTurn(r *Request, s *Server) bool { return r.Mine == nil || r.Mine(s.Name) }
+
 // Pick returns the index in servers of the one to ask, or -1. Of two servers
 // drawn by random it takes the better one: with a view that lags, always taking
 // the best sends every entry to the same server at once.
