Where engines are scarce, teams within their share go first

Change: flow.Shares counts token seconds of memory by team, faded with a half-life of 10 s; gateways tell each other their eight largest teams. A request's rank gets a level: 0 up to an equal share, one more for each doubling, 3 at most. Levels order the queue inside a priority, and through the rank the turns of all gateways.

--- a/flow/queue.go
+++ b/flow/queue.go
@@ -12,6 +12,8 @@
 type Waiter struct {
 	// Priority ranks requests; 0 is the most urgent.
 	Priority int
+	// Level is how far the request's team is above an equal share, see Shares.
+	Level int
 	// Prompt is the tokens that an engine has to read before the first answer.
 	Prompt int
 	// Arrived is when the request came, OnTimeBy when it has to reach an engine for
@@ -89,16 +91,17 @@
 }
 
 // lateRank is added to the rank of a request that cannot be on time any more; it is
-// above all priorities.
+// above all others.
 const lateRank = 1000
 
 // Rank orders requests by urgency, 0 first: those that can be on time before all
-// others, then by priority.
+// others, then by priority, then those of teams within their share.
 func (w *Waiter) Rank(now time.Duration) int {
+	rank := w.Priority*(MostLevel+1) + w.Level
 	if w.late(now) {
-		return lateRank + w.Priority
+		rank += lateRank
 	}
-	return w.Priority
+	return rank
 }
 
 func (w *Waiter) late(now time.Duration) bool { return now > w.OnTimeBy }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -479,3 +479,17 @@
 	n := s.gateway("vm-1")
 	require.Equal(t, http.StatusOK, n.do(plain(fleet.OncePath)).status)
 }
+
+// A large team's requests come in at all gateways. Each tells what it has used, so that
+// together they know that it is above its share.
+func TestGatewaysTellWhatTeamsUse(t *testing.T) {
+	s := newSystem(t)
+	s.server(fleet.ModelService, fleet.Behaviour{})
+	a, b := s.gateway("vm-a"), s.gateway("vm-b")
+	a.group.Used(fleet.ModelService, []flow.Usage{{Team: "large", Amount: 5000}})
+	b.eventually(func() bool {
+		told := b.group.Usage(fleet.ModelService)
+		return len(told) == 1 && told[0] == flow.Usage{Team: "large", Amount: 5000}
+	}, "usage is told")
+	require.Empty(t, b.group.Usage(fleet.DeskService))
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -56,13 +56,15 @@
 	// followers by table take the pages of peers.
 	followers map[string]*follow.Follower
 
-	// mu guards queues, what waits here by service. It is a leaf.
+	// mu guards queues, what waits here by service, and used, what the largest teams
+	// have used. It is a leaf.
 	mu     sync.Mutex
 	queues map[string]flow.Contender
+	used   map[string][]flow.Usage
 }
 
 func newGroup(self peers.Member, store rows, registry *backends.Registry, linkMbps float64, log logrus.FieldLogger) *group {
-	g := &group{self: self, store: store, registry: registry, linkMbps: linkMbps, log: log, followers: make(map[string]*follow.Follower), queues: make(map[string]flow.Contender)}
+	g := &group{self: self, store: store, registry: registry, linkMbps: linkMbps, log: log, followers: make(map[string]*follow.Follower), queues: make(map[string]flow.Contender), used: make(map[string][]flow.Usage)}
 	var d net.Dialer
 	g.links = peers.New(self, peers.Deps{
 		Dial:  func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) },
@@ -85,6 +87,11 @@
 	for service, q := range g.queues {
 		s.Queues = append(s.Queues, &peerv1.Queue{Service: service, Waiting: uint32(q.Waiting), Rank: uint32(q.Rank), First: uint32(q.First)})
 	}
+	for service, used := range g.used {
+		for _, u := range used {
+			s.Usages = append(s.Usages, &peerv1.Usage{Service: service, Team: u.Team, Amount: float32(u.Amount)})
+		}
+	}
 	return s
 }
 
@@ -154,6 +161,25 @@
 	}
 }
 
+// Used implements relay.Others.
+func (g *group) Used(service string, top []flow.Usage) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.used[service] = top
+}
+
+// Usage implements relay.Others.
+func (g *group) Usage(service string) (out []flow.Usage) {
+	for _, s := range g.links.Live() {
+		for _, u := range s.GetUsages() {
+			if u.GetService() == service {
+				out = append(out, flow.Usage{Team: u.GetTeam(), Amount: float64(u.GetAmount())})
+			}
+		}
+	}
+	return out
+}
+
 // turnPeriod is how long a server is one gateway's: longer than a state takes to
 // reach all peers of a small VM (20 ms), and short beside the 400 ms that an engine
 // reads a prompt.
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -43,6 +43,7 @@
 	queued int
 	turns  *flow.Turns
 	placed int
+	usage  []flow.Usage
 }
 
 func (o *others) Known() int   { return o.known }
@@ -72,6 +73,14 @@
 	return o.turns
 }
 
+func (o *others) Used(string, []flow.Usage) {}
+
+func (o *others) Usage(string) []flow.Usage {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.usage
+}
+
 func (o *others) MoveTurns(string) *flow.Turns { return o.Turns("", 0) }
 
 func (o *others) set(turns *flow.Turns) {
@@ -125,10 +134,18 @@
 		{Name: "safe", Host: "h", Prefix: "/safe/", Kind: routing.Idempotent, Target: 150 * time.Millisecond, Servers: 2, Split: split(deskService)},
 		{Name: "open", Host: "h", Prefix: "/open/", Kind: routing.Idempotent, Public: true, Servers: 2, Split: split(deskService)},
 	}, []*routing.Service{{Name: modelService, Engine: engine}, {Name: deskService}},
-		[]*routing.Team{{Name: "team-1", Keys: keys}}, true, routing.Limits{}))
+		teams(keys), true, routing.Limits{}))
 	w.replica.Confirm(w.now())
 }
 
+// teams gives each key a team of its own.
+func teams(keys []string) (out []*routing.Team) {
+	for i, key := range keys {
+		out = append(out, &routing.Team{Name: fmt.Sprint("team-", i+1), Keys: []string{key}})
+	}
+	return out
+}
+
 func (w *world) server(id, service string) backends.Server {
 	s := backends.Server{ID: id, Service: service, Address: id + ":1", FailureDomain: "zone-1", Slots: 6}
 	w.registry.Put(s, w.now())
--- a/internal/relay/lane.go
+++ b/internal/relay/lane.go
@@ -39,6 +39,8 @@
 	mu    sync.Mutex
 	queue *flow.Queue
 	turns map[*flow.Waiter]chan struct{}
+	// shares counts what teams use of the service here.
+	shares *flow.Shares
 	// unplaced counts the requests that have found no server with room yet.
 	unplaced int
 }
@@ -48,7 +50,7 @@
 	defer r.mu.Unlock()
 	l := r.lanes[service]
 	if l == nil {
-		l = &lane{queue: flow.NewQueue(startRate), turns: make(map[*flow.Waiter]chan struct{})}
+		l = &lane{queue: flow.NewQueue(startRate), turns: make(map[*flow.Waiter]chan struct{}), shares: flow.NewShares()}
 		r.lanes[service] = l
 	}
 	return l
@@ -120,8 +122,33 @@
 	r.Others.Queued(service, flow.Contender{Waiting: l.unplaced, Rank: rank, First: first})
 }
 
+// toldTeams is how many teams' usage is told to others. The surges that matter are of
+// few teams, and one that is not told counts as small.
+const toldTeams = 8
+
+// charge counts a generation that goes to an engine against its team's share: the
+// memory that it is expected to take, by the time that it takes it.
+func (r *Relay) charge(j *job, l *lane) {
+	lasts := r.readTime(j) + time.Duration(j.events(0))*r.usualPause()
+	amount := float64(j.memory(0)) * lasts.Seconds()
+	now := r.Now()
+	l.mu.Lock()
+	l.shares.Charge(j.team, amount, now)
+	top := l.shares.Top(toldTeams, now)
+	l.mu.Unlock()
+	r.Others.Used(j.service, top)
+}
+
+// level is how far a request's team is above an equal share.
+func (r *Relay) level(j *job, l *lane) int {
+	elsewhere := r.Others.Usage(j.service)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.shares.Level(j.team, elsewhere, r.Now())
+}
+
 // waiter describes a generation to its queue.
-func (r *Relay) waiter(j *job) *flow.Waiter {
+func (r *Relay) waiter(j *job, l *lane) *flow.Waiter {
 	read := r.readTime(j)
 	run := read + time.Duration(longer*float64(j.events(0))*float64(r.usualPause()))
 	lastBy := j.arrived + j.left() - run
@@ -129,7 +156,7 @@
 		lastBy = min(lastBy, j.arrived+time.Duration(silenceShare*float64(s))-read)
 	}
 	return &flow.Waiter{
-		Priority: j.priority, Prompt: j.prompt(), Arrived: j.arrived,
+		Priority: j.priority, Level: r.level(j, l), Prompt: j.prompt(), Arrived: j.arrived,
 		OnTimeBy: j.arrived + j.route.Target - read,
 		LastBy:   max(lastBy, j.arrived+j.patience()),
 	}
@@ -137,7 +164,8 @@
 
 // acquireEngine waits for an engine with room, in turn.
 func (r *Relay) acquireEngine(ctx context.Context, j *job) (*backends.Lease, *Refusal) {
-	l, w := r.lane(j.service), r.waiter(j)
+	l := r.lane(j.service)
+	w := r.waiter(j, l)
 	turn := l.enter(w, r.Now())
 	if turn == nil {
 		return nil, r.crowded(j)
@@ -153,6 +181,7 @@
 		if l.first(w, r.Now()) {
 			if lease := r.Registry.Acquire(r.engineQuery(j, w.Rank(r.Now())), r.Now()); lease != nil {
 				sent = true
+				r.charge(j, l)
 				r.Others.Placed()
 				return lease, nil
 			}
--- a/internal/relay/stream_test.go
+++ b/internal/relay/stream_test.go
@@ -393,3 +393,40 @@
 		require.Equal(t, "empty", targetOf(t, func(string) bool { return false }))
 	})
 }
+
+// A large team has used far more than its share, here and at other gateways. Its
+// request waits for an engine, and one of a small team that came later goes first.
+func TestRequestsOfSmallTeamsGoFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, Config{})
+		w.apply(2, teamKey, "key-2")
+		w.server("a", modelService)
+		// The engine has no room until the load of another gateway ends.
+		full := map[string]backends.Load{"a": {Running: 9, Tokens: 30000}}
+		w.registry.SetRemote("vm-2", full)
+		w.others.usage = []flow.Usage{{Team: "team-1", Amount: 1e6}, {Team: "x", Amount: 1}, {Team: "y", Amount: 1}}
+		w.up.send = func(_ context.Context, a *Attempt) (*Answer, error) {
+			s := newSource()
+			go func() {
+				s.write(event(1))
+				s.w.Close()
+			}()
+			return s.answer(), nil
+		}
+		order := make(chan string, 2)
+		ask := func(key string) {
+			r := request("/plan/x")
+			r.Key = key
+			go func() {
+				w.serve(r)
+				order <- key
+			}()
+			time.Sleep(50 * time.Millisecond)
+		}
+		ask(teamKey)
+		ask("key-2")
+		w.registry.SetRemote("vm-2", map[string]backends.Load{"a": {Running: 7, Tokens: 25000}})
+		require.Equal(t, "key-2", <-order)
+		require.Equal(t, teamKey, <-order)
+	})
+}
