An engine that does not begin in time gets no more prompts

Ruled out: load told too late (nobody else had sent there); asking engines (each report is priced). Change: an attempt that has not begun within twice the usual reading time and 0.3 s counts as a prompt above every bound, here and at the peers, until it begins. Test: TestEngineThatDoesNotBeginGetsNoMore (fails without: a, a instead of a, b).

--- a/backends/lease.go
+++ b/backends/lease.go
@@ -68,6 +68,24 @@
 	l.s.own = l.s.own.plus(change)
 }
 
+// overduePrompt stands for a prompt that a server does not begin to answer in time; it
+// is above every bound on prompts.
+const overduePrompt = 1 << 20
+
+// Overdue notes that the server should have read the prompt by now. Something is on
+// it that is not known here, such as runs of gateways that have lost power, and what
+// is sent there waits too: it gets no more until it begins.
+func (l *Lease) Overdue() {
+	l.reg.mu.Lock()
+	defer l.reg.mu.Unlock()
+	if l.part.Prompt == 0 {
+		return
+	}
+	change := Load{Prompt: overduePrompt - l.part.Prompt}
+	l.part = l.part.plus(change)
+	l.s.own = l.s.own.plus(change)
+}
+
 // Done ends the lease; further calls do nothing.
 func (l *Lease) Done(result Result, now time.Duration) {
 	l.once.Do(func() { l.reg.done(l, result, now) })
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -73,7 +73,9 @@
 	}
 	j.sent++
 	begun := r.Now()
+	stop := r.watchStart(j, lease, a)
 	answer, err := r.Upstream.Send(ctx, a)
+	stop()
 	entry := j.log.WithFields(logrus.Fields{
 		"server": lease.Server.ID, "try": j.sent, "running": lease.Running, "tokens": lease.Tokens,
 		"prompt": lease.Prompt, "of": lease.Of,
--- a/internal/relay/speed.go
+++ b/internal/relay/speed.go
@@ -1,6 +1,10 @@
 package relay
 
-import "time"
+import (
+	"time"
+
+	"kingcupplank.example/kingcup/backends"
+)
 
 const (
 	// startSpeed is the prompt tokens a second that an engine is assumed to read
@@ -13,8 +17,29 @@
 	// one waiting: the first token then comes within the 1.5 to 1.9 s that users ask
 	// for, and the engine never runs out of prompts.
 	promptWait = 500 * time.Millisecond
+	// overdueTimes and overdueSlack are how much longer than usual an engine may take
+	// to begin before it gets no more prompts. Nine in ten begin within twice the usual
+	// time, and the slack covers urgent prompts that go before.
+	overdueTimes = 2
+	overdueSlack = 300 * time.Millisecond
 )
 
+// watchStart notes if an engine does not begin in time; stop ends that. Engines are
+// not asked what runs on them. After all gateways had lost power, runs of theirs went
+// on for up to 20 s, and requests sent beside them waited 3 to 7 s for room, one after
+// the other, while other engines had some.
+func (r *Relay) watchStart(j *job, lease *backends.Lease, a *Attempt) (stop func()) {
+	if j.prompt() == 0 || a.From != nil {
+		return func() {}
+	}
+	usual := time.Duration(float64(lease.Prompt+j.prompt()) / r.readSpeed() * float64(time.Second))
+	t := time.AfterFunc(overdueTimes*usual+overdueSlack, func() {
+		lease.Overdue()
+		r.Others.Placed()
+	})
+	return func() { t.Stop() }
+}
+
 // prompted notes the time that an engine took to read a prompt, and those that it
 // had to read before. Engines differ by a factor of ten; a fixed speed would send
 // slow ones more than they can begin in time.
--- a/internal/relay/stream_test.go
+++ b/internal/relay/stream_test.go
@@ -430,3 +430,33 @@
 		require.Equal(t, teamKey, <-order)
 	})
 }
+
+// An engine looks empty and does not begin to answer: runs of gateways that lost power
+// are still on it. The next caller is sent to another engine, though that one is known
+// to have less room, and not behind the first one.
+func TestEngineThatDoesNotBeginGetsNoMore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, Config{})
+		w.server("a", modelService)
+		w.up.send = func(_ context.Context, a *Attempt) (*Answer, error) {
+			if a.Server.ID == "a" {
+				time.Sleep(5 * time.Second)
+			}
+			s := newSource()
+			go func() {
+				s.write(event(1))
+				s.w.Close()
+			}()
+			return s.answer(), nil
+		}
+		first := make(chan *caller)
+		go func() { first <- w.serve(request("/plan/x")) }()
+		time.Sleep(2 * time.Second)
+		w.server("b", modelService)
+		w.registry.SetRemote("vm-2", map[string]backends.Load{"b": {Running: 5, Tokens: 20000}})
+		w.serve(request("/plan/x")).whole(t, event(1))
+		require.Equal(t, []string{"a", "b"}, w.up.servers())
+		(<-first).whole(t, event(1))
+		require.Empty(t, w.registry.Loads())
+	})
+}
