Copies avoid servers whose link is busy

Change: a load tells the tokens that are being copied to a server; a target loses 1.5 points for every second that a copy would wait on its link. A lease changes its load in one place. Test: TestCopiesAvoidABusyLink (fails without the scorer).

--- a/backends/lease.go
+++ b/backends/lease.go
@@ -43,31 +43,40 @@
 // lease counts a request at a server; mu is held.
 func (r *Registry) lease(s *server, q Query, of int) *Lease {
 	l := &Lease{reg: r, s: s, Server: s.Server, Of: of, Load: r.load(s), part: Load{Running: 1, Tokens: q.Tokens, Prompt: q.Prompt}}
+	if q.Copy {
+		l.part.Copying = q.Tokens
+	}
 	s.own = s.own.plus(l.part)
 	return l
 }
 
 // Begun notes that the server has read the prompt.
 func (l *Lease) Begun() {
-	l.reg.mu.Lock()
-	defer l.reg.mu.Unlock()
-	prompt := Load{Prompt: l.part.Prompt}
-	l.part = l.part.minus(prompt)
-	l.s.own = l.s.own.minus(prompt)
+	l.change(func(part Load) Load { return Load{Prompt: -part.Prompt} })
 }
 
-// Expect revises the memory that the request is expected to need.
-func (l *Lease) Expect(tokens int) {
+// Copied notes that the copy that the lease was taken for is complete.
+func (l *Lease) Copied() {
+	l.change(func(part Load) Load { return Load{Copying: -part.Copying} })
+}
+
+// change adds to what the request is to the server's load, unless it is over.
+func (l *Lease) change(by func(part Load) Load) {
 	l.reg.mu.Lock()
 	defer l.reg.mu.Unlock()
 	if l.part.Running == 0 {
 		return
 	}
-	change := Load{Tokens: tokens - l.part.Tokens}
+	change := by(l.part)
 	l.part = l.part.plus(change)
 	l.s.own = l.s.own.plus(change)
 }
 
+// Expect revises the memory that the request is expected to need.
+func (l *Lease) Expect(tokens int) {
+	l.change(func(part Load) Load { return Load{Tokens: tokens - part.Tokens} })
+}
+
 // overduePrompt stands for a prompt that a server does not begin to answer in time; it
 // is above every bound on prompts.
 const overduePrompt = 1 << 20
@@ -76,14 +85,12 @@
 // it that is not known here, such as runs of gateways that have lost power, and what
 // is sent there waits too: it gets no more until it begins.
 func (l *Lease) Overdue() {
-	l.reg.mu.Lock()
-	defer l.reg.mu.Unlock()
-	if l.part.Prompt == 0 {
-		return
-	}
-	change := Load{Prompt: overduePrompt - l.part.Prompt}
-	l.part = l.part.plus(change)
-	l.s.own = l.s.own.plus(change)
+	l.change(func(part Load) Load {
+		if part.Prompt == 0 {
+			return Load{}
+		}
+		return Load{Prompt: overduePrompt - part.Prompt}
+	})
 }
 
 // Done ends the lease; further calls do nothing.
--- a/backends/load.go
+++ b/backends/load.go
@@ -8,14 +8,17 @@
 	// Prompt is the prompt tokens of those that have not begun to answer: what a
 	// new request has to wait for.
 	Prompt int
+	// Copying is the tokens of memory that are being copied to the server: a further
+	// copy waits on its link behind them.
+	Copying int
 }
 
 func (l Load) plus(o Load) Load {
-	return Load{Running: l.Running + o.Running, Tokens: l.Tokens + o.Tokens, Prompt: l.Prompt + o.Prompt}
+	return Load{Running: l.Running + o.Running, Tokens: l.Tokens + o.Tokens, Prompt: l.Prompt + o.Prompt, Copying: l.Copying + o.Copying}
 }
 
 func (l Load) minus(o Load) Load {
-	return Load{Running: l.Running - o.Running, Tokens: l.Tokens - o.Tokens, Prompt: l.Prompt - o.Prompt}
+	return Load{Running: l.Running - o.Running, Tokens: l.Tokens - o.Tokens, Prompt: l.Prompt - o.Prompt, Copying: l.Copying - o.Copying}
 }
 
 // load is what is known of a server's load, here and at other processes.
--- a/backends/registry.go
+++ b/backends/registry.go
@@ -278,8 +278,10 @@
 	// Turns bounds the choice to servers where it is this process's turn, nil for
 	// all.
 	Turns *flow.Turns
-	// Copy asks for a server to copy a run's memory to.
-	Copy bool
+	// Copy asks for a server to copy a run's memory to; CopySpeed is the tokens of
+	// memory a second that a server's link takes.
+	Copy      bool
+	CopySpeed float64
 	// Draw is random.
 	Draw uint64
 }
@@ -294,7 +296,7 @@
 	if near == "" {
 		near = r.domain
 	}
-	req := &placement.Request{FailureDomain: near, Tried: q.Tried, Tokens: q.Tokens, PromptSpeed: q.PromptSpeed, MostUsed: q.MostUsed, MostPrompt: q.MostPrompt, Within: q.Within}
+	req := &placement.Request{FailureDomain: near, Tried: q.Tried, Tokens: q.Tokens, PromptSpeed: q.PromptSpeed, MostUsed: q.MostUsed, MostPrompt: q.MostPrompt, Within: q.Within, CopySpeed: q.CopySpeed}
 	draws := r.draws(len(views))
 	if q.Turns != nil {
 		// Nobody else takes these servers now.
@@ -333,7 +335,7 @@
 		r.scratch = append(r.scratch, placement.Server{
 			Name: s.ID, FailureDomain: s.FailureDomain, Leaving: s.Leaving, Connected: true,
 			Running: load.Running, Slots: s.Slots,
-			MemoryForecast: uint64(max(0, load.Tokens)), PromptPending: max(0, load.Prompt), MemoryTotal: uint64(memory),
+			MemoryForecast: uint64(max(0, load.Tokens)), PromptPending: max(0, load.Prompt), CopyPending: max(0, load.Copying), MemoryTotal: uint64(memory),
 			FailureRate: s.failureRate(now), Avoid: now < s.avoidUntil || s.suspectUntil > 0, Cold: now < s.coldUntil,
 		})
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -80,7 +80,10 @@
 		Stopping: g.stopping.Load(), StoreReached: g.reached(),
 	}
 	for id, l := range g.registry.Loads() {
-		s.Loads = append(s.Loads, &peerv1.Load{Server: id, Running: uint32(l.Running), Tokens: uint64(max(0, l.Tokens)), Prompt: uint64(max(0, l.Prompt))})
+		s.Loads = append(s.Loads, &peerv1.Load{
+			Server: id, Running: uint32(l.Running), Tokens: uint64(max(0, l.Tokens)),
+			Prompt: uint64(max(0, l.Prompt)), Copying: uint64(max(0, l.Copying)),
+		})
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -112,7 +115,9 @@
 	}
 	loads := make(map[string]backends.Load, len(s.GetLoads()))
 	for _, l := range s.GetLoads() {
-		loads[l.GetServer()] = backends.Load{Running: int(l.GetRunning()), Tokens: int(l.GetTokens()), Prompt: int(l.GetPrompt())}
+		loads[l.GetServer()] = backends.Load{
+			Running: int(l.GetRunning()), Tokens: int(l.GetTokens()), Prompt: int(l.GetPrompt()), Copying: int(l.GetCopying()),
+		}
 	}
 	g.registry.SetRemote(peer, loads)
 }
--- a/internal/relay/move.go
+++ b/internal/relay/move.go
@@ -287,6 +287,7 @@
 		m.to = copied{lease: lease}
 		_, err := m.transfer(ctx, false)
 		if err == nil {
+			lease.Copied()
 			return true
 		}
 		lease.Done(backends.Unjudged, m.relay.Now())
@@ -309,7 +310,7 @@
 	r := m.relay
 	q := backends.Query{
 		Service: m.run.job.service, Tokens: m.run.memory(), Tried: m.tried, MostUsed: copyRoom,
-		Copy: true, Near: m.from.FailureDomain, Draw: rand.Uint64(),
+		Copy: true, CopySpeed: m.run.job.engine.CopySpeed(), Near: m.from.FailureDomain, Draw: rand.Uint64(),
 	}
 	first := q
 	first.Turns, first.Within = r.Others.MoveTurns(m.from.FailureDomain), true
--- a/placement/direct_test.go
+++ b/placement/direct_test.go
@@ -55,3 +55,16 @@
 	r.Yield = 2
 	require.Equal(t, -1, Direct().BestOf(3, r, servers, 1))
 }
+
+// All gateways copy runs off the servers that leave, and one server has just joined
+// empty. Six copies on its link take longer than the notice; a run that is sent to a
+// fuller server instead is there in time.
+func TestCopiesAvoidABusyLink(t *testing.T) {
+	servers := []Server{
+		{Name: "empty", FailureDomain: "z2", MemoryTotal: 20000, MemoryForecast: 18000 / 2, CopyPending: 18000},
+		{Name: "fuller", FailureDomain: "z2", MemoryTotal: 20000, MemoryForecast: 15000},
+	}
+	r := &Request{FailureDomain: "z1", Tokens: 3000, CopySpeed: 18000}
+	require.Equal(t, 1, Copies().BestOf(2, r, servers, 1))
+	require.Equal(t, 0, Direct().BestOf(2, r, servers, 1))
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -28,6 +28,8 @@
 	Sent int
 	// PromptPending is the prompt tokens that are read before a new request's.
 	PromptPending int
+	// CopyPending is the tokens of memory that are being copied to the server.
+	CopyPending int
 	// Slots is how many requests the server runs at once, 0 if unknown.
 	Slots int
 	// FailureRate is the share of recent answers that were failures.
@@ -54,6 +56,8 @@
 	// prompt tokens to be read before it; 0 is no bound.
 	MostUsed   float64
 	MostPrompt int
+	// CopySpeed is the tokens of memory a second that a server's link takes.
+	CopySpeed float64
 	// Within drops servers of other failure domains.
 	Within bool
 	// Mine tells whose turn it is at a server, nil where there are no turns. Yield is
@@ -107,10 +111,12 @@
 
 // Copies is the policy for the target of a copy of a run's memory. A copy across
 // failure domains takes twice as long, and a server that leaves gives little
-// time: another domain is taken only where the own one has no room.
+// time: another domain is taken only where the own one has no room. Copies to one
+// server go one after the other, so one that others copy to already loses against a
+// fuller one.
 func Copies() Policy {
 	p := Direct()
-	p.Scorers = append(p.Scorers, Scorer{Weight: 0.6, Score: SameDomain})
+	p.Scorers = append(p.Scorers, Scorer{Weight: 0.6, Score: SameDomain}, Scorer{Weight: 1.5, Score: CopyWait})
 	return p
 }
 
--- a/placement/scorers.go
+++ b/placement/scorers.go
@@ -66,3 +66,12 @@
 	}
 	return 1 - float64(s.PromptPending)/r.PromptSpeed
 }
+
+// CopyWait prefers servers whose link is free; it loses a point for every second that
+// a copy would wait there.
+func CopyWait(r *Request, s *Server) float64 {
+	if r.CopySpeed <= 0 {
+		return 0
+	}
+	return -float64(s.CopyPending) / r.CopySpeed
+}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -113,6 +113,15 @@
 	CopyTTL time.Duration
 }
 
+// CopySpeed is the tokens of memory a second that an engine's link takes, 0 if that
+// is not known.
+func (e *Engine) CopySpeed() float64 {
+	if e.BytesPerToken <= 0 {
+		return 0
+	}
+	return e.LinkMbps * 1e6 / 8 / float64(e.BytesPerToken)
+}
+
 // Service is a group of backend servers that are alike.
 type Service struct {
 	Name string
