--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -17,7 +17,6 @@
 	"kingcupplank.example/kingcup/internal/follow"
 	"kingcupplank.example/kingcup/internal/peers"
 	"kingcupplank.example/kingcup/internal/wait"
-	"kingcupplank.example/kingcup/platform/operator"
 	peerv1 "kingcupplank.example/kingcup/proto/kingcup/peer/v1"
 	"kingcupplank.example/kingcup/retry"
 )
@@ -149,100 +148,6 @@
 // Placed implements relay.Others.
 func (g *group) Placed() { g.links.Nudge() }
 
-// Queued implements relay.Others. What others act on is told at once: that there is
-// a queue, or that something more urgent waits there than before.
-func (g *group) Queued(service string, q flow.Contender) {
-	q.Name = g.self.Name
-	g.mu.Lock()
-	was := g.queues[service]
-	if q.Waiting > 0 {
-		g.queues[service] = q
-	} else {
-		delete(g.queues, service)
-	}
-	g.mu.Unlock()
-	if q.Waiting > 0 && (was.Waiting == 0 || q.Rank < was.Rank) {
-		g.links.Nudge()
-	}
-}
-
-// Used implements relay.Others.
-func (g *group) Used(service string, top []flow.Usage) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.used[service] = top
-}
-
-// Usage implements relay.Others.
-func (g *group) Usage(service string) (out []flow.Usage) {
-	for _, s := range g.links.Live() {
-		for _, u := range s.GetUsages() {
-			if u.GetService() == service {
-				out = append(out, flow.Usage{Team: u.GetTeam(), Amount: float64(u.GetAmount())})
-			}
-		}
-	}
-	return out
-}
-
-// turnPeriod is how long a server is one gateway's: longer than a state takes to
-// reach all peers of a small VM (20 ms), and short beside the 400 ms that an engine
-// reads a prompt.
-const turnPeriod = 60 * time.Millisecond
-
-// Turns implements relay.Others.
-func (g *group) Turns(service string, rank int) *flow.Turns {
-	period, known := g.period()
-	if !known {
-		return nil
-	}
-	self := flow.Contender{Name: g.self.Name, Waiting: g.waiting(service)}
-	return flow.TurnsFor(self, g.contenders(service), rank, period)
-}
-
-// MoveTurns implements relay.Others.
-func (g *group) MoveTurns(domain string) *flow.Turns {
-	period, known := g.period()
-	movers := g.registry.Movers(g.self.Name, domain)
-	if !known || len(movers) < 2 {
-		return nil
-	}
-	t := &flow.Turns{Self: g.self.Name, Period: period}
-	for name, n := range movers {
-		t.Contenders = append(t.Contenders, flow.Contender{Name: name, Waiting: n})
-	}
-	return t
-}
-
-// period numbers the present span of turns, on the store's clock, which all gateways
-// know; false while this one does not know it.
-func (g *group) period() (int64, bool) {
-	f := g.followers[operator.Table]
-	if f == nil {
-		return 0, false
-	}
-	now, known := f.StoreTime()
-	return int64(now / turnPeriod), known
-}
-
-// contenders lists the peers that have requests waiting for a service.
-func (g *group) contenders(service string) (out []flow.Contender) {
-	for _, s := range g.links.Live() {
-		for _, q := range s.GetQueues() {
-			if q.GetService() == service {
-				out = append(out, flow.Contender{Name: s.GetFrom().GetName(), Waiting: int(q.GetWaiting()), Rank: int(q.GetRank()), First: int(q.GetFirst())})
-			}
-		}
-	}
-	return out
-}
-
-func (g *group) waiting(service string) int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.queues[service].Waiting
-}
-
 // stop tells the peers that this gateway is stopping.
 func (g *group) stop() {
 	g.stopping.Store(true)
