What a gateway tells of teams' usage fades; engines that do not begin are logged

Cause (reading the diff): a gateway told the usage that it saw last for as long as it lived, so a team that surged there and left would stay above its share everywhere. Change: usage fades where it is told. A server that does not begin to answer in time gets a log line, as it changes what the gateway believes.

--- a/flow/shares.go
+++ b/flow/shares.go
@@ -35,6 +35,11 @@
 // NewShares returns an empty count.
 func NewShares() *Shares { return &Shares{amounts: make(map[string]float64)} }
 
+// Fade is what usage counts after some time.
+func Fade(amount float64, age time.Duration) float64 {
+	return amount * math.Exp2(-float64(age)/float64(usageHalfLife))
+}
+
 // Charge adds to a team's usage.
 func (s *Shares) Charge(team string, amount float64, now time.Duration) {
 	s.fade(now)
@@ -45,10 +50,10 @@
 	if now <= s.at {
 		return
 	}
-	part := math.Exp2(-float64(now-s.at) / float64(usageHalfLife))
+	age := now - s.at
 	s.at = now
 	for team, amount := range s.amounts {
-		if amount *= part; amount < forgetBelow {
+		if amount = Fade(amount, age); amount < forgetBelow {
 			delete(s.amounts, team)
 		} else {
 			s.amounts[team] = amount
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -60,11 +60,11 @@
 	// have used. It is a leaf.
 	mu     sync.Mutex
 	queues map[string]flow.Contender
-	used   map[string][]flow.Usage
+	used   map[string]usages
 }
 
 func newGroup(self peers.Member, store rows, registry *backends.Registry, linkMbps float64, log logrus.FieldLogger) *group {
-	g := &group{self: self, store: store, registry: registry, linkMbps: linkMbps, log: log, followers: make(map[string]*follow.Follower), queues: make(map[string]flow.Contender), used: make(map[string][]flow.Usage)}
+	g := &group{self: self, store: store, registry: registry, linkMbps: linkMbps, log: log, followers: make(map[string]*follow.Follower), queues: make(map[string]flow.Contender), used: make(map[string]usages)}
 	var d net.Dialer
 	g.links = peers.New(self, peers.Deps{
 		Dial:  func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) },
@@ -94,7 +94,7 @@
 		s.Queues = append(s.Queues, &peerv1.Queue{Service: service, Waiting: uint32(q.Waiting), Rank: uint32(q.Rank), First: uint32(q.First)})
 	}
 	for service, used := range g.used {
-		for _, u := range used {
+		for _, u := range used.now(clock.SinceBoot()) {
 			s.Usages = append(s.Usages, &peerv1.Usage{Service: service, Team: u.Team, Amount: float32(u.Amount)})
 		}
 	}
--- a/internal/gateway/queues.go
+++ b/internal/gateway/queues.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"kingcupplank.example/kingcup/flow"
+	"kingcupplank.example/kingcup/internal/clock"
 	"kingcupplank.example/kingcup/platform/operator"
 )
 
@@ -24,11 +25,27 @@
 	}
 }
 
+// usages is what the largest teams had used at some time.
+type usages struct {
+	top []flow.Usage
+	at  time.Duration
+}
+
+// now is what that counts now. A gateway that gets no more requests of a team must not
+// go on telling of its surge.
+func (u usages) now(now time.Duration) []flow.Usage {
+	out := make([]flow.Usage, len(u.top))
+	for i, t := range u.top {
+		out[i] = flow.Usage{Team: t.Team, Amount: flow.Fade(t.Amount, now-u.at)}
+	}
+	return out
+}
+
 // Used implements relay.Others.
 func (g *group) Used(service string, top []flow.Usage) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.used[service] = top
+	g.used[service] = usages{top, clock.SinceBoot()}
 }
 
 // Usage implements relay.Others.
--- a/internal/relay/speed.go
+++ b/internal/relay/speed.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"kingcupplank.example/kingcup/backends"
 )
 
@@ -42,6 +44,7 @@
 	}
 	t := time.AfterFunc(wait, func() {
 		late()
+		j.log.WithFields(logrus.Fields{"server": lease.Server.ID, "after_ms": wait.Milliseconds(), "prompt": lease.Prompt}).Info("server does not begin to answer")
 		r.Others.Nudge()
 	})
 	return func() { t.Stop() }
