--- a/flow/shares_test.go
+++ b/flow/shares_test.go
@@ -31,10 +31,9 @@
 
 // team is one of a load: requests a second, and what became of them.
 type team struct {
-	name            string
-	every           time.Duration
-	asked, onTime   int
-	worst, lastSent time.Duration
+	name          string
+	every         time.Duration
+	asked, onTime int
 }
 
 // surge plays twenty small teams and a large one that asks for as much as all engines
