A choice asks each server once; the lane's wake-ups are not called turns

Cause: reading as a newcomer: a lane's "turn" was a wake-up of its own queue, beside the turns among gateways; acquireEngine did three things. Change: names; takeEngine and tellQueue; BestOf notes on the stack who can take the request. Behaviour as before.

--- a/backends/registry_test.go
+++ b/backends/registry_test.go
@@ -136,7 +136,8 @@
 
 // The cost of a choice at the size of a large service: 13.0 µs and 10 allocations
 // when the servers were listed and sorted for each, 3.4 µs and 2 with lists that are
-// kept until the directory changes.
+// kept until the directory changes. Turns and the wait on links brought it to 5.9 µs;
+// asking each server once instead of twice to 4.3 µs and 3 allocations.
 func BenchmarkAcquire(b *testing.B) {
 	r, _ := newRegistry()
 	var list []Server
--- a/internal/relay/lane.go
+++ b/internal/relay/lane.go
@@ -19,9 +19,9 @@
 	// startRate is the prompt tokens a second that are assumed to go to engines
 	// until it has been seen.
 	startRate = 20000
-	// turnPoll is how often the request whose turn it is looks for room: loads come
+	// queuePoll is how often the first request of a queue looks for room: loads come
 	// from other gateways too.
-	turnPoll = 20 * time.Millisecond
+	queuePoll = 20 * time.Millisecond
 	// longer is how much longer than estimated an answer may become and still be
 	// whole in time; estimates are right at the median only.
 	longer = 1.5
@@ -38,7 +38,8 @@
 type lane struct {
 	mu    sync.Mutex
 	queue *flow.Queue
-	turns map[*flow.Waiter]chan struct{}
+	// wakes tell a waiter that it is first.
+	wakes map[*flow.Waiter]chan struct{}
 	// shares counts what teams use of the service here.
 	shares *flow.Shares
 	// unplaced counts the requests that have found no server with room yet.
@@ -50,23 +51,23 @@
 	defer r.mu.Unlock()
 	l := r.lanes[service]
 	if l == nil {
-		l = &lane{queue: flow.NewQueue(startRate), turns: make(map[*flow.Waiter]chan struct{}), shares: flow.NewShares()}
+		l = &lane{queue: flow.NewQueue(startRate), wakes: make(map[*flow.Waiter]chan struct{}), shares: flow.NewShares()}
 		r.lanes[service] = l
 	}
 	return l
 }
 
 // enter queues a request; it returns nil if the request has no chance.
-func (l *lane) enter(w *flow.Waiter, now time.Duration) (turn chan struct{}) {
+func (l *lane) enter(w *flow.Waiter, now time.Duration) (wake chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.queue.Refuse(w, now) {
 		return nil
 	}
-	turn = make(chan struct{}, 1)
-	l.turns[w] = turn
+	wake = make(chan struct{}, 1)
+	l.wakes[w] = wake
 	l.queue.Enter(w)
-	return turn
+	return wake
 }
 
 // refuses reports whether a request that waits has lost its chance.
@@ -80,41 +81,41 @@
 func (l *lane) leave(w *flow.Waiter, sent bool, now time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if _, queued := l.turns[w]; !queued {
+	if _, queued := l.wakes[w]; !queued {
 		return
 	}
-	delete(l.turns, w)
+	delete(l.wakes, w)
 	l.queue.Leave(w, sent, now)
-	l.wake(now)
+	l.wakeFirst(now)
 }
 
-// wake tells the request whose turn it is; mu is held.
-func (l *lane) wake(now time.Duration) {
+// wakeFirst tells the first request; mu is held.
+func (l *lane) wakeFirst(now time.Duration) {
 	next := l.queue.Next(now)
 	if next == nil {
 		return
 	}
 	select {
-	case l.turns[next] <- struct{}{}:
+	case l.wakes[next] <- struct{}{}:
 	default:
 	}
 }
 
-// first reports whether it is a request's turn, and wakes the one whose turn it
-// is: the order changes as time passes.
+// first reports whether a request is the first, and wakes the one that is: the order
+// changes as time passes.
 func (l *lane) first(w *flow.Waiter, now time.Duration) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.queue.Next(now) == w {
 		return true
 	}
-	l.wake(now)
+	l.wakeFirst(now)
 	return false
 }
 
-// queued tells the others what waits here. Only requests count that have found no
+// tellQueue tells the others what waits here. Only requests count that have found no
 // server with room: one that is placed at once contends with nobody.
-func (r *Relay) queued(service string, l *lane, change int) {
+func (r *Relay) tellQueue(service string, l *lane, change int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.unplaced += change
@@ -162,27 +163,25 @@
 	}
 }
 
-// acquireEngine waits for an engine with room, in turn.
+// acquireEngine waits for an engine with room.
 func (r *Relay) acquireEngine(ctx context.Context, j *job) (*backends.Lease, *Refusal) {
 	l := r.lane(j.service)
 	w := r.waiter(j, l)
-	turn := l.enter(w, r.Now())
-	if turn == nil {
+	wake := l.enter(w, r.Now())
+	if wake == nil {
 		return nil, r.crowded(j)
 	}
-	sent, queued := false, false
+	sent, told := false, 0
 	defer func() {
 		l.leave(w, sent, r.Now())
-		if queued {
-			r.queued(j.service, l, -1)
+		if told > 0 {
+			r.tellQueue(j.service, l, -told)
 		}
 	}()
 	for asked := r.Now(); ; {
 		if l.first(w, r.Now()) {
-			if lease := r.Registry.Acquire(r.engineQuery(j, w.Rank(r.Now())), r.Now()); lease != nil {
+			if lease := r.takeEngine(j, l, w); lease != nil {
 				sent = true
-				r.charge(j, l)
-				r.Others.Nudge()
 				return lease, nil
 			}
 			if r.Now()-asked > roomPoll {
@@ -196,19 +195,27 @@
 		if l.refuses(w, r.Now()) {
 			return nil, r.crowded(j)
 		}
-		if !queued {
-			queued = true
-			r.queued(j.service, l, 1)
-		} else {
-			// What goes next becomes late as time passes.
-			r.queued(j.service, l, 0)
-		}
-		if !await(ctx, turn) {
+		// Told again each time: what goes next becomes late as time passes.
+		r.tellQueue(j.service, l, 1-told)
+		told = 1
+		if !await(ctx, wake) {
 			return nil, r.refuse(j, ReasonDeadline)
 		}
 	}
 }
 
+// takeEngine takes an engine for the first request of a lane, nil if none has room or
+// it is another gateway's turn.
+func (r *Relay) takeEngine(j *job, l *lane, w *flow.Waiter) *backends.Lease {
+	lease := r.Registry.Acquire(r.engineQuery(j, w.Rank(r.Now())), r.Now())
+	if lease == nil {
+		return nil
+	}
+	r.charge(j, l)
+	r.Others.Nudge()
+	return lease
+}
+
 // engineQuery asks for an engine for a request of a rank.
 func (r *Relay) engineQuery(j *job, rank int) backends.Query {
 	speed := r.readSpeed()
@@ -238,13 +245,13 @@
 	j.tried = slices.DeleteFunc(j.tried, func(string) bool { return j.ran == 0 })
 }
 
-func await(ctx context.Context, turn <-chan struct{}) bool {
-	t := time.NewTimer(turnPoll)
+func await(ctx context.Context, wake <-chan struct{}) bool {
+	t := time.NewTimer(queuePoll)
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
 		return false
-	case <-turn:
+	case <-wake:
 	case <-t.C:
 	}
 	return true
--- a/internal/relay/lane_test.go
+++ b/internal/relay/lane_test.go
@@ -93,7 +93,7 @@
 		require.Empty(t, w.up.servers())
 		require.Equal(t, 1, w.others.waiting())
 		w.others.set(turns(mine))
-		time.Sleep(2 * turnPoll)
+		time.Sleep(2 * queuePoll)
 		synctest.Wait()
 		require.Equal(t, []string{"a"}, w.up.servers())
 		require.Zero(t, w.others.waiting())
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -125,47 +125,46 @@
 // up to date. Where others choose at the same moment by the same view, they would
 // all choose the same one; fewer draws spread them.
 func (p Policy) BestOf(draws int, r *Request, servers []Server, random uint64) int {
-	rng := rand.New(rand.NewPCG(random, random))
-	best, top := -1, 0.0
-	able, left := p.count(r, servers)
-	if able <= r.Yield {
+	var buf [onStack]int
+	able, mine := p.able(r, servers, buf[:0])
+	if able <= r.Yield || len(mine) == 0 {
 		return -1
 	}
-	draws = min(draws, left)
-	start := 0
-	if len(servers) > 0 {
-		start = rng.IntN(len(servers))
-	}
-	for k := range servers {
-		i := (start + k) % len(servers)
-		if !p.passes(r, &servers[i]) || !inTurn(r, &servers[i]) {
+	rng := rand.New(rand.NewPCG(random, random))
+	draws = min(draws, len(mine))
+	start := rng.IntN(len(mine))
+	best, top := -1, 0.0
+	for k := range mine {
+		// Each of those left is drawn with equal chance.
+		if rng.IntN(len(mine)-k) >= draws {
 			continue
 		}
-		// Each of those left is drawn with equal chance.
-		if rng.IntN(left) < draws {
-			draws--
-			if score := p.score(r, &servers[i]); best < 0 || score > top {
-				best, top = i, score
-			}
+		draws--
+		i := mine[(start+k)%len(mine)]
+		if score := p.score(r, &servers[i]); best < 0 || score > top {
+			best, top = i, score
 		}
-		left--
 	}
 	return best
 }
 
-// count returns how many servers can take the request, and at how many of them it is
-// this process's turn.
-func (p Policy) count(r *Request, servers []Server) (able, mine int) {
+// onStack is the number of servers that a choice is made among without allocating.
+const onStack = 128
+
+// able returns how many servers can take the request, and, behind those in mine, at
+// which of them it is this process's turn.
+func (p Policy) able(r *Request, servers []Server, mine []int) (int, []int) {
+	n := 0
 	for i := range servers {
 		if !p.passes(r, &servers[i]) {
 			continue
 		}
-		able++
+		n++
 		if inTurn(r, &servers[i]) {
-			mine++
+			mine = append(mine, i)
 		}
 	}
-	return able, mine
+	return n, mine
 }
 
 func inTurn(r *Request, s *Server) bool { return r.Mine == nil || r.Mine(s.Name) }
