A server that loses requests again is left for longer; two own losses are enough

Change: a server is left for 1, 2 and 4 s when it loses again within 10 s; a process's own two losses in a row count like three of all. Tests: TestServerThatLosesAgainIsLeftForLonger, TestTwoOwnLossesAreEnough, TestLostRequestsCountForAll follows (a server is left for its second also when the peers take back what they told).

--- a/backends/load.go
+++ b/backends/load.go
@@ -64,6 +64,14 @@
 	// which a server is asked last. One in forty answers lost by chance gives less than
 	// one at a time.
 	tooManyLosses = 3
+	// ownLosses are those of this process alone from which it is: one that is cut off
+	// from its peers has to find out by itself.
+	ownLosses = 2
+	// leftAgain is the time within which a server that loses requests again is left for
+	// twice as long, leftDoublings how often. One that goes down and up by turns costs
+	// callers their answers each time that it is tried while it is down.
+	leftAgain     = 10 * time.Second
+	leftDoublings = 2
 	// believedLosses bounds what one process is believed: it may be cut off alone from
 	// a sound server.
 	believedLosses = 2
@@ -94,16 +102,28 @@
 	r.losses[process] = losses
 }
 
-// losing reports whether a server loses what it is sent, by what all processes have
-// seen. A server that resets costs each caller whose request must not run twice its
-// answer: if each of thirty processes had to find out by itself, again every second,
-// a hundred of them would lose it. mu is held.
+// losing reports whether a server is left for what it has lost, by what all processes
+// have seen. A server that resets costs each caller whose request must not run twice
+// its answer: if each of thirty processes had to find out by itself, again every
+// second, a hundred of them would lose it. mu is held.
 func (r *Registry) losing(s *server, now time.Duration) bool {
-	sum := s.lostInARow(now)
+	if now < s.leftUntil {
+		return true
+	}
+	own := s.lostInARow(now)
+	sum := own
 	for _, losses := range r.losses {
 		sum += min(believedLosses, losses[s.ID])
 	}
-	return sum >= tooManyLosses
+	if own < ownLosses && sum < tooManyLosses {
+		return false
+	}
+	if s.leftUntil == 0 || now-s.leftUntil > leftAgain {
+		s.left = 0
+	}
+	s.leftUntil = now + lossesFor<<min(s.left, leftDoublings)
+	s.left++
+	return true
 }
 
 // Movers counts, by process, the requests at servers of a failure domain that are
--- a/backends/registry.go
+++ b/backends/registry.go
@@ -75,6 +75,10 @@
 	// lost counts the requests lost in a row, the last at lostAt.
 	lost   int
 	lostAt time.Duration
+	// left counts how often the server was left for its losses, leftUntil is when it is
+	// tried again.
+	left      int
+	leftUntil time.Duration
 }
 
 // lose notes a request without an answer.
--- a/backends/registry_test.go
+++ b/backends/registry_test.go
@@ -183,12 +183,55 @@
 	r.SetLosses("vm-3", map[string]int{"a": 1})
 	require.Equal(t, "b", r.pick(t, 0))
 	r.SetLosses("vm-3", nil)
-	require.Equal(t, "a", r.pick(t, 0))
-	l := r.Acquire(Query{Service: svc}, 0)
-	l.Done(Lost, 0)
-	require.Equal(t, map[string]int{"a": 1}, r.Losses(0))
+	require.Equal(t, "b", r.pick(t, lossesFor-1))
+	require.Equal(t, "a", r.pick(t, lossesFor))
+	l := r.Acquire(Query{Service: svc}, lossesFor)
+	l.Done(Lost, lossesFor)
+	require.Equal(t, map[string]int{"a": 1}, r.Losses(lossesFor))
+	require.Equal(t, "b", r.pick(t, lossesFor))
+	require.Empty(t, r.Losses(2*lossesFor))
+}
+
+// A server goes down and up by turns. Each time that it is tried while it is down
+// costs callers their answers, so it is left for longer each time, and is as good as
+// any other once it has been sound for a while.
+func TestServerThatLosesAgainIsLeftForLonger(t *testing.T) {
+	r, _ := newRegistry()
+	r.Reset([]Server{entry("a"), entry("b")}, 0, 0)
+	for range 6 {
+		r.Acquire(Query{Service: svc, Tried: []string{"a"}}, 0)
+	}
+	lose := func(now time.Duration) {
+		r.SetLosses("vm-2", map[string]int{"a": 2})
+		r.SetLosses("vm-3", map[string]int{"a": 2})
+		require.Equal(t, "b", r.pick(t, now))
+		r.SetLosses("vm-2", nil)
+		r.SetLosses("vm-3", nil)
+	}
+	now := time.Second
+	for _, left := range []time.Duration{lossesFor, 2 * lossesFor, 4 * lossesFor, 4 * lossesFor} {
+		lose(now)
+		require.Equal(t, "b", r.pick(t, now+left-1))
+		now += left
+		require.Equal(t, "a", r.pick(t, now))
+	}
+	now += leftAgain + 1
+	lose(now)
+	require.Equal(t, "a", r.pick(t, now+lossesFor))
+}
+
+// A process is cut off from its peers and finds out by itself: two lost in a row.
+func TestTwoOwnLossesAreEnough(t *testing.T) {
+	r, _ := newRegistry()
+	r.Reset([]Server{entry("a"), entry("b")}, 0, 0)
+	for range 8 {
+		r.Acquire(Query{Service: svc, Tried: []string{"a"}}, 0)
+	}
+	for range 2 {
+		r.Acquire(Query{Service: svc, Tried: []string{"b"}}, 0).Done(Lost, 0)
+	}
 	require.Equal(t, "b", r.pick(t, 0))
-	require.Empty(t, r.Losses(lossesFor))
+	require.Equal(t, "a", r.pick(t, lossesFor+2*healthHalfLife))
 }
 
 // A server hangs: its requests end with their callers' time and say nothing of it.
