--- a/forecast/lengths.go
+++ b/forecast/lengths.go
@@ -110,15 +110,24 @@
 	return math.Exp2(-float64(i-flat) / 4)
 }
 
+// beyondLast is the part of those that reach the last bucket that is assumed to be
+// longer than it.
+const beyondLast = 0.5
+
 // Survival is the share of generations that are longer than tokens.
 func (l *Lengths) Survival(tokens float64) float64 {
 	pos := bucketOf(tokens)
 	i := int(pos)
 	if i >= Buckets {
-		return l.tail[Buckets-1] * 0.5
+		return l.tail[Buckets-1] * beyondLast
+	}
+	next := l.tail[i+1]
+	if i == Buckets-1 {
+		// Down to what stands beyond it: a line to nothing would fall below that.
+		next = l.tail[i] * beyondLast
 	}
 	frac := pos - float64(i)
-	return l.tail[i]*(1-frac) + l.tail[i+1]*frac
+	return l.tail[i]*(1-frac) + next*frac
 }
 
 // Alive is the probability that a stream that has emitted tokens is still
--- a/forecast/lengths_test.go
+++ b/forecast/lengths_test.go
@@ -37,6 +37,15 @@
 	}
 }
 
+// Lengths at the end of the last bucket must not be rarer than those beyond it, or a
+// stream that has become so long seems sure to go on.
+func TestSurvivalFallsBeyondTheLastBucket(t *testing.T) {
+	l := NewLengths(nil)
+	last := bucketEnds[Buckets-1]
+	require.Greater(t, last, 121248.0)
+	require.GreaterOrEqual(t, l.Survival(0.99*last), l.Survival(last+1))
+}
+
 // Whatever is observed, survival must fall with length and stay in [0, 1].
 func TestSurvivalIsMonotone(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
