A silent stream goes on from its standing copy while its engine may still come back

Cause: an engine that hangs or is cut off sends no reset; its streams waited 4 s for the connection's probes, though events come every 35 ms, and were late or lost. Ruled out: cutting the stream first: where the copy is missing, a pause of a living engine would cost the answer. Change: relay.hedge watches streams with a standing copy. Events that both bring are passed on once.

--- a/internal/gateway/restart_test.go
+++ b/internal/gateway/restart_test.go
@@ -91,3 +91,26 @@
 	require.NoError(t, a.err)
 	require.Equal(t, events(1, 60), a.body)
 }
+
+// An engine falls silent in the middle of a long answer, and no reset tells so. The
+// caller gets the rest from the engine with the standing copy, long before it would leave.
+func TestLongAnswerOutlivesASilentEngine(t *testing.T) {
+	s := newSystem(t)
+	b := fleet.Behaviour{Events: 60, EventEvery: 20 * time.Millisecond}
+	engines := []*fleet.Server{s.server(fleet.ModelService, b), s.server(fleet.ModelService, b)}
+	n := s.gateway("vm-1")
+	begun := time.Now()
+	done := make(chan reply, 1)
+	go func() { done <- n.do(generation(fleet.PlanPath)) }()
+	time.Sleep(300 * time.Millisecond)
+	for _, e := range engines {
+		if e.Running() == 1 {
+			e.Darken()
+			break
+		}
+	}
+	a := <-done
+	require.NoError(t, a.err)
+	require.Equal(t, events(1, 60), a.body)
+	require.Less(t, time.Since(begun), 3*time.Second)
+}
--- a/internal/relay/cover_test.go
+++ b/internal/relay/cover_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -111,61 +112,52 @@
 	}
 }
 
-// crashes plays a load of long answers on engines, a sixth of which crash once, and
+// crashes plays a load of long answers on engines, a sixth of which crash at once, and
 // returns the share that is lost.
 func crashes(t *testing.T, engines, runs int, covered bool) float64 {
 	lost := 0
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, Config{})
-		var sources []*source
-		var at []string
+		sources := make(map[*source]string)
 		for i := range engines {
 			w.server(fmt.Sprintf("e%02d", i), modelService)
 		}
 		w.up.send = func(_ context.Context, a *Attempt) (*Answer, error) {
 			src := newSource()
-			if a.From != nil && !covered {
+			switch {
+			case a.From == nil:
+				sources[src] = a.Server.ID
+				go paced(src, 1, 100, 40*time.Millisecond)
+			case !covered:
 				return nil, &Refused{Why: RefusedFull, Detail: "no such copy"}
+			default:
+				go src.w.Close()
 			}
-			if a.From != nil {
-				go func() {
-					src.write(events(3, 4))
-					src.w.Close()
-				}()
-				return src.answer(), nil
-			}
-			sources, at = append(sources, src), append(at, a.Server.ID)
-			go src.write(events(1, 2))
 			return src.answer(), nil
 		}
 		callers := make([]*caller, runs)
-		done := make(chan struct{}, runs)
+		var wg sync.WaitGroup
 		for i := range callers {
 			callers[i] = &caller{}
 			req := request("/plan/x")
 			req.ID = fmt.Sprint("r", i)
-			go func() {
-				w.relay.Serve(t.Context(), req, callers[i])
-				done <- struct{}{}
-			}()
+			wg.Go(func() { w.relay.Serve(t.Context(), req, callers[i]) })
 			time.Sleep(100 * time.Millisecond)
 		}
-		for i, src := range sources {
-			if at[i] < fmt.Sprintf("e%02d", engines/6) {
+		for src, engine := range sources {
+			if engine < fmt.Sprintf("e%02d", engines/6) {
 				src.breakOff()
-				continue
+			} else {
+				src.w.Close()
 			}
-			src.write(events(3, 4))
-			src.w.Close()
-		}
-		for range callers {
-			<-done
 		}
+		wg.Wait()
 		for _, c := range callers {
 			if c.aborted {
 				lost++
 			}
 		}
+		time.Sleep(5 * time.Second)
 	})
 	return float64(lost) / float64(runs)
 }
--- a/internal/relay/move.go
+++ b/internal/relay/move.go
@@ -47,6 +47,9 @@
 	// made is the number of events passed on, the last at heard.
 	made  int
 	heard time.Duration
+	// lastID is the id of that event, longest the longest pause between two.
+	lastID  string
+	longest time.Duration
 	// cut breaks off the answer that is being read.
 	cut func()
 	// moving is closed when the move in progress is over, nil without one.
@@ -65,9 +68,9 @@
 	return e != nil && e.Moves && u.job.Generation != nil && !u.job.route.Resumable
 }
 
-func (u *run) delivered(events int, now time.Duration) {
+func (u *run) delivered(p progress, id string, now time.Duration) {
 	u.mu.Lock()
-	u.made, u.heard = events, now
+	u.made, u.longest, u.lastID, u.heard = p.events, p.longest, id, now
 	u.mu.Unlock()
 }
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -66,17 +66,28 @@
 	defer func() { s.strike(s.run) }()
 	first := o.answer
 	for {
+		var h *hedge
+		if o.cover != nil {
+			h = s.startHedge(ctx)
+		}
 		err := s.pump(first, o)
 		o.answer.Body.Close()
 		if err == nil {
+			h.discard()
 			o.lease.Done(backends.Good, s.Now())
 			s.learn()
 			return s.end(first)
 		}
 		if ctx.Err() != nil || errors.Is(err, errCaller) {
+			h.discard()
 			o.lease.Done(backends.Unjudged, s.Now())
 			return s.cutOff(ctx, err)
 		}
+		if hedged := h.await(); hedged != nil {
+			s.adopt(hedged, o)
+			o = hedged
+			continue
+		}
 		next := s.goOn(ctx, o, err)
 		if next == nil {
 			return s.broken(ctx)
@@ -118,7 +129,7 @@
 		if s.out.Write(event) != nil {
 			return errCaller
 		}
-		s.run.delivered(s.job.progress.events, s.last)
+		s.run.delivered(s.job.progress, s.seq.after(), s.last)
 		if s.job.Generation != nil && s.job.progress.events%reviseEvery == 0 {
 			o.lease.Expect(s.run.memory())
 		}
@@ -212,9 +223,7 @@
 		s.spend(s.job.service)
 		next, err := s.send(ctx, s.job, c.lease, &Attempt{After: s.seq.after(), From: &c.Copy})
 		if err == nil && next.streams() {
-			s.job.ran--
-			o.lease.Done(backends.Unjudged, s.Now())
-			s.relocate(s.run, next)
+			s.adopt(next, o)
 			for _, unused := range copies[i+1:] {
 				go s.drop(unused)
 			}
