--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -15,7 +15,7 @@
 type fault func(s *Soak, ctx context.Context) (did string, undo func())
 
 // faults are drawn with equal chance.
-var faults = []fault{harmStore, harmStore, harmServer, harmServer, kill, pause, terminate, hup, reclaim, crash, refuse, compact, revoke}
+var faults = []fault{harmStore, harmStore, harmServer, harmServer, kill, pause, terminate, hup, reclaim, crash, refuse, compact, revoke, rebirth, spoil, herd}
 
 const (
 	shortest, longest = 200 * time.Millisecond, 3 * time.Second
@@ -167,6 +167,70 @@
 	}
 }
 
+// rebirth ends a server, with or without a word to its connections, and starts it again
+// under its id and address.
+func rebirth(s *Soak, _ context.Context) (string, func()) {
+	srv := s.victim()
+	if srv == nil {
+		return "nothing to start again", nil
+	}
+	silent := s.intN(2) == 0
+	if silent {
+		srv.Darken()
+	} else {
+		srv.Kill()
+	}
+	return fmt.Sprintf("start %s again, silent %v", srv.ID, silent), func() {
+		again, err := s.fleet.Restart(srv)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if err != nil {
+			s.faults = append(s.faults, "not started again: "+err.Error())
+			return
+		}
+		s.servers = append(s.servers, again)
+	}
+}
+
+// spoil has another writer overwrite the entry of a server.
+func spoil(s *Soak, _ context.Context) (string, func()) {
+	bytes := []string{"", "{", `{"state":"ready"}`, `{"service":"desk","address":"nowhere","state":"ready","slots":-1}`}
+	s.mu.Lock()
+	srv := s.servers[s.rng.IntN(len(s.servers))]
+	ended := s.leaving[srv]
+	text := bytes[s.rng.IntN(len(bytes))]
+	s.mu.Unlock()
+	if ended {
+		return "nothing to spoil", nil
+	}
+	s.fleet.Store.PutBytes("servers", srv.ID, []byte(text))
+	return fmt.Sprintf("entry of %s is %q", srv.ID, text), func() {
+		s.mu.Lock()
+		ended := s.leaving[srv]
+		s.mu.Unlock()
+		if !ended {
+			srv.Heartbeat()
+		}
+	}
+}
+
+// herd kills all gateways but one at the same moment.
+func herd(s *Soak, ctx context.Context) (string, func()) {
+	spared := s.drawNode()
+	for _, g := range s.nodes {
+		if g != spared {
+			g.signal(syscall.SIGKILL)
+		}
+	}
+	return "kill all but " + spared.node.Name, func() {
+		for _, g := range s.nodes {
+			if g != spared {
+				g.restart(context.WithoutCancel(ctx), s.Binary, longest)
+			}
+		}
+	}
+}
+
 // refuse lets a plain server refuse everything.
 func refuse(s *Soak, _ context.Context) (string, func()) {
 	s.mu.Lock()
