Sight: what a failed call to the store had received

Cause: the line 'store is lost' came once and did not tell an answer that is given up while it comes in from a store that does not answer. No decision changed. Ruled out by it: a store that does not answer, a row that came in and was not taken.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -333,8 +333,14 @@
 		f.mu.Unlock()
 		return
 	}
+	log := f.log.WithError(err).WithFields(fieldsOf(err)).WithField("revision", f.revision)
 	if f.failures == 0 {
-		f.log.WithError(err).WithField("revision", f.revision).Warn("store is lost")
+		log.Warn("store is lost")
+	} else {
+		// One call fails after the other, each for itself: what it had received tells an
+		// answer that is given up too early from a store that does not answer. backoff
+		// bounds the lines.
+		log.WithField("failures", f.failures).Info("store is still lost")
 	}
 	pause := backoff.After(f.failures, rand.Float64())
 	f.failures++
@@ -342,6 +348,15 @@
 	wait.For(ctx, pause)
 }
 
+// fieldsOf are what an error says for a log line beside its text.
+func fieldsOf(err error) logrus.Fields {
+	var detailed interface{ LogFields() map[string]any }
+	if errors.As(err, &detailed) {
+		return detailed.LogFields()
+	}
+	return nil
+}
+
 // Filled reports whether the table has been read. It may be out of date since.
 func (f *Follower) Filled() bool {
 	f.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -104,7 +104,7 @@
 		func() logrus.FieldLogger { return log },
 		func() *late { return &late{} },
 		func() clock.Source { return clock.SinceBoot },
-		func() *store.Client { return store.New(set.Store) },
+		func(rec *gatewaymetrics.Recorder) *store.Client { return store.New(set.Store, rec) },
 		upstream.New,
 		gatewaymetrics.New,
 		routing.NewReplica,
--- a/internal/gatewaymetrics/metrics.go
+++ b/internal/gatewaymetrics/metrics.go
@@ -31,7 +31,11 @@
 	moves    *prometheus.CounterVec
 	// unreadable counts the entries of servers that name none to use.
 	unreadable prometheus.Counter
-	epoch      time.Time
+	// store counts the calls to the store and storeBytes what came in, also of answers
+	// that were cut; transfer is how long answers took.
+	store, storeBytes *prometheus.CounterVec
+	transfer          *prometheus.HistogramVec
+	epoch             time.Time
 
 	mu      sync.Mutex
 	tracker *burn.Tracker
@@ -64,7 +68,17 @@
 			Name: "kingcup_gateway_unreadable_entries_total", Help: "Entries of servers that could not be read.",
 		}),
 	}
-	r.registry.MustRegister(r.finished, r.first, r.pause, r.attempts, r.moves, r.unreadable)
+	r.store = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "kingcup_gateway_store_calls_total", Help: "Calls to the store by table and result: a status, \"no answer\" or \"answer cut\".",
+	}, []string{"table", "result"})
+	r.storeBytes = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "kingcup_gateway_store_read_bytes_total", Help: "Bytes of the store's answers by table and result of the call.",
+	}, []string{"table", "result"})
+	r.transfer = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "kingcup_gateway_store_transfer_seconds", Help: "Time from an answer's first byte to its last.",
+		Buckets: []float64{.001, .01, .1, .3, .6, 1, 3, 10},
+	}, []string{"table"})
+	r.registry.MustRegister(r.finished, r.first, r.pause, r.attempts, r.moves, r.unreadable, r.store, r.storeBytes, r.transfer)
 	return r
 }
 
@@ -104,6 +118,13 @@
 // UnreadableEntry counts an entry of a server that names none to use.
 func (r *Recorder) UnreadableEntry() { r.unreadable.Inc() }
 
+// StoreCall implements store.Observer.
+func (r *Recorder) StoreCall(table, result string, bytes int64, transfer time.Duration) {
+	r.store.WithLabelValues(table, result).Inc()
+	r.storeBytes.WithLabelValues(table, result).Add(float64(bytes))
+	r.transfer.WithLabelValues(table).Observe(transfer.Seconds())
+}
+
 // Moved implements relay.Observer.
 func (r *Recorder) Moved(result string) { r.moves.WithLabelValues(result).Inc() }
 
