Failing tests: a grown configuration never comes in force over a thin link

Cause shown before: a read of the store is given up 0.6 s after its wait, although its bytes still come in, and begun anew. Change: the stand-in's store has links with a rate, and two tests fail on the code as it is: TestGrownConfigurationIsInForceOnThinVMs (three gateways, one with 10 Mbit/s, 4,000 routes) and TestLoneVMReadsAGrownConfigurationOnce (16,000 routes, 40 Mbit/s).

--- /dev/null
+++ b/internal/gateway/growth_test.go
@@ -0,0 +1,86 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"kingcupplank.example/kingcup/internal/standin/fleet"
+)
+
+// more names further prefixes of a configuration that grows.
+func more(n int) (prefixes []string) {
+	for i := range n {
+		prefixes = append(prefixes, fmt.Sprintf("/extra-%d/", i))
+	}
+	return prefixes
+}
+
+// linked waits until each of the gateways hears all others, and until the calls have
+// ended in which it followed the store before that.
+func linked(nodes ...*node) {
+	for _, n := range nodes {
+		n.eventually(func() bool { return len(n.group.links.Live()) == len(nodes)-1 }, "linked")
+	}
+	time.Sleep(DefaultOptions().FeedWait + followSlack)
+}
+
+// followSlack covers the look at who reads the store.
+const followSlack = 300 * time.Millisecond
+
+// Callers of thin VMs were refused for 17 s, and some were handled by the version before
+// the last, each time that the operator had added routes: the row that holds the
+// configuration had grown to 0.7 MB, a call to the store was given up 0.6 s after its
+// wait, and on 10 Mbit/s the row took longer. Each try threw away what had come in
+// (0.64 to 0.69 MB of it in 22 tries, the last byte some ms old) and began anew.
+func TestGrownConfigurationIsInForceOnThinVMs(t *testing.T) {
+	s := newSystem(t)
+	s.server(fleet.DeskService, fleet.Behaviour{})
+	s.linkMbps = 200
+	wide := []*node{s.gateway("vm-a"), s.gateway("vm-b")}
+	thin, _ := s.thin("vm-c", 10)
+	linked(wide[0], wide[1], thin)
+	prefixes := more(4000)
+	s.fleet.Configure(fleet.Key, prefixes...)
+	grown := time.Now()
+	newest := prefixes[len(prefixes)-1] + "a"
+	var unready, refused atomic.Int64
+	inForce := assert.Eventually(t, func() bool {
+		if !thin.isReady() {
+			unready.Add(1)
+		}
+		if thin.do(plain(fleet.OncePath)).status != http.StatusOK {
+			refused.Add(1)
+		}
+		return thin.do(plain(newest)).status == http.StatusOK
+	}, 8*time.Second, 10*time.Millisecond, "the newest version is in force")
+	require.Zero(t, unready.Load(), "callers left the VM because of a change")
+	require.Zero(t, refused.Load(), "callers were refused because of a change")
+	require.True(t, inForce)
+	require.Less(t, time.Since(grown), testBounds.ApplyConfig)
+}
+
+// The same with no other gateway to ask: a row of 16,000 routes needs a second of the
+// link and more than the bound on an answer of before. It must come in once: its bytes
+// at most 1.2 times, in at most 1.25 times what the link needs.
+func TestLoneVMReadsAGrownConfigurationOnce(t *testing.T) {
+	s := newSystem(t)
+	s.server(fleet.DeskService, fleet.Behaviour{})
+	lone, link := s.thin("vm-a", 40)
+	before := link.Passed()
+	prefixes := more(16000)
+	s.fleet.Configure(fleet.Key, prefixes...)
+	grown := time.Now()
+	lone.eventually(func() bool { return lone.do(plain(prefixes[0]+"a")).status == http.StatusOK }, "the newest version is in force")
+	took := time.Since(grown)
+	size := int64(s.fleet.Store.Size("op", "config"))
+	require.LessOrEqual(t, float64(link.Passed()-before), 1.2*float64(size), "bytes read again")
+	// Decoding is the processor's, beside what the link needs.
+	const decode = time.Second
+	require.Less(t, took, link.Takes(size*5/4)+decode)
+}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -74,6 +74,21 @@
 func (s *system) gateway(name string) *node {
 	s.t.Helper()
 	set, door := s.settings(name)
+	return s.start(set, door)
+}
+
+// thin starts a gateway whose way to the store is a link of a rate in Mbit/s.
+func (s *system) thin(name string, mbps float64) (*node, *standin.Link) {
+	s.t.Helper()
+	set, door := s.settings(name)
+	link := standin.NewLink(mbps)
+	door.SetLink(link)
+	set.LinkMbps = mbps
+	return s.start(set, door), link
+}
+
+func (s *system) start(set *settings.Settings, door *fleet.Door) *node {
+	s.t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	opts := DefaultOptions()
--- a/internal/standin/fleet/store.go
+++ b/internal/standin/fleet/store.go
@@ -4,14 +4,18 @@
 package fleet
 
 import (
+	"encoding/base64"
 	"encoding/json"
 	"net"
 	"net/http"
+	"net/url"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
+
+	"kingcupplank.example/kingcup/internal/standin"
 )
 
 // Row is a row of the store as it is written on the wire.
@@ -46,6 +50,8 @@
 	store *Store
 	http  *http.Server
 	fault Fault
+	// link carries the answers, nil for one without a rate.
+	link *standin.Link
 }
 
 // Store is the platform's store.
@@ -112,6 +118,13 @@
 	d.fault = f
 }
 
+// SetLink gives the answers a link with a rate.
+func (d *Door) SetLink(l *standin.Link) {
+	d.store.mu.Lock()
+	defer d.store.mu.Unlock()
+	d.link = l
+}
+
 // SetSlow changes how long reading a table takes.
 func (s *Store) SetSlow(table string, d time.Duration) {
 	s.mu.Lock()
@@ -128,6 +141,13 @@
 	}
 }
 
+// Size is how many bytes a row takes in an answer.
+func (s *Store) Size(table, key string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return base64.StdEncoding.EncodedLen(len(s.rows[id(table, "", key)].Data))
+}
+
 // Calls counts the calls so far, refused ones included.
 func (s *Store) Calls() int {
 	s.mu.Lock()
@@ -192,8 +212,11 @@
 	s := d.store
 	s.mu.Lock()
 	s.calls++
-	fault := d.fault
+	fault, link := d.fault, d.link
 	s.mu.Unlock()
+	if link != nil {
+		w = &linked{w, link}
+	}
 	switch fault {
 	case Busy:
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -217,10 +240,43 @@
 	NowMs   int64  `json:"serverTimeMs"`
 }
 
-func (s *Store) answer(w http.ResponseWriter, status int, rows []Row) {
+// segment is how many bytes pass a link in one go: the window of a connection of the
+// platform's thin VMs.
+const segment = 16 << 10
+
+// linked writes an answer through a link.
+type linked struct {
+	http.ResponseWriter
+	link *standin.Link
+}
+
+// Write implements http.ResponseWriter.
+func (l *linked) Write(p []byte) (n int, err error) {
+	for len(p) > 0 && err == nil {
+		part := p[:min(len(p), segment)]
+		l.link.Pass(len(part))
+		var wrote int
+		wrote, err = l.ResponseWriter.Write(part)
+		n, p = n+wrote, p[len(part):]
+	}
+	return n, err
+}
+
+// answer makes an answer; mu is held. It is written without mu: a slow link must not
+// hold up the others.
+func (s *Store) answer(status int, rows []Row) (int, answer) {
+	return status, answer{Rows: rows, Version: s.version, NowMs: time.Since(s.start).Milliseconds()}
+}
+
+func write(w http.ResponseWriter, status int, a answer) {
+	body, err := json.Marshal(a)
+	if err != nil {
+		panic("fleet: answer cannot be encoded: " + err.Error())
+	}
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(status)
-	json.NewEncoder(w).Encode(answer{Rows: rows, Version: s.version, NowMs: time.Since(s.start).Milliseconds()})
+	w.Write(body)
 }
 
 func (s *Store) get(w http.ResponseWriter, r *http.Request) {
@@ -229,6 +285,12 @@
 	slow := s.slow[q.Get("tableName")]
 	s.mu.Unlock()
 	time.Sleep(slow)
+	status, a := s.table(q)
+	write(w, status, a)
+}
+
+// table is what a table holds from a key on.
+func (s *Store) table(q url.Values) (int, answer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var rows []Row
@@ -238,7 +300,7 @@
 		}
 	}
 	slices.SortFunc(rows, func(a, b Row) int { return strings.Compare(a.Key, b.Key) })
-	s.answer(w, http.StatusOK, rows)
+	return s.answer(http.StatusOK, rows)
 }
 
 func (s *Store) feed(w http.ResponseWriter, r *http.Request) {
@@ -249,14 +311,16 @@
 	for expired := false; ; {
 		s.mu.Lock()
 		if since < s.oldest {
-			s.answer(w, http.StatusGone, nil)
+			status, a := s.answer(http.StatusGone, nil)
 			s.mu.Unlock()
+			write(w, status, a)
 			return
 		}
 		rows := s.since(q.Get("tableName"), since)
 		if len(rows) > 0 || expired {
-			s.answer(w, http.StatusOK, rows)
+			status, a := s.answer(http.StatusOK, rows)
 			s.mu.Unlock()
+			write(w, status, a)
 			return
 		}
 		changed := s.changed
@@ -292,23 +356,28 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	status, a := s.commit(tx.Precondition, tx.Write, tx.Remove)
+	write(w, status, a)
+}
+
+// commit applies a transaction if its conditions hold.
+func (s *Store) commit(conditions, writes, removes []Row) (int, answer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, p := range tx.Precondition {
+	for _, p := range conditions {
 		if s.rows[id(p.Table, p.Part, p.Key)].Version != p.Version {
-			s.answer(w, http.StatusPreconditionFailed, nil)
-			return
+			return s.answer(http.StatusPreconditionFailed, nil)
 		}
 	}
 	s.version++
-	for _, row := range tx.Write {
+	for _, row := range writes {
 		s.apply(row)
 	}
-	for _, row := range tx.Remove {
+	for _, row := range removes {
 		row.Deleted = true
 		s.apply(row)
 	}
 	close(s.changed)
 	s.changed = make(chan struct{})
-	s.answer(w, http.StatusOK, nil)
+	return s.answer(http.StatusOK, nil)
 }
--- /dev/null
+++ b/internal/standin/link.go
@@ -0,0 +1,45 @@
+package standin
+
+import (
+	"sync"
+	"time"
+)
+
+// Link is a VM's link with a rate: whatever passes it, passes in turn. It is safe for
+// concurrent use.
+type Link struct {
+	bytesPerSecond float64
+
+	mu sync.Mutex
+	// free is when all that was sent before has passed.
+	free   time.Time
+	passed int64
+}
+
+// NewLink returns a link with a rate in Mbit/s.
+func NewLink(mbps float64) *Link { return &Link{bytesPerSecond: mbps * 1e6 / 8} }
+
+// Pass waits until n bytes have passed.
+func (l *Link) Pass(n int) {
+	l.mu.Lock()
+	if now := time.Now(); l.free.Before(now) {
+		l.free = now
+	}
+	l.free = l.free.Add(time.Duration(float64(n) / l.bytesPerSecond * float64(time.Second)))
+	l.passed += int64(n)
+	until := l.free
+	l.mu.Unlock()
+	time.Sleep(time.Until(until))
+}
+
+// Passed counts the bytes so far.
+func (l *Link) Passed() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.passed
+}
+
+// Takes is how long n bytes need on a link that nothing else uses.
+func (l *Link) Takes(n int64) time.Duration {
+	return time.Duration(float64(n) / l.bytesPerSecond * float64(time.Second))
+}
