Versions of the configuration share what they have in common

Cause: each version was built anew from all routes, and a lookup tried the prefixes of a host one by one. Change: routes, teams and keys stand in immutable radix trees; a Change leads from one version to the next, changes join, and a replica keeps the last ones for processes that are behind. Keys that a later version takes away can be taken at once. Figures: 100 routes more on 1,000, 5,000 and 20,000: 0.076, 0.34 and 1.7 ms before, 0.16 to 0.17 ms on each now; a lookup 0.36, 1.6 and 65 us before, 0.22, 0.34 and 0.83 us now, no allocation (BenchmarkChange, BenchmarkMatch). Tests: random versions followed by changes, joined changes and wholes are what the operator wrote; a revocation does not wait for routes.

--- /dev/null
+++ b/routing/change_test.go
@@ -0,0 +1,200 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// drawContent draws a small version, so that versions share routes, teams and keys.
+func drawContent(t *rapid.T, version uint64) Content {
+	c := Content{Version: version, Keyed: true, Services: []*Service{{Name: "s"}}}
+	for i := range 6 {
+		if rapid.Bool().Draw(t, "route") {
+			c.Routes = append(c.Routes, &Route{
+				Name: fmt.Sprint("r", i), Host: fmt.Sprint("H", i%2), Prefix: fmt.Sprintf("/%d/", i),
+				Timeout: time.Duration(rapid.IntRange(1, 2).Draw(t, "timeout")), Split: []Weighted{{"s", 1}},
+			})
+		}
+	}
+	for i := range 3 {
+		team := &Team{Name: fmt.Sprint("t", i)}
+		for k := range 4 {
+			if rapid.IntRange(0, 2).Draw(t, "holder") == i {
+				team.Keys = append(team.Keys, fmt.Sprint("k", k))
+			}
+		}
+		if len(team.Keys) > 0 {
+			c.Teams = append(c.Teams, team)
+		}
+	}
+	// A key has one holder.
+	held := make(map[string]bool)
+	for _, team := range c.Teams {
+		var own []string
+		for _, k := range team.Keys {
+			if !held[k] {
+				held[k], own = true, append(own, k)
+			}
+		}
+		team.Keys = own
+	}
+	return c
+}
+
+// requireSame asks two versions for all that drawContent may draw.
+func requireSame(t require.TestingT, want, got *Config) {
+	require.Equal(t, want.Version, got.Version)
+	require.Equal(t, want.Routes(), got.Routes())
+	for i := range 6 {
+		host, path := fmt.Sprint("h", i%2), fmt.Sprintf("/%d/x", i)
+		require.Equal(t, want.Match(host, path), got.Match(host, path))
+	}
+	for k := range 4 {
+		key := fmt.Sprint("k", k)
+		require.Equal(t, want.Team(key), got.Team(key), key)
+	}
+}
+
+// A process follows versions by changes, misses some, and is brought up to date by a
+// joined change or by the whole. In every case it must have exactly what the operator
+// wrote: a route that is missing refuses callers, a key that stayed is still served.
+func TestChangesLeadToWhatWasWritten(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		reader, follower := NewReplica(), NewReplica()
+		for v := range rapid.IntRange(1, 12).Draw(t, "versions") {
+			content := drawContent(t, uint64(v+1))
+			require.True(t, reader.Put(content))
+			if rapid.IntRange(0, 2).Draw(t, "missed") == 0 {
+				continue
+			}
+			ch := reader.Since(follower.Version())
+			if rapid.Bool().Draw(t, "teams first") {
+				follower.Revoke(ch)
+			}
+			ok, err := follower.Change(ch)
+			require.NoError(t, err)
+			require.True(t, ok)
+			got, _ := follower.Current()
+			requireSame(t, New(content), got)
+			require.Nil(t, reader.Since(follower.Version()))
+		}
+	})
+}
+
+// A change of another version, or an older one that was delayed, changes nothing.
+func TestChangeOfAnotherVersionIsRefused(t *testing.T) {
+	r := NewReplica()
+	require.True(t, r.Put(Content{Version: 4, Routes: []*Route{{Host: "h", Prefix: "/a/"}}}))
+	_, err := r.Change(&Change{Base: 3, Version: 5})
+	require.ErrorIs(t, err, ErrBase)
+	ok, err := r.Change(&Change{Base: 3, Version: 4})
+	require.NoError(t, err)
+	require.False(t, ok)
+	require.False(t, r.Put(Content{Version: 3}))
+	c, _ := r.Current()
+	require.NotNil(t, c.Match("h", "/a/b"))
+}
+
+// A key is removed in a version with many routes, and only its teams have come in. The
+// key must be refused from then on, while routes and other keys stay as they were: a
+// version is in force whole or not at all. When the transfer fails and a later version
+// has the key again, it holds again.
+func TestRevocationDoesNotWaitForRoutes(t *testing.T) {
+	r := NewReplica()
+	old, extra := &Route{Host: "h", Prefix: "/a/"}, &Route{Host: "h", Prefix: "/b/"}
+	both := []*Team{{Name: "t", Keys: []string{"kept", "taken"}}}
+	r.Put(Content{Version: 1, Routes: []*Route{old}, Teams: both, Keyed: true})
+	r.Revoke(&Change{Version: 2, SetTeams: []*Team{{Name: "t", Keys: []string{"kept", "new"}}}})
+	c, _ := r.Current()
+	require.EqualValues(t, 1, c.Version)
+	require.Nil(t, c.Team("taken"))
+	require.NotNil(t, c.Team("kept"))
+	require.Nil(t, c.Team("new"))
+	require.NotNil(t, c.Match("h", "/a/x"))
+	r.Put(Content{Version: 3, Routes: []*Route{old, extra}, Teams: both, Keyed: true})
+	c, _ = r.Current()
+	require.NotNil(t, c.Team("taken"))
+	require.NotNil(t, c.Match("h", "/b/x"))
+}
+
+// One host's name begins another's, and a path goes on behind a prefix: neither may
+// lead to a route of others.
+func TestHostsAreApart(t *testing.T) {
+	c := New(Content{Version: 1, Routes: []*Route{{Name: "short", Host: "h", Prefix: "/a/"}, {Name: "long", Host: "h", Prefix: "/a/b/"}, {Name: "other", Host: "h.example", Prefix: "/"}}})
+	require.Equal(t, "short", c.Match("H", "/a/c").Name)
+	require.Equal(t, "long", c.Match("h", "/a/b/").Name)
+	require.Nil(t, c.Match("h", "/x"))
+	require.Nil(t, c.Match("h", "/ab"))
+	require.Nil(t, c.Match("h.examples", "/a/"))
+}
+
+func grown(n int) (routes []*Route) {
+	for i := range n {
+		routes = append(routes, &Route{
+			Name: fmt.Sprint("r-", i), Host: fmt.Sprintf("h%d.example", i%4), Prefix: fmt.Sprintf("/p%d/", i*7919),
+			Kind: Idempotent, Timeout: time.Second, Target: 150 * time.Millisecond, Servers: 2, Split: []Weighted{{"s", 1}},
+		})
+	}
+	return routes
+}
+
+// BenchmarkChange: putting 100 routes more in force, on configurations of 1,000, 5,000
+// and 20,000 routes. Building all tables anew took 0.076, 0.34 and 1.7 ms, growing
+// with the configuration; a change takes 0.16 to 0.17 ms on
+// each of them.
+func BenchmarkChange(b *testing.B) {
+	for _, n := range []int{1000, 5000, 20000} {
+		all := grown(n + 100)
+		base := New(Content{Version: 1, Routes: all[:n]})
+		ch := &Change{Base: 1, Version: 2, Set: all[n:]}
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for b.Loop() {
+				if _, err := base.Apply(ch); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkMatch: finding a route among 1,000, 5,000 and 20,000 took 0.36, 1.6 and
+// 65 µs by trying the prefixes of the host one by one; in a tree it takes 0.22, 0.34 and
+// 0.83 µs, most of it for memory that is not in the cache.
+func BenchmarkMatch(b *testing.B) {
+	for _, n := range []int{1000, 5000, 20000} {
+		routes := grown(n)
+		c := New(Content{Version: 1, Routes: routes})
+		paths := make([]string, len(routes))
+		for i, r := range routes {
+			paths[i] = r.Prefix + "ab/cd"
+		}
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				i := rand.IntN(n)
+				if c.Match(routes[i].Host, paths[i]) != routes[i] {
+					b.Fatal("wrong route")
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkNext: what a process that reads the whole row pays to find what has changed:
+// 1.6, 8 and 33 ms.
+func BenchmarkNext(b *testing.B) {
+	for _, n := range []int{1000, 5000, 20000} {
+		base := New(Content{Version: 1, Routes: grown(n)})
+		content := Content{Version: 2, Routes: grown(n + 100)}
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for b.Loop() {
+				base.Next(content)
+			}
+		})
+	}
+}
--- a/routing/replica.go
+++ b/routing/replica.go
@@ -5,16 +5,33 @@
 	"time"
 )
 
-// Replica is a process's view of the configuration in force. Its version never
-// falls, and it knows how long ago the view was last confirmed. It is safe for
-// concurrent use.
+// Replica is a process's view of the configuration in force. Its version never falls,
+// and it knows how long ago the view was last confirmed. It is safe for concurrent use;
+// lookups never wait for a version that is being built. Lock order: updates, mu.
 type Replica struct {
-	mu        sync.Mutex
-	config    *Config
-	confirmed time.Duration
-	changed   func(*Config)
+	// updates is held by whoever builds a version.
+	updates sync.Mutex
+	// history are the last changes, oldest first, each from the version before.
+	history []*Change
+
+	mu sync.Mutex
+	// whole is the newest version as a whole; config is the same, but for keys that a
+	// later version takes away.
+	whole, config *Config
+	confirmed     time.Duration
+	changed       func(*Config)
 }
 
+const (
+	// historyLength is how many changes are kept for processes that are behind. At 430
+	// changes a day a process that is sixteen behind has been away for an hour; it gets
+	// the whole version.
+	historyLength = 16
+	// historyShare bounds the rows of all kept changes against those of a version:
+	// beyond it a whole version is smaller.
+	historyShare = 0.5
+)
+
 // NewReplica returns an empty replica.
 func NewReplica() *Replica { return &Replica{} }
 
@@ -25,20 +42,120 @@
 	r.changed = changed
 }
 
-// Apply takes c unless a version as new is in force, and reports whether it did.
-// An answer that was delayed on its way may bear an older version; taking it
-// would bring back routes and keys that were removed.
-func (r *Replica) Apply(c *Config) bool {
+// Put takes a whole version unless one as new is in force, and reports whether it did.
+// An answer that was delayed on its way may bear an older version; taking it would bring
+// back routes and keys that were removed.
+func (r *Replica) Put(content Content) bool {
+	r.updates.Lock()
+	defer r.updates.Unlock()
+	base := r.base()
+	if base.Version >= content.Version {
+		return false
+	}
+	next, ch := base.Next(content)
+	r.install(next, ch)
+	return true
+}
+
+// Change takes a change. It reports whether it led to a later version. Errors: ErrBase.
+func (r *Replica) Change(ch *Change) (bool, error) {
+	r.updates.Lock()
+	defer r.updates.Unlock()
+	base := r.base()
+	if base.Version >= ch.Version {
+		return false, nil
+	}
+	next, err := base.Apply(ch)
+	if err != nil {
+		return false, err
+	}
+	r.install(next, ch)
+	return true, nil
+}
+
+// Revoke takes away at once the keys that a later version does not have, of which only
+// the teams have come in: the routes of a large version must not hold up a revocation.
+// Nothing else of that version is in force before all of it is.
+func (r *Replica) Revoke(later *Change) {
+	r.updates.Lock()
+	defer r.updates.Unlock()
+	base := r.base()
+	if base.Version >= later.Version {
+		return
+	}
+	taken := later.Taken(base)
+	if len(taken) == 0 {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.config != nil && c.Version <= r.config.Version {
-		return false
+	r.config = r.config.without(taken)
+}
+
+// base is the newest version as a whole; updates is held.
+func (r *Replica) base() *Config {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.whole == nil {
+		return empty()
+	}
+	return r.whole
+}
+
+// install puts a version in force; updates is held.
+func (r *Replica) install(next *Config, ch *Change) {
+	if ch.Base == 0 {
+		r.history = nil
+	} else {
+		r.history = append(r.history, ch)
+	}
+	rows := 0
+	for i := len(r.history) - 1; i >= 0; i-- {
+		rows += r.history[i].Size()
+		if len(r.history)-i > historyLength || float64(rows) > historyShare*float64(next.Routes()) && i < len(r.history)-1 {
+			r.history = r.history[i+1:]
+			break
+		}
 	}
-	r.config = c
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.whole, r.config = next, next
 	if r.changed != nil {
-		r.changed(c)
+		r.changed(next)
 	}
-	return true
+}
+
+// Since is the change from a version to the newest, nil if they are the same or there is
+// none. Behind the history it is the whole version.
+func (r *Replica) Since(version uint64) *Change {
+	r.updates.Lock()
+	defer r.updates.Unlock()
+	newest := r.base()
+	if newest.Version <= version {
+		return nil
+	}
+	var out *Change
+	for i := len(r.history) - 1; i >= 0; i-- {
+		if out == nil {
+			out = r.history[i]
+		} else {
+			out = Join(r.history[i], out)
+		}
+		if out.Base == version {
+			return out
+		}
+	}
+	return newest.whole()
+}
+
+// Version is the newest version, 0 before the first.
+func (r *Replica) Version() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.whole == nil {
+		return 0
+	}
+	return r.whole.Version
 }
 
 // Confirm notes that the view was the newest at the time at.
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -1,15 +1,12 @@
-// Package routing holds one version of the configuration that callers' requests
-// are matched against: routes, services, limits and the teams' keys.
+// Package routing holds the configuration that callers' requests are matched against:
+// routes, services, limits and the teams' keys.
 //
-// A Config is immutable once built and safe for concurrent use.
+// A Config is one version, immutable and safe for concurrent use. A Change leads from
+// one version to another; versions share what they have in common, so putting one in
+// force costs what has changed.
 package routing
 
-import (
-	"cmp"
-	"slices"
-	"strings"
-	"time"
-)
+import "time"
 
 // Kind says how often a request may run.
 type Kind uint8
@@ -145,59 +142,3 @@
 	Priority int
 	Ranked   bool
 }
-
-// Config is one version of the configuration.
-type Config struct {
-	Version  uint64
-	Limits   Limits
-	services map[string]*Service
-	byHost   map[string][]*Route
-	byKey    map[string]*Team
-	keyed    bool
-}
-
-// New builds a version. keyed says that the configuration names teams, so that
-// routes which are not public need a key.
-func New(version uint64, routes []*Route, services []*Service, teams []*Team, keyed bool, limits Limits) *Config {
-	c := &Config{
-		Version: version, Limits: limits, keyed: keyed,
-		services: make(map[string]*Service, len(services)),
-		byHost:   make(map[string][]*Route),
-		byKey:    make(map[string]*Team),
-	}
-	for _, s := range services {
-		c.services[s.Name] = s
-	}
-	for _, r := range routes {
-		host := strings.ToLower(r.Host)
-		c.byHost[host] = append(c.byHost[host], r)
-	}
-	for _, rs := range c.byHost {
-		slices.SortStableFunc(rs, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
-	}
-	for _, t := range teams {
-		for _, k := range t.Keys {
-			c.byKey[k] = t
-		}
-	}
-	return c
-}
-
-// Match returns the route of the host with the longest prefix of path, or nil.
-func (c *Config) Match(host, path string) *Route {
-	for _, r := range c.byHost[strings.ToLower(host)] {
-		if strings.HasPrefix(path, r.Prefix) {
-			return r
-		}
-	}
-	return nil
-}
-
-// Service returns a service, or nil.
-func (c *Config) Service(name string) *Service { return c.services[name] }
-
-// NeedsKey reports whether requests of a route must bear a team's key.
-func (c *Config) NeedsKey(r *Route) bool { return c.keyed && !r.Public }
-
-// Team returns the holder of a key, or nil.
-func (c *Config) Team(key string) *Team { return c.byKey[key] }
