--- a/internal/confsync/confsync.go
+++ b/internal/confsync/confsync.go
@@ -169,7 +169,6 @@
 		return nil, err
 	}
 	defer st.Close()
-	st.SetReadDeadline(time.Now().Add(exchangeTimeout))
 	reply := &innerv1.Reply{}
-	return reply, st.Recv(reply)
+	return reply, st.RecvWithin(reply, exchangeTimeout)
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -199,22 +199,30 @@
 // Reading implements follow.Sharing.
 func (s sharing) Reading() bool { return false }
 
-// shareTime is the time of this VM's link that passing a page on may take. Beyond
-// it callers would wait behind the page: 64 KB for 28 peers take 1.5 s of a link of
-// 10 Mbit/s.
+// shareTime is the time of a VM's link that passing a page on may take. Beyond it callers
+// would wait behind the page: 64 KB for 28 peers take 1.5 s of a link of 10 Mbit/s.
 const shareTime = 50 * time.Millisecond
 
 // rowOverhead is what a row takes in a page beside its value, in bytes.
 const rowOverhead = 64
 
-// tooLong reports whether a page would hold up the link.
+// tooLong reports whether a page would hold up this VM's link, which passes it to every
+// peer, or a peer's: a wide link takes at once what a thin one takes seconds for, longer
+// than a frame may take to be written, and the link would be given up with it.
 func (g *group) tooLong(p follow.Shared) bool {
 	size := 0
 	for _, r := range p.Rows {
 		size += len(r.Value) + rowOverhead
 	}
-	bits := 8 * float64(size*g.links.Known())
-	return g.linkMbps > 0 && bits > g.linkMbps*1e6*shareTime.Seconds()
+	if holdsUp(size*g.links.Known(), g.linkMbps) {
+		return true
+	}
+	return slices.ContainsFunc(g.links.Live(), func(s *peerv1.State) bool { return holdsUp(size, s.GetLinkMbps()) })
+}
+
+// holdsUp reports whether bytes take a link of some Mbit/s for too long.
+func holdsUp(size int, mbps float64) bool {
+	return mbps > 0 && 8*float64(size) > mbps*1e6*shareTime.Seconds()
 }
 
 // Share implements follow.Sharing. Of a page that is too long only its revision is
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -15,7 +15,7 @@
 type fault func(s *Soak, ctx context.Context) (did string, undo func())
 
 // faults are drawn with equal chance.
-var faults = []fault{harmStore, harmStore, harmServer, harmServer, kill, pause, terminate, hup, reclaim, crash, refuse, compact, revoke, rebirth, spoil, herd}
+var faults = []fault{harmStore, harmStore, harmServer, harmServer, kill, pause, terminate, hup, reclaim, crash, refuse, compact, revoke, grow, grow, rebirth, spoil, herd}
 
 const (
 	shortest, longest = 200 * time.Millisecond, 3 * time.Second
@@ -253,8 +253,25 @@
 	return "history is dropped", nil
 }
 
+// growth is how many routes are added at once: 0.9 MB of the row as the store sends it,
+// 0.7 s of a thin gateway's link.
+const growth = 3000
+
+// grow adds routes to the configuration, which pile up.
+func grow(s *Soak, _ context.Context) (string, func()) {
+	s.configuring.Lock()
+	defer s.configuring.Unlock()
+	newest := s.fleet.Grow(growth)
+	s.mu.Lock()
+	s.newest = newest + "a"
+	s.mu.Unlock()
+	return "grow to " + newest, nil
+}
+
 // revoke replaces the team's key; callers use the old one for a while.
 func revoke(s *Soak, _ context.Context) (string, func()) {
+	s.configuring.Lock()
+	defer s.configuring.Unlock()
 	s.mu.Lock()
 	old := s.valid
 	s.valid = fmt.Sprintf("key-%d", len(s.faults)+2)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -7,10 +7,12 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
+	"kingcupplank.example/kingcup/internal/standin"
 	"kingcupplank.example/kingcup/internal/standin/fleet"
 	"kingcupplank.example/kingcup/internal/wait"
 )
@@ -23,6 +25,8 @@
 	// from its caller to the moment at which it is checked.
 	revokeBound = 3 * time.Second
 	callers     = 8
+	// Every thinEvery-th gateway has a link of thinMbps to the store.
+	thinEvery, thinMbps = 2, 10
 	// settleTime is how long after the last fault everything must be served again.
 	settleTime = 8 * time.Second
 )
@@ -43,6 +47,9 @@
 	history *History
 	nodes   []*gateway
 
+	// configuring is held by whoever writes a configuration; it comes before mu.
+	configuring sync.Mutex
+
 	mu      sync.Mutex
 	rng     *rand.Rand
 	proxies []*Proxy
@@ -51,7 +58,9 @@
 	leaving map[*fleet.Server]bool
 	// key is what callers use, valid the one of the newest configuration.
 	key, valid string
-	faults     []string
+	// newest is a path of the route that was added last.
+	newest string
+	faults []string
 }
 
 // gateway is a gateway's process and its proxy towards the store.
@@ -160,6 +169,10 @@
 	}
 	name := fmt.Sprintf("vm-%d", i)
 	g := &gateway{node: fleet.NewNode(name, proxy.Address), door: proxy, path: filepath.Join(s.Dir, name+".json")}
+	if i%thinEvery == 0 {
+		g.node.LinkMbps = thinMbps
+		door.SetLink(standin.NewLink(thinMbps))
+	}
 	g.node.RevokeMs = int(revokeBound.Milliseconds())
 	if err := g.node.WriteSettings(g.path); err != nil {
 		return err
@@ -263,15 +276,22 @@
 	return a
 }
 
-// settled waits until every gateway serves every kind of request.
+// settled waits until every gateway serves every kind of request, also on the route that
+// was added last.
 func (s *Soak) settled(ctx context.Context, when string) error {
 	for _, p := range s.proxies {
 		p.Set(Pass)
 	}
 	s.fleet.Store.SetFault(fleet.Sound)
 	deadline := time.Now().Add(settleTime)
+	s.mu.Lock()
+	served := slices.Clone(paths)
+	if s.newest != "" {
+		served = append(served, s.newest)
+	}
+	s.mu.Unlock()
 	for _, g := range s.nodes {
-		for _, path := range paths {
+		for _, path := range served {
 			for {
 				a := s.attempt(g, path)
 				if a.Status == 200 && a.Whole {
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -35,6 +35,9 @@
 	version int
 	// timeoutMs is the longest wait on the routes of the desk service.
 	timeoutMs int
+	// key is the team's, grown the prefixes that pile up.
+	key   string
+	grown []string
 }
 
 // New starts a platform without servers, with the standard configuration.
@@ -101,12 +104,26 @@
 	return nil
 }
 
+// Grow writes a new version with n routes more to the desk service, which stay, and
+// returns the prefix of the last.
+func (f *Fleet) Grow(n int) string {
+	f.mu.Lock()
+	for range n {
+		f.grown = append(f.grown, fmt.Sprintf("/grown-%d/", len(f.grown)))
+	}
+	key, last := f.key, f.grown[len(f.grown)-1]
+	f.mu.Unlock()
+	f.Configure(key)
+	return last
+}
+
 // Configure writes a new version of the standard configuration in which the team
-// has the given keys, with further routes to the desk service.
+// has the given key, with further routes to the desk service.
 func (f *Fleet) Configure(key string, more ...string) {
 	f.mu.Lock()
 	f.version += 3
-	version, timeout := f.version, f.timeoutMs
+	f.key = key
+	version, timeout, more := f.version, f.timeoutMs, slices.Concat(f.grown, more)
 	f.mu.Unlock()
 	route := func(name, prefix, kind, service string, timeoutMs, targetMs, attempts int) map[string]any {
 		return map[string]any{
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -109,12 +110,29 @@
 	// writing serializes frames.
 	writing sync.Mutex
 
+	// silence is how long RecvWithin waits for the next bytes, in nanoseconds; 0 is
+	// without end.
+	silence atomic.Int64
+
 	mu     sync.Mutex
 	closed bool
 }
 
 func newStream(conn *yamux.Stream) *Stream {
-	return &Stream{conn: conn, in: mux.NewFrameReader(conn)}
+	st := &Stream{conn: conn}
+	st.in = mux.NewFrameReader(watched{st})
+	return st
+}
+
+// watched moves a stream's read deadline on before each read.
+type watched struct{ *Stream }
+
+// Read implements io.Reader.
+func (w watched) Read(p []byte) (int, error) {
+	if d := time.Duration(w.silence.Load()); d > 0 {
+		w.SetReadDeadline(time.Now().Add(d))
+	}
+	return w.conn.Read(p)
 }
 
 // Close ends the stream and unblocks its reader.
@@ -144,6 +162,15 @@
 	return s.in.Read(msg)
 }
 
+// RecvWithin reads one frame into msg and gives up when nothing has come in for silence.
+// A frame may be a whole configuration: a bound on its time would be one on its size, and
+// over a thin link each try would be given up midway and begun anew.
+func (s *Stream) RecvWithin(msg proto.Message, silence time.Duration) error {
+	s.silence.Store(int64(silence))
+	defer s.silence.Store(0)
+	return s.in.Read(msg)
+}
+
 // Fail sends err as the stream's answer.
 func (s *Stream) Fail(err error) error {
 	return s.Send(&innerv1.Reply{Kind: &innerv1.Reply_Failure{Failure: failure.As(err).Proto()}})
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -58,3 +58,37 @@
 		require.Equal(t, kingcupv1.Outcome_OUTCOME_NOT_RUN, f.Outcome, name)
 	}
 }
+
+// A peer sends a configuration over a thin link, which takes five times as long as it may
+// be silent. The bytes come in all the while, so the frame must be read to its end; when
+// the peer falls silent in the middle, the reader must know soon.
+func TestLongFrameIsReadWhileItComesIn(t *testing.T) {
+	const silence, parts = 300 * time.Millisecond, 25
+	frame, err := mux.Frame(&innerv1.Reply{Kind: &innerv1.Reply_Failure{Failure: &kingcupv1.Failure{Detail: string(make([]byte, 5000))}}})
+	require.NoError(t, err)
+	network := memnet.New()
+	l, err := network.Listen("server")
+	require.NoError(t, err)
+	srv := NewServer(l, func(_ context.Context, open *innerv1.Open, st *Stream) {
+		for i := range parts {
+			if open.GetConfigPull().GetHaveVersion() == 1 && i == parts/2 {
+				time.Sleep(10 * silence)
+				return
+			}
+			st.conn.Write(frame[i*len(frame)/parts : (i+1)*len(frame)/parts])
+			time.Sleep(5 * silence / parts)
+		}
+	})
+	go srv.Serve()
+	defer srv.Close()
+	sess, err := Dial(t.Context(), network, "server", Identity{Name: "peer"})
+	require.NoError(t, err)
+	defer sess.Close()
+	for version, whole := range []bool{true, false} {
+		st, _, err := sess.Open(&innerv1.Open{Kind: &innerv1.Open_ConfigPull{ConfigPull: &innerv1.ConfigPull{HaveVersion: uint64(version)}}})
+		require.NoError(t, err)
+		err = st.RecvWithin(&innerv1.Reply{}, silence)
+		require.Equal(t, whole, err == nil, "version %d: %v", version, err)
+		st.Close()
+	}
+}
