--- a/internal/changewire/changewire.go
+++ b/internal/changewire/changewire.go
@@ -31,8 +31,8 @@
 const partRoutes = 400
 
 // Encode gives the head of an answer that carries a change, and the parts that follow it.
-// Each part is decoded by itself.
-func Encode(ch *routing.Change) (head *peerv1.Change, parts [][]byte, err error) {
+// Each part is decoded by itself. pause is called between parts.
+func Encode(ch *routing.Change, pause func()) (head *peerv1.Change, parts [][]byte, err error) {
 	access, err := deflate(accessOf(ch))
 	if err != nil {
 		return nil, nil, err
@@ -43,6 +43,7 @@
 			return nil, nil, err
 		}
 		parts = append(parts, part)
+		pause()
 	}
 	return &peerv1.Change{Base: ch.Base, Version: ch.Version, Access: access, Parts: uint32(len(parts))}, parts, nil
 }
--- a/internal/changewire/changewire_test.go
+++ b/internal/changewire/changewire_test.go
@@ -13,6 +13,9 @@
 	"kingcupplank.example/kingcup/routing"
 )
 
+// atOnce makes no pauses.
+func atOnce() {}
+
 // fill sets every field of a struct, so that one that is not encoded shows.
 func fill(t *testing.T, v reflect.Value) {
 	t.Helper()
@@ -55,7 +58,7 @@
 }
 
 func pass(t require.TestingT, ch *routing.Change) *routing.Change {
-	head, parts, err := Encode(ch)
+	head, parts, err := Encode(ch, atOnce)
 	require.NoError(t, err)
 	require.Len(t, parts, int(head.GetParts()))
 	access, err := Access(head)
@@ -71,7 +74,7 @@
 func begun(t require.TestingT, ch *routing.Change) *routing.Update {
 	r := routing.NewReplica()
 	if ch.Base != 0 {
-		r.Put(routing.Content{Version: ch.Base})
+		r.Put(routing.Content{Version: ch.Base}, atOnce)
 	}
 	u, err := r.Begin(ch)
 	require.NoError(t, err)
@@ -109,7 +112,7 @@
 // 1,400 routes more take 350 KB of the row in the store, and 19 KB between gateways. They
 // must stay far below what a thin link passes in the pause of a stream.
 func TestChangeIsSmall(t *testing.T) {
-	_, parts, err := Encode(drawn(1400))
+	_, parts, err := Encode(drawn(1400), atOnce)
 	require.NoError(t, err)
 	size := 0
 	for _, part := range parts {
@@ -125,12 +128,12 @@
 func BenchmarkEncode(b *testing.B) {
 	ch := drawn(1400)
 	for b.Loop() {
-		Encode(ch)
+		Encode(ch, atOnce)
 	}
 }
 
 func BenchmarkDecode(b *testing.B) {
-	head, parts, _ := Encode(drawn(1400))
+	head, parts, _ := Encode(drawn(1400), atOnce)
 	for b.Loop() {
 		ch, _ := Access(head)
 		u := begun(b, ch)
@@ -142,7 +145,7 @@
 
 // FuzzDecode: whatever bytes a peer sends, they are a change or an error.
 func FuzzDecode(f *testing.F) {
-	head, parts, err := Encode(drawn(3))
+	head, parts, err := Encode(drawn(3), atOnce)
 	require.NoError(f, err)
 	f.Add(head.GetAccess(), parts[1])
 	f.Add([]byte{}, []byte{})
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -13,6 +13,7 @@
 
 	"kingcupplank.example/kingcup/internal/changewire"
 	"kingcupplank.example/kingcup/internal/follow"
+	"kingcupplank.example/kingcup/internal/wait"
 	"kingcupplank.example/kingcup/platform/operator"
 	peerv1 "kingcupplank.example/kingcup/proto/kingcup/peer/v1"
 	"kingcupplank.example/kingcup/routing"
@@ -220,7 +221,7 @@
 	if ch == nil {
 		return encodedChange{head: &peerv1.Change{Base: version, Version: version}}, nil
 	}
-	head, parts, err := changewire.Encode(ch)
+	head, parts, err := changewire.Encode(ch, wait.Breathe)
 	if err != nil {
 		return encodedChange{}, err
 	}
--- /dev/null
+++ b/internal/gateway/fuzz_test.go
@@ -0,0 +1,125 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"kingcupplank.example/kingcup/backends"
+	"kingcupplank.example/kingcup/internal/follow"
+	"kingcupplank.example/kingcup/internal/peers"
+	"kingcupplank.example/kingcup/platform/directory"
+	"kingcupplank.example/kingcup/platform/operator"
+	peerv1 "kingcupplank.example/kingcup/proto/kingcup/peer/v1"
+	"kingcupplank.example/kingcup/routing"
+)
+
+// memberRows is a store whose table of gateways holds given rows.
+type memberRows []follow.Row
+
+func (m memberRows) Put(context.Context, string, string, []byte) error { return nil }
+
+func (m memberRows) Remove(context.Context, string, string, uint64) error { return nil }
+
+func (m memberRows) Table(string) follow.Feed { return memberFeed(m) }
+
+func quietGroup(store rows) *group {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	registry := backends.New("z", func(string) int { return 0 }, func(backends.Server, backends.Notice) {})
+	g := newGroup(peers.Member{Name: "self", Address: "10.0.0.1:80", FailureDomain: "z"}, store, registry, routing.NewReplica(), 10, log)
+	for _, table := range []string{operator.Table, directory.Table} {
+		g.followers[table] = follow.New(follow.Config{Name: table}, nil, g.config.sink, g.config, nil, log)
+	}
+	return g
+}
+
+// FuzzMember: whatever bytes stand for the row of a gateway, they name an address that can
+// be dialed, or none.
+func FuzzMember(f *testing.F) {
+	for _, seed := range []string{`{"address":"10.0.0.2:7200","failure_domain":"z"}`, "", "null", "[]", `{"address":7}`, `{"address":"vm:7200"}`, `{"address":"10.0.0.2"}`} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := decodeMember(data)
+		if err != nil {
+			return
+		}
+		_, err = netip.ParseAddrPort(m.Address)
+		require.NoError(t, err)
+	})
+}
+
+// FuzzPeer: whatever a peer's frame holds, the gateway lives on.
+func FuzzPeer(f *testing.F) {
+	for _, frame := range []*peerv1.Frame{
+		{Kind: &peerv1.Frame_State{State: &peerv1.State{From: &peerv1.Member{Name: "p"}, ConfigVersion: 9, Loads: []*peerv1.Load{{Server: "s", Tokens: 1 << 63}}, Queues: []*peerv1.Queue{{Service: "m"}}}}},
+		{Kind: &peerv1.Frame_Page{Page: &peerv1.Page{Table: operator.Table, Since: 5, Revision: 3}}},
+		{Kind: &peerv1.Frame_Page{Page: &peerv1.Page{Table: directory.Table, Rows: []*peerv1.Row{{Key: "s"}}}}},
+	} {
+		data, err := proto.Marshal(frame)
+		require.NoError(f, err)
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		frame := &peerv1.Frame{}
+		if proto.Unmarshal(data, frame) != nil {
+			return
+		}
+		g := quietGroup(memberRows(nil))
+		if s := frame.GetState(); s != nil {
+			g.State("p", s)
+			g.State("p", nil)
+		}
+		if p := frame.GetPage(); p != nil {
+			g.Page("p", p)
+		}
+		g.state()
+	})
+}
+
+// Another writer leaves rows that are none in the table of gateways. The gateways of the
+// other rows must be known just as without them: a gateway that is left out is not told
+// of loads, and one that cannot be dialed would be tried for ever.
+func TestBadRowsOfMembersChangeNothing(t *testing.T) {
+	bad := []string{"", "{", "null", "[]", `{"address":"vm:80"}`, `{"address":"10.0.0.2"}`, `{"failure_domain":"z"}`}
+	rapid.Check(t, func(t *rapid.T) {
+		var mixed, clean memberRows
+		for i := range rapid.IntRange(0, 10).Draw(t, "rows") {
+			row := follow.Row{Key: fmt.Sprint("vm-", i), Value: fmt.Appendf(nil, `{"address":"10.0.0.%d:7200","failure_domain":"z"}`, i+1), Revision: uint64(i)}
+			if rapid.Bool().Draw(t, "bad") {
+				row.Value = []byte(rapid.SampledFrom(bad).Draw(t, "data"))
+			} else {
+				clean = append(clean, row)
+			}
+			mixed = append(mixed, row)
+		}
+		want, err := quietGroup(clean).announce(context.Background())
+		require.NoError(t, err)
+		got, err := quietGroup(mixed).announce(context.Background())
+		require.NoError(t, err)
+		require.Equal(t, want, got)
+	})
+}
+
+// memberFeed is the table of gateways, read once.
+type memberFeed []follow.Row
+
+var errNotFollowed = errors.New("the table of gateways is not followed")
+
+func (m memberFeed) Changes(context.Context, uint64, time.Duration, func()) (follow.Page, error) {
+	return follow.Page{}, errNotFollowed
+}
+
+func (m memberFeed) Snapshot(context.Context, time.Duration) (follow.Page, error) {
+	return follow.Page{Rows: m}, nil
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -65,7 +65,7 @@
 
 func newGroup(self peers.Member, store rows, registry *backends.Registry, replica *routing.Replica, linkMbps float64, log logrus.FieldLogger) *group {
 	g := &group{self: self, store: store, registry: registry, linkMbps: linkMbps, log: log, followers: make(map[string]*follow.Follower), queues: make(map[string]flow.Contender), used: make(map[string]usages)}
-	g.config = &configSharing{group: g, replica: replica, sink: &operator.Sink{Replica: replica, Log: log}}
+	g.config = &configSharing{group: g, replica: replica, sink: operator.NewSink(replica, wait.Breathe, log)}
 	var d net.Dialer
 	g.links = peers.New(self, peers.Deps{
 		Dial:  func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) },
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -133,7 +133,7 @@
 		{Name: "once", Host: "h", Prefix: "/once/", Kind: routing.Once, Target: 150 * time.Millisecond, Servers: 2, Split: split(deskService)},
 		{Name: "safe", Host: "h", Prefix: "/safe/", Kind: routing.Idempotent, Target: 150 * time.Millisecond, Servers: 2, Split: split(deskService)},
 		{Name: "open", Host: "h", Prefix: "/open/", Kind: routing.Idempotent, Public: true, Servers: 2, Split: split(deskService)},
-	}, Services: []*routing.Service{{Name: modelService, Engine: engine}, {Name: deskService}}})
+	}, Services: []*routing.Service{{Name: modelService, Engine: engine}, {Name: deskService}}}, func() {})
 	w.replica.Confirm(w.now())
 }
 
--- a/routing/change.go
+++ b/routing/change.go
@@ -30,11 +30,17 @@
 	return len(ch.Drop) + len(ch.Set) + len(ch.DropTeams) + len(ch.SetTeams)
 }
 
+// comparedAtOnce is how many routes are compared without a pause: 1 ms of a whole core.
+const comparedAtOnce = 1024
+
 // diffRoutes notes what leads from c's routes to a list. Of two routes with the same
 // host and prefix the first one holds.
-func (ch *Change) diffRoutes(c *Config, routes []*Route) {
+func (ch *Change) diffRoutes(c *Config, routes []*Route, pause func()) {
 	listed := make(map[RouteID]bool, len(routes))
-	for _, r := range routes {
+	for i, r := range routes {
+		if i%comparedAtOnce == comparedAtOnce-1 {
+			pause()
+		}
 		id := RouteID{strings.ToLower(r.Host), r.Prefix}
 		if listed[id] {
 			continue
@@ -44,11 +50,14 @@
 			ch.Set = append(ch.Set, r)
 		}
 	}
-	for it := c.routes.Root().Iterator(); ; {
+	for it, i := c.routes.Root().Iterator(), 0; ; i++ {
 		_, old, ok := it.Next()
 		if !ok {
 			return
 		}
+		if i%comparedAtOnce == comparedAtOnce-1 {
+			pause()
+		}
 		if id := (RouteID{strings.ToLower(old.Host), old.Prefix}); !listed[id] {
 			ch.Drop = append(ch.Drop, id)
 		}
--- a/routing/change_test.go
+++ b/routing/change_test.go
@@ -11,6 +11,9 @@
 	"pgregory.net/rapid"
 )
 
+// atOnce makes no pauses.
+func atOnce() {}
+
 // drawContent draws a small version, so that versions share routes, teams and keys.
 func drawContent(t *rapid.T, version uint64) Content {
 	c := Content{Version: version, Keyed: true, Services: []*Service{{Name: "s"}}}
@@ -69,7 +72,7 @@
 		reader, follower := NewReplica(), NewReplica()
 		for v := range rapid.IntRange(1, 12).Draw(t, "versions") {
 			content := drawContent(t, uint64(v+1))
-			require.True(t, reader.Put(content))
+			require.True(t, reader.Put(content, atOnce))
 			if rapid.IntRange(0, 2).Draw(t, "missed") == 0 {
 				continue
 			}
@@ -94,7 +97,7 @@
 // A change of another version, or an older one that was delayed, changes nothing.
 func TestChangeOfAnotherVersionIsRefused(t *testing.T) {
 	r := NewReplica()
-	require.True(t, r.Put(Content{Version: 4, Routes: []*Route{{Host: "h", Prefix: "/a/"}}}))
+	require.True(t, r.Put(Content{Version: 4, Routes: []*Route{{Host: "h", Prefix: "/a/"}}}, atOnce))
 	_, err := r.Begin(&Change{Base: 3, Version: 5})
 	require.ErrorIs(t, err, ErrBase)
 	late, err := r.Begin(&Change{Base: 4, Version: 5})
@@ -104,8 +107,8 @@
 	ok, err := r.Commit(old)
 	require.NoError(t, err)
 	require.False(t, ok)
-	require.False(t, r.Put(Content{Version: 3}))
-	require.True(t, r.Put(Content{Version: 6, Routes: []*Route{{Host: "h", Prefix: "/a/"}}}))
+	require.False(t, r.Put(Content{Version: 3}, atOnce))
+	require.True(t, r.Put(Content{Version: 6, Routes: []*Route{{Host: "h", Prefix: "/a/"}}}, atOnce))
 	ok, err = r.Commit(late)
 	require.NoError(t, err)
 	require.False(t, ok)
@@ -121,7 +124,7 @@
 	r := NewReplica()
 	old, extra := &Route{Host: "h", Prefix: "/a/"}, &Route{Host: "h", Prefix: "/b/"}
 	both := []*Team{{Name: "t", Keys: []string{"kept", "taken"}}}
-	r.Put(Content{Version: 1, Routes: []*Route{old}, Teams: both, Keyed: true})
+	r.Put(Content{Version: 1, Routes: []*Route{old}, Teams: both, Keyed: true}, atOnce)
 	_, err := r.Begin(&Change{Version: 2, SetTeams: []*Team{{Name: "t", Keys: []string{"kept", "new"}}}})
 	require.NoError(t, err)
 	c, _ := r.Current()
@@ -130,7 +133,7 @@
 	require.NotNil(t, c.Team("kept"))
 	require.Nil(t, c.Team("new"))
 	require.NotNil(t, c.Match("h", "/a/x"))
-	r.Put(Content{Version: 3, Routes: []*Route{old, extra}, Teams: both, Keyed: true})
+	r.Put(Content{Version: 3, Routes: []*Route{old, extra}, Teams: both, Keyed: true}, atOnce)
 	c, _ = r.Current()
 	require.NotNil(t, c.Team("taken"))
 	require.NotNil(t, c.Match("h", "/b/x"))
@@ -235,7 +238,7 @@
 		content := Content{Version: 2, Routes: grown(n + 100)}
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			for b.Loop() {
-				base.Next(content)
+				base.Next(content, atOnce)
 			}
 		})
 	}
--- a/routing/config.go
+++ b/routing/config.go
@@ -37,7 +37,7 @@
 
 // New builds a version from its whole content.
 func New(c Content) *Config {
-	next, _ := empty().Next(c)
+	next, _ := empty().Next(c, func() {})
 	return next
 }
 
@@ -83,13 +83,13 @@
 func (c *Config) Routes() int { return c.routes.Len() }
 
 // Next is the version with a content, and the change that leads there. What is equal
-// in both is shared.
-func (c *Config) Next(content Content) (*Config, *Change) {
+// in both is shared. pause is called between parts of a long comparison.
+func (c *Config) Next(content Content, pause func()) (*Config, *Change) {
 	ch := &Change{
 		Base: c.Version, Version: content.Version, Limits: content.Limits,
 		Services: content.Services, Keyed: content.Keyed,
 	}
-	ch.diffRoutes(c, content.Routes)
+	ch.diffRoutes(c, content.Routes, pause)
 	ch.diffTeams(c, content.Teams)
 	next, err := c.Apply(ch)
 	if err != nil {
--- a/routing/replica.go
+++ b/routing/replica.go
@@ -46,15 +46,15 @@
 
 // Put takes a whole version unless one as new is in force, and reports whether it did.
 // An answer that was delayed on its way may bear an older version; taking it would bring
-// back routes and keys that were removed.
-func (r *Replica) Put(content Content) bool {
+// back routes and keys that were removed. pause is called between parts of the work.
+func (r *Replica) Put(content Content, pause func()) bool {
 	r.updates.Lock()
 	defer r.updates.Unlock()
 	base := r.base()
 	if base.Version >= content.Version {
 		return false
 	}
-	next, ch := base.Next(content)
+	next, ch := base.Next(content, pause)
 	r.install(next, ch)
 	return true
 }
