--- a/tools/without/gateway.go
+++ b/tools/without/gateway.go
@@ -62,4 +62,6 @@
 	{"pages for thin peers", "internal/gateway/peers.go", "return holdsUp(size, s.GetLinkMbps())", "return false", "./internal/gateway", "TestPagesAreShortEnoughForTheThinnestLink"},
 	{"readers of two domains", "internal/gateway/readers.go", "if live[i].failureDomain != live[0].failureDomain {", "if false {", "./internal/gateway", "TestWideLinksOfTwoDomainsRead"},
 	{"frames that come in", "internal/wire/session.go", "s.silence.Store(int64(silence))\n\tdefer s.silence.Store(0)", "s.SetReadDeadline(time.Now().Add(silence))", "./internal/wire", "TestLongFrameIsReadWhileItComesIn"},
+	{"silent servers, behind a partition", "internal/relay/speed.go", "func() { lease.Silent(r.Now()) }", "func() {}", "./internal/gateway", "TestServerBehindAPartitionCostsFewRequests"},
+	{"once sent, never \"not run\", behind a partition", "internal/relay/place.go", "f := &Refusal{Reason: why, Run: j.ran > 0}", "f := &Refusal{Reason: why}", "./internal/gateway", "TestServerBehindAPartitionCostsFewRequests"},
 }
