Tests: suspended VMs

Change: a clock that counts suspended time and timers that do not, in the relay's and the follower's tests: no key is trusted, the VM is not ready, the store is read at once.

--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -434,3 +434,28 @@
 		require.Greater(t, store.called(), 1)
 	})
 }
+
+// A VM that lives on what peers read is suspended, and its peers' links are gone when it
+// wakes. By its timers it has just heard of them; by the clock its view is old, so it reads
+// the store at once, and what it says of its age tells the truth.
+func TestSuspendedVMReadsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, sink := newFakeStore(), newTable()
+		store.put("a", "1")
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		start, suspended := time.Now(), atomic.Int64{}
+		now := func() time.Duration { return time.Since(start) + time.Duration(suspended.Load()) }
+		f := New(Config{Name: "t", Wait: testWait}, store, sink, fixedSharing{reads: func(bool) bool { return false }, shared: func(Shared) {}}, now, log)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go f.Run(ctx)
+		time.Sleep(10 * time.Millisecond)
+		store.put("a", "2")
+		suspended.Store(int64(10 * time.Second))
+		require.GreaterOrEqual(t, sink.age(now()), 10*time.Second)
+		time.Sleep(2 * leanPoll)
+		require.Equal(t, "2", sink.get("a"))
+		require.Less(t, sink.age(now()), time.Second)
+	})
+}
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,13 +26,14 @@
 
 // world is a Relay over servers that a test plays.
 type world struct {
-	t        *testing.T
-	start    time.Time
-	replica  *routing.Replica
-	registry *backends.Registry
-	up       *fakeUpstream
-	relay    *Relay
-	others   *others
+	suspended atomic.Int64
+	t         *testing.T
+	start     time.Time
+	replica   *routing.Replica
+	registry  *backends.Registry
+	up        *fakeUpstream
+	relay     *Relay
+	others    *others
 }
 
 // others are the other processes.
@@ -118,7 +120,14 @@
 	return w
 }
 
-func (w *world) now() time.Duration { return time.Since(w.start) + time.Second }
+// now counts the time that the VM was suspended, as the gateway's clock does; timers do
+// not.
+func (w *world) now() time.Duration {
+	return time.Since(w.start) + time.Second + time.Duration(w.suspended.Load())
+}
+
+// suspend has the VM stand still for d: no timer and no goroutine notices.
+func (w *world) suspend(d time.Duration) { w.suspended.Add(int64(d)) }
 
 // apply puts a version of the standard configuration in force and confirms it.
 func (w *world) apply(version uint64, keys ...string) {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -157,6 +157,25 @@
 	})
 }
 
+// The VM is suspended for ten seconds, in which a key is removed, and wakes with callers'
+// requests waiting on its connections. For its timers no time has passed. It must not
+// serve the key, nor be ready, before its view has been confirmed again.
+func TestSuspendedVMTrustsNoKeys(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, Config{RevokeBound: 5 * time.Second, ApplyBound: 2 * time.Second})
+		w.server("a", deskService)
+		w.up.send = func(context.Context, *Attempt) (*Answer, error) { return answer(200, "ok"), nil }
+		w.serve(request("/once/x")).whole(t, "ok")
+		w.suspend(10 * time.Second)
+		require.Equal(t, ReasonStale, w.serve(request("/once/x")).refusal.Reason)
+		require.Equal(t, ReasonStale, w.serve(request("/new/x")).refusal.Reason)
+		require.False(t, w.relay.Ready())
+		w.apply(2, "other-key")
+		require.Equal(t, ReasonKey, w.serve(request("/once/x")).refusal.Reason)
+		require.True(t, w.relay.Ready())
+	})
+}
+
 // A route was added while the store was out of reach. "No such route" would be
 // final for the caller; another VM knows the route, so the caller is sent back.
 func TestUnknownRouteIsNotFinalWithoutConfirmation(t *testing.T) {
