--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -77,33 +77,6 @@
 // moment would otherwise return as one burst.
 var backoff = retry.Backoff{Base: 100 * time.Millisecond, Max: 500 * time.Millisecond}
 
-// Shared is a page as one process passes it on to others.
-type Shared struct {
-	Page
-	// Since is the revision that the page goes on from.
-	Since uint64
-}
-
-// ErrNoPeer says that no other process brings this table up to date.
-var ErrNoPeer = errors.New("no peer serves the table")
-
-// Sharing lets processes that follow the same table read it for each other. Every
-// call to the store has a price and its rate is bounded.
-type Sharing interface {
-	// Fetch has another process bring the sink up to what it has, and returns where its
-	// feed stands, without rows. Errors: ErrNoPeer, or why it failed.
-	Fetch(ctx context.Context) (Page, error)
-	// Reads reports whether this process is one of those that read the store;
-	// the others live on what they are told. reached says whether the store
-	// answered this process last.
-	Reads(reached bool) bool
-	// Share passes on a page that was read.
-	Share(s Shared)
-	// Reading reports whether another process says that a long answer of the store is
-	// coming in there.
-	Reading() bool
-}
-
 // Follower copies a table into a sink.
 type Follower struct {
 	cfg     Config
@@ -150,14 +123,6 @@
 	}
 }
 
-// silentSlack is how much longer than a call may wait nothing may be heard before
-// a process that lives on others reads by itself.
-const silentSlack = 500 * time.Millisecond
-
-// probeStore is how often a process that the store does not answer tries it
-// while others keep it informed.
-const probeStore = time.Second
-
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -174,114 +139,48 @@
 	}
 }
 
-// leans reports whether others read the table for this process.
-func (f *Follower) leans() bool {
+// step brings the sink forward once: by another process for what was missed, else by a
+// call to the store.
+func (f *Follower) step(ctx context.Context) error {
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.sharing == nil || !f.synced || f.gap() || f.behind || f.silent() {
-		return false
-	}
-	if f.failures > 0 && f.now()-f.tried > probeStore {
-		return false
-	}
-	return !f.sharing.Reads(f.failures == 0)
-}
-
-// readingPatience is how old the view may become while a peer takes in a long answer. A
-// row of 20,000 routes takes a peer 2 s to read and decode; one that read it as well
-// because of that silence would have its link full for longer.
-const readingPatience = 4 * time.Second
-
-// silent reports whether too little is heard of others to live on them; mu is held.
-func (f *Follower) silent() bool {
-	age := f.now() - f.made
-	return age > f.cfg.Wait+silentSlack && (age > readingPatience || !f.sharing.Reading())
-}
-
-// Reading reports whether a long answer is coming in here.
-func (f *Follower) Reading() bool { return f.reading.Load() }
-
-// leanPoll is how often a process that lives on others looks whether it still may.
-const leanPoll = 100 * time.Millisecond
-
-func (f *Follower) await(ctx context.Context) {
-	t := time.NewTimer(leanPoll)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-f.offered:
-	case <-t.C:
+	synced, gap, behind := f.synced, f.gap(), f.behind
+	f.behind = false
+	f.mu.Unlock()
+	if synced && (gap || behind) && f.sharing != nil {
+		// What another process only seems to have is no reason to call the store.
+		if f.fetch(ctx) || !gap {
+			return nil
+		}
 	}
-}
-
-// Offer takes a page that another process has read. One that leaves a gap is not
-// taken; the changes between are then fetched, or read from the store.
-func (f *Follower) Offer(s Shared) {
-	f.applying.Lock()
-	defer f.applying.Unlock()
 	f.mu.Lock()
-	synced, joins := f.synced, s.Since <= f.revision
-	if synced && !joins {
-		f.gapTo = max(f.gapTo, s.Since)
-	}
+	f.tried = f.now()
 	f.mu.Unlock()
 	if !synced {
-		return
-	}
-	if joins {
-		f.take(s.Page, 0)
+		return f.readWhole(ctx)
 	}
-	f.nudge()
+	return f.readChanges(ctx)
 }
 
-// Behind tells that another process has a newer table.
-func (f *Follower) Behind() {
-	f.mu.Lock()
-	f.behind = true
-	f.mu.Unlock()
-	f.nudge()
-}
-
-// gap reports whether pages were missed; mu is held.
-func (f *Follower) gap() bool { return f.gapTo > f.revision }
-
-func (f *Follower) nudge() {
-	select {
-	case f.offered <- struct{}{}:
-	default:
+func (f *Follower) readWhole(ctx context.Context) error {
+	begun := f.now()
+	page, err := f.feed.Snapshot(ctx, f.snapshotPatience())
+	if err != nil {
+		return err
 	}
+	f.reset(page, begun)
+	return nil
 }
 
-// step makes one call, to another process for what was missed, else to the store.
-func (f *Follower) step(ctx context.Context) error {
+func (f *Follower) readChanges(ctx context.Context) error {
 	begun := f.now()
 	f.mu.Lock()
-	synced, since := f.synced, f.revision
-	gap, behind := f.gap(), f.behind
-	patience := f.cfg.Wait
-	if gap || f.failures > 0 {
+	since, patience := f.revision, f.cfg.Wait
+	if f.gap() || f.failures > 0 {
 		// What is missing is there already, and after an outage the age of the view
 		// must not wait for a change.
 		patience = 0
 	}
-	f.behind = false
-	f.mu.Unlock()
-	if synced && (gap || behind) && f.sharing != nil {
-		if f.fetch(ctx) || !gap {
-			return nil
-		}
-	}
-	f.mu.Lock()
-	f.tried = begun
 	f.mu.Unlock()
-	if !synced {
-		page, err := f.feed.Snapshot(ctx, f.snapshotPatience())
-		if err != nil {
-			return err
-		}
-		f.reset(page, begun)
-		return nil
-	}
 	defer f.reading.Store(false)
 	page, err := f.feed.Changes(ctx, since, patience, func() { f.reading.Store(true) })
 	if err != nil {
@@ -299,23 +198,6 @@
 	return nil
 }
 
-// fetch has another process bring the sink up to date, and reports whether one did.
-func (f *Follower) fetch(ctx context.Context) bool {
-	page, err := f.sharing.Fetch(ctx)
-	if err != nil {
-		if !errors.Is(err, ErrNoPeer) {
-			f.log.WithError(err).Info("peers do not bring what was missed")
-		}
-		return false
-	}
-	f.applying.Lock()
-	defer f.applying.Unlock()
-	f.take(page, 0)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return !f.gap()
-}
-
 const (
 	// snapshotPatience is how long the first try to read a table waits for each part
 	// of it. A connection that fell silent must not hold up the start.
