Sight: which requests ran on a server that has ended

Cause: not shown yet; the logs could not tell a request that ends its servers from servers that end by load, since no line said what an attempt asks for, nor whether a server that broke off had ended.

Change: requests have a content id, the same for all attempts and gateways. Where an answer breaks off the gateway looks, by a connection, whether the server still listens; one line a server that has ended names the requests that ran there, and a counter counts. No decision uses it.

Ruled out for the look: the report of a server (plain services have none), the directory alone (an entry stays for three heartbeats).

--- a/internal/gatewaymetrics/metrics.go
+++ b/internal/gatewaymetrics/metrics.go
@@ -29,6 +29,8 @@
 	pause    prometheus.Histogram
 	attempts *prometheus.CounterVec
 	moves    *prometheus.CounterVec
+	// ended counts the servers that ended under requests.
+	ended *prometheus.CounterVec
 	// unreadable counts the entries of servers that name none to use.
 	unreadable prometheus.Counter
 	// store counts the calls to the store and storeBytes what came in, also of answers
@@ -68,6 +70,9 @@
 		moves: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "kingcup_gateway_moves_total", Help: "Moves of runs between engines, by result.",
 		}, []string{"result"}),
+		ended: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "kingcup_gateway_servers_ended_total", Help: "Backend servers that ended while requests of this gateway ran there.",
+		}, []string{"service"}),
 		unreadable: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "kingcup_gateway_unreadable_entries_total", Help: "Entries of servers that could not be read.",
 		}),
@@ -89,7 +94,7 @@
 		Name: "kingcup_gateway_peer_sent_bytes_total", Help: "Bytes sent to other gateways by cause, without the frames of the links.",
 	}, []string{"cause"})
 	r.registry.MustRegister(r.reasons, r.control)
-	r.registry.MustRegister(r.finished, r.first, r.pause, r.attempts, r.moves, r.unreadable, r.store, r.storeBytes, r.transfer)
+	r.registry.MustRegister(r.finished, r.first, r.pause, r.attempts, r.moves, r.ended, r.unreadable, r.store, r.storeBytes, r.transfer)
 	return r
 }
 
@@ -115,6 +120,9 @@
 	r.count(team, burn.FirstToken, d <= firstByteTarget)
 }
 
+// Ended implements relay.Observer.
+func (r *Recorder) Ended(service string) { r.ended.WithLabelValues(service).Inc() }
+
 // Pause implements relay.Observer.
 func (r *Recorder) Pause(team string, d time.Duration) {
 	r.pause.Observe(d.Seconds())
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -235,6 +235,7 @@
 	moves   []string
 	closed  []string
 	leaving map[string]bool
+	gone    map[string]bool
 	send    func(ctx context.Context, a *Attempt) (*Answer, error)
 	move    func(ctx context.Context, from backends.Server, id, to string, final bool) (string, error)
 }
@@ -266,6 +267,22 @@
 	f.closed = append(f.closed, address)
 }
 
+func (f *fakeUpstream) Gone(_ context.Context, s backends.Server) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.gone[s.ID]
+}
+
+// end has a server listen no more.
+func (f *fakeUpstream) end(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.gone == nil {
+		f.gone = make(map[string]bool)
+	}
+	f.gone[id] = true
+}
+
 func (f *fakeUpstream) Drop(context.Context, Copy) {}
 
 func (f *fakeUpstream) Leaving(_ context.Context, s backends.Server) (bool, error) {
@@ -331,3 +348,4 @@
 func (noObserver) Pause(string, time.Duration)                           {}
 func (noObserver) Attempt(string, string)                                {}
 func (noObserver) Moved(string)                                          {}
+func (noObserver) Ended(string)                                          {}
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -125,6 +125,7 @@
 	r.Observer.Attempt(j.service, "lost")
 	lease.Done(backends.Lost, r.Now())
 	r.Others.Nudge()
+	r.broke(ctx, j, lease.Server)
 	if !j.mayRepeat() {
 		return r.refuse(j, ReasonLost)
 	}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -52,6 +52,9 @@
 			o.lease.Done(backends.Unjudged, r.Now())
 			return r.giveUp(ctx, j, *r.refuse(j, ReasonDeadline), out)
 		}
+		if err != nil {
+			r.broke(ctx, j, o.lease.Server)
+		}
 		r.Observer.Attempt(j.service, "spoilt")
 		o.lease.Done(backends.Failed, r.Now())
 		j.tried = append(j.tried, o.lease.Server.ID)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -36,6 +36,8 @@
 	Pause(team string, d time.Duration)
 	Attempt(service, result string)
 	Moved(result string)
+	// Ended is told of a server that has ended under requests.
+	Ended(service string)
 }
 
 // Deps are the parts a Relay works with.
@@ -82,7 +84,9 @@
 	budgets map[string]*retry.Budget
 	runs    map[string]map[*run]struct{}
 	lanes   map[string]*lane
-	active  int
+	// inquests are those of the servers whose answers broke of late.
+	inquests map[life]*inquest
+	active   int
 	// pace is the usual time between two events of a stream.
 	pace time.Duration
 	// speed is the prompt tokens a second that an engine reads.
@@ -96,13 +100,14 @@
 // New returns a Relay.
 func New(cfg Config, deps Deps) *Relay {
 	r := &Relay{
-		Deps:    deps,
-		budgets: make(map[string]*retry.Budget),
-		runs:    make(map[string]map[*run]struct{}),
-		lanes:   make(map[string]*lane),
-		pace:    startPace,
-		speed:   startSpeed,
-		outputs: newOutputs(),
+		Deps:     deps,
+		budgets:  make(map[string]*retry.Budget),
+		runs:     make(map[string]map[*run]struct{}),
+		lanes:    make(map[string]*lane),
+		inquests: make(map[life]*inquest),
+		pace:     startPace,
+		speed:    startSpeed,
+		outputs:  newOutputs(),
 	}
 	r.Configure(cfg)
 	return r
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -31,6 +31,9 @@
 	o, refusal := r.place(ctx, j, j.After)
 	for refusal == nil && !o.streams() {
 		w, err := readWhole(o.answer)
+		if err != nil {
+			r.broke(ctx, j, o.lease.Server)
+		}
 		o.uncover(r.Now())
 		o.lease.Done(backends.Failed, r.Now())
 		j.tried = append(j.tried, o.lease.Server.ID)
@@ -188,7 +191,8 @@
 // memory, or, where the route allows it, by a new run behind the last event.
 func (s *session) goOn(ctx context.Context, o *offer, cause error) *offer {
 	j := s.job
-	log := j.log.WithField("server", o.lease.Server.ID).WithField("after", s.seq.after())
+	log := j.log.WithField("server", o.lease.Server.ID).WithField("after", s.seq.after()).WithField("content", j.id().String())
+	s.broke(ctx, j, o.lease.Server)
 	if next := s.resumeCopy(ctx, o); next != nil {
 		log.WithField("to", next.lease.Server.ID).WithField("cause", cause.Error()).Info("stream goes on from its copy")
 		s.Observer.Moved("resumed")
