Failing tests: a request that ends its servers is sent on by every gateway

Cause shown: nothing remembers what a request has done. On the stand-in, each line "server has ended under requests" names the same content, and nothing else ran on most of these servers, which refutes ends by load; a sound server is chosen each time, which refutes stale beliefs of servers.

Change: the stand-in's servers can end under a body and are back later under a new id, their entry lapses; callers can send bodies of their own.

--- /dev/null
+++ b/internal/gateway/quarantine_test.go
@@ -0,0 +1,131 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"kingcupplank.example/kingcup/internal/standin/fleet"
+)
+
+const (
+	// harmful is in the bodies under which engines end.
+	harmful = "harmful"
+	// toldWithin is how long after the third end under a request all gateways may still
+	// send it to servers.
+	toldWithin = time.Second
+	// mostFurther is how many servers such a request may reach after the third end, by those
+	// attempts that were under way.
+	mostFurther = 3
+)
+
+// fragile is an engine that ends under harmful requests, shortly after their first event.
+var fragile = fleet.Behaviour{
+	Events: 5, EventEvery: 20 * time.Millisecond, Delay: 100 * time.Millisecond,
+	EndsUnder: harmful, EndsAfter: 50 * time.Millisecond,
+}
+
+// endings notes when engines ended under requests.
+type endings struct {
+	mu sync.Mutex
+	at []time.Time
+}
+
+func (e *endings) note(*fleet.Server) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.at = append(e.at, time.Now())
+}
+
+func (e *endings) times() []time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.at)
+}
+
+// fragileEngines starts engines that end under harmful requests.
+func (s *system) fragileEngines(n int) *endings {
+	e := &endings{}
+	s.fleet.Ended = e.note
+	for range n {
+		s.server(fleet.ModelService, fragile)
+	}
+	return e
+}
+
+// reached lists when servers got requests whose body has a text.
+func (s *system) reached(text string) (at []time.Time) {
+	for _, srv := range s.fleet.Servers() {
+		for _, seen := range srv.Seen() {
+			if strings.Contains(seen.Body, text) {
+				at = append(at, seen.At)
+			}
+		}
+	}
+	slices.SortFunc(at, time.Time.Compare)
+	return at
+}
+
+// repeat sends a body to gateways in turn for some time, and returns the statuses; each
+// attempt has an id of its own.
+func repeat(t *testing.T, nodes []*node, body string, every, lasts time.Duration) (statuses []int) {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for i, begun := 0, time.Now(); time.Since(begun) < lasts; i++ {
+		n := nodes[i%len(nodes)]
+		wg.Go(func() {
+			status, _ := fleet.StreamAs(context.Background(), n.callers, fleet.CheckPath, fleet.As{ID: fleet.NextID(), Key: fleet.Key, Body: body}, func(string) {})
+			mu.Lock()
+			defer mu.Unlock()
+			statuses = append(statuses, status)
+		})
+		time.Sleep(every)
+	}
+	wg.Wait()
+	return statuses
+}
+
+// One caller's request ends each engine that begins to run it. The caller comes back several
+// times a second, with a new id, at any gateway; each gateway finds a sound engine for it,
+// and engine after engine ends, with the generations of others on it. The log of ended
+// servers shows the same content on each. After the third end nobody may send it on.
+func TestRequestThatEndsServersIsSentOnByNobody(t *testing.T) {
+	s := newSystem(t)
+	ends := s.fragileEngines(6)
+	nodes := []*node{s.gateway("vm-1"), s.gateway("vm-2"), s.gateway("vm-3")}
+	repeat(t, nodes, harmful, 150*time.Millisecond, 6*time.Second)
+	at := ends.times()
+	require.GreaterOrEqual(t, len(at), 3)
+	require.LessOrEqual(t, len(at), 3+mostFurther, "ends in all")
+	for _, reached := range s.reached(harmful) {
+		require.Less(t, reached.Sub(at[2]), toldWithin, "sent on after the third end")
+	}
+}
+
+// All gateways are killed while a request that ends engines is refused, and others start in
+// their place. The caller comes back: to them it is new. What the first ones learnt must not
+// go with them, or engines end again.
+func TestGatewaysThatStartLaterKnowWhichRequestEndsServers(t *testing.T) {
+	s := newSystem(t)
+	ends := s.fragileEngines(6)
+	first := []*node{s.gateway("vm-1"), s.gateway("vm-2")}
+	repeat(t, first, harmful, 150*time.Millisecond, 3*time.Second)
+	for _, n := range first {
+		n.Close()
+	}
+	known := len(ends.times())
+	later := []*node{s.gateway("vm-3"), s.gateway("vm-4")}
+	started := time.Now()
+	statuses := repeat(t, later, harmful, 100*time.Millisecond, 2*time.Second)
+	require.Equal(t, known, len(ends.times()), "engines ended again")
+	for _, reached := range s.reached(harmful) {
+		require.True(t, reached.Before(started), "sent on by a gateway that started later")
+	}
+	require.NotContains(t, statuses, http.StatusOK)
+}
--- a/internal/standin/fleet/caller.go
+++ b/internal/standin/fleet/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -16,13 +17,20 @@
 func NextID() string { return fmt.Sprintf("attempt-%d", attempts.Add(1)) }
 
 // As makes a caller's request as the holder of a key, under an id.
-type As struct{ ID, Key string }
+type As struct {
+	ID, Key string
+	// Body is the request's, a usual one if empty.
+	Body string
+}
+
+// usualBody is the body of requests whose content does not matter.
+const usualBody = "body"
 
 // client opens a connection for each request, as callers do that retry.
 var client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
 
 func request(ctx context.Context, address, path string, as As) (*http.Request, error) {
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, strings.NewReader("body"))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, strings.NewReader(cmp.Or(as.Body, usualBody)))
 	if err != nil {
 		return nil, err
 	}
@@ -35,7 +43,7 @@
 
 // Call makes a caller's plain request to a gateway.
 func Call(ctx context.Context, address, path string) (status int, body string, err error) {
-	return CallAs(ctx, address, path, As{NextID(), Key})
+	return CallAs(ctx, address, path, As{ID: NextID(), Key: Key})
 }
 
 // CallAs makes a plain request of a given caller.
@@ -56,7 +64,7 @@
 // Stream makes a caller's generation and hands each event on. A nil error is a
 // whole answer.
 func Stream(ctx context.Context, address, path string, each func(event string)) error {
-	status, err := StreamAs(ctx, address, path, As{NextID(), Key}, each)
+	status, err := StreamAs(ctx, address, path, As{ID: NextID(), Key: Key}, each)
 	if err == nil && status != http.StatusOK {
 		return fmt.Errorf("status %d", status)
 	}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -29,7 +29,14 @@
 	// that the server announces.
 	Via func(address string) (string, error)
 
+	// BackAfter is how long after an end by a fault of its own a server's place is taken
+	// by a new one, LapsesAfter how long its entry stays.
+	BackAfter, LapsesAfter time.Duration
+	// Ended, if set, is told of such an end, Began of the new server.
+	Ended, Began func(*Server)
+
 	mu      sync.Mutex
+	closed  bool
 	servers []*Server
 	next    int
 	version int
@@ -42,7 +49,7 @@
 
 // New starts a platform without servers, with the standard configuration.
 func New() *Fleet {
-	f := &Fleet{Store: NewStore(), timeoutMs: 1500}
+	f := &Fleet{Store: NewStore(), timeoutMs: 1500, BackAfter: 2 * time.Second, LapsesAfter: 3 * time.Second}
 	f.Configure(Key)
 	return f
 }
@@ -51,12 +58,55 @@
 func (f *Fleet) Close() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.closed = true
 	for _, s := range f.servers {
 		s.Kill()
 	}
 	f.Store.Close()
 }
 
+// End ends a server as by a fault of its own: its process is gone at once, its entry lapses,
+// and a new one of its kind starts some time later.
+func (f *Fleet) End(s *Server) {
+	if s.stopped.Load() {
+		return
+	}
+	s.Kill()
+	if f.Ended != nil {
+		f.Ended(s)
+	}
+	time.AfterFunc(f.LapsesAfter, func() {
+		if !f.isClosed() {
+			s.Leave()
+		}
+	})
+	time.AfterFunc(f.BackAfter, func() {
+		if f.isClosed() {
+			return
+		}
+		s.mu.Lock()
+		b := s.behave
+		s.mu.Unlock()
+		again, err := f.Add(s.Service, s.Zone, b)
+		if err == nil && f.Began != nil {
+			f.Began(again)
+		}
+	})
+}
+
+func (f *Fleet) isClosed() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.closed
+}
+
+// Servers lists all servers that were ever started.
+func (f *Fleet) Servers() []*Server {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.servers)
+}
+
 // Add starts a server.
 func (f *Fleet) Add(service, zone string, b Behaviour) (*Server, error) {
 	f.mu.Lock()
--- a/internal/standin/fleet/server.go
+++ b/internal/standin/fleet/server.go
@@ -31,6 +31,8 @@
 	listener net.Listener
 	// peers are all engines, by address.
 	peers func(address string) *Server
+	// end ends the server as by a fault of its own.
+	end func(*Server)
 
 	mu   sync.Mutex
 	seen []Seen
@@ -60,6 +62,10 @@
 	EventEvery time.Duration
 	// CopyTime is how long a copy of a run takes.
 	CopyTime time.Duration
+	// EndsUnder, if set, has the server end EndsAfter the first byte of its answer to a
+	// request whose body contains it; see Fleet.End.
+	EndsUnder string
+	EndsAfter time.Duration
 	// Raw, if set, answers in the server's place, on the bare connection.
 	Raw func(c net.Conn, r *http.Request)
 }
@@ -93,7 +99,7 @@
 
 // serve begins a life of the server: it knows of no run and no copy.
 func (s *Server) serve(f *Fleet, l net.Listener) {
-	s.store, s.listener, s.peers = f.Store, l, f.byAddress
+	s.store, s.listener, s.peers, s.end = f.Store, l, f.byAddress, f.End
 	s.runs, s.copies = make(map[string]*run), make(map[string]string)
 	s.state, s.dark = "ready", make(chan struct{})
 	mux := http.NewServeMux()
@@ -212,6 +218,9 @@
 		}
 		return
 	}
+	if b.EndsUnder != "" && strings.Contains(string(body), b.EndsUnder) {
+		time.AfterFunc(b.Delay+b.EndsAfter, func() { s.end(s) })
+	}
 	s.answer(w, r, b, from)
 }
 
