Requests under which three servers have ended are held by all gateways

Callers saw: one caller's request ended server after server, whichever gateway it came to; long streams on those servers broke off, others were refused for lack of room.

Cause: nothing remembered what a request had done. An attempt that comes back has a new id, each gateway judges servers and never requests, and a sound server is found for it each time; a stream that may be resumed is carried on by the gateway itself.

Change: package quarantine (pure) keeps, for each request by its content and team, the lives of servers that ended under it; three within an hour convict it for an hour. Records merge in any order (union of ends, newest absolution). A whole answer of one server absolves; ends that a verdict explains count no more against what ran beside it. Gateways tell each other what is news, at a bounded rate, and a verdict is a row in the table of gateways, which costs no further call. A held request is refused at once, with the end of its term to come back at; attempts that no server has begun to answer are cut; streams under it are neither moved nor resumed. A request that one more end would convict waits for the look at its server before it is repeated. Gateways are ready once they know the table.

Ruled out: rows for each end (writes grow with crashes and gateways), telling peers only (a herd that is killed forgets it), blame by order of arrival.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -124,8 +124,10 @@
 			return newGroup(self, st, reg, rep, set.LinkMbps, opts.PeerLinks, costs, log)
 		},
 		func(rep *routing.Replica, reg *backends.Registry, up *upstream.Client, now clock.Source, rec *gatewaymetrics.Recorder, gr *group, l *late) *relay.Relay {
-			r := relay.New(relayConfig(set), relay.Deps{Replica: rep, Registry: reg, Upstream: up, Now: now, Log: log, Observer: rec, Others: gr})
+			r := relay.New(relayConfig(set), relay.Deps{Replica: rep, Registry: reg, Upstream: up, Now: now, Log: log, Observer: rec, Others: gr, Suspects: gr.suspects})
 			l.relay.Store(r)
+			held := r.Quarantined
+			gr.suspects.held.Store(&held)
 			return r
 		},
 	}
@@ -211,6 +213,7 @@
 	g.wg.Go(func() { g.relay.Scout(ctx, g.directory.Away) })
 	g.wg.Go(func() { g.tend(ctx) })
 	g.wg.Go(func() { g.group.logControl(ctx) })
+	g.wg.Go(func() { g.group.suspects.tend(ctx) })
 	return nil
 }
 
@@ -259,8 +262,11 @@
 // Ready tells the balancer whether callers may come. A gateway that has just started
 // may know the configuration well before a long directory: each request would be
 // refused for lack of a server, while other gateways could serve it.
+//
+// The table of gateways says under which requests servers end: one that does not know it
+// would send them on.
 func (g *Gateway) Ready() bool {
-	return !g.stopping.Load() && g.relay.Ready() && g.directory.Filled()
+	return !g.stopping.Load() && g.relay.Ready() && g.directory.Filled() && g.group.followers[membersTable].Filled()
 }
 
 const (
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -16,7 +16,8 @@
 	"kingcupplank.example/kingcup/retry"
 )
 
-// membersTable holds a row for each gateway, by the name of its VM.
+// membersTable holds a row for each gateway, by the name of its VM, and one for each request
+// that is not sent to servers.
 const membersTable = "gateways"
 
 const (
@@ -77,7 +78,8 @@
 		return err
 	}
 	g.seedClock(page.Clock, begun)
-	g.role.startsFirst(g.decodeMembers(page.Rows))
+	_, gateways := splitRows(page.Rows)
+	g.role.startsFirst(g.decodeMembers(gateways))
 	g.followers[membersTable].Seed(page, begun)
 	g.role.joined.Store(true)
 	row := memberRow{Address: g.self.Address, FailureDomain: g.self.FailureDomain, LinkMbps: g.linkMbps}
@@ -125,13 +127,19 @@
 
 // Reset implements follow.Sink. Gateways that are linked and have no row any more are told
 // by their links.
-func (m members) Reset(rows []follow.Row, _ time.Duration) { m.links.Learn(m.decodeMembers(rows)) }
+func (m members) Reset(rows []follow.Row, _ time.Duration) {
+	requests, gateways := splitRows(rows)
+	m.suspects.read(requests, true)
+	m.links.Learn(m.decodeMembers(gateways))
+}
 
 // Apply implements follow.Sink.
 func (m members) Apply(rows []follow.Row, _ time.Duration) {
+	requests, gateways := splitRows(rows)
+	m.suspects.read(requests, false)
 	var gone []string
 	var written []follow.Row
-	for _, row := range rows {
+	for _, row := range gateways {
 		if row.Deleted {
 			gone = append(gone, row.Key)
 			continue
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -43,6 +43,7 @@
 	costs    *controlCosts
 	stopping atomic.Bool
 	role     *readerRole
+	suspects *suspects
 	// followers by table take the pages of peers, answers encode what peers ask for of
 	// those whose rows are kept.
 	followers map[string]*follow.Follower
@@ -61,13 +62,14 @@
 	g := &group{self: self, store: store, registry: registry, linkMbps: linkMbps, costs: costs, log: log, followers: make(map[string]*follow.Follower), queues: make(map[string]flow.Contender), used: make(map[string]usages)}
 	g.answers = map[string]*tableAnswers{directory.Table: {}, membersTable: {}}
 	g.role = newReaderRole(g)
+	g.suspects = newSuspects(g)
 	g.answerBy(g.newest)
 	g.config = &configSharing{group: g, replica: replica, sink: operator.NewSink(replica, wait.Breathe, log)}
 	var d net.Dialer
 	g.links = peers.New(self, peers.Deps{
 		Dial:  func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) },
 		State: g.state, Receiver: g, Answer: g.answer, Log: log, Forgotten: g.forgotten,
-		Sent: costs.toPeer, MostLinks: mostLinks, Placed: g.placed,
+		Sent: costs.toPeer, MostLinks: mostLinks, Placed: g.placed, Greet: g.suspects.greet,
 	})
 	return g
 }
@@ -141,6 +143,9 @@
 	g.positionsHeard(s.GetPositions())
 }
 
+// Suspects implements peers.Receiver.
+func (g *group) Suspects(peer string, s *peerv1.Suspects) { g.suspects.hear(peer, s.GetSuspects()) }
+
 // Page implements peers.Receiver.
 func (g *group) Page(peer string, p *peerv1.Page) {
 	f := g.followers[p.GetTable()]
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -38,9 +38,9 @@
 
 	dialTimeout  = 500 * time.Millisecond
 	writeTimeout = time.Second
-	// pageQueue is how many pages may wait for a link; a peer that misses some
-	// reads them from the store.
-	pageQueue = 32
+	// frameQueue is how many frames may wait for a link; a peer that misses some reads
+	// them from the store.
+	frameQueue = 32
 )
 
 var redial = retry.Backoff{Base: 200 * time.Millisecond, Max: 3 * time.Second}
@@ -63,6 +63,8 @@
 	State(peer string, s *peerv1.State)
 	// Page is told of every page, and of the peer that sent it.
 	Page(peer string, p *peerv1.Page)
+	// Suspects is told of requests under which servers have ended.
+	Suspects(peer string, s *peerv1.Suspects)
 }
 
 // Deps are the parts a Manager works with.
@@ -72,6 +74,8 @@
 	Receiver Receiver
 	// Answer says what a peer that is behind gets: a head, and the parts that follow it.
 	Answer func(*peerv1.Fetch) (*peerv1.Change, [][]byte, error)
+	// Greet is what a peer is told of suspects when a link to it is up, nil for nothing.
+	Greet func() *peerv1.Suspects
 	// MostLinks bounds the peers of its own cell that this gateway tells.
 	MostLinks int
 	// Placed is told which of how many cells this gateway is in; it may be nil.
@@ -91,6 +95,8 @@
 	CauseState  Cause = "states"
 	CausePage   Cause = "pages"
 	CauseAnswer Cause = "answers"
+	// CauseSuspects is requests under which servers have ended.
+	CauseSuspects Cause = "suspects"
 )
 
 func (m *Manager) sent(c Cause, bytes int) {
@@ -120,12 +126,18 @@
 type member struct {
 	Member
 	cancel context.CancelFunc
-	pages  chan []byte
+	frames chan outgoing
 	nudge  chan struct{}
 	// session is the link to the member, nil while there is none.
 	session atomic.Pointer[yamux.Session]
 }
 
+// outgoing is a frame on its way to a peer.
+type outgoing struct {
+	frame []byte
+	cause Cause
+}
+
 type peer struct {
 	state *peerv1.State
 	heard time.Time
@@ -198,7 +210,7 @@
 			old.cancel()
 		}
 		ctx, cancel := context.WithCancel(m.ctx)
-		added := &member{Member: n, cancel: cancel, pages: make(chan []byte, pageQueue), nudge: make(chan struct{}, 1)}
+		added := &member{Member: n, cancel: cancel, frames: make(chan outgoing, frameQueue), nudge: make(chan struct{}, 1)}
 		m.members[n.Name] = added
 		m.wg.Go(func() { m.link(ctx, added) })
 	}
@@ -311,17 +323,53 @@
 		m.Log.WithError(err).WithField("table", p.GetTable()).Warn("page cannot be sent, peers read it from the store")
 		return
 	}
+	m.spread(outgoing{frame, CausePage})
+}
+
+// Tell tells all peers of suspects. A link whose queue is full misses it.
+func (m *Manager) Tell(s *peerv1.Suspects) {
+	frame, err := suspectsFrame(s)
+	if err != nil {
+		m.Log.WithError(err).Warn("suspects cannot be sent, peers read of verdicts in the store")
+		return
+	}
+	m.spread(outgoing{frame, CauseSuspects})
+}
+
+func suspectsFrame(s *peerv1.Suspects) ([]byte, error) {
+	return mux.Frame(&peerv1.Frame{Kind: &peerv1.Frame_Suspects{Suspects: s}})
+}
+
+// spread queues a frame for all peers.
+func (m *Manager) spread(o outgoing) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, n := range m.members {
 		select {
-		case n.pages <- frame:
+		case n.frames <- o:
 		default:
-			m.Log.WithField("peer", n.Name).WithField("table", p.GetTable()).Warn("link is slow, page is not sent")
+			m.Log.WithField("peer", n.Name).WithField("cause", o.cause).Warn("link is slow, frame is not sent")
 		}
 	}
 }
 
+// greet tells a peer of suspects when a link to it is up.
+func (m *Manager) greet(send func([]byte) error) error {
+	if m.Greet == nil {
+		return nil
+	}
+	s := m.Greet()
+	if s == nil {
+		return nil
+	}
+	frame, err := suspectsFrame(s)
+	if err != nil {
+		return err
+	}
+	m.sent(CauseSuspects, len(frame))
+	return send(frame)
+}
+
 // link keeps the connection to a member.
 func (m *Manager) link(ctx context.Context, n *member) {
 	begun := time.Now()
@@ -394,6 +442,9 @@
 		tick.Reset(period(m.Links()))
 		if first {
 			up()
+			if err := m.greet(send); err != nil {
+				return err
+			}
 			m.Log.WithField("peer", n.Name).Info("linked to a peer")
 		}
 		if err := m.until(ctx, n, tick.C, session.CloseChan(), send); err != nil {
@@ -416,11 +467,11 @@
 			return nil
 		case <-n.nudge:
 			return nil
-		case frame := <-n.pages:
-			if err := send(frame); err != nil {
+		case o := <-n.frames:
+			if err := send(o.frame); err != nil {
 				return err
 			}
-			m.sent(CausePage, len(frame))
+			m.sent(o.cause, len(o.frame))
 		}
 	}
 }
@@ -456,6 +507,8 @@
 			m.heard(k.State)
 		case *peerv1.Frame_Page:
 			m.Receiver.Page(from, k.Page)
+		case *peerv1.Frame_Suspects:
+			m.Receiver.Suspects(from, k.Suspects)
 		}
 	}
 }
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -32,6 +32,8 @@
 	e.states[peer] = s
 }
 
+func (e *ears) Suspects(string, *peerv1.Suspects) {}
+
 func (e *ears) Page(_ string, p *peerv1.Page) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -111,7 +113,7 @@
 	defer hanging.Close()
 	a.Learn([]Member{{Name: "z", Address: hanging.Addr().String()}})
 	begun := time.Now()
-	for range 10 * pageQueue {
+	for range 10 * frameQueue {
 		a.Spread(&peerv1.Page{Rows: []*peerv1.Row{{Value: make([]byte, 64<<10)}}})
 	}
 	require.Less(t, time.Since(begun), time.Second)
--- a/internal/relay/ended.go
+++ b/internal/relay/ended.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"kingcupplank.example/kingcup/backends"
@@ -17,6 +18,9 @@
 	// endLookTimeout bounds a look. A server behind a cut does not refuse; whether it has
 	// ended cannot be told.
 	endLookTimeout = 250 * time.Millisecond
+	// endPatience is how long a request waits for the looks. Callers bear a pause of 180 ms
+	// in a stream.
+	endPatience = 120 * time.Millisecond
 	// gatherTime is how long the other requests at a server that has ended may take to
 	// notice: their connections break in the same instant, their goroutines run later.
 	gatherTime = 10 * time.Millisecond
@@ -63,10 +67,31 @@
 // broke notes that the answer of a server to a request broke off. Where the server turns
 // out to have ended, and was not about to leave, it ended under the request. A connection
 // that was reset, a cut or a dropped request leave the server listening.
+//
+// A request that one more end would convict waits for what is found: it would go to the
+// next server otherwise.
 func (r *Relay) broke(ctx context.Context, j *job, s backends.Server) {
 	if _, leaving := r.Registry.State(s); leaving || ctx.Err() != nil {
 		return
 	}
+	j.broken = true
+	id := j.id()
+	over := r.inquire(s, broken{id: id, attempt: j.ID, events: j.progress.events, try: j.sent})
+	if !r.Suspects.Near(id) {
+		return
+	}
+	t := time.NewTimer(endPatience)
+	defer t.Stop()
+	select {
+	case <-over:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// inquire has an inquest take up a request whose answer broke off. What it returns is
+// closed when the looks at the server are over.
+func (r *Relay) inquire(s backends.Server, b broken) <-chan struct{} {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	q := r.inquests[lifeOf(s)]
@@ -75,10 +100,11 @@
 		r.inquests[lifeOf(s)] = q
 		go r.conduct(q)
 	}
-	q.broke = append(q.broke, broken{id: j.id(), attempt: j.ID, events: j.progress.events, try: j.sent})
+	q.broke = append(q.broke, b)
 	if q.ended {
 		go r.endedUnder(q)
 	}
+	return q.over
 }
 
 // conduct looks whether the server of an inquest has ended, twice.
@@ -143,6 +169,11 @@
 	r.Log.WithFields(logrus.Fields{
 		"server": q.server.ID, "born": q.server.Born, "service": q.server.Service, "requests": len(ran), "ran": named(ran),
 	}).Warn("server has ended under requests")
+	ids := make([]quarantine.ID, 0, len(ran))
+	for _, b := range ran {
+		ids = append(ids, b.id)
+	}
+	r.Suspects.Ended(q.server, ids)
 }
 
 // named says which requests ran on a server.
@@ -152,3 +183,56 @@
 	}
 	return out
 }
+
+// errHeld is why a request on its way is cut that must not be sent to servers any more.
+var errHeld = errors.New("servers end under the request")
+
+// Quarantined is told of a request that must not be sent to servers from now on. Attempts that no
+// server has begun to answer are given up at once: they would end the servers that they
+// are at. One that is being answered shows by its end whether the verdict is right.
+func (r *Relay) Quarantined(id quarantine.ID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for j := range r.jobs {
+		if !j.answering.Load() && j.id() == id {
+			j.cut(errHeld)
+		}
+	}
+}
+
+// held reports whether a request must not be sent to servers. Where nothing is known of
+// any, its content is not looked at.
+func (r *Relay) held(j *job) (left time.Duration, held bool) {
+	if !r.Suspects.Any() {
+		return 0, false
+	}
+	return r.Suspects.Held(j.id())
+}
+
+// answered notes that a server has answered a request from its beginning to its end:
+// servers do not end under it. An answer that was put together from several servers says
+// nothing of the kind, as those before the last may have ended.
+func (r *Relay) answered(j *job) {
+	if r.Suspects.Any() && !j.broken && j.After == "" {
+		r.Suspects.Answered(j.id())
+	}
+}
+
+// refuseHeld is the refusal of a request under which servers end. One that has not run is
+// told to come back when its verdict ends, and so not before.
+func (j *job) refuseHeld(left time.Duration) *Refusal {
+	f := &Refusal{Reason: ReasonHarmful, Run: j.ran > 0, Content: j.id().String()}
+	if !f.Run {
+		f.RetryAfter = left
+	}
+	return f
+}
+
+// noSuspects is a Relay's that shares nothing.
+type noSuspects struct{}
+
+func (noSuspects) Any() bool                                { return false }
+func (noSuspects) Held(quarantine.ID) (time.Duration, bool) { return 0, false }
+func (noSuspects) Near(quarantine.ID) bool                  { return false }
+func (noSuspects) Ended(backends.Server, []quarantine.ID)   {}
+func (noSuspects) Answered(quarantine.ID)                   {}
--- a/internal/relay/move.go
+++ b/internal/relay/move.go
@@ -264,7 +264,10 @@
 // movable lists the runs worth moving, those that would lose most first: runs
 // that are about to end by themselves come last.
 func (r *Relay) movable(s backends.Server) []*run {
-	runs := slices.DeleteFunc(r.runsOf(s), func(u *run) bool { return !u.canMove() })
+	runs := slices.DeleteFunc(r.runsOf(s), func(u *run) bool {
+		_, held := r.held(u.job)
+		return held || !u.canMove()
+	})
 	slices.SortFunc(runs, func(a, b *run) int { return cmp.Compare(b.remaining(), a.remaining()) })
 	return runs
 }
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -52,6 +52,10 @@
 		if refusal != nil {
 			return nil, refusal
 		}
+		if left, held := r.held(j); held {
+			lease.Done(backends.Unjudged, r.Now())
+			return nil, j.refuseHeld(left)
+		}
 		if j.sent > 0 && !r.repeat(j.service) {
 			lease.Done(backends.Unjudged, r.Now())
 			j.log.WithField("sent", j.sent).Warn("retry budget is used up")
@@ -76,6 +80,7 @@
 		a.Priority = j.priority
 	}
 	j.sent++
+	j.answering.Store(false)
 	begun := r.Now()
 	stop := r.watchStart(j, lease, a)
 	ctx, cut := context.WithCancel(ctx)
@@ -92,6 +97,7 @@
 		return nil, err
 	}
 	j.ran++
+	j.answering.Store(true)
 	lease.Begun()
 	if a.From == nil {
 		r.prompted(lease.Prompt+j.prompt(), r.Now()-begun)
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -45,6 +45,7 @@
 				}
 			} else {
 				o.lease.Done(backends.Good, r.Now())
+				r.answered(j)
 			}
 			return r.deliver(w, out)
 		}
@@ -71,7 +72,10 @@
 		out.Abort()
 		return OutcomeCallerGone
 	}
-	j.log.WithField("reason", f.Reason).WithField("may_have_run", f.Run).WithField("retry_after_ms", f.RetryAfter.Milliseconds()).Info("gave up")
+	if left, held := r.held(j); held {
+		f = *j.refuseHeld(left)
+	}
+	j.log.WithField("content", f.Content).WithField("reason", f.Reason).WithField("may_have_run", f.Run).WithField("retry_after_ms", f.RetryAfter.Milliseconds()).Info("gave up")
 	out.Refuse(f)
 	return string(f.Reason)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -12,6 +12,7 @@
 	"kingcupplank.example/kingcup/backends"
 	"kingcupplank.example/kingcup/flow"
 	"kingcupplank.example/kingcup/internal/clock"
+	"kingcupplank.example/kingcup/quarantine"
 	"kingcupplank.example/kingcup/retry"
 	"kingcupplank.example/kingcup/routing"
 )
@@ -49,6 +50,22 @@
 	Log      logrus.FieldLogger
 	Observer Observer
 	Others   Others
+	Suspects Suspects
+}
+
+// Suspects remembers under which requests servers have ended, here and at all other
+// processes.
+type Suspects interface {
+	// Any reports whether anything is known of any request.
+	Any() bool
+	// Held reports whether a request must not be sent to servers, and for how much longer.
+	Held(id quarantine.ID) (left time.Duration, held bool)
+	// Near reports whether a request would be held if one more server ended under it.
+	Near(id quarantine.ID) bool
+	// Ended is told of a server that has ended, and of the requests that ran there.
+	Ended(s backends.Server, ran []quarantine.ID)
+	// Answered is told of a request that a server has answered whole.
+	Answered(id quarantine.ID)
 }
 
 // Others tells of the other processes that serve callers.
@@ -87,6 +104,8 @@
 	// inquests are those of the servers whose answers broke of late.
 	inquests map[life]*inquest
 	active   int
+	// jobs are the requests on their way.
+	jobs map[*job]struct{}
 	// pace is the usual time between two events of a stream.
 	pace time.Duration
 	// speed is the prompt tokens a second that an engine reads.
@@ -105,10 +124,14 @@
 		runs:     make(map[string]map[*run]struct{}),
 		lanes:    make(map[string]*lane),
 		inquests: make(map[life]*inquest),
+		jobs:     make(map[*job]struct{}),
 		pace:     startPace,
 		speed:    startSpeed,
 		outputs:  newOutputs(),
 	}
+	if r.Suspects == nil {
+		r.Suspects = noSuspects{}
+	}
 	r.Configure(cfg)
 	return r
 }
@@ -142,11 +165,16 @@
 	tried []string
 	ran   int
 	sent  int
+	// broken says that the answer of a server broke off.
+	broken bool
 	// progress is how far a stream came.
 	progress progress
 	// outputs estimates how long generations become.
 	outputs *outputs
 	log     logrus.FieldLogger
+	// answering is set once a server has begun to answer, cut ends the request before.
+	answering atomic.Bool
+	cut       context.CancelCauseFunc
 }
 
 // progress is how far a stream came, for its last log line.
@@ -169,8 +197,12 @@
 		out.Refuse(*refusal)
 		return
 	}
+	ctx, j.cut = context.WithCancelCause(ctx)
+	defer j.cut(nil)
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
+	r.begin(j)
+	defer r.done(j)
 	var outcome string
 	if j.route.Kind == routing.Stream {
 		outcome = r.stream(ctx, j, out)
@@ -197,6 +229,18 @@
 	r.mu.Unlock()
 }
 
+func (r *Relay) begin(j *job) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.jobs[j] = struct{}{}
+}
+
+func (r *Relay) done(j *job) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.jobs, j)
+}
+
 // InProgress counts the requests that have no final answer yet.
 func (r *Relay) InProgress() int {
 	r.mu.Lock()
@@ -207,6 +251,9 @@
 // refused is what the log says of a request that is refused before it is placed.
 func (r *Relay) refused(req *Request, f *Refusal) logrus.Fields {
 	out := logrus.Fields{"request": req.ID, "reason": f.Reason, "path": req.Path}
+	if f.Content != "" {
+		out["content"] = f.Content
+	}
 	if cfg, confirmed := r.Replica.Current(); cfg != nil {
 		out["config"], out["config_age_ms"] = cfg.Version, (r.Now() - confirmed).Milliseconds()
 	}
@@ -242,6 +289,9 @@
 	if j.engine != nil && req.Generation != nil && req.Generation.PromptTokens > j.engine.MemoryTokens {
 		return nil, &Refusal{Reason: ReasonTooLarge}
 	}
+	if left, held := r.held(j); held {
+		return nil, &Refusal{Reason: ReasonHarmful, RetryAfter: left, Content: j.id().String()}
+	}
 	j.deadline = time.Now().Add(allowed(req.Wait, route.Timeout))
 	if r.outlasts(j) {
 		return nil, &Refusal{Reason: ReasonStopping, RetryAfter: r.moveOn()}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -78,6 +78,7 @@
 		if err == nil {
 			h.discard()
 			o.lease.Done(backends.Good, s.Now())
+			s.answered(s.job)
 			s.learn()
 			return s.end(first)
 		}
@@ -193,6 +194,12 @@
 	j := s.job
 	log := j.log.WithField("server", o.lease.Server.ID).WithField("after", s.seq.after()).WithField("content", j.id().String())
 	s.broke(ctx, j, o.lease.Server)
+	if _, held := s.held(j); held {
+		o.lease.Done(backends.Unjudged, s.Now())
+		log.WithError(cause).Warn("stream broke and must not go on: servers end under it")
+		s.Observer.Moved("lost")
+		return nil
+	}
 	if next := s.resumeCopy(ctx, o); next != nil {
 		log.WithField("to", next.lease.Server.ID).WithField("cause", cause.Error()).Info("stream goes on from its copy")
 		s.Observer.Moved("resumed")
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -173,6 +173,7 @@
 	ReasonSpoilt    Reason = "server's answer was spoilt"
 	ReasonStopping  Reason = "this VM is stopping"
 	ReasonMalformed Reason = "malformed request"
+	ReasonHarmful   Reason = "servers end under it"
 )
 
 // Refusal is a final answer of the system's own.
@@ -182,4 +183,6 @@
 	Run bool
 	// RetryAfter is when to come back, for a request that has not run.
 	RetryAfter time.Duration
+	// Content identifies what a harmful request asks for, for the log.
+	Content string
 }
--- /dev/null
+++ b/quarantine/book.go
@@ -0,0 +1,253 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Policy is when a request is refused.
+type Policy struct {
+	// Ends is how many servers must have ended under a request.
+	Ends int
+	// Window is the time within which they must have ended.
+	Window time.Duration
+	// Term is how long after the last of them the request is refused. It is tried again
+	// then: servers may have learnt to survive it.
+	Term time.Duration
+	// Records bounds the requests that are remembered, PerTeam those of one team.
+	Records, PerTeam int
+}
+
+// Default is the policy of gateways. Fewer ends would convict those that ran beside a
+// harmful request twice; a recurring request meets three servers that fail by chance within
+// an hour, without one answer in between, in less than one of a million hours at seven
+// failures a day.
+func Default() Policy {
+	return Policy{Ends: 3, Window: time.Hour, Term: time.Hour, Records: 1024, PerTeam: 128}
+}
+
+// Book holds the records of all requests, and the verdicts that follow from them.
+type Book struct {
+	policy  Policy
+	records map[ID]*Record
+	// held are the requests that are refused, with their newest end.
+	held map[ID]time.Duration
+}
+
+// NewBook returns an empty book.
+func NewBook(p Policy) *Book {
+	return &Book{policy: p, records: make(map[ID]*Record), held: make(map[ID]time.Duration)}
+}
+
+// Len counts the requests that are remembered.
+func (b *Book) Len() int { return len(b.records) }
+
+// Holds counts the requests that are refused.
+func (b *Book) Holds() int { return len(b.held) }
+
+// Change is what a Book has learnt.
+type Change struct {
+	// News are the records that have changed, as they are now.
+	News []Record
+	// Held are the requests that are refused from now on, Freed those that no longer are.
+	Held, Freed []ID
+}
+
+// Ended notes that a life of a server has ended while requests ran there.
+func (b *Book) Ended(server uint64, at time.Duration, ran []ID) Change {
+	list := make([]Record, 0, len(ran))
+	for _, id := range ran {
+		list = append(list, Record{ID: id, Ends: []End{{Server: server, At: at}}})
+	}
+	return b.Merge(list)
+}
+
+// Absolve notes that a server has answered a request, or that an operator lifts its
+// verdict. It is no news where nothing is held against the request.
+func (b *Book) Absolve(id ID, at time.Duration) Change {
+	if r := b.records[id]; r == nil || len(r.Ends) == 0 {
+		return Change{}
+	}
+	return b.Merge([]Record{{ID: id, Absolved: at}})
+}
+
+// Merge takes records of this process or of others.
+func (b *Book) Merge(list []Record) Change {
+	var c Change
+	for _, o := range list {
+		if r, news := b.take(o); news {
+			c.News = append(c.News, r)
+		}
+	}
+	if len(c.News) > 0 {
+		c.Held, c.Freed = b.judge()
+	}
+	return c
+}
+
+// take merges a record, and reports whether it brought news.
+func (b *Book) take(o Record) (Record, bool) {
+	r := b.records[o.ID]
+	if r == nil {
+		r = &Record{ID: o.ID}
+	}
+	if !r.merge(o) {
+		return Record{}, false
+	}
+	if b.records[o.ID] == nil {
+		b.records[o.ID] = r
+		b.bound(o.Team)
+	}
+	return r.clone(), b.records[o.ID] == r
+}
+
+// Held reports whether a request is refused, and for how much longer.
+func (b *Book) Held(id ID, now time.Duration) (left time.Duration, held bool) {
+	newest, held := b.held[id]
+	if !held {
+		return 0, false
+	}
+	left = b.policy.Term - (now - newest)
+	return left, left > 0
+}
+
+// Near reports whether a request would be refused, or already is, if one more server ended
+// under it.
+func (b *Book) Near(id ID) bool {
+	r := b.records[id]
+	return r != nil && len(r.together(b.policy.Window)) >= b.policy.Ends-1
+}
+
+// Record returns what is known of a request.
+func (b *Book) Record(id ID) Record {
+	if r := b.records[id]; r != nil {
+		return r.clone()
+	}
+	return Record{ID: id}
+}
+
+// Convicts reports whether a record by itself has a request refused.
+func (b *Book) Convicts(r Record) bool { return len(r.together(b.policy.Window)) >= b.policy.Ends }
+
+// Expired reports whether a record does not count any more.
+func (b *Book) Expired(r Record, now time.Duration) bool {
+	age, kept := now-r.last(), max(b.policy.Window, b.policy.Term)
+	return age >= kept || age <= -kept
+}
+
+// List returns the records of requests under which at least so many servers ended, in the
+// order of their IDs.
+func (b *Book) List(ends int) (out []Record) {
+	for _, r := range b.records {
+		if len(r.Ends) >= ends {
+			out = append(out, r.clone())
+		}
+	}
+	slices.SortFunc(out, func(x, y Record) int { return compareIDs(x.ID, y.ID) })
+	return out
+}
+
+// Expire forgets what does not count any more. What seems to lie far ahead is of a clock
+// that has begun anew.
+func (b *Book) Expire(now time.Duration) Change {
+	maps.DeleteFunc(b.records, func(_ ID, r *Record) bool { return b.Expired(*r, now) })
+	var c Change
+	c.Held, c.Freed = b.judge()
+	return c
+}
+
+// judge draws the verdicts from the records, and returns those that are new.
+//
+// All that ran on a server that has ended are suspected alike. Once a request is convicted,
+// the ends under it are explained, and count no more against those that ran beside it. They
+// still count against one that the same end convicts: which of the two it was cannot be
+// told, and to let both go on would end further servers.
+func (b *Book) judge() (held, freed []ID) {
+	was := b.held
+	b.held = make(map[ID]time.Duration, len(was))
+	explained := make(map[uint64]uint64)
+	for _, c := range b.convictable() {
+		ends := c.record.together(b.policy.Window)
+		unexplained := 0
+		for _, e := range ends {
+			if by, ok := explained[e.Server]; !ok || by == c.by.Server {
+				unexplained++
+			}
+		}
+		if unexplained < b.policy.Ends {
+			continue
+		}
+		b.held[c.record.ID] = ends[0].At
+		for _, e := range ends {
+			if _, ok := explained[e.Server]; !ok {
+				explained[e.Server] = c.by.Server
+			}
+		}
+	}
+	return missing(b.held, was), missing(was, b.held)
+}
+
+// missing lists the requests of one set that are not in another, in order.
+func missing(in, from map[ID]time.Duration) (out []ID) {
+	for id := range in {
+		if _, ok := from[id]; !ok {
+			out = append(out, id)
+		}
+	}
+	slices.SortFunc(out, compareIDs)
+	return out
+}
+
+// conviction is a record with ends enough, and the end by which it had them.
+type conviction struct {
+	record *Record
+	by     End
+}
+
+// convictable lists the records that have ends enough, in the order in which they had them.
+func (b *Book) convictable() (out []conviction) {
+	for _, r := range b.records {
+		ends := r.together(b.policy.Window)
+		if n := len(ends); n >= b.policy.Ends {
+			out = append(out, conviction{r, ends[n-b.policy.Ends]})
+		}
+	}
+	slices.SortFunc(out, func(x, y conviction) int {
+		return cmp.Or(-compareEnds(x.by, y.by), compareIDs(x.record.ID, y.record.ID))
+	})
+	return out
+}
+
+// bound forgets the weakest record of a team beyond its bound, and of the teams that have
+// most beyond that of all: someone may send ten thousand different harmful requests.
+func (b *Book) bound(team string) {
+	counts := make(map[string]int)
+	for id := range b.records {
+		counts[id.Team]++
+	}
+	if counts[team] > b.policy.PerTeam {
+		b.forgetWeakest(func(id ID) bool { return id.Team == team })
+		counts[team]--
+	}
+	if len(b.records) > b.policy.Records {
+		most := slices.Max(slices.Collect(maps.Values(counts)))
+		b.forgetWeakest(func(id ID) bool { return counts[id.Team] == most })
+	}
+}
+
+// forgetWeakest drops the record with the fewest ends, of these the oldest, among some.
+func (b *Book) forgetWeakest(among func(ID) bool) {
+	var weakest *Record
+	for id, r := range b.records {
+		if among(id) && (weakest == nil || weaker(r, weakest)) {
+			weakest = r
+		}
+	}
+	delete(b.records, weakest.ID)
+}
+
+func weaker(x, y *Record) bool {
+	return cmp.Or(cmp.Compare(len(x.Ends), len(y.Ends)), cmp.Compare(x.last(), y.last()), compareIDs(x.ID, y.ID)) < 0
+}
--- /dev/null
+++ b/quarantine/book_test.go
@@ -0,0 +1,186 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func request(name string) ID { return Of("team-"+name, "POST", "h", "/p", []byte(name)) }
+
+// A request under which three servers have ended within the window is refused from the
+// third end on, for the term, and is tried again after it.
+func TestThirdEndConvicts(t *testing.T) {
+	p := Default()
+	b, id := NewBook(p), request("a")
+	require.Empty(t, b.Ended(1, time.Second, []ID{id}).Held)
+	require.False(t, b.Near(id))
+	require.Empty(t, b.Ended(1, 2*time.Second, []ID{id}).Held, "the same life counts once")
+	require.Empty(t, b.Ended(2, 3*time.Second, []ID{id}).Held)
+	require.True(t, b.Near(id))
+	require.Equal(t, []ID{id}, b.Ended(3, 4*time.Second, []ID{id}).Held)
+	left, held := b.Held(id, 5*time.Second)
+	require.True(t, held)
+	require.Equal(t, p.Term-time.Second, left)
+	_, held = b.Held(request("b"), 5*time.Second)
+	require.False(t, held, "another request")
+	_, held = b.Held(id, 4*time.Second+p.Term)
+	require.False(t, held, "the term is over")
+}
+
+// Ends that are further apart than the window are no sign of a harmful request.
+func TestOldEndsDoNotCount(t *testing.T) {
+	p := Default()
+	b, id := NewBook(p), request("a")
+	for i := range 6 {
+		at := time.Duration(i) * (p.Window/2 + time.Minute)
+		require.Empty(t, b.Ended(uint64(i), at, []ID{id}).Held)
+	}
+}
+
+// An answer from beginning to end shows that servers do not end under a request. What was
+// seen before it does not count any more, also when a process tells of it later.
+func TestAnsweredRequestIsAbsolved(t *testing.T) {
+	b, id := NewBook(Default()), request("a")
+	b.Ended(1, 1*time.Second, []ID{id})
+	old := b.Record(id)
+	b.Ended(2, 2*time.Second, []ID{id})
+	b.Ended(3, 3*time.Second, []ID{id})
+	require.Equal(t, []ID{id}, b.Absolve(id, 4*time.Second).Freed)
+	require.Empty(t, b.Merge([]Record{old}).News, "older than the answer")
+	b.Ended(4, 5*time.Second, []ID{id})
+	require.Empty(t, b.Ended(5, 6*time.Second, []ID{id}).Held)
+	require.Equal(t, []ID{id}, b.Ended(6, 7*time.Second, []ID{id}).Held)
+}
+
+// Two requests ran on the first two servers that ended; one of them alone on the third. The
+// ends under that one are explained, and a chance end later does not convict the other.
+func TestExplainedEndsDoNotCountAgainstOthers(t *testing.T) {
+	b, harmful, beside := NewBook(Default()), request("harmful"), request("beside")
+	b.Ended(1, 1*time.Second, []ID{harmful, beside})
+	b.Ended(2, 2*time.Second, []ID{harmful, beside})
+	require.Equal(t, []ID{harmful}, b.Ended(3, 3*time.Second, []ID{harmful}).Held)
+	require.Empty(t, b.Ended(4, 4*time.Second, []ID{beside}).Held)
+}
+
+// Two requests that ran on the same three servers cannot be told apart; both are refused, or
+// the harmful one might go on.
+func TestRequestsWithTheSameEndsAreAllHeld(t *testing.T) {
+	b, x, y := NewBook(Default()), request("x"), request("y")
+	b.Ended(1, 1*time.Second, []ID{x, y})
+	b.Ended(2, 2*time.Second, []ID{x, y})
+	require.ElementsMatch(t, []ID{x, y}, b.Ended(3, 3*time.Second, []ID{x, y}).Held)
+}
+
+// Attempts that were under way end further servers after the verdict. They do not push out
+// the ends that explain what others were suspected for.
+func TestEndsAfterTheVerdictKeepIt(t *testing.T) {
+	b, harmful, beside := NewBook(Default()), request("harmful"), request("beside")
+	b.Ended(1, 1*time.Second, []ID{harmful, beside})
+	b.Ended(2, 2*time.Second, []ID{harmful, beside})
+	for i := uint64(3); i < 3+keptEnds-2; i++ {
+		b.Ended(i, time.Duration(i)*time.Second, []ID{harmful})
+	}
+	require.Empty(t, b.Ended(99, 20*time.Second, []ID{beside}).Held)
+}
+
+// A team that sends ten thousand different requests under which servers end takes a bounded
+// number of records, and pushes no verdict of another team out.
+func TestRecordsAreBounded(t *testing.T) {
+	p := Default()
+	b, other := NewBook(p), request("other")
+	for s := range uint64(3) {
+		b.Ended(s, time.Duration(1+s), []ID{other})
+	}
+	for i := range 10000 {
+		b.Ended(uint64(100+i), time.Duration(100+i), []ID{Of("flood", "POST", "h", "/p", fmt.Append(nil, i))})
+	}
+	require.LessOrEqual(t, b.Len(), p.PerTeam+1)
+	_, held := b.Held(other, 20000)
+	require.True(t, held)
+	for i := range 3000 {
+		b.Ended(uint64(20000+i), time.Duration(20000+i), []ID{Of(fmt.Sprint("team", i), "POST", "h", "/p", nil)})
+	}
+	require.LessOrEqual(t, b.Len(), p.Records)
+	_, held = b.Held(other, 30000)
+	require.True(t, held)
+}
+
+// Records are forgotten when they count no more, also those of a clock that began anew.
+func TestRecordsExpire(t *testing.T) {
+	p := Default()
+	b := NewBook(p)
+	b.Ended(1, time.Minute, []ID{request("old")})
+	b.Ended(2, 10*p.Window, []ID{request("ahead")})
+	b.Ended(3, p.Window, []ID{request("new")})
+	b.Expire(time.Minute + p.Window)
+	require.Equal(t, 1, b.Len())
+}
+
+// event is what one process sees.
+type event struct {
+	server uint64
+	at     time.Duration
+	ran    []ID
+	answer bool
+}
+
+func drawEvents(t *rapid.T) (out []event) {
+	ids := []ID{request("a"), request("b"), request("c"), request("d")}
+	n := rapid.IntRange(1, 25).Draw(t, "events")
+	for i := range n {
+		e := event{
+			server: rapid.Uint64Range(1, 9).Draw(t, "server"), at: time.Duration(i+1) * time.Second,
+			answer: rapid.IntRange(0, 6).Draw(t, "answer") == 0,
+		}
+		e.ran = rapid.SliceOfNDistinct(rapid.SampledFrom(ids), 1, 3, rapid.ID[ID]).Draw(t, "ran")
+		out = append(out, e)
+	}
+	return out
+}
+
+func (e event) happen(b *Book) []Record {
+	if e.answer {
+		return b.Absolve(e.ran[0], e.at).News
+	}
+	return b.Ended(e.server, e.at, e.ran).News
+}
+
+// Processes see different ends and tell each other in any order, several times, and with
+// losses that are made up for later: all come to the same records and the same verdicts,
+// and hearing an older record changes nothing.
+func TestVerdictsDoNotDependOnTheOrderOfTelling(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		books := []*Book{NewBook(Default()), NewBook(Default()), NewBook(Default())}
+		var told []Record
+		for _, e := range drawEvents(t) {
+			at := rapid.IntRange(0, len(books)-1).Draw(t, "process")
+			told = append(told, e.happen(books[at])...)
+			if rapid.Bool().Draw(t, "tells") && len(told) > 0 {
+				to := rapid.IntRange(0, len(books)-1).Draw(t, "to")
+				books[to].Merge([]Record{told[rapid.IntRange(0, len(told)-1).Draw(t, "record")]})
+			}
+		}
+		seed := rapid.Uint64().Draw(t, "seed")
+		for i, b := range books {
+			rng := rand.New(rand.NewPCG(seed, uint64(i)))
+			list := slices.Concat(told, told)
+			rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+			for _, r := range list {
+				b.Merge([]Record{r})
+			}
+		}
+		for _, b := range books[1:] {
+			require.Equal(t, books[0].records, b.records)
+			require.Equal(t, books[0].held, b.held)
+		}
+		for _, r := range told {
+			require.Empty(t, books[0].Merge([]Record{r}).News)
+		}
+	})
+}
--- a/quarantine/id.go
+++ b/quarantine/id.go
@@ -10,8 +10,10 @@
 package quarantine
 
 import (
+	"cmp"
 	"encoding/binary"
 	"fmt"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -29,6 +31,10 @@
 	return fmt.Sprintf("%016x-%016x", id.Content, xxhash.Sum64String(id.Team))
 }
 
+func compareIDs(x, y ID) int {
+	return cmp.Or(cmp.Compare(x.Content, y.Content), strings.Compare(x.Team, y.Team))
+}
+
 // Of returns the ID of a request of a team.
 func Of(team, method, host, target string, body []byte) ID {
 	h := xxhash.New()
