--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -21,6 +21,7 @@
 	"kingcupplank.example/kingcup/platform/directory"
 	"kingcupplank.example/kingcup/platform/operator"
 	peerv1 "kingcupplank.example/kingcup/proto/kingcup/peer/v1"
+	"kingcupplank.example/kingcup/quarantine"
 	"kingcupplank.example/kingcup/routing"
 )
 
@@ -67,6 +68,7 @@
 		{Kind: &peerv1.Frame_State{State: &peerv1.State{From: &peerv1.Member{Name: "p"}, Positions: []*peerv1.Position{{Table: directory.Table, Changed: 1 << 63, ClockMs: -1}}, Readers: []*peerv1.Reader{{Name: "r", AnsweredMs: 1 << 62}}}}},
 		{Kind: &peerv1.Frame_Page{Page: &peerv1.Page{Table: operator.Table, Since: 5, Revision: 3}}},
 		{Kind: &peerv1.Frame_Page{Page: &peerv1.Page{Table: directory.Table, Rows: []*peerv1.Row{{Key: "s"}}}}},
+		{Kind: &peerv1.Frame_Suspects{Suspects: &peerv1.Suspects{Suspects: []*peerv1.Suspect{{Team: "t", Content: 1, Ends: []*peerv1.End{{Server: 1, AtMs: 1}, {Server: 2, AtMs: -1}, {Server: 3, AtMs: 1 << 62}}}}}}},
 	} {
 		data, err := proto.Marshal(frame)
 		require.NoError(f, err)
@@ -85,10 +87,37 @@
 		if p := frame.GetPage(); p != nil {
 			g.Page("p", p)
 		}
+		if s := frame.GetSuspects(); s != nil {
+			g.Suspects("p", s)
+			g.suspects.greet()
+		}
 		g.state()
 	})
 }
 
+// FuzzSuspect: whatever bytes stand for the row of a request, it is read as what it would be
+// written as, or not at all.
+func FuzzSuspect(f *testing.F) {
+	valid := quarantine.Record{ID: quarantine.Of("team", "POST", "h", "/p", nil), Ends: []quarantine.End{{Server: 7, At: time.Second}}, Absolved: time.Millisecond}
+	data, err := encodeSuspect(valid)
+	require.NoError(f, err)
+	for _, seed := range []string{string(data), "", "null", "[]", "{}", `{"team":"t","content":-1}`, `{"ends":[{"at_ms":9e18}]}`} {
+		f.Add(suspectKey(valid.ID), []byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, key string, data []byte) {
+		r, err := decodeSuspect(follow.Row{Key: key, Value: data})
+		if err != nil {
+			return
+		}
+		again, err := encodeSuspect(r)
+		require.NoError(t, err)
+		same, err := decodeSuspect(follow.Row{Key: key, Value: again})
+		require.NoError(t, err)
+		require.Equal(t, r.ID, same.ID)
+		quarantine.NewBook(quarantine.Default()).Merge([]quarantine.Record{r, same})
+	})
+}
+
 // Another writer leaves rows that are none in the table of gateways. The gateways of the
 // other rows must be known just as without them: a gateway that is left out is not told
 // of loads, and one that cannot be dialed would be tried for ever.
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -72,6 +72,14 @@
 	return at
 }
 
+// generate makes a generation of a body as a new attempt, and returns the status.
+func (n *node) generate(path, body string) int {
+	as := fleet.As{ID: fleet.NextID(), Key: fleet.Key, Body: body}
+	// What breaks an answer off is no matter here.
+	status, _ := fleet.StreamAs(context.Background(), n.callers, path, as, func(string) {})
+	return status
+}
+
 // repeat sends a body to gateways in turn for some time, and returns the statuses; each
 // attempt has an id of its own.
 func repeat(t *testing.T, nodes []*node, body string, every, lasts time.Duration) (statuses []int) {
@@ -80,7 +88,7 @@
 	for i, begun := 0, time.Now(); time.Since(begun) < lasts; i++ {
 		n := nodes[i%len(nodes)]
 		wg.Go(func() {
-			status, _ := fleet.StreamAs(context.Background(), n.callers, fleet.CheckPath, fleet.As{ID: fleet.NextID(), Key: fleet.Key, Body: body}, func(string) {})
+			status := n.generate(fleet.CheckPath, body)
 			mu.Lock()
 			defer mu.Unlock()
 			statuses = append(statuses, status)
@@ -129,3 +137,23 @@
 	}
 	require.NotContains(t, statuses, http.StatusOK)
 }
+
+// Twelve gateways that each hear a few of the others learn of three ends at different ones,
+// while the store is away: only what gateways pass on reaches those that hear none of the
+// three. All of them must refuse the request a second later.
+func TestVerdictReachesGatewaysThatHearNoneOfItsWitnesses(t *testing.T) {
+	s, nodes := partial(t)
+	ends := s.fragileEngines(6)
+	time.Sleep(settle)
+	s.fleet.Store.SetFault(fleet.Silent)
+	witnesses := []*node{nodes[0], nodes[5], nodes[9]}
+	for i := 0; len(ends.times()) < 3; i++ {
+		witnesses[i%len(witnesses)].generate(fleet.PlanPath, harmful)
+	}
+	reached := len(s.reached(harmful))
+	time.Sleep(toldWithin)
+	for _, n := range nodes {
+		require.Equal(t, http.StatusServiceUnavailable, n.generate(fleet.PlanPath, harmful), n.set.Load().VM)
+	}
+	require.Len(t, s.reached(harmful), reached)
+}
--- a/internal/relay/ended_test.go
+++ b/internal/relay/ended_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +13,8 @@
 	"github.com/stretchr/testify/require"
 
 	"kingcupplank.example/kingcup/backends"
+	"kingcupplank.example/kingcup/cells"
+	"kingcupplank.example/kingcup/quarantine"
 )
 
 // endings lists the lines on servers that ended under requests.
@@ -93,3 +97,244 @@
 func noMove(context.Context, backends.Server, string, string, bool) (string, error) {
 	return "", ErrNoRoom
 }
+
+// ledger is what is known of suspects by one process alone. It implements Suspects.
+type ledger struct {
+	now    func() time.Duration
+	relay  *Relay
+	mu     sync.Mutex
+	book   *quarantine.Book
+	looked int
+}
+
+func (l *ledger) Any() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.book.Len() > 0
+}
+
+func (l *ledger) Held(id quarantine.ID) (time.Duration, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.looked++
+	return l.book.Held(id, l.now())
+}
+
+func (l *ledger) Near(id quarantine.ID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.book.Near(id)
+}
+
+func (l *ledger) Ended(s backends.Server, ran []quarantine.ID) {
+	l.mu.Lock()
+	c := l.book.Ended(cells.Hash(s.ID), l.now(), ran)
+	l.mu.Unlock()
+	for _, id := range c.Held {
+		l.relay.Quarantined(id)
+	}
+}
+
+func (l *ledger) Answered(id quarantine.ID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.book.Absolve(id, l.now())
+}
+
+// known counts the ends under a request.
+func (l *ledger) known(r *Request) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.book.Record(quarantine.Of("team-1", r.Method, r.Host, r.Target, r.Body)).Ends)
+}
+
+// suspicious has a world remember suspects.
+func (w *world) suspicious() *ledger {
+	l := &ledger{now: w.now, relay: w.relay, book: quarantine.NewBook(quarantine.Default())}
+	w.relay.Suspects = l
+	return l
+}
+
+// harmful has each server end under requests of a path, 50 ms after the first event; all
+// others are answered.
+func (w *world) harmful(path string) {
+	w.up.send = func(ctx context.Context, a *Attempt) (*Answer, error) {
+		if w.up.Gone(ctx, a.Server) {
+			return nil, &Refused{Why: RefusedUnreachable}
+		}
+		body := newSource()
+		go func() {
+			body.write(event(1))
+			time.Sleep(50 * time.Millisecond)
+			if a.Request.Path == path {
+				w.up.end(a.Server.ID)
+				body.breakOff()
+				return
+			}
+			body.write(event(2))
+			body.w.Close()
+		}()
+		return body.answer(), nil
+	}
+}
+
+// A stream that may be resumed ends the server that runs it, and the gateway carries it on
+// to the next one itself. After the third it must not, however many servers the route
+// allows; its caller gets the final answer at once.
+func TestOwnRepeatsEndAtTheThirdServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, Config{})
+		w.suspicious()
+		w.checkServers = 8
+		w.apply(2)
+		for i := range 8 {
+			w.server(fmt.Sprint("e", i), modelService)
+		}
+		w.harmful("/check/a")
+		c := w.serve(request("/check/a"))
+		require.True(t, c.aborted)
+		require.Len(t, w.up.servers(), 3)
+		time.Sleep(2 * lateLook)
+	})
+}
+
+// A request under which three servers have ended comes again with a new id. It is refused
+// at once, as not run, and is told to come back when the verdict ends; no server sees it.
+// Another request of the same team is served.
+func TestHeldRequestIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, Config{})
+		w.suspicious()
+		for i := range 6 {
+			w.server(fmt.Sprint("e", i), modelService)
+		}
+		w.harmful("/plan/a")
+		for range 3 {
+			w.serve(request("/plan/a"))
+		}
+		sent, begun := len(w.up.servers()), time.Now()
+		c := w.serve(request("/plan/a"))
+		require.NotNil(t, c.refusal)
+		require.Equal(t, ReasonHarmful, c.refusal.Reason)
+		require.False(t, c.refusal.Run)
+		require.Greater(t, c.refusal.RetryAfter, quarantine.Default().Term-10*time.Second)
+		require.Zero(t, time.Since(begun))
+		require.Len(t, w.up.servers(), sent)
+		w.serve(request("/plan/b")).whole(t, events(1, 2))
+		time.Sleep(2 * lateLook)
+	})
+}
+
+// Three servers end under a request while two more of its attempts are on their way: one is
+// at a server that reads its prompt, one is being answered. The first is given up at once,
+// or its server would end as well; the second goes on, as its answer shows.
+func TestAttemptsUnderWayAreGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, Config{})
+		l := w.suspicious()
+		w.server("e1", modelService)
+		reads, answers := make(chan struct{}), newSource()
+		w.up.send = func(ctx context.Context, a *Attempt) (*Answer, error) {
+			if a.Request.ID == "reads" {
+				close(reads)
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			return answers.answer(), nil
+		}
+		first, second := request("/plan/a"), request("/plan/a")
+		first.ID, second.ID = "reads", "answers"
+		var wg sync.WaitGroup
+		got := make([]*caller, 2)
+		wg.Go(func() { got[0] = w.serve(first) })
+		wg.Go(func() { got[1] = w.serve(second) })
+		<-reads
+		answers.write(event(1))
+		begun := time.Now()
+		for _, id := range []string{"x1", "x2", "x3"} {
+			l.Ended(w.entry(id, modelService), []quarantine.ID{quarantine.Of("team-1", first.Method, first.Host, first.Target, nil)})
+		}
+		synctest.Wait()
+		require.NotNil(t, got[0])
+		require.Equal(t, ReasonHarmful, got[0].refusal.Reason)
+		require.True(t, got[0].refusal.Run, "the server had it")
+		require.Zero(t, time.Since(begun))
+		answers.write(event(2))
+		answers.w.Close()
+		wg.Wait()
+		got[1].whole(t, events(1, 2))
+	})
+}
+
+// A run whose server ended has a standing copy elsewhere. Two servers have ended under the
+// request before; going on from the copy would end the one that holds it.
+func TestHeldStreamDoesNotGoOnFromItsCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, Config{})
+		l := w.suspicious()
+		for i := range 6 {
+			w.server(fmt.Sprint("e", i), modelService)
+		}
+		w.harmful("/plan/a")
+		r := request("/plan/a")
+		for _, id := range []string{"x1", "x2"} {
+			l.Ended(w.entry(id, modelService), []quarantine.ID{quarantine.Of("team-1", r.Method, r.Host, r.Target, nil)})
+		}
+		c := w.serve(r)
+		require.NotEmpty(t, w.up.sent[0].Backup, "there is a copy")
+		require.True(t, c.aborted)
+		require.Len(t, w.up.servers(), 1)
+		time.Sleep(2 * lateLook)
+	})
+}
+
+// A caller's answer was put together from two servers, the first of which ended. That it is
+// whole says nothing about the request; an answer of one server does.
+func TestOnlyAnAnswerOfOneServerAbsolves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, Config{})
+		l := w.suspicious()
+		w.server("e1", modelService)
+		w.server("e2", modelService)
+		w.up.send = func(ctx context.Context, a *Attempt) (*Answer, error) {
+			body := newSource()
+			go func() {
+				if a.After != "" {
+					body.write(event(2))
+					body.w.Close()
+					return
+				}
+				body.write(event(1))
+				w.up.end(a.Server.ID)
+				body.breakOff()
+			}()
+			return body.answer(), nil
+		}
+		r := request("/check/a")
+		w.serve(r).whole(t, events(1, 2))
+		time.Sleep(2 * lateLook)
+		require.Equal(t, 1, l.known(r))
+		w.up.send = func(context.Context, *Attempt) (*Answer, error) {
+			body := newSource()
+			go func() {
+				body.write(events(1, 2))
+				body.w.Close()
+			}()
+			return body.answer(), nil
+		}
+		w.serve(r).whole(t, events(1, 2))
+		require.Zero(t, l.known(r))
+	})
+}
+
+// Where nothing is known of any request, the content of a request is not looked at.
+func TestNothingIsLookedUpWhereNothingIsKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, Config{})
+		l := w.suspicious()
+		w.server("d1", deskService)
+		w.up.send = func(context.Context, *Attempt) (*Answer, error) { return answer(200, "ok"), nil }
+		w.serve(request("/safe/a")).whole(t, "ok")
+		require.Zero(t, l.looked)
+	})
+}
--- a/internal/standin/fleet/server.go
+++ b/internal/standin/fleet/server.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strings"
@@ -70,6 +71,17 @@
 	Raw func(c net.Conn, r *http.Request)
 }
 
+// endless is the behaviour towards a request that is not answered whole before the server
+// ends under it.
+func (b Behaviour) endless() Behaviour {
+	if b.Events > 0 {
+		b.Events = math.MaxInt
+	} else {
+		b.Delay = time.Hour
+	}
+	return b
+}
+
 // run is a stream in progress.
 type run struct {
 	last atomic.Int64
@@ -220,6 +232,7 @@
 	}
 	if b.EndsUnder != "" && strings.Contains(string(body), b.EndsUnder) {
 		time.AfterFunc(b.Delay+b.EndsAfter, func() { s.end(s) })
+		b = b.endless()
 	}
 	s.answer(w, r, b, from)
 }
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -75,32 +75,37 @@
 
 // Merge takes records of this process or of others.
 func (b *Book) Merge(list []Record) Change {
-	var c Change
+	var news []*Record
 	for _, o := range list {
-		if r, news := b.take(o); news {
-			c.News = append(c.News, r)
+		if r := b.take(o); r != nil {
+			news = append(news, r)
 		}
 	}
-	if len(c.News) > 0 {
-		c.Held, c.Freed = b.judge()
+	if len(news) == 0 {
+		return Change{}
 	}
+	b.bound()
+	var c Change
+	for _, r := range news {
+		if b.records[r.ID] == r {
+			c.News = append(c.News, r.clone())
+		}
+	}
+	c.Held, c.Freed = b.judge()
 	return c
 }
 
-// take merges a record, and reports whether it brought news.
-func (b *Book) take(o Record) (Record, bool) {
+// take merges a record, and returns what it changed, nil if it brought no news.
+func (b *Book) take(o Record) *Record {
 	r := b.records[o.ID]
 	if r == nil {
 		r = &Record{ID: o.ID}
 	}
 	if !r.merge(o) {
-		return Record{}, false
-	}
-	if b.records[o.ID] == nil {
-		b.records[o.ID] = r
-		b.bound(o.Team)
+		return nil
 	}
-	return r.clone(), b.records[o.ID] == r
+	b.records[o.ID] = r
+	return r
 }
 
 // Held reports whether a request is refused, and for how much longer.
@@ -220,34 +225,40 @@
 	return out
 }
 
-// bound forgets the weakest record of a team beyond its bound, and of the teams that have
-// most beyond that of all: someone may send ten thousand different harmful requests.
-func (b *Book) bound(team string) {
-	counts := make(map[string]int)
-	for id := range b.records {
-		counts[id.Team]++
+// spare is the part of a bound that is made free when it is reached, so that not each
+// further record has all looked through.
+const spare = 1.0 / 8
+
+// bound forgets the weakest records of teams beyond their bound, then of all: someone may
+// send ten thousand different harmful requests.
+func (b *Book) bound() {
+	if len(b.records) <= b.policy.PerTeam {
+		return
+	}
+	teams := make(map[string][]*Record)
+	for id, r := range b.records {
+		teams[id.Team] = append(teams[id.Team], r)
 	}
-	if counts[team] > b.policy.PerTeam {
-		b.forgetWeakest(func(id ID) bool { return id.Team == team })
-		counts[team]--
+	for _, records := range teams {
+		b.forgetWeakest(records, b.policy.PerTeam)
 	}
 	if len(b.records) > b.policy.Records {
-		most := slices.Max(slices.Collect(maps.Values(counts)))
-		b.forgetWeakest(func(id ID) bool { return counts[id.Team] == most })
+		b.forgetWeakest(slices.Collect(maps.Values(b.records)), b.policy.Records)
 	}
 }
 
-// forgetWeakest drops the record with the fewest ends, of these the oldest, among some.
-func (b *Book) forgetWeakest(among func(ID) bool) {
-	var weakest *Record
-	for id, r := range b.records {
-		if among(id) && (weakest == nil || weaker(r, weakest)) {
-			weakest = r
-		}
+// forgetWeakest drops the records with the fewest ends, of these the oldest, if there are
+// more than so many.
+func (b *Book) forgetWeakest(records []*Record, most int) {
+	if len(records) <= most {
+		return
+	}
+	slices.SortFunc(records, weaker)
+	for _, r := range records[:len(records)-int((1-spare)*float64(most))] {
+		delete(b.records, r.ID)
 	}
-	delete(b.records, weakest.ID)
 }
 
-func weaker(x, y *Record) bool {
-	return cmp.Or(cmp.Compare(len(x.Ends), len(y.Ends)), cmp.Compare(x.last(), y.last()), compareIDs(x.ID, y.ID)) < 0
+func weaker(x, y *Record) int {
+	return cmp.Or(cmp.Compare(len(x.Ends), len(y.Ends)), cmp.Compare(x.last(), y.last()), compareIDs(x.ID, y.ID))
 }
