A request that many make is told from a harmful one; verdicts are shown and lifted

Ruled out: counting only requests that ran alone (a harmful one rarely does), remembering all answered contents (a hash of each request, though nothing is known against any).

Change: a verdict whose ends are shared with another held request is in doubt, and the request is let through now and then, 1.5 s after the last end, then after 3, 6, 12 s where nothing came of it; two servers may end under trials. Operators list and lift verdicts with kingcupctl quarantine. The soak has the fault and its check: at most three sends later than 3 s after the third end, whatever befalls gateways and store meanwhile.

--- a/cmd/kingcupctl/main.go
+++ b/cmd/kingcupctl/main.go
@@ -44,6 +44,7 @@
 		{"status", "show the backend servers", status},
 		{"drain", "SERVER: tell a backend server's agent to leave", drain},
 		{"order", "SERVER load|unload -model M [-adapter A]: order an engine", order},
+		{"quarantine", "[lift CONTENT]: show the requests under which servers end, or lift a verdict (-admin of a gateway)", quarantine},
 		{"burn", "show the service-level burn of an entry (-admin)", burnReport},
 	}
 }
--- a/cmd/kingcupctl/operators.go
+++ b/cmd/kingcupctl/operators.go
@@ -1,12 +1,15 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"flag"
 	"fmt"
+	"net/url"
 	"os"
 	"strings"
 	"text/tabwriter"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
@@ -227,13 +230,35 @@
 }
 
 func burnReport(_ context.Context, o options, _ []grpc.ClientConnInterface, _ []string) error {
-	status, body, err := fasthttp.Get(nil, "http://"+o.admin+"/report/burn?format="+o.output)
-	if err != nil {
-		return errors.Wrap(err, "burn report")
+	return adminCall(fasthttp.MethodGet, "http://"+o.admin+"/report/burn?format="+o.output)
+}
+
+func quarantine(_ context.Context, o options, _ []grpc.ClientConnInterface, args []string) error {
+	switch {
+	case len(args) == 0:
+		return adminCall(fasthttp.MethodGet, "http://"+o.admin+"/quarantine?format="+o.output)
+	case len(args) == 2 && args[0] == "lift":
+		return adminCall(fasthttp.MethodDelete, "http://"+o.admin+"/quarantine/"+url.PathEscape(args[1]))
 	}
-	if status != fasthttp.StatusOK {
-		return errors.Errorf("burn report: status %d", status)
+	return usageError("want no argument, or lift CONTENT")
+}
+
+// adminCall makes a call to an admin address and prints the answer.
+func adminCall(method, target string) error {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(method)
+	req.SetRequestURI(target)
+	if err := fasthttp.DoTimeout(req, resp, adminTimeout); err != nil {
+		return errors.Wrap(err, "admin call")
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return errors.Errorf("admin call: status %d: %s", resp.StatusCode(), bytes.TrimSpace(resp.Body()))
 	}
-	os.Stdout.Write(body)
+	os.Stdout.Write(resp.Body())
 	return nil
 }
+
+// adminTimeout bounds a call to an admin address.
+const adminTimeout = 5 * time.Second
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -24,6 +25,25 @@
 	Registry *prometheus.Registry
 	Ready    func() bool
 	Report   func() []burn.Line
+	// Quarantine is nil for daemons that hold no requests.
+	Quarantine Quarantine
+}
+
+// Quarantine shows and lifts verdicts on requests under which servers end.
+type Quarantine interface {
+	Held() []Held
+	// Lift ends the verdict on a request; false if there is none by that name.
+	Lift(content string) bool
+}
+
+// Held is a request that is not sent to servers.
+type Held struct {
+	Content string `json:"content"`
+	Team    string `json:"team"`
+	// Ends names the lives of the servers that ended under it, as the log does.
+	Ends []string `json:"ends"`
+	// LeftSeconds is how long it is held yet.
+	LeftSeconds int `json:"left_seconds"`
 }
 
 // Server is safe for concurrent use.
@@ -38,6 +58,10 @@
 	r.GET("/healthz", func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("ok\n") })
 	r.GET("/readyz", func(ctx *fasthttp.RequestCtx) { ready(ctx, src.Ready()) })
 	r.GET("/report/burn", func(ctx *fasthttp.RequestCtx) { report(ctx, src.Report()) })
+	if q := src.Quarantine; q != nil {
+		r.GET("/quarantine", func(ctx *fasthttp.RequestCtx) { held(ctx, q.Held()) })
+		r.DELETE("/quarantine/{content}", func(ctx *fasthttp.RequestCtx) { lift(ctx, q) })
+	}
 	return &Server{http: &fasthttp.Server{
 		Handler: r.Handler, Name: "kingcup",
 		// A scraper keeps its connection open; without these the end of the
@@ -82,3 +106,26 @@
 	}
 	w.Flush()
 }
+
+func held(ctx *fasthttp.RequestCtx, list []Held) {
+	if string(ctx.QueryArgs().Peek("format")) == "json" {
+		ctx.SetContentType("application/json")
+		json.NewEncoder(ctx).Encode(list)
+		return
+	}
+	w := tabwriter.NewWriter(ctx, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "CONTENT\tTEAM\tLEFT\tENDS")
+	for _, h := range list {
+		fmt.Fprintf(w, "%s\t%s\t%ds\t%s\n", h.Content, h.Team, h.LeftSeconds, strings.Join(h.Ends, ", "))
+	}
+	w.Flush()
+}
+
+func lift(ctx *fasthttp.RequestCtx, q Quarantine) {
+	content, _ := ctx.UserValue("content").(string)
+	if !q.Lift(content) {
+		ctx.Error("no such request is held\n", fasthttp.StatusNotFound)
+		return
+	}
+	ctx.SetBodyString("lifted\n")
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -191,6 +191,7 @@
 	})
 	rec.Gauge("kingcup_gateway_peers_known", "Other gateways that this one knows.", func() float64 { return float64(g.group.links.Known() - 1) })
 	rec.Gauge("kingcup_gateway_peers_heard", "Other gateways whose states come in.", func() float64 { return float64(len(g.group.links.Live())) })
+	rec.Gauge("kingcup_gateway_requests_held", "Requests that are not sent to servers, because servers end under them.", func() float64 { return float64(g.group.suspects.holds()) })
 	rec.Gauge("kingcup_gateway_log_lines_dropped", "Log lines that were not written.", func() float64 { return float64(g.opts.DroppedLines()) })
 	if err := g.serveMetrics(set, rec); err != nil {
 		callers.Close()
@@ -237,7 +238,7 @@
 	if err != nil {
 		return errors.Wrap(err, "metrics address")
 	}
-	g.admin = admin.New(admin.Source{Registry: rec.Registry(), Ready: g.Ready, Report: rec.Report})
+	g.admin = admin.New(admin.Source{Registry: rec.Registry(), Ready: g.Ready, Report: rec.Report, Quarantine: quarantined{g.group.suspects}})
 	go g.admin.Serve(l)
 	return nil
 }
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -16,6 +16,7 @@
 	"golang.org/x/time/rate"
 
 	"kingcupplank.example/kingcup/backends"
+	"kingcupplank.example/kingcup/internal/admin"
 	"kingcupplank.example/kingcup/internal/relay"
 	peerv1 "kingcupplank.example/kingcup/proto/kingcup/peer/v1"
 	"kingcupplank.example/kingcup/quarantine"
@@ -88,6 +89,29 @@
 	return s.book.Held(id, now)
 }
 
+// Try implements relay.Suspects.
+func (s *suspects) Try(id quarantine.ID) (tried bool) {
+	now, known := s.group.role.now()
+	if !known {
+		return false
+	}
+	s.learn("tried", 0, func(b *quarantine.Book) (c quarantine.Change) {
+		c, tried = b.Try(id, now)
+		return c
+	})
+	if tried {
+		s.log.WithFields(logrus.Fields{"content": id.String(), "team": id.Team}).Info("request that is held in doubt is tried")
+	}
+	return tried
+}
+
+// holds counts the requests that are refused.
+func (s *suspects) holds() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.book.Holds()
+}
+
 // Near implements relay.Suspects.
 func (s *suspects) Near(id quarantine.ID) bool {
 	s.mu.Lock()
@@ -201,7 +225,7 @@
 }
 
 func suspectOf(r quarantine.Record) *peerv1.Suspect {
-	p := &peerv1.Suspect{Team: r.Team, Content: r.Content, AbsolvedMs: r.Absolved.Milliseconds()}
+	p := &peerv1.Suspect{Team: r.Team, Content: r.Content, AbsolvedMs: r.Absolved.Milliseconds(), TriedMs: r.Tried.Milliseconds(), Trials: uint32(r.Trials)}
 	for _, e := range r.Ends {
 		p.Ends = append(p.Ends, &peerv1.End{Server: e.Server, AtMs: e.At.Milliseconds()})
 	}
@@ -209,7 +233,7 @@
 }
 
 func recordOf(p *peerv1.Suspect) quarantine.Record {
-	r := quarantine.Record{ID: quarantine.ID{Team: p.GetTeam(), Content: p.GetContent()}, Absolved: time.Duration(p.GetAbsolvedMs()) * time.Millisecond}
+	r := quarantine.Record{ID: quarantine.ID{Team: p.GetTeam(), Content: p.GetContent()}, Absolved: time.Duration(p.GetAbsolvedMs()) * time.Millisecond, Tried: time.Duration(p.GetTriedMs()) * time.Millisecond, Trials: int(p.GetTrials())}
 	for _, e := range p.GetEnds() {
 		r.Ends = append(r.Ends, quarantine.End{Server: e.GetServer(), At: time.Duration(e.GetAtMs()) * time.Millisecond})
 	}
@@ -250,3 +274,42 @@
 		}
 	}
 }
+
+// quarantined shows verdicts to operators. It implements admin.Quarantine.
+type quarantined struct{ *suspects }
+
+// Held implements admin.Quarantine.
+func (q quarantined) Held() (out []admin.Held) {
+	now, known := q.group.role.now()
+	if !known {
+		return nil
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, r := range q.book.List(1) {
+		if left, held := q.book.Held(r.ID, now); held {
+			out = append(out, admin.Held{Content: r.String(), Team: r.Team, Ends: ends(r), LeftSeconds: int(left.Seconds())})
+		}
+	}
+	return out
+}
+
+// Lift implements admin.Quarantine.
+func (q quarantined) Lift(content string) bool {
+	id, found := q.find(content)
+	if found {
+		q.absolve(id, "lifted by an operator")
+	}
+	return found
+}
+
+func (q quarantined) find(content string) (quarantine.ID, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, r := range q.book.List(1) {
+		if r.String() == content {
+			return r.ID, true
+		}
+	}
+	return quarantine.ID{}, false
+}
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"kingcupplank.example/kingcup/internal/standin/fleet"
+	"kingcupplank.example/kingcup/quarantine"
 )
 
 const (
@@ -157,3 +158,44 @@
 	}
 	require.Len(t, s.reached(harmful), reached)
 }
+
+// The servers have learnt to survive a request that is held, and an operator lifts the
+// verdict at one gateway. The others must serve it too, and one that starts later.
+func TestOperatorLiftsAVerdict(t *testing.T) {
+	s := newSystem(t)
+	ends := s.fragileEngines(5)
+	nodes := []*node{s.gateway("vm-1"), s.gateway("vm-2")}
+	for i := 0; len(ends.times()) < 3; i++ {
+		nodes[i%2].generate(fleet.PlanPath, harmful)
+	}
+	content := quarantine.Of(fleet.Team, "POST", fleet.Host, fleet.PlanPath, []byte(harmful)).String()
+	for _, n := range nodes {
+		n.eventually(func() bool { return n.generate(fleet.PlanPath, harmful) == http.StatusServiceUnavailable }, "held")
+		require.Equal(t, content, quarantined{n.group.suspects}.Held()[0].Content)
+	}
+	for _, srv := range s.fleet.Servers() {
+		srv.SetBehaviour(fleet.Behaviour{Events: 3})
+	}
+	require.False(t, quarantined{nodes[0].group.suspects}.Lift("no such content"))
+	require.True(t, quarantined{nodes[0].group.suspects}.Lift(content))
+	for _, n := range append(nodes, s.gateway("vm-3")) {
+		n.eventually(func() bool { return n.generate(fleet.PlanPath, harmful) == http.StatusOK }, "served")
+		require.Empty(t, quarantined{n.group.suspects}.Held())
+	}
+}
+
+// Several callers make one and the same harmless request all the time, which runs on each
+// server that ends under a harmful one, and is held with it. It must be served again within
+// seconds, while the harmful one stays held.
+func TestPopularRequestIsServedAgainBesideAHarmfulOne(t *testing.T) {
+	s := newSystem(t)
+	ends := s.fragileEngines(3)
+	nodes := []*node{s.gateway("vm-1"), s.gateway("vm-2")}
+	var wg sync.WaitGroup
+	wg.Go(func() { repeat(t, nodes, "popular", 20*time.Millisecond, 4*time.Second) })
+	repeat(t, nodes, harmful, 100*time.Millisecond, 4*time.Second)
+	wg.Wait()
+	require.GreaterOrEqual(t, len(ends.times()), 3)
+	nodes[0].eventually(func() bool { return nodes[0].generate(fleet.CheckPath, "popular") == http.StatusOK }, "popular request is served")
+	require.Equal(t, http.StatusServiceUnavailable, nodes[1].generate(fleet.CheckPath, harmful))
+}
--- a/internal/gateway/suspectrows.go
+++ b/internal/gateway/suspectrows.go
@@ -32,6 +32,8 @@
 	Content    uint64    `json:"content"`
 	Ends       []endData `json:"ends"`
 	AbsolvedMs int64     `json:"absolved_ms,omitempty"`
+	TriedMs    int64     `json:"tried_ms,omitempty"`
+	Trials     int       `json:"trials,omitempty"`
 }
 
 type endData struct {
@@ -40,7 +42,7 @@
 }
 
 func encodeSuspect(r quarantine.Record) ([]byte, error) {
-	d := suspectData{Team: r.Team, Content: r.Content, AbsolvedMs: r.Absolved.Milliseconds()}
+	d := suspectData{Team: r.Team, Content: r.Content, AbsolvedMs: r.Absolved.Milliseconds(), TriedMs: r.Tried.Milliseconds(), Trials: r.Trials}
 	for _, e := range r.Ends {
 		d.Ends = append(d.Ends, endData{e.Server, e.At.Milliseconds()})
 	}
@@ -55,7 +57,7 @@
 	if err := json.Unmarshal(row.Value, &d); err != nil {
 		return quarantine.Record{}, err
 	}
-	r := quarantine.Record{ID: quarantine.ID{Team: d.Team, Content: d.Content}, Absolved: time.Duration(d.AbsolvedMs) * time.Millisecond}
+	r := quarantine.Record{ID: quarantine.ID{Team: d.Team, Content: d.Content}, Absolved: time.Duration(d.AbsolvedMs) * time.Millisecond, Tried: time.Duration(d.TriedMs) * time.Millisecond, Trials: max(0, d.Trials)}
 	for _, e := range d.Ends {
 		r.Ends = append(r.Ends, quarantine.End{Server: e.Server, At: time.Duration(e.AtMs) * time.Millisecond})
 	}
--- a/internal/relay/ended.go
+++ b/internal/relay/ended.go
@@ -74,7 +74,7 @@
 	if _, leaving := r.Registry.State(s); leaving || ctx.Err() != nil {
 		return
 	}
-	j.broken = true
+	j.broken, j.trial = true, false
 	id := j.id()
 	over := r.inquire(s, broken{id: id, attempt: j.ID, events: j.progress.events, try: j.sent})
 	if !r.Suspects.Near(id) {
@@ -200,15 +200,29 @@
 	}
 }
 
-// held reports whether a request must not be sent to servers. Where nothing is known of
-// any, its content is not looked at.
-func (r *Relay) held(j *job) (left time.Duration, held bool) {
+// convicted reports whether a request is held. Where nothing is known of any, its content
+// is not looked at.
+func (r *Relay) convicted(j *job) (left time.Duration, held bool) {
 	if !r.Suspects.Any() {
 		return 0, false
 	}
 	return r.Suspects.Held(j.id())
 }
 
+// held reports whether a request must not be sent to a server next; only its own goroutine
+// may ask. One that is held in doubt may be tried at one.
+func (r *Relay) held(j *job) (left time.Duration, held bool) {
+	if j.trial {
+		return 0, false
+	}
+	left, held = r.convicted(j)
+	if held && j.sent == 0 && r.Suspects.Try(j.id()) {
+		j.trial = true
+		return 0, false
+	}
+	return left, held
+}
+
 // answered notes that a server has answered a request from its beginning to its end:
 // servers do not end under it. An answer that was put together from several servers says
 // nothing of the kind, as those before the last may have ended.
@@ -233,6 +247,7 @@
 
 func (noSuspects) Any() bool                                { return false }
 func (noSuspects) Held(quarantine.ID) (time.Duration, bool) { return 0, false }
+func (noSuspects) Try(quarantine.ID) bool                   { return false }
 func (noSuspects) Near(quarantine.ID) bool                  { return false }
 func (noSuspects) Ended(backends.Server, []quarantine.ID)   {}
 func (noSuspects) Answered(quarantine.ID)                   {}
--- a/internal/relay/ended_test.go
+++ b/internal/relay/ended_test.go
@@ -120,6 +120,13 @@
 	return l.book.Held(id, l.now())
 }
 
+func (l *ledger) Try(id quarantine.ID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, tried := l.book.Try(id, l.now())
+	return tried
+}
+
 func (l *ledger) Near(id quarantine.ID) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -300,6 +307,8 @@
 			body := newSource()
 			go func() {
 				if a.After != "" {
+					// The end of the first server is known by then.
+					time.Sleep(2 * endLook)
 					body.write(event(2))
 					body.w.Close()
 					return
--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -120,7 +120,7 @@
 // does.
 func (h *hedge) goOn(ctx context.Context) *offer {
 	s := h.session
-	if _, held := s.held(s.job); held {
+	if _, held := s.convicted(s.job); held {
 		return nil
 	}
 	c := s.run.takeCover()
--- a/internal/relay/move.go
+++ b/internal/relay/move.go
@@ -265,7 +265,7 @@
 // that are about to end by themselves come last.
 func (r *Relay) movable(s backends.Server) []*run {
 	runs := slices.DeleteFunc(r.runsOf(s), func(u *run) bool {
-		_, held := r.held(u.job)
+		_, held := r.convicted(u.job)
 		return held || !u.canMove()
 	})
 	slices.SortFunc(runs, func(a, b *run) int { return cmp.Compare(b.remaining(), a.remaining()) })
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -60,6 +60,9 @@
 	Any() bool
 	// Held reports whether a request must not be sent to servers, and for how much longer.
 	Held(id quarantine.ID) (left time.Duration, held bool)
+	// Try reports whether a request that is held may be sent to one server all the same, to
+	// see whether it is harmful. It says so once.
+	Try(id quarantine.ID) bool
 	// Near reports whether a request would be held if one more server ended under it.
 	Near(id quarantine.ID) bool
 	// Ended is told of a server that has ended, and of the requests that ran there.
@@ -165,6 +168,9 @@
 	tried []string
 	ran   int
 	sent  int
+	// trial says that the request is held, and is sent to one server to see whether it is
+	// harmful.
+	trial bool
 	// broken says that the answer of a server broke off.
 	broken bool
 	// progress is how far a stream came.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -15,7 +15,7 @@
 type fault func(s *Soak, ctx context.Context) (did string, undo func())
 
 // faults are drawn with equal chance.
-var faults = []fault{harmStore, harmStore, harmServer, harmServer, kill, pause, terminate, hup, reclaim, crash, refuse, compact, revoke, grow, grow, rebirth, spoil, herd}
+var faults = []fault{harmStore, harmStore, harmServer, harmServer, kill, pause, terminate, hup, reclaim, crash, refuse, compact, revoke, grow, grow, rebirth, spoil, herd, harmful}
 
 const (
 	shortest, longest = 200 * time.Millisecond, 3 * time.Second
@@ -161,6 +161,7 @@
 		return "nothing to crash", nil
 	}
 	srv.Kill()
+	s.ended(srv)
 	return "crash " + srv.ID, func() {
 		srv.Leave()
 		s.replace(srv)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -58,6 +58,8 @@
 	leaving map[*fleet.Server]bool
 	// key is what callers use, valid the one of the newest configuration.
 	key, valid string
+	// bodies are those under which model servers end.
+	bodies []string
 	// newest is a path of the route that was added last.
 	newest string
 	faults []string
@@ -104,6 +106,7 @@
 	servers := s.servers
 	s.mu.Unlock()
 	res.Broken = append(res.Broken, s.history.Check(servers, revokeBound)...)
+	res.Broken = append(res.Broken, checkHarmful(servers, s.bodies)...)
 	for _, a := range s.history.attempts {
 		res.Attempts++
 		if a.Status == 200 && a.Whole {
@@ -114,7 +117,7 @@
 }
 
 func (s *Soak) start() error {
-	s.fleet.Via = s.via
+	s.fleet.Via, s.fleet.Ended, s.fleet.Began = s.via, s.ended, s.began
 	for range 3 {
 		if _, err := s.add(fleet.ModelService); err != nil {
 			return err
@@ -143,10 +146,28 @@
 	return p.Address, nil
 }
 
+// ended has what stands in front of a server that ended refuse connections, as its VM does.
+func (s *Soak) ended(srv *fleet.Server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving[srv] = true
+	for _, p := range s.proxies {
+		if p.Address == srv.Address {
+			p.Close()
+		}
+	}
+}
+
+func (s *Soak) began(srv *fleet.Server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.servers = append(s.servers, srv)
+}
+
 func (s *Soak) add(service string) (*fleet.Server, error) {
 	b := fleet.Behaviour{}
 	if service == fleet.ModelService {
-		b = fleet.Behaviour{Events: streamEvents, EventEvery: eventEvery, CopyTime: copyTime}
+		b = fleet.Behaviour{Events: streamEvents, EventEvery: eventEvery, CopyTime: copyTime, EndsUnder: harmfulBody, EndsAfter: endsAfter}
 	}
 	srv, err := s.fleet.Add(service, "zone-1", b)
 	if err != nil {
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -16,6 +16,11 @@
 	// Term is how long after the last of them the request is refused. It is tried again
 	// then: servers may have learnt to survive it.
 	Term time.Duration
+	// TrialAfter is how long after the last end under it a request whose verdict is doubtful
+	// may be tried, and again after a trial that decided nothing, each time twice as long.
+	TrialAfter time.Duration
+	// TrialEnds is how many servers may end under trials.
+	TrialEnds int
 	// Records bounds the requests that are remembered, PerTeam those of one team.
 	Records, PerTeam int
 }
@@ -25,20 +30,28 @@
 // an hour, without one answer in between, in less than one of a million hours at seven
 // failures a day.
 func Default() Policy {
-	return Policy{Ends: 3, Window: time.Hour, Term: time.Hour, Records: 1024, PerTeam: 128}
+	return Policy{Ends: 3, Window: time.Hour, Term: time.Hour, TrialAfter: 1500 * time.Millisecond, TrialEnds: 2, Records: 1024, PerTeam: 128}
 }
 
 // Book holds the records of all requests, and the verdicts that follow from them.
 type Book struct {
 	policy  Policy
 	records map[ID]*Record
-	// held are the requests that are refused, with their newest end.
-	held map[ID]time.Duration
+	// held are the requests that are refused.
+	held map[ID]verdict
+}
+
+// verdict is why a request is refused.
+type verdict struct {
+	// newest is the newest end under it, by the one that convicted it.
+	newest, by time.Duration
+	// doubtful says that it shares its ends with others that are refused.
+	doubtful bool
 }
 
 // NewBook returns an empty book.
 func NewBook(p Policy) *Book {
-	return &Book{policy: p, records: make(map[ID]*Record), held: make(map[ID]time.Duration)}
+	return &Book{policy: p, records: make(map[ID]*Record), held: make(map[ID]verdict)}
 }
 
 // Len counts the requests that are remembered.
@@ -110,14 +123,36 @@
 
 // Held reports whether a request is refused, and for how much longer.
 func (b *Book) Held(id ID, now time.Duration) (left time.Duration, held bool) {
-	newest, held := b.held[id]
+	v, held := b.held[id]
 	if !held {
 		return 0, false
 	}
-	left = b.policy.Term - (now - newest)
+	left = b.policy.Term - (now - v.newest)
 	return left, left > 0
 }
 
+// Try reports whether a request that is refused may be let through once, to see whether it
+// is harmful, and notes that it is.
+//
+// A request that many make at once runs on every server that ends under a harmful one. Both
+// have the same ends, and the one that is refused without a reason could show by no answer
+// that it is harmless. A trial may be cut short by what has nothing to do with it; those
+// that servers end under are few, as each costs what runs beside.
+func (b *Book) Try(id ID, now time.Duration) (Change, bool) {
+	v, held := b.held[id]
+	if !held || !v.doubtful || now-v.newest < b.policy.TrialAfter {
+		return Change{}, false
+	}
+	r := b.records[id]
+	if now-r.Tried < b.policy.TrialAfter<<min(r.Trials, mostDoublings) || r.endsAfter(v.by+b.policy.TrialAfter) >= b.policy.TrialEnds {
+		return Change{}, false
+	}
+	return b.Merge([]Record{{ID: id, Tried: now, Trials: r.Trials + 1}}), true
+}
+
+// mostDoublings bounds the time between two trials: some six minutes.
+const mostDoublings = 8
+
 // Near reports whether a request would be refused, or already is, if one more server ended
 // under it.
 func (b *Book) Near(id ID) bool {
@@ -171,7 +206,7 @@
 // told, and to let both go on would end further servers.
 func (b *Book) judge() (held, freed []ID) {
 	was := b.held
-	b.held = make(map[ID]time.Duration, len(was))
+	b.held = make(map[ID]verdict, len(was))
 	explained := make(map[uint64]uint64)
 	for _, c := range b.convictable() {
 		ends := c.record.together(b.policy.Window)
@@ -184,18 +219,40 @@
 		if unexplained < b.policy.Ends {
 			continue
 		}
-		b.held[c.record.ID] = ends[0].At
+		b.held[c.record.ID] = verdict{newest: ends[0].At, by: c.by.At}
 		for _, e := range ends {
 			if _, ok := explained[e.Server]; !ok {
 				explained[e.Server] = c.by.Server
 			}
 		}
 	}
+	b.doubt()
 	return missing(b.held, was), missing(was, b.held)
 }
 
+// doubt finds the refused requests that have too few ends of their own: all others are
+// shared with another that is refused.
+func (b *Book) doubt() {
+	shared := make(map[uint64]int)
+	for id := range b.held {
+		for _, e := range b.records[id].together(b.policy.Window) {
+			shared[e.Server]++
+		}
+	}
+	for id, v := range b.held {
+		own := 0
+		for _, e := range b.records[id].together(b.policy.Window) {
+			if shared[e.Server] == 1 {
+				own++
+			}
+		}
+		v.doubtful = own < b.policy.Ends
+		b.held[id] = v
+	}
+}
+
 // missing lists the requests of one set that are not in another, in order.
-func missing(in, from map[ID]time.Duration) (out []ID) {
+func missing(in, from map[ID]verdict) (out []ID) {
 	for id := range in {
 		if _, ok := from[id]; !ok {
 			out = append(out, id)
--- a/quarantine/book_test.go
+++ b/quarantine/book_test.go
@@ -184,3 +184,44 @@
 		}
 	})
 }
+
+// Many make the same harmless request at once; it runs on every server that ends under a
+// harmful one, and is held with it. Each is let through, a while after the last end. Nothing
+// comes of the first trial of the harmless one, and it is tried again; it is answered then,
+// and served again. Under the harmful one two servers more end, and it is tried no more.
+func TestRequestsHeldTogetherAreTried(t *testing.T) {
+	p := Default()
+	b, popular, harmful := NewBook(p), request("popular"), request("harmful")
+	for s := range uint64(3) {
+		b.Ended(s, time.Duration(1+s)*time.Second, []ID{popular, harmful})
+	}
+	try := func(id ID, at time.Duration) bool {
+		_, tried := b.Try(id, at)
+		return tried
+	}
+	at := 3*time.Second + p.TrialAfter
+	require.False(t, try(popular, at-time.Millisecond), "ends may still come in")
+	require.True(t, try(popular, at))
+	require.False(t, try(popular, at+p.TrialAfter), "a trial is on its way")
+	require.True(t, try(harmful, at))
+	b.Ended(8, at+time.Second, []ID{harmful})
+	at += 3 * p.TrialAfter
+	require.True(t, try(popular, at))
+	require.True(t, try(harmful, at))
+	b.Ended(9, at+time.Second, []ID{harmful})
+	require.False(t, try(harmful, at+time.Minute), "servers end under its trials")
+	require.Equal(t, []ID{popular}, b.Absolve(popular, at+time.Second).Freed)
+	_, held := b.Held(harmful, at+time.Minute)
+	require.True(t, held)
+	require.False(t, try(harmful, at+time.Minute), "no doubt")
+}
+
+// A request that is held for ends of its own is not tried.
+func TestVerdictsWithoutDoubtAreNotTried(t *testing.T) {
+	b, harmful := NewBook(Default()), request("harmful")
+	for s := range uint64(3) {
+		b.Ended(s, time.Duration(1+s)*time.Second, []ID{harmful, request(string('a' + rune(s)))})
+	}
+	_, tried := b.Try(harmful, time.Minute)
+	require.False(t, tried)
+}
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -33,15 +33,20 @@
 	// Absolved is when the request was last answered by a server, or an operator lifted
 	// the verdict; ends up to then do not count. 0 if never.
 	Absolved time.Duration
+	// Tried is when the request was last let through to see whether it is harmful, 0 if
+	// never.
+	Tried time.Duration
+	// Trials counts how often.
+	Trials int
 }
 
 // merge takes over what another record of the request knows, and reports whether that is
 // news.
 func (r *Record) merge(o Record) bool {
-	old, absolved := r.Ends, r.Absolved
-	r.Absolved = max(r.Absolved, o.Absolved)
+	old, absolved, tried, trials := r.Ends, r.Absolved, r.Tried, r.Trials
+	r.Absolved, r.Tried, r.Trials = max(r.Absolved, o.Absolved), max(r.Tried, o.Tried), max(r.Trials, o.Trials)
 	r.Ends = newest(slices.Concat(r.Ends, o.Ends), r.Absolved)
-	return r.Absolved != absolved || !slices.Equal(r.Ends, old)
+	return r.Absolved != absolved || r.Tried != tried || r.Trials != trials || !slices.Equal(r.Ends, old)
 }
 
 // newest returns the newest ends after a time, one a life, that of the latest notice.
@@ -77,6 +82,16 @@
 	return r.Ends
 }
 
+// endsAfter counts the ends after a time.
+func (r *Record) endsAfter(at time.Duration) (n int) {
+	for _, e := range r.Ends {
+		if e.At > at {
+			n++
+		}
+	}
+	return n
+}
+
 func (r *Record) clone() Record {
 	c := *r
 	c.Ends = slices.Clone(r.Ends)
