Own path: a generation under which three engines ended is given up

Change: three losses of an engine at an agent, or of three backend servers at an entry, end the generation: unknown, reason HARMFUL, no time to come back; the client does not resume it.

Ruled out: REASON_INTERNAL, which clients resume.

--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -59,7 +59,7 @@
 		a.engine.Cancel(a.ctx, g.id, attempt)
 		return
 	}
-	for {
+	for losses := 0; ; {
 		if err == nil {
 			err = a.copyTokens(g, attempt, src)
 		}
@@ -74,7 +74,12 @@
 			a.fail(g, err)
 			return
 		}
-		a.log.WithFields(g.fields()).WithError(err).Warn("engine lost")
+		losses++
+		a.log.WithFields(g.fields()).WithError(err).WithField("losses", losses).Warn("engine lost")
+		if losses == mostLosses {
+			a.fail(g, errHarmful)
+			return
+		}
 		attempt, src, err = a.recoverStream(ctx, g, attempt, err)
 		if err != nil {
 			a.fail(g, err)
@@ -131,6 +136,12 @@
 	return g.left || !g.job.Running() || g.buf.Attempt() != attempt
 }
 
+// mostLosses is how often an engine may end under a generation. One that ends each engine
+// that begins to run it would end them without limit, with the streams of others.
+const mostLosses = 3
+
+var errHarmful = errors.New("engines end under the generation")
+
 const (
 	firstBackoff = 50 * time.Millisecond
 	maxBackoff   = time.Second
@@ -185,6 +196,9 @@
 	if errors.Is(err, engine.ErrRejected) && g.buf.Next() == 0 {
 		return failure.NotRun(kingcupv1.Reason_REASON_UNKNOWN_MODEL, 0, "%v", err)
 	}
+	if errors.Is(err, errHarmful) {
+		return failure.Unknown(kingcupv1.Reason_REASON_HARMFUL, 0, "%v", err)
+	}
 	return failure.Unknown(kingcupv1.Reason_REASON_ENGINE_LOST, time.Second, "%v", err)
 }
 
--- a/internal/entry/inflight.go
+++ b/internal/entry/inflight.go
@@ -40,6 +40,8 @@
 	// server is the backend server that has the generation.
 	server string
 	tried  []string
+	// lost counts the backend servers that the generation was moved off.
+	lost int
 	// ran is set once a backend server may have run the request.
 	ran bool
 	// retryAfter is the earliest that a refusing server gave.
@@ -115,10 +117,18 @@
 	return false
 }
 
+// mostLost is how many backend servers may be lost under a generation: it may be what ends
+// them, and what runs beside it is lost with each.
+const mostLost = 3
+
 // move continues a generation at another backend server, after the tokens that
 // the caller has. cause is the answer if that can't be.
 func (f *inflight) move(ctx context.Context, cause *failure.Error) (*agentStream, error) {
 	f.ran = true
+	f.lost++
+	if f.lost == mostLost {
+		return nil, failure.Unknown(kingcupv1.Reason_REASON_HARMFUL, 0, "%d backend servers were lost under it, the last: %s", f.lost, cause.Detail)
+	}
 	// The budget bounds repeats that add load. A stream that its caller has a
 	// part of is work in progress: when a failure domain goes, all its streams
 	// move at once, and a budget would cut most of them off.
--- a/internal/proof/stream_test.go
+++ b/internal/proof/stream_test.go
@@ -429,3 +429,32 @@
 		requireWhole(t, at, 300)
 	})
 }
+
+// A generation ends each engine that begins to run it, a moment later. Its agent starts it
+// again on the engine that is back, its entry moves it to the next server, and engine after
+// engine ends with the streams of others. After the third the caller gets the final answer:
+// unknown, and not to be tried again.
+func TestGenerationThatEndsItsEnginesIsGivenUp(t *testing.T) {
+	virtual(t, func(t *testing.T) {
+		s := newSystem(t, setup{entries: 2, servers: 3, resumes: true})
+		defer s.close()
+		at, done := s.generate(s.client(client.DefaultOptions()), request("r1", 3000))
+		ends := 0
+		for begun := time.Now(); time.Since(begun) < 30*time.Second; time.Sleep(50 * time.Millisecond) {
+			for i, n := range s.nodes {
+				if n.engine == nil {
+					continue
+				}
+				if running, err := n.engine.List(t.Context()); err == nil && len(running) > 0 {
+					s.killEngine(i)
+					ends++
+				}
+			}
+		}
+		<-done
+		require.Equal(t, 3, ends)
+		require.Equal(t, kingcupv1.Outcome_OUTCOME_UNKNOWN, failure.As(at.err).Outcome)
+		require.Equal(t, kingcupv1.Reason_REASON_HARMFUL, failure.As(at.err).Reason)
+		require.Zero(t, failure.As(at.err).RetryAfter)
+	})
+}
