Failing tests: a store that comes back older

Cause, by reading and now shown: revisions that fall are taken for late pages.

Change: the stand-in's store can be copied and restored, names its era, and answers 410 to a revision that it does not have.

--- a/internal/standin/fleet/store.go
+++ b/internal/standin/fleet/store.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/base64"
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
 	"net/url"
@@ -66,6 +67,8 @@
 	history []Row
 	version uint64
 	oldest  uint64
+	// era rises each time that the store comes back from a copy; 0 says nothing of it.
+	era     uint64
 	changed chan struct{}
 	doors   []*Door
 	calls   int
@@ -77,7 +80,7 @@
 func NewStore() *Store {
 	s := &Store{
 		start: time.Now(), stopped: make(chan struct{}),
-		rows: make(map[string]Row), changed: make(chan struct{}), slow: make(map[string]time.Duration),
+		rows: make(map[string]Row), changed: make(chan struct{}), slow: make(map[string]time.Duration), era: 1,
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /kingcupplank/rows-get", s.get)
@@ -170,6 +173,45 @@
 	s.history, s.oldest = nil, s.version
 }
 
+// Copy is what the store held at some time.
+type Copy struct {
+	rows    map[string]Row
+	version uint64
+}
+
+// Copy makes a copy of the store.
+func (s *Store) Copy() *Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &Copy{rows: maps.Clone(s.rows), version: s.version}
+}
+
+// Restore has the store come back from a copy: what was written since is gone, and its
+// versions are given out again.
+func (s *Store) Restore(c *Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows, s.version = maps.Clone(c.rows), c.version
+	s.history, s.oldest = nil, c.version
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Row returns the data of a row, nil if it is not there.
+func (s *Store) Row(table, key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rows[id(table, "", key)].Data
+}
+
+// SetEra changes what the store says of its era, 0 for nothing.
+func (s *Store) SetEra(era uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era = era
+}
+
 // Put writes a row, as the platform's own programs do.
 func (s *Store) Put(table, key string, value any) {
 	data, err := json.Marshal(value)
@@ -221,7 +263,7 @@
 	s.mu.Lock()
 	s.calls++
 	d.calls++
-	fault, link := d.fault, d.link
+	fault, link, era := d.fault, d.link, s.era
 	s.mu.Unlock()
 	if link != nil {
 		w = &linked{w, link}
@@ -238,6 +280,9 @@
 		}
 		panic(http.ErrAbortHandler)
 	default:
+		if era > 0 {
+			w = &stamped{w, s}
+		}
 		s.handler.ServeHTTP(w, r)
 	}
 }
@@ -249,6 +294,21 @@
 	NowMs   int64  `json:"serverTimeMs"`
 }
 
+// stamped names the store's era in an answer's head, as it is when the answer is made.
+type stamped struct {
+	http.ResponseWriter
+	store *Store
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (s *stamped) WriteHeader(status int) {
+	s.store.mu.Lock()
+	era := s.store.era
+	s.store.mu.Unlock()
+	s.Header().Set("Store-Era", strconv.FormatUint(era, 10))
+	s.ResponseWriter.WriteHeader(status)
+}
+
 // segment is how many bytes pass a link in one go: the window of a connection of the
 // platform's thin VMs.
 const segment = 16 << 10
@@ -319,7 +379,7 @@
 	timeout := time.After(time.Duration(ms) * time.Millisecond)
 	for expired := false; ; {
 		s.mu.Lock()
-		if since < s.oldest {
+		if since < s.oldest || since > s.version {
 			status, a := s.answer(http.StatusGone, nil)
 			s.mu.Unlock()
 			write(w, status, a)
