Held requests explain no ends; trials are counted from the first

A request that many make ran on each server that ended under two harmful ones, was held first and explained their ends; the harmful ones were not held, and it was not in doubt, as it shared its ends with nothing that was held.

Change: an end counts against all that ran there; what is held for the ends under others shares them and is tried. Trials are kept as times, so that ends under them are those after the first one: attempts that were under way at the verdict are no trials.

--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -225,7 +225,7 @@
 }
 
 func suspectOf(r quarantine.Record) *peerv1.Suspect {
-	p := &peerv1.Suspect{Team: r.Team, Content: r.Content, AbsolvedMs: r.Absolved.Milliseconds(), TriedMs: r.Tried.Milliseconds(), Trials: uint32(r.Trials)}
+	p := &peerv1.Suspect{Team: r.Team, Content: r.Content, AbsolvedMs: r.Absolved.Milliseconds(), TrialsMs: millis(r.Trials)}
 	for _, e := range r.Ends {
 		p.Ends = append(p.Ends, &peerv1.End{Server: e.Server, AtMs: e.At.Milliseconds()})
 	}
@@ -233,13 +233,27 @@
 }
 
 func recordOf(p *peerv1.Suspect) quarantine.Record {
-	r := quarantine.Record{ID: quarantine.ID{Team: p.GetTeam(), Content: p.GetContent()}, Absolved: time.Duration(p.GetAbsolvedMs()) * time.Millisecond, Tried: time.Duration(p.GetTriedMs()) * time.Millisecond, Trials: int(p.GetTrials())}
+	r := quarantine.Record{ID: quarantine.ID{Team: p.GetTeam(), Content: p.GetContent()}, Absolved: time.Duration(p.GetAbsolvedMs()) * time.Millisecond, Trials: fromMillis(p.GetTrialsMs())}
 	for _, e := range p.GetEnds() {
 		r.Ends = append(r.Ends, quarantine.End{Server: e.GetServer(), At: time.Duration(e.GetAtMs()) * time.Millisecond})
 	}
 	return r
 }
 
+func millis(times []time.Duration) (out []int64) {
+	for _, t := range times {
+		out = append(out, t.Milliseconds())
+	}
+	return out
+}
+
+func fromMillis(ms []int64) (out []time.Duration) {
+	for _, t := range ms {
+		out = append(out, time.Duration(t)*time.Millisecond)
+	}
+	return out
+}
+
 // tend writes rows and forgets what does not count any more, until ctx ends.
 func (s *suspects) tend(ctx context.Context) {
 	save, expire := time.NewTicker(savePoll), time.NewTicker(expireEvery)
--- a/internal/gateway/suspectrows.go
+++ b/internal/gateway/suspectrows.go
@@ -32,8 +32,7 @@
 	Content    uint64    `json:"content"`
 	Ends       []endData `json:"ends"`
 	AbsolvedMs int64     `json:"absolved_ms,omitempty"`
-	TriedMs    int64     `json:"tried_ms,omitempty"`
-	Trials     int       `json:"trials,omitempty"`
+	TrialsMs   []int64   `json:"trials_ms,omitempty"`
 }
 
 type endData struct {
@@ -42,7 +41,7 @@
 }
 
 func encodeSuspect(r quarantine.Record) ([]byte, error) {
-	d := suspectData{Team: r.Team, Content: r.Content, AbsolvedMs: r.Absolved.Milliseconds(), TriedMs: r.Tried.Milliseconds(), Trials: r.Trials}
+	d := suspectData{Team: r.Team, Content: r.Content, AbsolvedMs: r.Absolved.Milliseconds(), TrialsMs: millis(r.Trials)}
 	for _, e := range r.Ends {
 		d.Ends = append(d.Ends, endData{e.Server, e.At.Milliseconds()})
 	}
@@ -57,7 +56,7 @@
 	if err := json.Unmarshal(row.Value, &d); err != nil {
 		return quarantine.Record{}, err
 	}
-	r := quarantine.Record{ID: quarantine.ID{Team: d.Team, Content: d.Content}, Absolved: time.Duration(d.AbsolvedMs) * time.Millisecond, Tried: time.Duration(d.TriedMs) * time.Millisecond, Trials: max(0, d.Trials)}
+	r := quarantine.Record{ID: quarantine.ID{Team: d.Team, Content: d.Content}, Absolved: time.Duration(d.AbsolvedMs) * time.Millisecond, Trials: fromMillis(d.TrialsMs)}
 	for _, e := range d.Ends {
 		r.Ends = append(r.Ends, quarantine.End{Server: e.Server, At: time.Duration(e.AtMs) * time.Millisecond})
 	}
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -43,9 +43,10 @@
 
 // verdict is why a request is refused.
 type verdict struct {
-	// newest is the newest end under it, by the one that convicted it.
-	newest, by time.Duration
-	// doubtful says that it shares its ends with others that are refused.
+	// newest is the newest end under it.
+	newest time.Duration
+	// doubtful says that it has too few ends of its own: all others it shares with requests
+	// that are refused as well.
 	doubtful bool
 }
 
@@ -144,15 +145,16 @@
 		return Change{}, false
 	}
 	r := b.records[id]
-	if now-r.Tried < b.policy.TrialAfter<<min(r.Trials, mostDoublings) || r.endsAfter(v.by+b.policy.TrialAfter) >= b.policy.TrialEnds {
-		return Change{}, false
+	if n := len(r.Trials); n > 0 {
+		first := r.Trials[n-1]
+		ended := r.endsAmong(b.policy.Window, func(e End) bool { return e.At > first })
+		if now-r.Trials[0] < b.policy.TrialAfter<<n || ended >= b.policy.TrialEnds {
+			return Change{}, false
+		}
 	}
-	return b.Merge([]Record{{ID: id, Tried: now, Trials: r.Trials + 1}}), true
+	return b.Merge([]Record{{ID: id, Trials: []time.Duration{now}}}), true
 }
 
-// mostDoublings bounds the time between two trials: some six minutes.
-const mostDoublings = 8
-
 // Near reports whether a request would be refused, or already is, if one more server ended
 // under it.
 func (b *Book) Near(id ID) bool {
@@ -200,55 +202,28 @@
 
 // judge draws the verdicts from the records, and returns those that are new.
 //
-// All that ran on a server that has ended are suspected alike. Once a request is convicted,
-// the ends under it are explained, and count no more against those that ran beside it. They
-// still count against one that the same end convicts: which of the two it was cannot be
-// told, and to let both go on would end further servers.
+// All that ran on a server that has ended are suspected alike: an end is not explained by a
+// request that is held already. A request that many make would be held first, explain the
+// ends under a harmful one, and that would go on. What is held for nothing shares its ends
+// with what is held for a reason, and shows by a trial that it is harmless.
 func (b *Book) judge() (held, freed []ID) {
 	was := b.held
 	b.held = make(map[ID]verdict, len(was))
-	explained := make(map[uint64]uint64)
-	for _, c := range b.convictable() {
-		ends := c.record.together(b.policy.Window)
-		unexplained := 0
-		for _, e := range ends {
-			if by, ok := explained[e.Server]; !ok || by == c.by.Server {
-				unexplained++
-			}
-		}
-		if unexplained < b.policy.Ends {
-			continue
-		}
-		b.held[c.record.ID] = verdict{newest: ends[0].At, by: c.by.At}
-		for _, e := range ends {
-			if _, ok := explained[e.Server]; !ok {
-				explained[e.Server] = c.by.Server
-			}
-		}
-	}
-	b.doubt()
-	return missing(b.held, was), missing(was, b.held)
-}
-
-// doubt finds the refused requests that have too few ends of their own: all others are
-// shared with another that is refused.
-func (b *Book) doubt() {
 	shared := make(map[uint64]int)
-	for id := range b.held {
-		for _, e := range b.records[id].together(b.policy.Window) {
-			shared[e.Server]++
+	for id, r := range b.records {
+		ends := r.together(b.policy.Window)
+		if len(ends) >= b.policy.Ends {
+			b.held[id] = verdict{newest: ends[0].At}
+			for _, e := range ends {
+				shared[e.Server]++
+			}
 		}
 	}
 	for id, v := range b.held {
-		own := 0
-		for _, e := range b.records[id].together(b.policy.Window) {
-			if shared[e.Server] == 1 {
-				own++
-			}
-		}
-		v.doubtful = own < b.policy.Ends
+		v.doubtful = b.records[id].endsAmong(b.policy.Window, func(e End) bool { return shared[e.Server] == 1 }) < b.policy.Ends
 		b.held[id] = v
 	}
+	return missing(b.held, was), missing(was, b.held)
 }
 
 // missing lists the requests of one set that are not in another, in order.
@@ -262,26 +237,6 @@
 	return out
 }
 
-// conviction is a record with ends enough, and the end by which it had them.
-type conviction struct {
-	record *Record
-	by     End
-}
-
-// convictable lists the records that have ends enough, in the order in which they had them.
-func (b *Book) convictable() (out []conviction) {
-	for _, r := range b.records {
-		ends := r.together(b.policy.Window)
-		if n := len(ends); n >= b.policy.Ends {
-			out = append(out, conviction{r, ends[n-b.policy.Ends]})
-		}
-	}
-	slices.SortFunc(out, func(x, y conviction) int {
-		return cmp.Or(-compareEnds(x.by, y.by), compareIDs(x.record.ID, y.record.ID))
-	})
-	return out
-}
-
 // spare is the part of a bound that is made free when it is reached, so that not each
 // further record has all looked through.
 const spare = 1.0 / 8
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -6,11 +6,14 @@
 	"time"
 )
 
-// keptEnds bounds the ends that a record keeps, the newest. Attempts that are under way
-// when a request is convicted may end further servers; the ends that convicted it must not
-// be pushed out by these, or they would count against others again.
+// keptEnds bounds the ends that a record keeps, the newest. More than the three that convict
+// a request are kept, so that it is seen which it shares with others.
 const keptEnds = 8
 
+// keptTrials bounds the trials that a record keeps, the newest. The time between two doubles
+// with each of them, up to some six minutes.
+const keptTrials = 8
+
 // End is the end of one life of a server under a request.
 type End struct {
 	// Server identifies the life of the server, alike for all processes.
@@ -33,20 +36,19 @@
 	// Absolved is when the request was last answered by a server, or an operator lifted
 	// the verdict; ends up to then do not count. 0 if never.
 	Absolved time.Duration
-	// Tried is when the request was last let through to see whether it is harmful, 0 if
-	// never.
-	Tried time.Duration
-	// Trials counts how often.
-	Trials int
+	// Trials are when the request was let through since then, to see whether it is harmful,
+	// from the newest to the oldest.
+	Trials []time.Duration
 }
 
 // merge takes over what another record of the request knows, and reports whether that is
 // news.
 func (r *Record) merge(o Record) bool {
-	old, absolved, tried, trials := r.Ends, r.Absolved, r.Tried, r.Trials
-	r.Absolved, r.Tried, r.Trials = max(r.Absolved, o.Absolved), max(r.Tried, o.Tried), max(r.Trials, o.Trials)
+	old, trials, absolved := r.Ends, r.Trials, r.Absolved
+	r.Absolved = max(r.Absolved, o.Absolved)
+	r.Trials = newestTrials(slices.Concat(r.Trials, o.Trials), r.Absolved)
 	r.Ends = newest(slices.Concat(r.Ends, o.Ends), r.Absolved)
-	return r.Absolved != absolved || r.Tried != tried || r.Trials != trials || !slices.Equal(r.Ends, old)
+	return r.Absolved != absolved || !slices.Equal(r.Trials, trials) || !slices.Equal(r.Ends, old)
 }
 
 // newest returns the newest ends after a time, one a life, that of the latest notice.
@@ -64,6 +66,18 @@
 	return slices.Clip(ends[:min(len(ends), keptEnds)])
 }
 
+// newestTrials returns the newest trials after a time.
+func newestTrials(trials []time.Duration, after time.Duration) []time.Duration {
+	trials = slices.DeleteFunc(trials, func(at time.Duration) bool { return at <= after })
+	if len(trials) == 0 {
+		return nil
+	}
+	slices.Sort(trials)
+	trials = slices.Compact(trials)
+	slices.Reverse(trials)
+	return slices.Clip(trials[:min(len(trials), keptTrials)])
+}
+
 // last is when something was last learnt of the request.
 func (r *Record) last() time.Duration {
 	if len(r.Ends) == 0 {
@@ -82,10 +96,10 @@
 	return r.Ends
 }
 
-// endsAfter counts the ends after a time.
-func (r *Record) endsAfter(at time.Duration) (n int) {
-	for _, e := range r.Ends {
-		if e.At > at {
+// endsAmong counts those ends that count together and are of some kind.
+func (r *Record) endsAmong(window time.Duration, kind func(End) bool) (n int) {
+	for _, e := range r.together(window) {
+		if kind(e) {
 			n++
 		}
 	}
@@ -94,6 +108,6 @@
 
 func (r *Record) clone() Record {
 	c := *r
-	c.Ends = slices.Clone(r.Ends)
+	c.Ends, c.Trials = slices.Clone(r.Ends), slices.Clone(r.Trials)
 	return c
 }
