A store that comes back older: revisions hold their era

Callers saw, on the stand-in: what the operator wrote after the drill was never in force; servers that had gone got requests again.

Cause: a version alone does not tell which of two states is newer once versions are given out again; pages of the store were taken for late ones.

A table of a later era is read whole: the configuration in force stays while the copy shows an older one; servers that have gone since are withheld until written again, those that joined stay for 2 s; gateways write their rows and verdicts again, spread over 0.8 s and by chance.

Ruled out: dropping all and reading anew (keys that were taken away would be served, servers that have gone get requests), comparing by the store's clock.

The soak has the drill among its faults.

--- a/backends/registry.go
+++ b/backends/registry.go
@@ -84,6 +84,9 @@
 	replaced bool
 	// withheld is set while the entry cannot be read.
 	withheld bool
+	// withheldUntil is when a server that an old copy of the directory has brought back is
+	// believed, 0 for none.
+	withheldUntil time.Duration
 	// suspectUntil is when a vanished entry counts as gone.
 	suspectUntil time.Duration
 	coldUntil    time.Duration
@@ -136,6 +139,8 @@
 
 	mu      sync.Mutex
 	servers map[string]*server
+	// endings are the servers that have gone of late, by id.
+	endings map[string]ending
 	// remote are the loads that other processes have told of, by process and
 	// server.
 	remote map[string]map[string]Load
@@ -167,7 +172,7 @@
 func New(domain string, capacity Capacity, leaving func(Server, Notice)) *Registry {
 	return &Registry{
 		domain: domain, capacity: capacity, leaving: leaving,
-		policy: placement.Direct(), copies: placement.Copies(), servers: make(map[string]*server), remote: make(map[string]map[string]Load), losses: make(map[string]map[string]Loss),
+		policy: placement.Direct(), copies: placement.Copies(), servers: make(map[string]*server), endings: make(map[string]ending), remote: make(map[string]map[string]Load), losses: make(map[string]map[string]Loss),
 		lists: make(map[string][]*server),
 	}
 }
@@ -246,7 +251,7 @@
 	}
 	o.Server = s
 	o.gone = o.gone && (o.replaced || s.Leaving)
-	o.withheld = false
+	o.withheld, o.withheldUntil = false, 0
 	o.suspectUntil = 0
 	o.coldUntil = now + s.ColdFor
 	if news {
@@ -284,6 +289,7 @@
 		return left
 	}
 	s.gone = true
+	r.noteEnding(s, now)
 	r.unlist()
 	if !s.Leaving {
 		left = append(left, leave{s.Server, NoticeVanished})
@@ -311,6 +317,7 @@
 			left = r.vanish(left, s, 0, now)
 		}
 	}
+	r.expireEndings(now)
 	r.mu.Unlock()
 	r.tell(left)
 }
--- /dev/null
+++ b/backends/restore_test.go
@@ -0,0 +1,50 @@
+package backends
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// The directory comes back from an old copy. A server that has gone since is in it, and gets
+// nothing until its entry is written again; one that has joined since is not in it, and is
+// used on until it would have been written again.
+func TestOldCopyOfTheDirectory(t *testing.T) {
+	r := New("z", func(string) int { return 0 }, func(Server, Notice) {})
+	entry := func(id string) Server { return Server{ID: id, Service: "s", Address: id, Slots: 8} }
+	r.Put(entry("stays"), 0)
+	r.Put(entry("goes"), 0)
+	r.Remove("goes", 0, time.Second)
+	r.Put(entry("joins"), 2*time.Second)
+	now := 3 * time.Second
+	r.Restore([]Server{entry("stays"), entry("goes")}, 2*time.Second, now)
+	usable := func() (out []string) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		for _, s := range r.listed("s") {
+			out = append(out, s.ID)
+		}
+		return out
+	}
+	require.Equal(t, []string{"joins", "stays"}, usable())
+	r.Expire(now + lapseGrace - 1)
+	require.Equal(t, []string{"joins", "stays"}, usable())
+	r.Expire(now + lapseGrace)
+	require.Equal(t, []string{"stays"}, usable())
+	r.Put(entry("joins"), now+lapseGrace)
+	r.Put(entry("goes"), now+lapseGrace)
+	require.Equal(t, []string{"goes", "joins", "stays"}, usable(), "entries that are written again")
+}
+
+// A server that an old copy brings back, and whose entry stays, is believed in the end.
+func TestServerOfAnOldCopyIsBelievedLater(t *testing.T) {
+	r := New("z", func(string) int { return 0 }, func(Server, Notice) {})
+	s := Server{ID: "a", Service: "s", Address: "a", Slots: 8}
+	r.Put(s, 0)
+	r.Remove("a", 0, time.Second)
+	r.Restore([]Server{s}, 2*time.Second, 2*time.Second)
+	require.Empty(t, r.listed("s"))
+	r.Expire(time.Second + endedFor)
+	require.Len(t, r.listed("s"), 1)
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -307,7 +307,18 @@
 
 // replace puts a whole table in place of what is known; applying is held.
 func (f *Follower) replace(page Page, begun time.Duration) {
-	f.sink.Reset(page.Rows, page.Outage)
+	f.mu.Lock()
+	was, restored := f.revision, f.filled && EraOf(page.Revision) > EraOf(f.revision)
+	f.mu.Unlock()
+	if restored {
+		page.Outage = max(page.Outage, restoredOutage)
+		f.log.WithFields(logrus.Fields{"era": EraOf(page.Revision), "before": VersionOf(was), "after": VersionOf(page.Revision), "rows": len(page.Rows)}).Warn("store has come back from a copy")
+	}
+	if r, ok := f.sink.(Restorer); ok && restored {
+		r.Restored(page.Rows, page.Outage)
+	} else {
+		f.sink.Reset(page.Rows, page.Outage)
+	}
 	if f.kept != nil {
 		f.kept.reset(page.Rows, page.Revision)
 	}
@@ -318,6 +329,7 @@
 		f.changed = page.Revision
 	}
 	f.synced, f.filled, f.begun = true, true, 0
+	f.standUnder(page.Outage)
 	f.confirm(page.Clock, begun)
 }
 
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -32,6 +32,8 @@
 	membersGap = 500 * time.Millisecond
 	// firstReaders is how many gateways read the tables for themselves when all start.
 	firstReaders = 2 * readers.Count
+	// rewriteWithin spreads the gateways that write their rows again.
+	rewriteWithin = 800 * time.Millisecond
 )
 
 var joinBackoff = retry.Backoff{Base: 200 * time.Millisecond, Max: 5 * time.Second}
@@ -82,15 +84,11 @@
 	g.role.startsFirst(g.decodeMembers(gateways))
 	g.followers[membersTable].Seed(page, begun)
 	g.role.joined.Store(true)
-	row := memberRow{Address: g.self.Address, FailureDomain: g.self.FailureDomain, LinkMbps: g.linkMbps}
+	row := g.row()
 	if slices.ContainsFunc(page.Rows, func(r follow.Row) bool { return r.Key == g.self.Name && isRow(r, row) }) {
 		return nil
 	}
-	data, err := json.Marshal(row)
-	if err != nil {
-		return err
-	}
-	return g.store.Put(ctx, membersTable, g.self.Name, data)
+	return g.putRow(ctx)
 }
 
 func isRow(r follow.Row, row memberRow) bool {
@@ -131,6 +129,34 @@
 	requests, gateways := splitRows(rows)
 	m.suspects.read(requests, true)
 	m.links.Learn(m.decodeMembers(gateways))
+	if m.role.joined.Load() && !slices.ContainsFunc(gateways, func(r follow.Row) bool { return r.Key == m.self.Name }) {
+		time.AfterFunc(time.Duration(rand.Float64()*float64(rewriteWithin)), m.rewrite)
+	}
+}
+
+// rewrite writes this gateway's row again: the store has come back from a copy that does
+// not have it, and gateways that start would not hear of this one.
+func (g *group) rewrite() {
+	ctx, cancel := context.WithTimeout(context.Background(), saveTimeout)
+	defer cancel()
+	if err := g.putRow(ctx); err != nil {
+		g.log.WithError(err).Warn("own row is not written again")
+		return
+	}
+	g.log.Info("own row is written again")
+}
+
+// putRow writes this gateway's row.
+func (g *group) putRow(ctx context.Context) error {
+	data, err := json.Marshal(g.row())
+	if err != nil {
+		return err
+	}
+	return g.store.Put(ctx, membersTable, g.self.Name, data)
+}
+
+func (g *group) row() memberRow {
+	return memberRow{Address: g.self.Address, FailureDomain: g.self.FailureDomain, LinkMbps: g.linkMbps}
 }
 
 // Apply implements follow.Sink.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -15,7 +15,7 @@
 type fault func(s *Soak, ctx context.Context) (did string, undo func())
 
 // faults are drawn with equal chance.
-var faults = []fault{harmStore, harmStore, harmServer, harmServer, kill, pause, terminate, hup, reclaim, crash, refuse, compact, revoke, grow, grow, rebirth, spoil, herd, harmful}
+var faults = []fault{harmStore, harmStore, harmServer, harmServer, kill, pause, terminate, hup, reclaim, crash, refuse, compact, revoke, grow, grow, rebirth, spoil, herd, harmful, drill, drill}
 
 const (
 	shortest, longest = 200 * time.Millisecond, 3 * time.Second
@@ -249,6 +249,26 @@
 	return "full " + srv.ID, func() { srv.SetBehaviour(fleet.Behaviour{}) }
 }
 
+// drill has the store be away for a moment and come back from a copy of some time before;
+// operator and servers write again what is gone.
+func drill(s *Soak, ctx context.Context) (string, func()) {
+	old := s.fleet.Store.Copy()
+	return "copy of the store", func() {
+		s.configuring.Lock()
+		defer s.configuring.Unlock()
+		s.fleet.Store.SetFault(fleet.Reset)
+		wait.For(ctx, s.duration(0, drillAway))
+		s.fleet.Store.Restore(old)
+		s.fleet.Store.SetFault(fleet.Sound)
+		s.fleet.Rewrite(func() { wait.For(ctx, s.duration(0, rewritePause)) })
+	}
+}
+
+const (
+	drillAway    = time.Second
+	rewritePause = 100 * time.Millisecond
+)
+
 func compact(s *Soak, _ context.Context) (string, func()) {
 	s.fleet.Store.Compact()
 	return "history is dropped", nil
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -45,6 +45,8 @@
 	// key is the team's, grown the prefixes that pile up.
 	key   string
 	grown []string
+	// config is the newest version as it was written.
+	config map[string]any
 }
 
 // New starts a platform without servers, with the standard configuration.
@@ -192,7 +194,7 @@
 	for _, prefix := range more {
 		routes = append(routes, route("more"+prefix, prefix, "safe", DeskService, timeout, 150, 2))
 	}
-	f.Store.Put("op", "config", map[string]any{
+	config := map[string]any{
 		"version": version, "routes": routes,
 		"services": []map[string]any{
 			{"name": ModelService, "maxConnections": 100, "inferenceEngine": map[string]any{
@@ -203,5 +205,22 @@
 		},
 		"limits":  map[string]any{"maxHeaderBytes": 8192, "maxBodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants": []map[string]any{{"name": Team, "apiKeys": []string{key}}},
-	})
+	}
+	f.mu.Lock()
+	f.config = config
+	f.mu.Unlock()
+	f.Store.Put("op", "config", config)
+}
+
+// Rewrite has operator and servers write again what they wrote last, in a store that has
+// come back older; pause is called between two writes.
+func (f *Fleet) Rewrite(pause func()) {
+	f.mu.Lock()
+	config, servers := f.config, slices.Clone(f.servers)
+	f.mu.Unlock()
+	f.Store.Put("op", "config", config)
+	for _, s := range servers {
+		pause()
+		s.rewrite()
+	}
 }
--- a/internal/standin/fleet/server.go
+++ b/internal/standin/fleet/server.go
@@ -45,6 +45,8 @@
 	state  string
 
 	stopped atomic.Bool
+	// left says that the server's entry was dropped.
+	left atomic.Bool
 	// dark is closed when the server falls silent.
 	dark    chan struct{}
 	waiting atomic.Int64
@@ -155,7 +157,19 @@
 func (s *Server) Heartbeat() { s.announce() }
 
 // Leave drops the server's entry, without another word.
-func (s *Server) Leave() { s.store.Remove("servers", s.ID) }
+func (s *Server) Leave() {
+	s.left.Store(true)
+	s.store.Remove("servers", s.ID)
+}
+
+// rewrite has the server's entry be as it last was, in a store that has come back older.
+func (s *Server) rewrite() {
+	if s.left.Load() {
+		s.store.Remove("servers", s.ID)
+		return
+	}
+	s.announce()
+}
 
 // Kill ends the server and its connections at once.
 func (s *Server) Kill() {
