Fuzz targets play the same inputs in every run

Change: each target's corpus grows by 2,000 inputs mutated from its seeds by a fixed rule, played with the tests, also with the race detector; the script's fuzzing of 2,000 fresh tries a target is gone. As many inputs as before, now the same ones; fresh ones are for go test -fuzz, by hand.

--- a/internal/changewire/changewire_test.go
+++ b/internal/changewire/changewire_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"kingcupplank.example/kingcup/internal/fuzzseed"
 	peerv1 "kingcupplank.example/kingcup/proto/kingcup/peer/v1"
 	"kingcupplank.example/kingcup/routing"
 )
@@ -145,11 +146,13 @@
 
 // FuzzDecode: whatever bytes a peer sends, they are a change or an error.
 func FuzzDecode(f *testing.F) {
+	corpus := fuzzseed.New(f)
 	head, parts, err := Encode(drawn(3), atOnce)
 	require.NoError(f, err)
-	f.Add(head.GetAccess(), parts[1])
-	f.Add([]byte{}, []byte{})
-	f.Add([]byte{0x03, 0x00}, parts[0])
+	corpus.Add(head.GetAccess(), parts[1])
+	corpus.Add([]byte{}, []byte{})
+	corpus.Add([]byte{0x03, 0x00}, parts[0])
+	corpus.Grow()
 	f.Fuzz(func(t *testing.T, access, part []byte) {
 		ch, err := Access(&peerv1.Change{Version: 2, Access: access})
 		if err != nil {
--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -17,6 +17,7 @@
 	"kingcupplank.example/kingcup/backends"
 	"kingcupplank.example/kingcup/internal/clock"
 	"kingcupplank.example/kingcup/internal/follow"
+	"kingcupplank.example/kingcup/internal/fuzzseed"
 	"kingcupplank.example/kingcup/internal/peers"
 	"kingcupplank.example/kingcup/platform/directory"
 	"kingcupplank.example/kingcup/platform/operator"
@@ -48,9 +49,11 @@
 // FuzzMember: whatever bytes stand for the row of a gateway, they name an address that can
 // be dialed, or none.
 func FuzzMember(f *testing.F) {
+	corpus := fuzzseed.New(f)
 	for _, seed := range []string{`{"address":"10.0.0.2:7200","failure_domain":"z"}`, "", "null", "[]", `{"address":7}`, `{"address":"vm:7200"}`, `{"address":"10.0.0.2"}`} {
-		f.Add([]byte(seed))
+		corpus.Add([]byte(seed))
 	}
+	corpus.Grow()
 	f.Fuzz(func(t *testing.T, data []byte) {
 		m, err := decodeMember(data)
 		if err != nil {
@@ -63,6 +66,7 @@
 
 // FuzzPeer: whatever a peer's frame holds, the gateway lives on.
 func FuzzPeer(f *testing.F) {
+	corpus := fuzzseed.New(f)
 	for _, frame := range []*peerv1.Frame{
 		{Kind: &peerv1.Frame_State{State: &peerv1.State{From: &peerv1.Member{Name: "p"}, ConfigVersion: 9, Loads: []*peerv1.Load{{Server: "s", Tokens: 1 << 63}}, Queues: []*peerv1.Queue{{Service: "m"}}}}},
 		{Kind: &peerv1.Frame_State{State: &peerv1.State{From: &peerv1.Member{Name: "p"}, Positions: []*peerv1.Position{{Table: directory.Table, Changed: 1 << 63, ClockMs: -1}}, Readers: []*peerv1.Reader{{Name: "r", AnsweredMs: 1 << 62}}}}},
@@ -72,8 +76,9 @@
 	} {
 		data, err := proto.Marshal(frame)
 		require.NoError(f, err)
-		f.Add(data)
+		corpus.Add(data)
 	}
+	corpus.Grow()
 	f.Fuzz(func(t *testing.T, data []byte) {
 		frame := &peerv1.Frame{}
 		if proto.Unmarshal(data, frame) != nil {
@@ -98,12 +103,14 @@
 // FuzzSuspect: whatever bytes stand for the row of a request, it is read as what it would be
 // written as, or not at all.
 func FuzzSuspect(f *testing.F) {
+	corpus := fuzzseed.New(f)
 	valid := quarantine.Record{ID: quarantine.Of("team", "POST", "h", "/p", nil), Ends: []quarantine.End{{Server: 7, At: time.Second}}, Absolved: time.Millisecond}
 	data, err := encodeSuspect(valid)
 	require.NoError(f, err)
 	for _, seed := range []string{string(data), "", "null", "[]", "{}", `{"team":"t","content":-1}`, `{"ends":[{"at_ms":9e18}]}`} {
-		f.Add(suspectKey(valid.ID), []byte(seed))
+		corpus.Add(suspectKey(valid.ID), []byte(seed))
 	}
+	corpus.Grow()
 	f.Fuzz(func(t *testing.T, key string, data []byte) {
 		r, err := decodeSuspect(follow.Row{Key: key, Value: data})
 		if err != nil {
--- a/internal/mux/mux_test.go
+++ b/internal/mux/mux_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"kingcupplank.example/kingcup/internal/fuzzseed"
 	innerv1 "kingcupplank.example/kingcup/proto/kingcup/inner/v1"
 	kingcupv1 "kingcupplank.example/kingcup/proto/kingcup/v1"
 )
@@ -31,11 +32,13 @@
 // FuzzFrameReader feeds arbitrary bytes to the inner codec: it must return an
 // error or a message, and never hold more memory than its bound.
 func FuzzFrameReader(f *testing.F) {
+	corpus := fuzzseed.New(f)
 	var good bytes.Buffer
 	WriteFrame(&good, &innerv1.Open{Protocol: 1, Kind: &innerv1.Open_Start{Start: &innerv1.Start{GenerationId: "g", Attempt: 1}}})
-	f.Add(good.Bytes())
-	f.Add(header(MaxFrame + 1))
-	f.Add([]byte{0, 0, 0, 1})
+	corpus.Add(good.Bytes())
+	corpus.Add(header(MaxFrame + 1))
+	corpus.Add([]byte{0, 0, 0, 1})
+	corpus.Grow()
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		fr := NewFrameReader(bytes.NewReader(raw))
 		for {
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -26,10 +26,3 @@
 go test -race -timeout 10m -skip "$skip" $(go list ./... | grep -Ev "$virtual")
 go test -count=1 -timeout 10m -skip "$skip" $(go list ./... | grep -E "$virtual")
 KINGCUP_PROOF_RACE=1 go test -count=1 -timeout 10m -run '^TestProcess' -skip "$skip" ./internal/proof
-
-# A short run of each fuzz target beyond its kept corpus, which the tests above play: a
-# fixed number of tries, on one worker.
-for target in internal/changewire:FuzzDecode internal/gateway:FuzzMember internal/gateway:FuzzPeer internal/gateway:FuzzSuspect internal/mux:FuzzFrameReader \
-  platform/directory:FuzzDecode platform/operator:FuzzDecode platform/settings:FuzzParse platform/store:FuzzAnswer platform/store:FuzzEra platform/upstream:FuzzReport; do
-  go test "./${target%%:*}" -run '^$' -fuzz "^${target##*:}\$" -fuzztime 2000x -parallel 1
-done
