--- a/internal/gateway/era_test.go
+++ b/internal/gateway/era_test.go
@@ -117,3 +117,92 @@
 	}, "own rows")
 	require.Less(t, time.Since(back), 2*time.Second)
 }
+
+// One gateway cannot reach the store when that comes back older; it hears of the new era
+// through peers only. What the operator writes then, under revisions that it has seen
+// before, must be in force there as well, and a key that was taken away stays refused.
+func TestGatewayCutOffHearsOfAnEraThroughPeers(t *testing.T) {
+	s := newSystem(t)
+	s.server(fleet.DeskService, fleet.Behaviour{})
+	nodes := []*node{s.gateway("vm-1"), s.gateway("vm-2"), s.gateway("vm-3")}
+	c := s.fleet.Store.Copy()
+	for range 20 {
+		s.fleet.Store.Put("other", "row", 1)
+	}
+	s.fleet.Configure("second")
+	for _, n := range nodes {
+		n.eventually(func() bool { return n.status("second") == http.StatusOK }, "the second key")
+	}
+	for _, cut := range nodes {
+		if len(reading([]*node{cut})) == 0 {
+			s.restore(c)
+			cut.door.SetFault(fleet.Reset)
+			s.fleet.Configure("third")
+			cut.eventually(func() bool { return cut.status("third") == http.StatusOK }, "the third key")
+			require.Equal(t, http.StatusUnauthorized, cut.status("second"))
+			return
+		}
+	}
+	t.Fatal("no gateway lives on the others")
+}
+
+// A gateway starts inside a drill, while the store shows a key that was taken away before.
+// The others know better; it must not serve that key once it is ready.
+func TestGatewayThatStartsInADrillRefusesRemovedKeys(t *testing.T) {
+	s := newSystem(t)
+	s.server(fleet.DeskService, fleet.Behaviour{})
+	nodes := []*node{s.gateway("vm-1"), s.gateway("vm-2")}
+	c := s.fleet.Store.Copy()
+	s.fleet.Configure("second")
+	for _, n := range nodes {
+		n.eventually(func() bool { return n.status("second") == http.StatusOK }, "the second key")
+	}
+	s.restore(c)
+	late := s.gateway("vm-3")
+	begun := time.Now()
+	for time.Since(begun) < time.Second {
+		require.NotEqual(t, http.StatusOK, late.status(fleet.Key), "after %v", time.Since(begun))
+		time.Sleep(5 * time.Millisecond)
+	}
+	require.Equal(t, http.StatusOK, late.status("second"))
+}
+
+// Streams run while the store comes back older: their servers are missing in the copy. They
+// go on to their end.
+func TestStreamsGoOnThroughADrill(t *testing.T) {
+	s := newSystem(t)
+	s.server(fleet.DeskService, fleet.Behaviour{})
+	n := s.gateway("vm-1")
+	c := s.fleet.Store.Copy()
+	engine := s.server(fleet.ModelService, fleet.Behaviour{Events: 150, EventEvery: 20 * time.Millisecond})
+	n.eventually(func() bool { return n.registry.Ready(fleet.ModelService) == 1 }, "the engine is known")
+	done := make(chan reply, 1)
+	go func() { done <- n.do(generation(fleet.PlanPath)) }()
+	n.eventually(func() bool { return engine.Running() == 1 }, "the stream runs")
+	s.restore(c)
+	time.AfterFunc(time.Second, engine.Heartbeat)
+	a := <-done
+	require.NoError(t, a.err)
+	require.Equal(t, events(1, 150), a.body)
+}
+
+// Twelve gateways, each with a few links. What they call the store for in the five seconds
+// after it came back older is at most twice what they call it for after a plain outage of
+// the same length.
+func TestDrillIsNoBurst(t *testing.T) {
+	s, _ := partial(t)
+	after := func(back func()) int {
+		s.fleet.Store.SetFault(fleet.Reset)
+		time.Sleep(away)
+		back()
+		s.fleet.Store.SetFault(fleet.Sound)
+		calls := s.fleet.Store.Calls()
+		time.Sleep(5 * time.Second)
+		return s.fleet.Store.Calls() - calls
+	}
+	c := s.fleet.Store.Copy()
+	plain := after(func() {})
+	drill := after(func() { s.fleet.Store.Restore(c) })
+	t.Logf("calls in 5 s: %d after an outage, %d after a drill", plain, drill)
+	require.LessOrEqual(t, drill, 2*plain)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -71,6 +71,7 @@
 	group     *group
 	admin     *admin.Server
 	stopping  atomic.Bool
+	started   time.Time
 	cancel    context.CancelFunc
 	wg        sync.WaitGroup
 }
@@ -90,7 +91,7 @@
 	}
 	var g *Gateway
 	err := c.Invoke(func(r *relay.Relay, reg *backends.Registry, up *upstream.Client, rep *routing.Replica, rec *gatewaymetrics.Recorder, st *store.Client, gr *group) error {
-		g = &Gateway{log: log, opts: opts, store: st, relay: r, registry: reg, upstream: up, group: gr}
+		g = &Gateway{started: time.Now(), log: log, opts: opts, store: st, relay: r, registry: reg, upstream: up, group: gr}
 		g.set.Store(set)
 		return g.run(set, rep, rec)
 	})
@@ -267,9 +268,14 @@
 // The table of gateways says under which requests servers end: one that does not know it
 // would send them on.
 func (g *Gateway) Ready() bool {
-	return !g.stopping.Load() && g.relay.Ready() && g.directory.Filled() && g.group.followers[membersTable].Filled()
+	return !g.stopping.Load() && g.relay.Ready() && g.directory.Filled() &&
+		(g.group.followers[membersTable].Filled() || time.Since(g.started) > tablesPatience)
 }
 
+// tablesPatience is how long after its start a gateway waits for the table of gateways.
+// Where only that one cannot be read, callers must not be refused for it.
+const tablesPatience = 2 * time.Second
+
 const (
 	// endMargin is kept between the end of the last answer and SIGKILL.
 	endMargin = 300 * time.Millisecond
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"slices"
 	"strings"
@@ -199,3 +200,36 @@
 	nodes[0].eventually(func() bool { return nodes[0].generate(fleet.CheckPath, "popular") == http.StatusOK }, "popular request is served")
 	require.Equal(t, http.StatusServiceUnavailable, nodes[1].generate(fleet.CheckPath, harmful))
 }
+
+// One caller's request ends servers and comes back twice a second; others make their own.
+// Once three servers have ended and are back, the others must be served as on a day without
+// it: neither its refusals nor the ends it caused may keep them from servers.
+func TestOthersAreServedBesideAHeldRequest(t *testing.T) {
+	s := newSystem(t)
+	ends := s.fragileEngines(6)
+	nodes := []*node{s.gateway("vm-1"), s.gateway("vm-2"), s.gateway("vm-3")}
+	var wg sync.WaitGroup
+	wg.Go(func() { repeat(t, nodes, harmful, 500*time.Millisecond, 10*time.Second) })
+	var mu sync.Mutex
+	sent, served := 0, 0
+	for i, begun := 0, time.Now(); time.Since(begun) < 10*time.Second; i++ {
+		at := ends.times()
+		counts := len(at) >= 3 && time.Since(at[2]) > s.fleet.BackAfter+toldWithin
+		wg.Go(func() {
+			ok := nodes[i%3].generate(fleet.CheckPath, fmt.Sprint("own-", i)) == http.StatusOK
+			mu.Lock()
+			defer mu.Unlock()
+			if counts {
+				sent++
+			}
+			if counts && ok {
+				served++
+			}
+		})
+		time.Sleep(25 * time.Millisecond)
+	}
+	wg.Wait()
+	t.Logf("%d ends, %d of %d served after the third", len(ends.times()), served, sent)
+	require.Greater(t, sent, 100)
+	require.GreaterOrEqual(t, float64(served), 0.98*float64(sent))
+}
