What breaks after a reset is looked at anew

Cause, by reading: while a look at a server was remembered, for 2 s, an end that followed a reset was not seen, and a request under it not blamed. Change: a look that finds the server listening is forgotten at once; only the question whether it had started again is asked later.

--- a/internal/relay/ended.go
+++ b/internal/relay/ended.go
@@ -118,12 +118,13 @@
 			r.conclude(q)
 			return
 		}
+		// What breaks from now on is looked at anew: the server may end next.
+		r.forget(q)
 		close(q.over)
 		time.AfterFunc(lateLook, func() {
 			if r.Registry.Ended(q.server) {
 				r.endedUnder(q)
 			}
-			r.forget(q)
 		})
 	})
 }
@@ -141,7 +142,9 @@
 func (r *Relay) forget(q *inquest) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	delete(r.inquests, lifeOf(q.server))
+	if r.inquests[lifeOf(q.server)] == q {
+		delete(r.inquests, lifeOf(q.server))
+	}
 }
 
 // hasEnded reports whether a server certainly has ended.
--- a/internal/relay/ended_test.go
+++ b/internal/relay/ended_test.go
@@ -79,6 +79,31 @@
 	}
 }
 
+// A connection to a server is reset, which is no end; a second later the server ends under
+// another request. That it listened just before must not hide it.
+func TestServerThatEndsAfterAResetIsNamed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, Config{})
+		hook := logtest.NewLocal(w.relay.Log.(*logrus.Logger))
+		w.server("e1", modelService)
+		for _, ends := range []bool{false, true} {
+			body := newSource()
+			w.up.send = func(context.Context, *Attempt) (*Answer, error) { return body.answer(), nil }
+			go func() {
+				body.write(event(1))
+				if ends {
+					w.up.end("e1")
+				}
+				body.breakOff()
+			}()
+			w.serve(request("/plan/a"))
+			time.Sleep(time.Second)
+		}
+		require.Len(t, endings(hook), 1)
+		time.Sleep(lateLook)
+	})
+}
+
 // A server that starts again at once under its id refuses no connection; that it ended is
 // known once its new entry is.
 func TestServerThatIsBackAtOnceHasEnded(t *testing.T) {
