Doubt stays when another is absolved; trials are in the store

Two requests that many make were held with a harmful one that was not held yet; once the first was absolved the other shared its ends with nothing that was held, was in no doubt, and stayed held. By reading: a verdict's row said nothing of trials, so gateways that start after all were killed would try a harmful request as often again.

Change: ends up to an absolution are kept, to tell what else ran there; a verdict is in doubt by any other request under which several servers ended, held or not. A trial, and what ends under it, is written to the verdict's row.

--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -166,6 +166,11 @@
 	for _, id := range slices.Concat(c.Held, c.Freed) {
 		s.schedule(id, after)
 	}
+	for _, r := range c.News {
+		if len(r.Trials) > 0 {
+			s.schedule(r.ID, after)
+		}
+	}
 	evidence := make([]quarantine.Record, 0, len(c.Held))
 	for _, id := range c.Held {
 		evidence = append(evidence, s.book.Record(id))
--- a/internal/gateway/suspectrows.go
+++ b/internal/gateway/suspectrows.go
@@ -141,14 +141,19 @@
 	}
 }
 
-// lacks reports whether the store's row of a request does not say its verdict; mu is held.
+// lacks reports whether the store's row of a request does not say its verdict, or its
+// trials and what ended under them: gateways that start would try it again and again. mu is
+// held.
 func (s *suspects) lacks(id quarantine.ID) bool {
 	row, exists := s.rows[id]
 	r := s.book.Record(id)
-	if s.book.Convicts(r) {
-		return !exists || !s.book.Convicts(row.record)
+	switch {
+	case !s.book.Convicts(r):
+		return exists && r.Absolved > row.record.Absolved
+	case !exists || !s.book.Convicts(row.record):
+		return true
 	}
-	return exists && r.Absolved > row.record.Absolved
+	return len(r.Trials) > 0 && (len(r.Trials) > len(row.record.Trials) || len(r.Ends) > len(row.record.Ends))
 }
 
 // saveDue writes the rows that are due, as far as they are still lacking.
--- /dev/null
+++ b/internal/gateway/suspectrows_test.go
@@ -0,0 +1,58 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"kingcupplank.example/kingcup/internal/follow"
+	"kingcupplank.example/kingcup/quarantine"
+)
+
+// dueNow lists the requests whose rows are to be written.
+func (s *suspects) dueNow() (out []quarantine.ID) {
+	for {
+		r, found := s.nextDue(time.Now().Add(time.Hour))
+		if !found {
+			return out
+		}
+		out = append(out, r.ID)
+	}
+}
+
+// stored has the table bring the row of a request as it is known here.
+func (s *suspects) stored(t *testing.T, id quarantine.ID, revision uint64) {
+	data, err := encodeSuspect(s.book.Record(id))
+	require.NoError(t, err)
+	s.read([]follow.Row{{Key: suspectKey(id), Value: data, Revision: revision}}, false)
+}
+
+// A request that is held in doubt is tried, and servers end under its trials. All gateways
+// are killed then: those that start later know the trials by the row only, and would try the
+// request as often again. The row must be written with each trial, and with what ended
+// under it.
+func TestTrialsAreInTheStore(t *testing.T) {
+	s := quietGroup(memberRows(nil)).suspects
+	x, y := quarantine.Of("team", "POST", "h", "/x", nil), quarantine.Of("team", "POST", "h", "/y", nil)
+	end := func(server uint64, at time.Duration, ran ...quarantine.ID) {
+		s.learn("test", 0, func(b *quarantine.Book) quarantine.Change { return b.Ended(server, at, ran) })
+	}
+	for server := range uint64(3) {
+		end(server, time.Duration(1+server)*time.Second, x, y)
+	}
+	require.ElementsMatch(t, []quarantine.ID{x, y}, s.dueNow())
+	s.stored(t, x, 1)
+	s.stored(t, y, 2)
+	require.Empty(t, s.dueNow(), "the store has them")
+	tried := false
+	s.learn("test", 0, func(b *quarantine.Book) (c quarantine.Change) {
+		c, tried = b.Try(x, 10*time.Second)
+		return c
+	})
+	require.True(t, tried)
+	require.Equal(t, []quarantine.ID{x}, s.dueNow())
+	s.stored(t, x, 3)
+	end(9, 11*time.Second, x)
+	require.Equal(t, []quarantine.ID{x}, s.dueNow())
+}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -32,6 +32,7 @@
 	{9610, 19, "request that many make is held with a harmful one, and not tried"},
 	{9613, 19, "request that many make is held by chance ends, and its trial is cut short"},
 	{9622, 19, "request that many make explains the ends under a harmful one"},
+	{9640, 21, "request that many make is in no doubt once another one is absolved"},
 }
 
 var binary = sync.OnceValues(func() (string, error) {
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -46,7 +46,7 @@
 	// newest is the newest end under it.
 	newest time.Duration
 	// doubtful says that it has too few ends of its own: all others it shares with requests
-	// that are refused as well.
+	// under which several servers ended.
 	doubtful bool
 }
 
@@ -81,7 +81,7 @@
 // Absolve notes that a server has answered a request, or that an operator lifts its
 // verdict. It is no news where nothing is held against the request.
 func (b *Book) Absolve(id ID, at time.Duration) Change {
-	if r := b.records[id]; r == nil || len(r.Ends) == 0 {
+	if r := b.records[id]; r == nil || len(r.together(b.policy.Window)) == 0 {
 		return Change{}
 	}
 	return b.Merge([]Record{{ID: id, Absolved: at}})
@@ -183,7 +183,7 @@
 // order of their IDs.
 func (b *Book) List(ends int) (out []Record) {
 	for _, r := range b.records {
-		if len(r.Ends) >= ends {
+		if len(r.together(b.policy.Window)) >= ends {
 			out = append(out, r.clone())
 		}
 	}
@@ -205,16 +205,18 @@
 // All that ran on a server that has ended are suspected alike: an end is not explained by a
 // request that is held already. A request that many make would be held first, explain the
 // ends under a harmful one, and that would go on. What is held for nothing shares its ends
-// with what is held for a reason, and shows by a trial that it is harmless.
+// with others under which several servers ended, and shows by a trial that it is harmless;
+// that one of them has shown so already takes nothing of the doubt.
 func (b *Book) judge() (held, freed []ID) {
 	was := b.held
 	b.held = make(map[ID]verdict, len(was))
 	shared := make(map[uint64]int)
 	for id, r := range b.records {
-		ends := r.together(b.policy.Window)
-		if len(ends) >= b.policy.Ends {
+		if ends := r.together(b.policy.Window); len(ends) >= b.policy.Ends {
 			b.held[id] = verdict{newest: ends[0].At}
-			for _, e := range ends {
+		}
+		if len(r.Ends) > 1 {
+			for _, e := range r.Ends {
 				shared[e.Server]++
 			}
 		}
@@ -272,5 +274,5 @@
 }
 
 func weaker(x, y *Record) int {
-	return cmp.Or(cmp.Compare(len(x.Ends), len(y.Ends)), cmp.Compare(x.last(), y.last()), compareIDs(x.ID, y.ID))
+	return cmp.Or(cmp.Compare(x.live(), y.live()), cmp.Compare(x.last(), y.last()), compareIDs(x.ID, y.ID))
 }
--- a/quarantine/book_test.go
+++ b/quarantine/book_test.go
@@ -239,7 +239,32 @@
 	require.Equal(t, []ID{popular}, b.Absolve(popular, at+time.Second).Freed)
 	_, held := b.Held(harmful, at+time.Minute)
 	require.True(t, held)
-	require.False(t, try(harmful, at+time.Minute), "no doubt")
+	require.False(t, try(harmful, at+time.Minute))
+}
+
+// Two requests that many make run on three servers that end by chance. The one is tried and
+// served again; that it is harmless must not leave the other without a trial.
+func TestAbsolvedRequestLeavesTheOthersDoubt(t *testing.T) {
+	b, x, y := NewBook(Default()), request("x"), request("y")
+	for s := range uint64(3) {
+		b.Ended(s, time.Duration(1+s)*time.Second, []ID{x, y})
+	}
+	_, tried := b.Try(x, 10*time.Second)
+	require.True(t, tried)
+	require.Equal(t, []ID{x}, b.Absolve(x, 11*time.Second).Freed)
+	_, tried = b.Try(y, 12*time.Second)
+	require.True(t, tried)
+}
+
+// A request that many make is held; the harmful one beside it has ended two servers that it
+// did not end alone, and is not held yet. The first must be tried.
+func TestDoubtByOneThatIsNotHeldYet(t *testing.T) {
+	b, popular, harmful := NewBook(Default()), request("popular"), request("harmful")
+	b.Ended(1, time.Second, []ID{popular})
+	b.Ended(2, 2*time.Second, []ID{popular, harmful})
+	require.Equal(t, []ID{popular}, b.Ended(3, 3*time.Second, []ID{popular, harmful}).Held)
+	_, tried := b.Try(popular, 10*time.Second)
+	require.True(t, tried)
 }
 
 // A request that is held for ends of its own is not tried.
--- a/quarantine/play_test.go
+++ b/quarantine/play_test.go
@@ -98,11 +98,16 @@
 
 // place sends a request to a server; it is refused if it is held.
 func (f *fleet) place(w *work) {
-	if _, held := f.gateways[w.gateway].book.Held(w.id, f.now); held {
-		if !w.harmful {
-			f.refused++
+	g := f.gateways[w.gateway]
+	if _, held := g.book.Held(w.id, f.now); held {
+		c, tried := g.book.Try(w.id, f.now)
+		if w.tries > 0 || !tried {
+			if !w.harmful {
+				f.refused++
+			}
+			return
 		}
-		return
+		f.tell(g, c.News)
 	}
 	if w.tries == tries {
 		return
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -31,7 +31,8 @@
 // what either knows, in whatever order and however often they are merged.
 type Record struct {
 	ID
-	// Ends are ends under the request, one a life, from the newest to the oldest.
+	// Ends are ends under the request, one a life, from the newest to the oldest. Those up
+	// to Absolved count no more against it; they tell what else ran on those servers.
 	Ends []End
 	// Absolved is when the request was last answered by a server, or an operator lifted
 	// the verdict; ends up to then do not count. 0 if never.
@@ -47,16 +48,16 @@
 	old, trials, absolved := r.Ends, r.Trials, r.Absolved
 	r.Absolved = max(r.Absolved, o.Absolved)
 	r.Trials = newestTrials(slices.Concat(r.Trials, o.Trials), r.Absolved)
-	r.Ends = newest(slices.Concat(r.Ends, o.Ends), r.Absolved)
+	r.Ends = newest(slices.Concat(r.Ends, o.Ends))
 	return r.Absolved != absolved || !slices.Equal(r.Trials, trials) || !slices.Equal(r.Ends, old)
 }
 
-// newest returns the newest ends after a time, one a life, that of the latest notice.
-func newest(ends []End, after time.Duration) []End {
+// newest returns the newest ends, one a life, that of the latest notice.
+func newest(ends []End) []End {
 	slices.SortFunc(ends, compareEnds)
 	seen := make(map[uint64]bool, len(ends))
 	ends = slices.DeleteFunc(ends, func(e End) bool {
-		drop := seen[e.Server] || e.At <= after
+		drop := seen[e.Server]
 		seen[e.Server] = true
 		return drop
 	})
@@ -86,16 +87,25 @@
 	return max(r.Ends[0].At, r.Absolved)
 }
 
-// together lists the ends that count together: those within a window up to the newest.
+// together lists the ends that count together: those since the absolution, within a window
+// up to the newest.
 func (r *Record) together(window time.Duration) []End {
 	for i, e := range r.Ends {
-		if e.At <= r.Ends[0].At-window {
+		if e.At <= r.Absolved || e.At <= r.Ends[0].At-window {
 			return r.Ends[:i]
 		}
 	}
 	return r.Ends
 }
 
+// live counts the ends since the absolution.
+func (r *Record) live() (n int) {
+	for n < len(r.Ends) && r.Ends[n].At > r.Absolved {
+		n++
+	}
+	return n
+}
+
 // endsAmong counts those ends that count together and are of some kind.
 func (r *Record) endsAmong(window time.Duration, kind func(End) bool) (n int) {
 	for _, e := range r.together(window) {
