--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -25,10 +25,8 @@
 	Records, PerTeam int
 }
 
-// Default is the policy of gateways. Fewer ends would convict those that ran beside a
-// harmful request twice; a recurring request meets three servers that fail by chance within
-// an hour, without one answer in between, in less than one of a million hours at seven
-// failures a day.
+// Default is the policy of gateways. Fewer ends would convict what ran beside a harmful
+// request twice; with more, what runs beside it is lost once more each.
 func Default() Policy {
 	return Policy{Ends: 3, Window: time.Hour, Term: time.Hour, TrialAfter: 1500 * time.Millisecond, TrialEnds: 2, Records: 1024, PerTeam: 128}
 }
