--- a/backends/cells_test.go
+++ b/backends/cells_test.go
@@ -67,7 +67,7 @@
 	late    int
 }
 
-func newFleet(linked func(self subset.Item, all []subset.Item) (links []subset.Item, own, count int)) *fleet {
+func newFleet(linked func(self subset.Item, all []subset.Item) (links []subset.Item, place cells.Place)) *fleet {
 	f := &fleet{rng: rand.New(rand.NewPCG(5, 9)), engines: make(map[string]*engine), events: make(map[time.Duration][]func())}
 	var all []subset.Item
 	index := make(map[string]int)
@@ -81,11 +81,11 @@
 	}
 	f.heard = make([][]int, gateways)
 	for i, self := range all {
-		r := New(self.FailureDomain, func(string) int { return 33_000 }, func(Server, Notice) {})
+		r := New(self.FailureDomain, func(string) Traits { return Traits{MemoryTokens: engineMemory} }, func(Server, Notice) {})
 		r.Reset(f.servers, 0, 0)
 		others := append(append([]subset.Item{}, all[:i]...), all[i+1:]...)
-		links, own, count := linked(self, others)
-		r.SetCell(own, count)
+		links, place := linked(self, others)
+		r.SetPlace(place)
 		for _, l := range links {
 			f.heard[i] = append(f.heard[i], index[l.Name])
 		}
@@ -234,12 +234,12 @@
 // in a hundred may begin late; with the same number of links, drawn from all, it is more
 // than twice as many.
 func TestGatewaysOfACellDoNotMeetAtEngines(t *testing.T) {
-	divided := newFleet(func(self subset.Item, all []subset.Item) ([]subset.Item, int, int) {
+	divided := newFleet(func(self subset.Item, all []subset.Item) ([]subset.Item, cells.Place) {
 		return cells.Links(self, all, mostLinks)
 	})
 	inCells := divided.play()
-	partial := newFleet(func(self subset.Item, all []subset.Item) ([]subset.Item, int, int) {
-		return subset.Pick(self.Name, self.FailureDomain, all, mostLinks+6), 0, 1
+	partial := newFleet(func(self subset.Item, all []subset.Item) ([]subset.Item, cells.Place) {
+		return subset.Pick(self.Name, self.FailureDomain, all, mostLinks+6), cells.Place{Self: self.Name, Count: 1}
 	})
 	drawn := partial.play()
 	t.Logf("late: %.3f in cells, %.3f with links drawn from all", inCells, drawn)
@@ -259,7 +259,7 @@
 		all = append(all, s)
 	}
 	r.Reset(all, 0, 0)
-	r.SetCell(0, count)
+	r.SetPlace(cells.Place{Own: 0, Count: count})
 	require.Nil(t, r.Acquire(Query{Service: svc}, 0))
 	l := r.Acquire(Query{Service: svc, Spill: true}, 0)
 	require.NotNil(t, l)
--- a/backends/registry.go
+++ b/backends/registry.go
@@ -11,12 +11,21 @@
 	"time"
 
 	"kingcupplank.example/kingcup/cells"
+	"kingcupplank.example/kingcup/coldstart"
 	"kingcupplank.example/kingcup/flow"
 	"kingcupplank.example/kingcup/placement"
+	"kingcupplank.example/kingcup/routing"
 )
 
-// Capacity is the memory of a server, 0 where a service has no engines.
-type Capacity func(service string) (memoryTokens int)
+// Traits are what is known of all servers of a service.
+type Traits struct {
+	// MemoryTokens is the memory of a server, 0 where a service has no engines.
+	MemoryTokens int
+	// ColdTime is how long a server is cold after its start, ColdRate the requests a second
+	// that it bears meanwhile, 0 for no bound.
+	ColdTime time.Duration
+	ColdRate float64
+}
 
 const (
 	// lapseGrace is how long an entry that lapsed during an outage of the
@@ -47,10 +56,10 @@
 
 // Registry holds the servers. Times are of one steady clock, given by callers.
 type Registry struct {
-	domain   string
-	capacity Capacity
-	policy   placement.Policy
-	copies   placement.Policy
+	domain string
+	traits func(service string) Traits
+	policy placement.Policy
+	copies placement.Policy
 
 	mu      sync.Mutex
 	servers map[string]*server
@@ -67,6 +76,12 @@
 	leaving func(Server, Notice)
 	// cell is this process's of count cells.
 	cell, count int
+	// inCell and inAll are this process's part of what cold servers bear, among those of its
+	// cell and among all.
+	inCell, inAll *coldstart.Share
+	// cordoned are the failure domains that get nothing, regions those that domains are in.
+	cordoned map[string]bool
+	regions  map[string]string
 }
 
 // Notice says why a server is taken to be leaving.
@@ -84,9 +99,9 @@
 
 // New returns an empty registry of a process in domain. leaving is told once of
 // each server that begins to leave; it is called without the lock.
-func New(domain string, capacity Capacity, leaving func(Server, Notice)) *Registry {
+func New(domain string, traits func(service string) Traits, leaving func(Server, Notice)) *Registry {
 	return &Registry{
-		domain: domain, capacity: capacity, leaving: leaving,
+		domain: domain, traits: traits, leaving: leaving,
 		policy: placement.Direct(), copies: placement.Copies(), servers: make(map[string]*server), endings: make(map[string]ending), remote: make(map[string]map[string]Load), losses: make(map[string]map[string]Loss),
 		lists: make(map[string][]*server),
 	}
@@ -150,7 +165,7 @@
 		old = nil
 	}
 	if old == nil {
-		old = &server{hash: cells.Hash(s.ID)}
+		old = &server{hash: cells.Hash(s.ID), ticket: noTicket}
 		r.servers[s.ID] = old
 	}
 	return old.update(left, s, now)
@@ -268,6 +283,10 @@
 	// all others.
 	Near   string
 	Within bool
+	// Regions are where the request may run.
+	Regions routing.Regions
+	// Clock is what cold servers are shared out by.
+	Clock SharedClock
 	// Turns bounds the choice to servers where it is this process's turn, nil for
 	// all.
 	Turns *flow.Turns
@@ -287,12 +306,12 @@
 func (r *Registry) Acquire(q Query, now time.Duration) *Lease {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	views, list := r.views(q.Service, now)
+	views, list := r.views(q.Service, q.Clock, now)
 	near := q.Near
 	if near == "" {
 		near = r.domain
 	}
-	req := &placement.Request{FailureDomain: near, Tried: q.Tried, Tokens: q.Tokens, PromptSpeed: q.PromptSpeed, MostUsed: q.MostUsed, MostPrompt: q.MostPrompt, Within: q.Within, CopySpeed: q.CopySpeed}
+	req := &placement.Request{FailureDomain: near, Tried: q.Tried, Tokens: q.Tokens, PromptSpeed: q.PromptSpeed, MostUsed: q.MostUsed, MostPrompt: q.MostPrompt, Within: q.Within, Regions: q.Regions, CopySpeed: q.CopySpeed}
 	divided := cells.Divided(len(views), r.count)
 	if divided {
 		req.Own = func(k int) bool { return cells.Of(list[k].hash, r.count) == r.cell }
@@ -321,16 +340,19 @@
 		return nil
 	}
 	s := list[i]
+	r.takeTicket(s, q, len(list), now)
 	return r.lease(s, q, len(list))
 }
 
-// SetCell says which of how many cells this process is in, and reports whether that is
-// news.
-func (r *Registry) SetCell(cell, count int) bool {
+// SetPlace says which of how many cells this process is in, and which others send to the same
+// servers. It reports whether the cell is news.
+func (r *Registry) SetPlace(p cells.Place) bool {
+	inCell, inAll := coldstart.NewShare(p.Self, p.Cell), coldstart.NewShare(p.Self, p.All)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	news := r.cell != cell || r.count != count
-	r.cell, r.count = cell, count
+	news := r.cell != p.Own || r.count != p.Count
+	r.cell, r.count = p.Own, p.Count
+	r.inCell, r.inAll = inCell, inAll
 	return news
 }
 
@@ -346,17 +368,24 @@
 
 // views describes the servers of a service to a policy. The result is valid until
 // mu is released.
-func (r *Registry) views(service string, now time.Duration) ([]placement.Server, []*server) {
+func (r *Registry) views(service string, at SharedClock, now time.Duration) ([]placement.Server, []*server) {
 	list := r.listed(service)
-	memory := r.capacity(service)
+	traits := r.traits(service)
+	share := r.share(len(list))
 	r.scratch = r.scratch[:0]
 	for _, s := range list {
 		load := r.load(s)
+		cold := now < s.coldUntil
+		paced := false
+		if cold && traits.ColdRate > 0 {
+			_, mine := s.ticketNow(share, traits.ColdRate, at, now)
+			paced = !mine
+		}
 		r.scratch = append(r.scratch, placement.Server{
-			Name: s.ID, FailureDomain: s.FailureDomain, Leaving: s.Leaving, Connected: true,
+			Name: s.ID, FailureDomain: s.FailureDomain, Region: r.regions[s.FailureDomain], Leaving: s.Leaving, Cordoned: r.cordoned[s.FailureDomain], Connected: true,
 			Running: load.Running, Slots: s.Slots,
-			MemoryForecast: uint64(max(0, load.Tokens)), PromptPending: max(0, load.Prompt), CopyPending: max(0, load.Copying), MemoryTotal: uint64(memory),
-			FailureRate: s.failureRate(now), Avoid: now < s.avoidUntil || s.suspectUntil > 0 || r.losing(s, now), Cold: now < s.coldUntil,
+			MemoryForecast: uint64(max(0, load.Tokens)), PromptPending: max(0, load.Prompt), CopyPending: max(0, load.Copying), MemoryTotal: uint64(traits.MemoryTokens),
+			FailureRate: s.failureRate(now), Avoid: now < s.avoidUntil || s.suspectUntil > 0 || r.losing(s, now), Cold: cold, Paced: paced,
 		})
 	}
 	return r.scratch, list
@@ -384,15 +413,25 @@
 
 // Ready counts the servers of a service that take requests.
 func (r *Registry) Ready(service string) int {
+	ready, _ := r.Standing(service, nil)
+	return ready
+}
+
+// Standing counts the servers of a service that take requests which must stay in some
+// regions, and those that would if they were not cordoned.
+func (r *Registry) Standing(service string, within routing.Regions) (ready, cordoned int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	n := 0
 	for _, s := range r.servers {
-		if s.Service == service && !s.gone && !s.withheld && !s.Leaving {
-			n++
+		switch {
+		case s.Service != service || s.gone || s.withheld || s.Leaving || !within.Allow(r.regions[s.FailureDomain]):
+		case r.cordoned[s.FailureDomain]:
+			cordoned++
+		default:
+			ready++
 		}
 	}
-	return n
+	return ready, cordoned
 }
 
 // State tells whether a server is listed and whether it is leaving.
--- a/backends/registry_test.go
+++ b/backends/registry_test.go
@@ -16,7 +16,7 @@
 
 func newRegistry() (*Registry, *[]told) {
 	var notices []told
-	r := New("zone-1", func(string) int { return 30000 }, func(s Server, n Notice) { notices = append(notices, told{s.ID, n}) })
+	r := New("zone-1", func(string) Traits { return Traits{MemoryTokens: 30000} }, func(s Server, n Notice) { notices = append(notices, told{s.ID, n}) })
 	return r, &notices
 }
 
--- a/backends/server.go
+++ b/backends/server.go
@@ -48,11 +48,13 @@
 	withheldUntil time.Duration
 	// suspectUntil is when a vanished entry counts as gone.
 	suspectUntil time.Duration
-	coldUntil    time.Duration
-	avoidUntil   time.Duration
-	own          Load
-	failures     float64
-	judged       time.Duration
+	// coldUntil is when the server bears any rate, ticket the last that was used of it.
+	coldUntil  time.Duration
+	ticket     int64
+	avoidUntil time.Duration
+	own        Load
+	failures   float64
+	judged     time.Duration
 	// lost counts the requests lost in a row, the last at lostAt.
 	lost   int
 	lostAt time.Duration
--- a/cells/cells.go
+++ b/cells/cells.go
@@ -31,23 +31,34 @@
 // 26 has 150 ways out then.
 const outsideShare = 5
 
+// Place is where a process stands among the others.
+type Place struct {
+	// Self is its name, Own its cell of Count.
+	Self       string
+	Own, Count int
+	// Cell names the others of its cell, All all others.
+	Cell, All []string
+}
+
 // Links picks the processes that one tells of its load, by the same rule everywhere: those of
 // its own cell, at most so many, and some of the others, by which tables are known in all
-// cells. all does not hold the process itself; own is its cell of count.
-func Links(self subset.Item, all []subset.Item, most int) (links []subset.Item, own, count int) {
-	count = Count(len(all) + 1)
-	own = Of(Hash(self.Name), count)
+// cells. all does not hold the process itself.
+func Links(self subset.Item, all []subset.Item, most int) (links []subset.Item, place Place) {
+	place = Place{Self: self.Name, Count: Count(len(all) + 1)}
+	place.Own = Of(Hash(self.Name), place.Count)
 	var inside, outside []subset.Item
 	for _, it := range all {
-		if Of(Hash(it.Name), count) == own {
+		place.All = append(place.All, it.Name)
+		if Of(Hash(it.Name), place.Count) == place.Own {
 			inside = append(inside, it)
+			place.Cell = append(place.Cell, it.Name)
 		} else {
 			outside = append(outside, it)
 		}
 	}
 	links = subset.Pick(self.Name, self.FailureDomain, inside, most)
 	links = append(links, subset.Pick(self.Name, self.FailureDomain, outside, max(1, most/outsideShare))...)
-	return links, own, count
+	return links, place
 }
 
 // Hash is what a name is placed by.
--- a/internal/changewire/changewire.go
+++ b/internal/changewire/changewire.go
@@ -58,7 +58,7 @@
 	}
 	ch := &routing.Change{Base: head.GetBase(), Version: head.GetVersion(), Keyed: a.GetKeyed(), DropTeams: a.GetDrop()}
 	for _, t := range a.GetSet() {
-		ch.SetTeams = append(ch.SetTeams, &routing.Team{Name: t.GetName(), Keys: t.GetKeys(), Priority: int(t.GetPriority()), Ranked: t.GetRanked()})
+		ch.SetTeams = append(ch.SetTeams, &routing.Team{Name: t.GetName(), Keys: t.GetKeys(), Priority: int(t.GetPriority()), Ranked: t.GetRanked(), Regions: t.GetRegions()})
 	}
 	return ch, nil
 }
@@ -135,7 +135,7 @@
 func accessOf(ch *routing.Change) *peerv1.Access {
 	a := &peerv1.Access{Drop: ch.DropTeams, Keyed: ch.Keyed}
 	for _, t := range ch.SetTeams {
-		a.Set = append(a.Set, &peerv1.Team{Name: t.Name, Keys: t.Keys, Priority: int32(t.Priority), Ranked: t.Ranked})
+		a.Set = append(a.Set, &peerv1.Team{Name: t.Name, Keys: t.Keys, Priority: int32(t.Priority), Ranked: t.Ranked, Regions: t.Regions})
 	}
 	return a
 }
@@ -173,7 +173,7 @@
 	out := &peerv1.Route{
 		Name: r.Name, Host: r.Host, Prefix: r.Prefix, Kind: uint32(r.Kind), Timeout: int64(r.Timeout), Target: int64(r.Target),
 		MaxPause: int64(r.MaxPause), Silence: int64(r.Silence), Servers: int32(r.Servers), Priority: int32(r.Priority),
-		Public: r.Public, Resumable: r.Resumable,
+		Public: r.Public, Resumable: r.Resumable, Regions: r.Regions,
 	}
 	for _, w := range r.Split {
 		out.Split = append(out.Split, &peerv1.Weighted{Service: w.Service, Weight: int64(w.Weight)})
@@ -186,7 +186,7 @@
 		Name: r.GetName(), Host: r.GetHost(), Prefix: r.GetPrefix(), Kind: routing.Kind(r.GetKind()),
 		Timeout: time.Duration(r.GetTimeout()), Target: time.Duration(r.GetTarget()),
 		MaxPause: time.Duration(r.GetMaxPause()), Silence: time.Duration(r.GetSilence()),
-		Servers: int(r.GetServers()), Priority: int(r.GetPriority()), Public: r.GetPublic(), Resumable: r.GetResumable(),
+		Servers: int(r.GetServers()), Priority: int(r.GetPriority()), Public: r.GetPublic(), Resumable: r.GetResumable(), Regions: r.GetRegions(),
 	}
 	for _, w := range r.GetSplit() {
 		out.Split = append(out.Split, routing.Weighted{Service: w.GetService(), Weight: int(w.GetWeight())})
@@ -195,7 +195,7 @@
 }
 
 func serviceOf(s *routing.Service) *peerv1.Service {
-	out := &peerv1.Service{Name: s.Name, MaxConns: int64(s.MaxConns)}
+	out := &peerv1.Service{Name: s.Name, MaxConns: int64(s.MaxConns), ColdTime: int64(s.ColdTime), ColdRate: s.ColdRate}
 	if e := s.Engine; e != nil {
 		out.Engine = &peerv1.Engine{
 			Slots: int64(e.Slots), MemoryTokens: int64(e.MemoryTokens), BytesPerToken: int64(e.BytesPerToken),
@@ -206,7 +206,7 @@
 }
 
 func serviceFrom(s *peerv1.Service) *routing.Service {
-	out := &routing.Service{Name: s.GetName(), MaxConns: int(s.GetMaxConns())}
+	out := &routing.Service{Name: s.GetName(), MaxConns: int(s.GetMaxConns()), ColdTime: time.Duration(s.GetColdTime()), ColdRate: s.GetColdRate()}
 	if e := s.GetEngine(); e != nil {
 		out.Engine = &routing.Engine{
 			Slots: int(e.GetSlots()), MemoryTokens: int(e.GetMemoryTokens()), BytesPerToken: int(e.GetBytesPerToken()),
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -133,6 +133,7 @@
 		return follow.Page{}, err
 	}
 	head := taker.head
+	s.adoptCordons(head)
 	page := follow.Page{Revision: head.GetRevision(), Changed: head.GetChanged(), Clock: time.Duration(head.GetClockMs()) * time.Millisecond}
 	if head.GetVersion() == from {
 		return page, nil
@@ -207,7 +208,7 @@
 	}
 	return &peerv1.Change{
 		Base: e.head.GetBase(), Version: e.head.GetVersion(), Revision: position.Revision, Changed: position.Changed, ClockMs: position.Clock.Milliseconds(),
-		Access: e.head.GetAccess(), Parts: e.head.GetParts(),
+		Access: e.head.GetAccess(), Parts: e.head.GetParts(), Cordoned: s.cordonsOf(),
 	}, e.parts, nil
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"reflect"
 	"runtime/debug"
 	"strconv"
 	"sync"
@@ -93,6 +94,7 @@
 	err := c.Invoke(func(r *relay.Relay, reg *backends.Registry, up *upstream.Client, rep *routing.Replica, rec *gatewaymetrics.Recorder, st *store.Client, gr *group) error {
 		g = &Gateway{started: time.Now(), log: log, opts: opts, store: st, relay: r, registry: reg, upstream: up, group: gr}
 		g.set.Store(set)
+		reg.SetRegions(set.Regions)
 		return g.run(set, rep, rec)
 	})
 	return g, dig.RootCause(err)
@@ -113,7 +115,7 @@
 		newControlCosts,
 		routing.NewReplica,
 		func(rep *routing.Replica, l *late) *backends.Registry {
-			return backends.New(set.FailureDomain, memoryOf(rep), func(s backends.Server, n backends.Notice) {
+			return backends.New(set.FailureDomain, traitsOf(rep), func(s backends.Server, n backends.Notice) {
 				log.WithFields(logrus.Fields{"server": s.ID, "born": s.Born, "service": s.Service, "notice": string(n)}).Info("server is leaving")
 				if r := l.relay.Load(); r != nil {
 					r.Noticed(s, n)
@@ -147,16 +149,21 @@
 	return net.JoinHostPort(set.IP, strconv.Itoa(set.PeerPorts[0]))
 }
 
-func memoryOf(rep *routing.Replica) backends.Capacity {
-	return func(service string) int {
+func traitsOf(rep *routing.Replica) func(service string) backends.Traits {
+	return func(service string) (t backends.Traits) {
 		cfg, _ := rep.Current()
 		if cfg == nil {
-			return 0
+			return t
+		}
+		s := cfg.Service(service)
+		if s == nil {
+			return t
 		}
-		if s := cfg.Service(service); s != nil && s.Engine != nil {
-			return s.Engine.MemoryTokens
+		t.ColdTime, t.ColdRate = s.ColdTime, s.ColdRate
+		if s.Engine != nil {
+			t.MemoryTokens = s.Engine.MemoryTokens
 		}
-		return 0
+		return t
 	}
 }
 
@@ -193,6 +200,7 @@
 	rec.Gauge("kingcup_gateway_peers_known", "Other gateways that this one knows.", func() float64 { return float64(g.group.links.Known() - 1) })
 	rec.Gauge("kingcup_gateway_peers_heard", "Other gateways whose states come in.", func() float64 { return float64(len(g.group.links.Live())) })
 	rec.Gauge("kingcup_gateway_requests_held", "Requests that are not sent to servers, because servers end under them.", func() float64 { return float64(g.group.suspects.holds()) })
+	rec.Gauge("kingcup_gateway_domains_cordoned", "Failure domains whose servers get nothing.", func() float64 { return float64(len(g.group.cordons.List())) })
 	rec.Gauge("kingcup_gateway_log_lines_dropped", "Log lines that were not written.", func() float64 { return float64(g.opts.DroppedLines()) })
 	if err := g.serveMetrics(set, rec); err != nil {
 		callers.Close()
@@ -257,6 +265,7 @@
 		case <-t.C:
 			g.upstream.Sweep()
 			g.registry.Expire(clock.SinceBoot())
+			g.group.cordons.Expire(clock.SinceBoot())
 		}
 	}
 }
@@ -314,10 +323,12 @@
 // addresses that a process serves are fixed while it lives.
 func (g *Gateway) Reload(set *settings.Settings) {
 	old := g.set.Swap(set)
-	g.log.WithField("changed", *set != *old).Info("settings reloaded")
-	if *set == *old {
+	same := reflect.DeepEqual(set, old)
+	g.log.WithField("changed", !same).Info("settings reloaded")
+	if same {
 		return
 	}
+	g.registry.SetRegions(set.Regions)
 	g.store.SetAddress(set.Store)
 	g.store.SetLink(set.LinkMbps)
 	g.relay.Configure(relayConfig(set))
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -11,6 +11,8 @@
 	"github.com/sirupsen/logrus"
 
 	"kingcupplank.example/kingcup/backends"
+	"kingcupplank.example/kingcup/cells"
+	"kingcupplank.example/kingcup/cordon"
 	"kingcupplank.example/kingcup/flow"
 	"kingcupplank.example/kingcup/internal/clock"
 	"kingcupplank.example/kingcup/internal/follow"
@@ -36,6 +38,8 @@
 	store    rows
 	registry *backends.Registry
 	config   *configSharing
+	// cordons are the failure domains that get nothing.
+	cordons *cordon.Set
 	// linkMbps is this VM's bandwidth in Mbit/s, 0 if it is not known.
 	linkMbps float64
 	log      logrus.FieldLogger
@@ -64,7 +68,8 @@
 	g.role = newReaderRole(g)
 	g.suspects = newSuspects(g)
 	g.answerBy(g.newest)
-	g.config = &configSharing{group: g, replica: replica, sink: operator.NewSink(replica, wait.Breathe, log)}
+	g.cordons = cordon.New(follow.EraOf, g.cordonsChanged)
+	g.config = &configSharing{group: g, replica: replica, sink: operator.NewSink(replica, g.cordons, clock.SinceBoot, wait.Breathe, log)}
 	var d net.Dialer
 	g.links = peers.New(self, peers.Deps{
 		Dial:  func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) },
@@ -74,10 +79,10 @@
 	return g
 }
 
-// placed has the registry know the cell of this gateway.
-func (g *group) placed(cell, count int) {
-	if g.registry.SetCell(cell, count) {
-		g.log.WithFields(logrus.Fields{"cell": cell, "cells": count}).Info("cell of this gateway")
+// placed has the registry know the place of this gateway among the others.
+func (g *group) placed(p cells.Place) {
+	if g.registry.SetPlace(p) {
+		g.log.WithFields(logrus.Fields{"cell": p.Own, "cells": p.Count}).Info("cell of this gateway")
 	}
 }
 
--- a/internal/gateway/queues.go
+++ b/internal/gateway/queues.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"kingcupplank.example/kingcup/backends"
 	"kingcupplank.example/kingcup/flow"
 	"kingcupplank.example/kingcup/internal/clock"
 	"kingcupplank.example/kingcup/platform/operator"
@@ -92,12 +93,18 @@
 // period numbers the present span of turns, on the store's clock, which all gateways
 // know; false while this one does not know it.
 func (g *group) period() (int64, bool) {
+	clock := g.SharedClock()
+	return int64(clock.Now / turnPeriod), clock.Known
+}
+
+// SharedClock implements relay.Others: the store's clock.
+func (g *group) SharedClock() backends.SharedClock {
 	f := g.followers[operator.Table]
 	if f == nil {
-		return 0, false
+		return backends.SharedClock{}
 	}
 	now, known := f.StoreTime()
-	return int64(now / turnPeriod), known
+	return backends.SharedClock{Now: now, Known: known}
 }
 
 // contenders lists the peers that have requests waiting for a service.
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -76,8 +76,8 @@
 	Greet func() *peerv1.Suspects
 	// MostLinks bounds the peers of its own cell that this gateway tells.
 	MostLinks int
-	// Placed is told which of how many cells this gateway is in; it may be nil.
-	Placed func(cell, count int)
+	// Placed is told where this gateway stands among the others; it may be nil.
+	Placed func(cells.Place)
 	// Forgotten is told of members that have not been reached for long.
 	Forgotten func(Member)
 	// Sent is told of the bytes that go to a peer, by cause; it may be nil.
@@ -236,12 +236,12 @@
 	for _, n := range m.book {
 		all = append(all, subset.Item{Name: n.Name, FailureDomain: n.FailureDomain})
 	}
-	links, own, count := cells.Links(subset.Item{Name: m.self.Name, FailureDomain: m.self.FailureDomain}, all, m.MostLinks)
+	links, place := cells.Links(subset.Item{Name: m.self.Name, FailureDomain: m.self.FailureDomain}, all, m.MostLinks)
 	for _, it := range links {
 		out = append(out, m.book[it.Name])
 	}
 	if m.Placed != nil {
-		m.Placed(own, count)
+		m.Placed(place)
 	}
 	return out
 }
--- /dev/null
+++ b/internal/relay/barred_test.go
@@ -0,0 +1,73 @@
+package relay
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"kingcupplank.example/kingcup/routing"
+)
+
+// Guards against a stream going on at a server of a cordoned failure domain because its
+// standing copy is there.
+func TestCopyInACordonedDomainIsNotUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, Config{})
+		w.server("a", modelService)
+		w.server("b", modelService)
+		w.up.send = func(_ context.Context, a *Attempt) (*Answer, error) {
+			require.Nil(t, a.From, "sent to a cordoned domain")
+			src := newSource()
+			go func() {
+				src.write(events(1, 3))
+				w.registry.SetCordoned([]string{"zone-1"}, w.now())
+				src.breakOff()
+			}()
+			return src.answer(), nil
+		}
+		require.True(t, w.serve(request("/plan/x")).aborted)
+		require.Len(t, w.up.sent, 1)
+		require.Empty(t, w.registry.Loads())
+	})
+}
+
+// Guards against a repeat going to a domain that was cordoned while the first attempt ran.
+func TestRepeatGoesToNoCordonedDomain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, Config{})
+		w.server("a", deskService)
+		w.server("b", deskService)
+		w.up.send = func(context.Context, *Attempt) (*Answer, error) {
+			w.registry.SetCordoned([]string{"zone-1"}, w.now())
+			return answer(500, "failed"), nil
+		}
+		begun := time.Now()
+		c := w.serve(request("/safe/x"))
+		require.Equal(t, 500, c.status, "what the server answered")
+		require.Len(t, w.up.sent, 1)
+		require.Zero(t, time.Since(begun), "no wait for servers that get nothing")
+	})
+}
+
+// Guards against a request that must stay in its regions being sent elsewhere, or waiting.
+func TestRequestWithoutAServerInItsRegionsIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, Config{})
+		w.registry.SetRegions(map[string]string{"zone-1": "north"})
+		w.server("a", deskService)
+		split := []routing.Weighted{{Service: deskService, Weight: 1}}
+		route := func(name string, regions routing.Regions) *routing.Route {
+			return &routing.Route{Name: name, Host: "h", Prefix: "/" + name + "/", Kind: routing.Idempotent, Public: true, Servers: 2, Split: split, Regions: regions}
+		}
+		w.replica.Put(routing.Content{Version: 2, Routes: []*routing.Route{route("north", routing.Regions{"north"}), route("south", routing.Regions{"south"})}}, func() {})
+		w.replica.Confirm(w.now())
+		w.up.send = func(context.Context, *Attempt) (*Answer, error) { return answer(200, "ok"), nil }
+		w.serve(request("/north/x")).whole(t, "ok")
+		c := w.serve(request("/south/x"))
+		require.Equal(t, ReasonNoServer, c.refusal.Reason)
+		require.Len(t, w.up.sent, 1)
+	})
+}
--- a/internal/relay/cover.go
+++ b/internal/relay/cover.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/pkg/errors"
@@ -48,10 +47,12 @@
 	if time.Duration(j.events(0))*r.usualPause() < coverFrom || r.lane(j.service).crowdedSince(r.Now()-coverAfter) {
 		return nil
 	}
-	return r.Registry.Acquire(backends.Query{
-		Service: j.service, Tokens: j.memory(0), Tried: append([]string{s.ID}, j.tried...), MostUsed: coverRoom, MostOfAll: coverOfAll,
-		Copy: true, CopySpeed: e.CopySpeed(), Near: s.FailureDomain, Within: true, Draw: rand.Uint64(),
-	}, r.Now())
+	q := r.query(j)
+	q.Tokens, q.Tried = j.memory(0), append([]string{s.ID}, j.tried...)
+	q.MostUsed, q.MostOfAll = coverRoom, coverOfAll
+	q.Copy, q.CopySpeed = true, e.CopySpeed()
+	q.Near, q.Within = s.FailureDomain, true
+	return r.Registry.Acquire(q, r.Now())
 }
 
 // sendCovered makes one attempt, with a standing copy if there is room for one.
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -85,6 +85,8 @@
 	return o.usage
 }
 
+func (o *others) SharedClock() backends.SharedClock { return backends.SharedClock{} }
+
 func (o *others) MoveTurns(string) *flow.Turns { return o.Turns("", 0) }
 
 func (o *others) set(turns *flow.Turns) {
@@ -107,11 +109,11 @@
 
 func newWorld(t *testing.T, cfg Config) *world {
 	w := &world{t: t, start: time.Now(), replica: routing.NewReplica(), up: &fakeUpstream{}}
-	w.registry = backends.New("zone-1", func(s string) int {
+	w.registry = backends.New("zone-1", func(s string) backends.Traits {
 		if s == modelService {
-			return 30000
+			return backends.Traits{MemoryTokens: 30000}
 		}
-		return 0
+		return backends.Traits{}
 	}, func(s backends.Server, n backends.Notice) { w.relay.Noticed(s, n) })
 	if cfg.RetryExtra == 0 {
 		cfg.RetryExtra = 100
--- a/internal/relay/lane.go
+++ b/internal/relay/lane.go
@@ -200,7 +200,10 @@
 				asked = r.Now()
 			}
 		}
-		if r.Registry.Ready(j.service) == 0 && r.Now()-j.arrived > j.patience() {
+		if refusal := r.cordoned(j); refusal != nil {
+			return nil, refusal
+		}
+		if ready, _ := r.Registry.Standing(j.service, j.regions); ready == 0 && r.Now()-j.arrived > j.patience() {
 			return nil, r.refuse(j, ReasonNoServer)
 		}
 		if l.refuses(w, r.Now()) {
@@ -238,11 +241,11 @@
 // engineQuery asks for an engine for a request of a rank.
 func (r *Relay) engineQuery(j *job, rank int) backends.Query {
 	speed := r.readSpeed()
-	return backends.Query{
-		Service: j.service, Tokens: j.memory(0), Prompt: j.prompt(), PromptSpeed: speed,
-		MostUsed: mostUsed, MostPrompt: int(speed * promptWait.Seconds()),
-		Tried: j.tried, Turns: r.Others.Turns(j.service, rank), Draw: rand.Uint64(),
-	}
+	q := r.query(j)
+	q.Tokens, q.Prompt, q.PromptSpeed = j.memory(0), j.prompt(), speed
+	q.MostUsed, q.MostPrompt = mostUsed, int(speed*promptWait.Seconds())
+	q.Turns = r.Others.Turns(j.service, rank)
+	return q
 }
 
 // crowded refuses a request for too much load.
--- a/internal/relay/move.go
+++ b/internal/relay/move.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -341,10 +340,10 @@
 // waited for 5 s. So each takes those where it is its turn, as long as they are near.
 func (m *move) target() *backends.Lease {
 	r := m.relay
-	q := backends.Query{
-		Service: m.run.job.service, Tokens: m.run.memory(), Tried: m.tried, MostUsed: copyRoom,
-		Copy: true, Spill: true, CopySpeed: m.run.job.engine.CopySpeed(), Near: m.from.FailureDomain, Draw: rand.Uint64(),
-	}
+	q := r.query(m.run.job)
+	q.Tokens, q.Tried, q.MostUsed = m.run.memory(), m.tried, copyRoom
+	q.Copy, q.Spill, q.CopySpeed = true, true, m.run.job.engine.CopySpeed()
+	q.Near = m.from.FailureDomain
 	first := q
 	first.Turns, first.Within = r.Others.MoveTurns(m.from.FailureDomain), true
 	anyRoom := q
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -25,6 +25,9 @@
 	// before running generations have had time to end, and not all at once.
 	returnBase   = 400 * time.Millisecond
 	returnSpread = 800 * time.Millisecond
+	// cordonReturn is when a caller may come back whose servers are all cordoned: operators
+	// empty a failure domain for seconds at least.
+	cordonReturn = 2 * time.Second
 	// leastLeft is the time below which a request is not sent to another server:
 	// no answer could arrive in it.
 	leastLeft = 20 * time.Millisecond
@@ -73,6 +76,10 @@
 
 // send makes one attempt at the server of a lease.
 func (r *Relay) send(ctx context.Context, j *job, lease *backends.Lease, a *Attempt) (*offer, error) {
+	if r.Registry.Barred(lease.Server, j.regions) {
+		// Its failure domain was cordoned since the lease was taken, or the copy was made.
+		return nil, &Refused{Why: RefusedBarred, Detail: lease.Server.FailureDomain}
+	}
 	a.Request, a.Server, a.Team = j.Request, lease.Server, j.team
 	a.Left = j.left()
 	a.Priority = -1
@@ -96,6 +103,9 @@
 		entry.WithField("result", err.Error()).Info("sent")
 		return nil, err
 	}
+	if answer.SaysCold {
+		r.Registry.ReportedCold(lease.Server, answer.ColdFor, r.Now())
+	}
 	j.ran++
 	j.answering.Store(true)
 	lease.Begun()
@@ -159,13 +169,17 @@
 		return r.acquireEngine(ctx, j)
 	}
 	for {
-		q := backends.Query{Service: j.service, Tokens: j.memory(0), Prompt: j.prompt(), Tried: j.tried, Spill: true, Draw: rand.Uint64()}
+		q := r.query(j)
+		q.Tokens, q.Prompt, q.Spill = j.memory(0), j.prompt(), true
 		if lease := r.Registry.Acquire(q, r.Now()); lease != nil {
 			return lease, nil
 		}
+		if refusal := r.cordoned(j); refusal != nil {
+			return nil, refusal
+		}
 		waited := r.Now() - j.arrived
 		if waited+roomPoll > j.patience() || j.left() < roomPoll {
-			if r.Registry.Ready(j.service) == 0 {
+			if ready, _ := r.Registry.Standing(j.service, j.regions); ready == 0 {
 				return nil, r.refuse(j, ReasonNoServer)
 			}
 			return nil, r.refuse(j, ReasonNoRoom)
@@ -177,6 +191,25 @@
 	}
 }
 
+// query asks for a server for a request.
+func (r *Relay) query(j *job) backends.Query {
+	return backends.Query{Service: j.service, Tried: j.tried, Regions: j.regions, Clock: r.Others.SharedClock(), Draw: rand.Uint64()}
+}
+
+// cordoned refuses a request whose servers are all in cordoned failure domains: waiting does
+// not help it. It returns nil otherwise.
+func (r *Relay) cordoned(j *job) *Refusal {
+	ready, cordoned := r.Registry.Standing(j.service, j.regions)
+	if ready > 0 || cordoned == 0 {
+		return nil
+	}
+	f := r.refuse(j, ReasonCordoned)
+	if !f.Run {
+		f.RetryAfter = cordonReturn + time.Duration(rand.Float64()*float64(returnSpread))
+	}
+	return f
+}
+
 func (j *job) patience() time.Duration {
 	if j.route.Target <= 0 {
 		return defaultPatience
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -92,6 +92,8 @@
 	// MoveTurns is whose turn it is to copy runs off the servers that leave a failure
 	// domain, nil while only this process has such runs.
 	MoveTurns(domain string) *flow.Turns
+	// SharedClock is a clock that all processes go by.
+	SharedClock() backends.SharedClock
 }
 
 // Relay serves requests. It is safe for concurrent use; mu is taken before the lock
@@ -161,6 +163,8 @@
 	engine   *routing.Engine
 	team     string
 	priority int
+	// regions are where the request may run.
+	regions  routing.Regions
 	arrived  time.Duration
 	deadline time.Time
 	version  uint64
@@ -282,7 +286,7 @@
 		}
 		return nil, &Refusal{Reason: ReasonNoRoute}
 	}
-	j := &job{Request: req, route: route, arrived: now, version: cfg.Version, priority: route.Priority, outputs: r.outputs}
+	j := &job{Request: req, route: route, arrived: now, version: cfg.Version, priority: route.Priority, regions: route.Regions, outputs: r.outputs}
 	if cfg.NeedsKey(route) {
 		if refusal := r.authorize(j, cfg, age); refusal != nil {
 			return nil, refusal
@@ -323,7 +327,7 @@
 		}
 		return &Refusal{Reason: ReasonKey}
 	}
-	j.team = team.Name
+	j.team, j.regions = team.Name, j.regions.Within(team.Regions)
 	if team.Ranked {
 		j.priority = team.Priority
 	}
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -83,6 +83,9 @@
 	Length int64
 	// Events marks a stream.
 	Events bool
+	// ColdFor is how much longer the server is cold, if SaysCold says that it told.
+	SaysCold bool
+	ColdFor  time.Duration
 	// Sealed marks an answer that bears the server's signature.
 	Sealed bool
 	// Encoded marks a body that is not as the server made it.
@@ -108,6 +111,9 @@
 	RefusedReplaced RefusedWhy = "replaced"
 	// RefusedUnreachable is a server that nothing could be sent to.
 	RefusedUnreachable RefusedWhy = "unreachable"
+	// RefusedBarred is a server that the request must not be sent to: its failure domain is
+	// cordoned, or outside the request's regions.
+	RefusedBarred RefusedWhy = "barred"
 )
 
 // Error implements error.
@@ -167,6 +173,7 @@
 	ReasonStale     Reason = "configuration not confirmed"
 	ReasonNoServer  Reason = "no server takes requests"
 	ReasonNoRoom    Reason = "servers have no room"
+	ReasonCordoned  Reason = "all servers are in cordoned failure domains"
 	ReasonTooLarge  Reason = "larger than a server's memory"
 	ReasonDeadline  Reason = "time is up"
 	ReasonLost      Reason = "server lost"
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -16,7 +16,7 @@
 
 // faults are drawn with equal chance. New ones go to the end, so that a seed that failed
 // draws the same of those before.
-var faults = []fault{harmStore, harmStore, harmServer, harmServer, kill, pause, terminate, hup, reclaim, crash, refuse, compact, revoke, grow, grow, rebirth, spoil, herd, harmful, drill, drill}
+var faults = []fault{harmStore, harmStore, harmServer, harmServer, kill, pause, terminate, hup, reclaim, crash, refuse, compact, revoke, grow, grow, rebirth, spoil, herd, harmful, drill, drill, empty, chill}
 
 const (
 	shortest, longest = 200 * time.Millisecond, 3 * time.Second
@@ -270,6 +270,31 @@
 	rewritePause = 100 * time.Millisecond
 )
 
+// emptiedZone is where some of the servers stand.
+const emptiedZone = "zone-2"
+
+// empty has the operator empty a zone for a time.
+func empty(s *Soak, _ context.Context) (string, func()) {
+	s.fleet.Cordon(emptiedZone)
+	time.AfterFunc(emptyFor, func() { s.fleet.Uncordon(emptiedZone) })
+	return "empty " + emptiedZone, nil
+}
+
+// emptyFor is how long a zone is emptied.
+const emptyFor = 2 * time.Second
+
+// chill makes all servers of a zone cold at once.
+func chill(s *Soak, _ context.Context) (string, func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, srv := range s.servers {
+		if srv.Zone == emptiedZone && !s.leaving[srv] {
+			srv.Chill(emptyFor)
+		}
+	}
+	return "chill " + emptiedZone, nil
+}
+
 func compact(s *Soak, _ context.Context) (string, func()) {
 	s.fleet.Store.Compact()
 	return "history is dropped", nil
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -29,6 +29,9 @@
 	thinEvery, thinMbps = 2, 10
 	// settleTime is how long after the last fault everything must be served again.
 	settleTime = 8 * time.Second
+	// oneZoneKinds is the number of kinds of faults up to which a seed has all servers in one
+	// zone.
+	oneZoneKinds = 21
 )
 
 // Options of a run.
@@ -65,6 +68,8 @@
 	// newest is a path of the route that was added last.
 	newest string
 	faults []string
+	// added counts the servers.
+	added int
 }
 
 // gateway is a gateway's process and its proxy towards the store.
@@ -104,6 +109,7 @@
 	if err := s.settled(ctx, "after the last fault"); err != nil {
 		res.Broken = append(res.Broken, err.Error())
 	}
+	res.Broken = append(res.Broken, s.emptyCalmly(ctx)...)
 	s.mu.Lock()
 	servers := s.servers
 	s.mu.Unlock()
@@ -171,7 +177,7 @@
 	if service == fleet.ModelService {
 		b = fleet.Behaviour{Events: streamEvents, EventEvery: eventEvery, CopyTime: copyTime, EndsUnder: harmfulBody, EndsAfter: endsAfter}
 	}
-	srv, err := s.fleet.Add(service, "zone-1", b)
+	srv, err := s.fleet.Add(service, s.zone(), b)
 	if err != nil {
 		return nil, err
 	}
@@ -181,6 +187,17 @@
 	return srv, nil
 }
 
+// zone is that of the next server: two zones by turns, where zones are emptied.
+func (s *Soak) zone() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.added++
+	if s.Kinds > oneZoneKinds && s.added/2%2 == 0 {
+		return emptiedZone
+	}
+	return "zone-1"
+}
+
 func (s *Soak) addGateway(i int) error {
 	door, err := s.fleet.Store.Open()
 	if err != nil {
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net"
 	"slices"
 	"sync"
@@ -47,11 +48,17 @@
 	grown []string
 	// config is the newest version as it was written.
 	config map[string]any
+	// cordoned are the zones that the operator has emptied.
+	cordoned map[string]bool
+	// coldPerS is what cold servers bear, 0 for no bound; regions are where requests of the
+	// desk service may run, nil for all.
+	coldPerS float64
+	regions  []string
 }
 
 // New starts a platform without servers, with the standard configuration.
 func New() *Fleet {
-	f := &Fleet{Store: NewStore(), timeoutMs: 1500, BackAfter: 2 * time.Second, LapsesAfter: 3 * time.Second}
+	f := &Fleet{Store: NewStore(), cordoned: make(map[string]bool), timeoutMs: 1500, BackAfter: 2 * time.Second, LapsesAfter: 3 * time.Second}
 	f.Configure(Key)
 	return f
 }
@@ -169,6 +176,26 @@
 	return last
 }
 
+// coldTime is how long servers are cold after their start.
+const coldTime = 2 * time.Second
+
+// Limit has operators say what cold servers bear a second, and in which regions requests of
+// the desk service may run.
+func (f *Fleet) Limit(coldPerS float64, regions ...string) {
+	f.mu.Lock()
+	f.coldPerS, f.regions = coldPerS, regions
+	key := f.key
+	f.mu.Unlock()
+	f.Configure(key)
+}
+
+func regionsOf(service string, regions []string) []string {
+	if service != DeskService {
+		return nil
+	}
+	return regions
+}
+
 // Configure writes a new version of the standard configuration in which the team
 // has the given key, with further routes to the desk service.
 func (f *Fleet) Configure(key string, more ...string) {
@@ -176,12 +203,13 @@
 	f.version += 3
 	f.key = key
 	version, timeout, more := f.version, f.timeoutMs, slices.Concat(f.grown, more)
+	coldPerS, regions := f.coldPerS, f.regions
 	f.mu.Unlock()
 	route := func(name, prefix, kind, service string, timeoutMs, targetMs, attempts int) map[string]any {
 		return map[string]any{
 			"name": name, "host": Host, "prefix": prefix, "type": kind, "service": service, "timeoutMs": timeoutMs,
 			"targetLatencyMs": targetMs, "maxAttempts": attempts, "priority": 1, "public": name == "open",
-			"streamResume": name == "check", "itlTargetMs": 180,
+			"streamResume": name == "check", "itlTargetMs": 180, "allowedRegions": regionsOf(service, regions),
 		}
 	}
 	routes := []map[string]any{
@@ -197,11 +225,11 @@
 	config := map[string]any{
 		"version": version, "routes": routes,
 		"services": []map[string]any{
-			{"name": ModelService, "maxConnections": 100, "inferenceEngine": map[string]any{
+			{"name": ModelService, "maxConnections": 100, "coldStartS": coldTime.Seconds(), "coldPerS": coldPerS, "inferenceEngine": map[string]any{
 				"slots": 8, "kvCapacityTokens": 30000, "kvTokenBytes": 1000, "bandwidthMbps": 1000,
 				"migrations": true, "replicas": true, "increment": 4, "kvTtlS": 5,
 			}},
-			{"name": DeskService, "maxConnections": 100},
+			{"name": DeskService, "maxConnections": 100, "coldStartS": coldTime.Seconds(), "coldPerS": coldPerS},
 		},
 		"limits":  map[string]any{"maxHeaderBytes": 8192, "maxBodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants": []map[string]any{{"name": Team, "apiKeys": []string{key}}},
@@ -212,13 +240,35 @@
 	f.Store.Put("op", "config", config)
 }
 
+// cordonPrefix begins the keys of the operator's requests to empty a failure domain.
+const cordonPrefix = "evacuate/"
+
+// Cordon has the operator ask that the servers of a zone get nothing.
+func (f *Fleet) Cordon(zone string) {
+	f.mu.Lock()
+	f.cordoned[zone] = true
+	f.mu.Unlock()
+	f.Store.Put("op", cordonPrefix+zone, map[string]any{})
+}
+
+// Uncordon takes that back.
+func (f *Fleet) Uncordon(zone string) {
+	f.mu.Lock()
+	delete(f.cordoned, zone)
+	f.mu.Unlock()
+	f.Store.Remove("op", cordonPrefix+zone)
+}
+
 // Rewrite has operator and servers write again what they wrote last, in a store that has
 // come back older; pause is called between two writes.
 func (f *Fleet) Rewrite(pause func()) {
 	f.mu.Lock()
-	config, servers := f.config, slices.Clone(f.servers)
+	config, servers, cordoned := f.config, slices.Clone(f.servers), slices.Sorted(maps.Keys(f.cordoned))
 	f.mu.Unlock()
 	f.Store.Put("op", "config", config)
+	for _, zone := range cordoned {
+		f.Store.Put("op", cordonPrefix+zone, map[string]any{})
+	}
 	for _, s := range servers {
 		pause()
 		s.rewrite()
--- a/internal/standin/fleet/server.go
+++ b/internal/standin/fleet/server.go
@@ -43,6 +43,8 @@
 	copies map[string]string
 	behave Behaviour
 	state  string
+	// coldUntil is when the server is warm.
+	coldUntil time.Time
 
 	stopped atomic.Bool
 	// left says that the server's entry was dropped.
@@ -128,14 +130,22 @@
 
 func (s *Server) announce() {
 	s.mu.Lock()
-	state := s.state
+	state, cold := s.state, max(0, time.Until(s.coldUntil))
 	s.mu.Unlock()
 	s.store.Put("servers", s.ID, map[string]any{
 		"service": s.Service, "address": s.Address, "zone": s.Zone, "version": "v1", "slots": 8,
-		"state": state, "coldRemainingMs": 0, "sequence": 1, "born": s.Born,
+		"state": state, "coldRemainingMs": cold.Milliseconds(), "sequence": 1, "born": s.Born,
 	})
 }
 
+// Chill makes the server cold for some time from now on; its entry says so.
+func (s *Server) Chill(d time.Duration) {
+	s.mu.Lock()
+	s.coldUntil = time.Now().Add(d)
+	s.mu.Unlock()
+	s.announce()
+}
+
 // SetBehaviour changes how the server answers from now on.
 func (s *Server) SetBehaviour(b Behaviour) {
 	s.mu.Lock()
--- a/placement/filters.go
+++ b/placement/filters.go
@@ -8,6 +8,15 @@
 // NotLeaving drops servers that say, or are said, to leave.
 func NotLeaving(_ *Request, s *Server) bool { return !s.Leaving }
 
+// NotCordoned drops servers of cordoned failure domains.
+func NotCordoned(_ *Request, s *Server) bool { return !s.Cordoned }
+
+// InRegions drops servers outside the regions that the request must stay in.
+func InRegions(r *Request, s *Server) bool { return r.Regions.Allow(s.Region) }
+
+// NotPaced drops cold servers that take no more of this process for now.
+func NotPaced(_ *Request, s *Server) bool { return !s.Paced }
+
 // ServesModel drops servers that have not loaded the model or the adapter.
 func ServesModel(r *Request, s *Server) bool {
 	if !slices.Contains(s.Models, r.Model) {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -9,16 +9,22 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"kingcupplank.example/kingcup/routing"
 )
 
 // Server is what an entry knows of one backend server.
 type Server struct {
 	Name          string
 	FailureDomain string
-	Models        []string
-	Adapters      []string
-	Leaving       bool
-	Connected     bool
+	// Region holds the failure domain, empty if unknown.
+	Region   string
+	Models   []string
+	Adapters []string
+	Leaving  bool
+	// Cordoned marks a server of a failure domain that gets nothing.
+	Cordoned  bool
+	Connected bool
 	// Age is the time since the load was reported.
 	Age time.Duration
 	// Running, Queued and the memory figures are as last reported.
@@ -36,8 +42,9 @@
 	FailureRate float64
 	// Avoid marks a server that refused or could not be reached a moment ago.
 	Avoid bool
-	// Cold marks a server that is still slow after its start.
-	Cold bool
+	// Cold marks a server that is still slow after its start, Paced one that takes no
+	// more of this process for now.
+	Cold, Paced bool
 }
 
 // Request is what a choice is made for.
@@ -48,6 +55,8 @@
 	FailureDomain string
 	// Tried are the servers that have refused the request.
 	Tried []string
+	// Regions are where the request may run.
+	Regions routing.Regions
 	// Tokens is the memory that the request is expected to need.
 	Tokens int
 	// PromptSpeed is the prompt tokens a second that servers read.
@@ -99,7 +108,7 @@
 // every other, a server that refused a moment ago against all but failing ones.
 func Direct() Policy {
 	return Policy{
-		Filters: []Filter{NotLeaving, NotTried, InDomain, WithinBounds},
+		Filters: []Filter{NotLeaving, NotCordoned, InRegions, NotTried, InDomain, WithinBounds, NotPaced},
 		Scorers: []Scorer{
 			{Weight: 1.0, Score: Room},
 			{Weight: 1.0, Score: PromptRead},
--- /dev/null
+++ b/routing/regions_test.go
@@ -0,0 +1,31 @@
+package routing
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// Guards against a request leaving its regions because route and team each bind it and share
+// none: no list and an empty one are not the same.
+func TestRouteAndTeamBothBind(t *testing.T) {
+	regions := rapid.Custom(func(t *rapid.T) Regions {
+		if rapid.Bool().Draw(t, "free") {
+			return nil
+		}
+		return rapid.SliceOfDistinct(rapid.SampledFrom([]string{"a", "b", "c"}), rapid.ID).Draw(t, "list")
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		r, o := regions.Draw(t, "route"), regions.Draw(t, "team")
+		for _, region := range []string{"a", "b", "c", ""} {
+			require.Equal(t, r.Allow(region) && o.Allow(region), r.Within(o).Allow(region))
+		}
+	})
+}
+
+func TestUnknownRegionIsNone(t *testing.T) {
+	require.True(t, Regions(nil).Allow(""))
+	require.False(t, Regions{"a"}.Allow(""))
+	require.False(t, Regions{}.Allow("a"))
+}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -68,6 +68,8 @@
 	// Resumable streams may be continued by a new run after a given event.
 	Resumable bool
 	Split     []Weighted
+	// Regions are where requests of the route may run.
+	Regions Regions
 }
 
 // equal reports whether two routes say the same.
@@ -78,7 +80,7 @@
 	return r.Name == o.Name && r.Host == o.Host && r.Prefix == o.Prefix && r.Kind == o.Kind &&
 		r.Timeout == o.Timeout && r.Target == o.Target && r.MaxPause == o.MaxPause && r.Silence == o.Silence &&
 		r.Servers == o.Servers && r.Priority == o.Priority && r.Public == o.Public && r.Resumable == o.Resumable &&
-		slices.Equal(r.Split, o.Split)
+		slices.Equal(r.Split, o.Split) && slices.Equal(r.Regions, o.Regions)
 }
 
 // Repeatable reports whether a request of the route may run again after a run
@@ -140,6 +142,10 @@
 	MaxConns int
 	// Engine is nil for plain services.
 	Engine *Engine
+	// ColdTime is how long a server is cold after its start, ColdRate the requests a second
+	// that it bears meanwhile from all processes together, 0 for no bound.
+	ColdTime time.Duration
+	ColdRate float64
 }
 
 // Limits bound what a caller may send; zero is no bound.
@@ -155,9 +161,11 @@
 	// Priority goes before the route's if Ranked.
 	Priority int
 	Ranked   bool
+	// Regions are where the team's requests may run.
+	Regions Regions
 }
 
 // equal reports whether two teams say the same.
 func (t *Team) equal(o *Team) bool {
-	return t == o || t.Name == o.Name && t.Priority == o.Priority && t.Ranked == o.Ranked && slices.Equal(t.Keys, o.Keys)
+	return t == o || t.Name == o.Name && t.Priority == o.Priority && t.Ranked == o.Ranked && slices.Equal(t.Keys, o.Keys) && slices.Equal(t.Regions, o.Regions)
 }
