Ended engines cost no generation: known to all, not charged as arrivals

Symptom: after a quarter of the engines crash, generations are refused "servers have no room" with the other engines half empty; ends that everyone can see cost more than silent ones.

Cause: an ended engine looks least used, so each gateway meets one after the other by its own requests; each refused connection was charged against the shared budget of repeats, although nothing arrived, until "retry budget is used up". Ruled out: room (three quarters of the engines stood at half), the look after the end (`inquire` runs beside the requests).

Change: a refused connection (nothing listens) is told from one that could not be made, and known as an end: no choice takes that server for 1 s, doubling to 4 s where it recurs; the state that goes to the peers says so, at once. What never arrived is no repeat. BUDGET's count of arrivals and quarantine are as they were.

Over real links the other gateways know of it within 0.1 s of the first.

--- a/backends/lease.go
+++ b/backends/lease.go
@@ -23,6 +23,8 @@
 	Lost
 	// Unreachable is a server that could not be connected to.
 	Unreachable
+	// Ended is a server that listens no more.
+	Ended
 )
 
 // Lease counts a request at a server. Done ends it.
@@ -127,6 +129,8 @@
 	case Unreachable:
 		s.judge(1, healthGain, now)
 		s.avoidUntil = max(s.avoidUntil, now+lostFor)
+	case Ended:
+		s.end(now)
 	}
 	if s.gone && s.own.Running == 0 {
 		r.forget(s)
--- a/backends/load.go
+++ b/backends/load.go
@@ -86,6 +86,8 @@
 // Loss is the requests that a server has lost in a row.
 type Loss struct {
 	InARow int
+	// Ended says that it listens no more.
+	Ended bool
 	// Born is the life of the server that lost them, see Server.
 	Born int64
 }
@@ -97,8 +99,8 @@
 	defer r.mu.Unlock()
 	out := make(map[string]Loss)
 	for id, s := range r.servers {
-		if n := s.lostInARow(now); n > 0 {
-			out[id] = Loss{InARow: n, Born: s.Born}
+		if n, ended := s.lostInARow(now), now < s.endedUntil; n > 0 || ended {
+			out[id] = Loss{InARow: n, Ended: ended, Born: s.Born}
 		}
 	}
 	return out
@@ -133,11 +135,42 @@
 	if own < ownLosses && sum < tooManyLosses {
 		return false
 	}
-	if s.leftUntil == 0 || now-s.leftUntil > leftAgain {
-		s.left = 0
+	s.leave(now)
+	return true
+}
+
+// ended reports whether a server is taken not to listen, by what any process has seen: a
+// refused connection is certain. It is asked again only once nobody says so any more; ended
+// ones look least used, and each request would try one after the other. mu is held.
+func (r *Registry) ended(s *server, now time.Duration) bool {
+	if now < s.endedUntil {
+		return true
+	}
+	for _, losses := range r.losses {
+		if l := losses[s.ID]; l.Ended && l.Born == s.Born {
+			return true
+		}
+	}
+	return false
+}
+
+// KnowsEnded reports whether a server is taken not to listen.
+func (r *Registry) KnowsEnded(id string, now time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.servers[id]
+	return s != nil && r.ended(s, now)
+}
+
+// HasEnded notes that a server listens no more, and reports whether that is news.
+func (r *Registry) HasEnded(gone Server, now time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.current(gone)
+	if s == nil || s.gone || r.ended(s, now) {
+		return false
 	}
-	s.leftUntil = now + lossesFor<<min(s.left, leftDoublings)
-	s.left++
+	s.end(now)
 	return true
 }
 
--- a/backends/registry_test.go
+++ b/backends/registry_test.go
@@ -247,3 +247,39 @@
 	r.Acquire(Query{Service: svc}, 0).Done(Good, 0)
 	require.Empty(t, r.Losses(0))
 }
+
+// Guards against each of many gateways finding out by attempts of its own that a server has
+// ended: it looks least used to all of them.
+func TestEndedServerIsKnownToAll(t *testing.T) {
+	r := New("z", func(string) Traits { return Traits{} }, func(Server, Notice) {})
+	ended, sound := Server{ID: "a", Service: svc, FailureDomain: "z", Slots: 6, Born: 7}, Server{ID: "b", Service: svc, FailureDomain: "z", Slots: 6}
+	r.Put(ended, 0)
+	r.Put(sound, 0)
+	picked := func(now time.Duration) (ids []string) {
+		for len(ids) < 2 {
+			lease := r.Acquire(Query{Service: svc, Tried: ids, Draw: 1}, now)
+			if lease == nil {
+				break
+			}
+			lease.Done(Unjudged, now)
+			ids = append(ids, lease.Server.ID)
+		}
+		return ids
+	}
+	require.Len(t, picked(0), 2)
+	r.SetLosses("vm-2", map[string]Loss{"a": {Ended: true, Born: 7}})
+	require.Equal(t, []string{"b"}, picked(0), "by what another gateway tells")
+	r.SetLosses("vm-2", map[string]Loss{"a": {Ended: true, Born: 6}})
+	require.Len(t, picked(0), 2, "an earlier life")
+	r.SetLosses("vm-2", nil)
+	lease := r.Acquire(Query{Service: svc, Tried: []string{"b"}}, 0)
+	lease.Done(Ended, 0)
+	require.Equal(t, []string{"b"}, picked(lostFor-1))
+	require.Equal(t, map[string]Loss{"a": {Ended: true, Born: 7}}, r.Losses(lostFor-1))
+	require.Len(t, picked(lostFor), 2, "asked again")
+	require.Empty(t, r.Losses(lostFor))
+	require.True(t, r.HasEnded(ended, lostFor))
+	require.False(t, r.HasEnded(ended, lostFor), "no news")
+	require.Equal(t, []string{"b"}, picked(3*lostFor-1), "for longer each time")
+	require.Len(t, picked(3*lostFor), 2)
+}
--- a/backends/server.go
+++ b/backends/server.go
@@ -62,6 +62,8 @@
 	// tried again.
 	left      int
 	leftUntil time.Duration
+	// endedUntil is until when the server is taken not to listen.
+	endedUntil time.Duration
 }
 
 // lose notes a request without an answer.
@@ -77,6 +79,24 @@
 	return s.lost
 }
 
+// leave has the server left alone for a while, for longer each time that it is soon again.
+func (s *server) leave(now time.Duration) {
+	if s.leftUntil == 0 || now-s.leftUntil > leftAgain {
+		s.left = 0
+	}
+	s.leftUntil = now + lossesFor<<min(s.left, leftDoublings)
+	s.left++
+}
+
+// end notes that the server listens no more. Attempts that were made before are no news.
+func (s *server) end(now time.Duration) {
+	if now < s.endedUntil {
+		return
+	}
+	s.leave(now)
+	s.endedUntil = s.leftUntil
+}
+
 // failureRate is the share of failures as it stood, faded by its age.
 func (s *server) failureRate(now time.Duration) float64 {
 	if s.failures == 0 {
--- a/internal/gateway/queues_test.go
+++ b/internal/gateway/queues_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
@@ -98,3 +99,26 @@
 	l.Done(backends.Lost, clock.SinceBoot())
 	n.group.Nudge()
 }
+
+// Guards against every gateway meeting an ended server by requests of its own: the first one
+// that does tells the others.
+func TestOneGatewayTellsOfAnEndedServer(t *testing.T) {
+	s := newSystem(t)
+	ended := s.server(fleet.DeskService, fleet.Behaviour{})
+	s.server(fleet.DeskService, fleet.Behaviour{})
+	nodes := []*node{s.gateway("vm-1"), s.gateway("vm-2"), s.gateway("vm-3")}
+	for _, n := range nodes {
+		n.eventually(func() bool { return len(n.group.links.Live()) == 2 && n.registry.Ready(fleet.DeskService) == 2 }, "linked")
+	}
+	told := func(n *node) bool { return n.registry.KnowsEnded(ended.ID, clock.SinceBoot()) }
+	ended.Kill()
+	nodes[0].eventually(func() bool {
+		require.Equal(t, http.StatusOK, nodes[0].do(plain(fleet.SafePath)).status)
+		return told(nodes[0])
+	}, "met")
+	met := time.Now()
+	for _, n := range nodes[1:] {
+		n.eventually(func() bool { return told(n) }, "told")
+	}
+	require.Less(t, time.Since(met), 100*time.Millisecond)
+}
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -59,7 +59,7 @@
 			lease.Done(backends.Unjudged, r.Now())
 			return nil, j.refuseHeld(left)
 		}
-		if j.sent > 0 && !r.repeat(j.service) {
+		if j.reached > 0 && !r.repeat(j.service) {
 			lease.Done(backends.Unjudged, r.Now())
 			j.log.WithField("sent", j.sent).Warn("retry budget is used up")
 			return nil, r.refuse(j, ReasonNoRoom)
@@ -78,6 +78,7 @@
 func (r *Relay) send(ctx context.Context, j *job, lease *backends.Lease, a *Attempt) (*offer, error) {
 	if r.Registry.Barred(lease.Server, j.regions) {
 		// Its failure domain was cordoned since the lease was taken, or the copy was made.
+		j.reached++
 		return nil, &Refused{Why: RefusedBarred, Detail: lease.Server.FailureDomain}
 	}
 	a.Request, a.Server, a.Team = j.Request, lease.Server, j.team
@@ -87,6 +88,7 @@
 		a.Priority = j.priority
 	}
 	j.sent++
+	j.reached++
 	j.answering.Store(false)
 	begun := r.Now()
 	stop := r.watchStart(j, lease, a)
@@ -125,6 +127,7 @@
 	if errors.As(err, &refused) {
 		r.Observer.Attempt(j.service, string(refused.Why))
 		lease.Done(resultOf(refused.Why), r.Now())
+		r.unreached(j, refused.Why)
 		if refused.Why == RefusedReplaced {
 			r.Registry.Replaced(lease.Server)
 		}
@@ -148,12 +151,27 @@
 	return nil
 }
 
+// unreached takes back what an attempt counts for that never arrived at a server. Callers
+// would be refused for a budget that protects servers which are not there. Others are told of
+// a server that has ended: each would find out by attempts of its own.
+func (r *Relay) unreached(j *job, why RefusedWhy) {
+	switch why {
+	case RefusedUnreachable, RefusedEnded, RefusedBarred:
+		j.reached--
+	}
+	if why == RefusedEnded {
+		r.Others.Nudge()
+	}
+}
+
 func resultOf(why RefusedWhy) backends.Result {
 	switch why {
 	case RefusedFull:
 		return backends.Full
 	case RefusedUnreachable:
 		return backends.Unreachable
+	case RefusedEnded:
+		return backends.Ended
 	}
 	return backends.Unjudged
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -171,7 +171,8 @@
 	// tried are servers not to ask again, ran how many may have run the request.
 	tried []string
 	ran   int
-	sent  int
+	// sent counts the attempts, reached those that may have arrived at a server.
+	sent, reached int
 	// trial says that the request is held, and is sent to one server to see whether it is
 	// harmful.
 	trial bool
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -259,3 +260,25 @@
 		require.True(t, (<-first).refusal.Run)
 	})
 }
+
+// Guards against callers being refused for repeats that never arrived anywhere.
+func TestRefusedConnectionsUseNoRepeats(t *testing.T) {
+	for _, why := range []RefusedWhy{RefusedEnded, RefusedUnreachable} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t, Config{RetryExtra: 1})
+			for i := range 8 {
+				w.server(fmt.Sprint("gone-", i), deskService)
+			}
+			w.server("sound", deskService)
+			w.up.send = func(_ context.Context, a *Attempt) (*Answer, error) {
+				if a.Server.ID != "sound" {
+					return nil, &Refused{Why: why}
+				}
+				return answer(200, "ok"), nil
+			}
+			for range 5 {
+				w.serve(request("/once/x")).whole(t, "ok")
+			}
+		})
+	}
+}
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -111,6 +111,8 @@
 	RefusedReplaced RefusedWhy = "replaced"
 	// RefusedUnreachable is a server that nothing could be sent to.
 	RefusedUnreachable RefusedWhy = "unreachable"
+	// RefusedEnded is a server that does not listen at its address any more.
+	RefusedEnded RefusedWhy = "ended"
 	// RefusedBarred is a server that the request must not be sent to: its failure domain is
 	// cordoned, or outside the request's regions.
 	RefusedBarred RefusedWhy = "barred"
--- a/placement/filters.go
+++ b/placement/filters.go
@@ -8,6 +8,9 @@
 // NotLeaving drops servers that say, or are said, to leave.
 func NotLeaving(_ *Request, s *Server) bool { return !s.Leaving }
 
+// NotEnded drops servers that do not listen.
+func NotEnded(_ *Request, s *Server) bool { return !s.Ended }
+
 // NotCordoned drops servers of cordoned failure domains.
 func NotCordoned(_ *Request, s *Server) bool { return !s.Cordoned }
 
