Cold servers: few gateways use their part at once, many take turns

Cause: with tickets alone a cold server stands idle beside requests. Each ticket is one of 23 gateways', and a request meets one in 25 that it may use; a sixth of the engines is replaced by cold ones every 3.3 s.

With 330 gateways equal parts break the bound.

Change: equal parts of the users' bound (rate times overage plus tolerance, from the settings) as long as they give half of the rate for long, tickets beyond: the number of gateways and the bound decide.

--- a/backends/registry.go
+++ b/backends/registry.go
@@ -21,10 +21,9 @@
 type Traits struct {
 	// MemoryTokens is the memory of a server, 0 where a service has no engines.
 	MemoryTokens int
-	// ColdTime is how long a server is cold after its start, ColdRate the requests a second
-	// that it bears meanwhile, 0 for no bound.
+	// ColdTime is how long a server is cold after its start, Cold what it bears meanwhile.
 	ColdTime time.Duration
-	ColdRate float64
+	Cold     coldstart.Limit
 }
 
 const (
@@ -165,7 +164,7 @@
 		old = nil
 	}
 	if old == nil {
-		old = &server{hash: cells.Hash(s.ID), ticket: noTicket}
+		old = &server{hash: cells.Hash(s.ID)}
 		r.servers[s.ID] = old
 	}
 	return old.update(left, s, now)
@@ -286,7 +285,7 @@
 	// Regions are where the request may run.
 	Regions routing.Regions
 	// Clock is what cold servers are shared out by.
-	Clock SharedClock
+	Clock coldstart.Clock
 	// Turns bounds the choice to servers where it is this process's turn, nil for
 	// all.
 	Turns *flow.Turns
@@ -340,7 +339,9 @@
 		return nil
 	}
 	s := list[i]
-	r.takeTicket(s, q, len(list), now)
+	if now < s.coldUntil {
+		s.pacer.Sent(r.share(len(list)), r.traits(q.Service).Cold, q.Clock, now)
+	}
 	return r.lease(s, q, len(list))
 }
 
@@ -368,7 +369,7 @@
 
 // views describes the servers of a service to a policy. The result is valid until
 // mu is released.
-func (r *Registry) views(service string, at SharedClock, now time.Duration) ([]placement.Server, []*server) {
+func (r *Registry) views(service string, at coldstart.Clock, now time.Duration) ([]placement.Server, []*server) {
 	list := r.listed(service)
 	traits := r.traits(service)
 	share := r.share(len(list))
@@ -376,11 +377,7 @@
 	for _, s := range list {
 		load := r.load(s)
 		cold := now < s.coldUntil
-		paced := false
-		if cold && traits.ColdRate > 0 {
-			_, mine := s.ticketNow(share, traits.ColdRate, at, now)
-			paced = !mine
-		}
+		paced := cold && !s.pacer.May(share, traits.Cold, s.hash, at, now)
 		r.scratch = append(r.scratch, placement.Server{
 			Name: s.ID, FailureDomain: s.FailureDomain, Region: r.regions[s.FailureDomain], Leaving: s.Leaving, Cordoned: r.cordoned[s.FailureDomain], Connected: true,
 			Running: load.Running, Slots: s.Slots,
--- a/backends/server.go
+++ b/backends/server.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"kingcupplank.example/kingcup/coldstart"
 )
 
 // Server is a backend server as the directory lists it.
@@ -48,9 +50,9 @@
 	withheldUntil time.Duration
 	// suspectUntil is when a vanished entry counts as gone.
 	suspectUntil time.Duration
-	// coldUntil is when the server bears any rate, ticket the last that was used of it.
+	// coldUntil is when the server bears any rate, pacer what was sent to it until then.
 	coldUntil  time.Duration
-	ticket     int64
+	pacer      coldstart.Pacer
 	avoidUntil time.Duration
 	own        Load
 	failures   float64
--- a/internal/gateway/queues.go
+++ b/internal/gateway/queues.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"kingcupplank.example/kingcup/backends"
+	"kingcupplank.example/kingcup/coldstart"
 	"kingcupplank.example/kingcup/flow"
 	"kingcupplank.example/kingcup/internal/clock"
 	"kingcupplank.example/kingcup/platform/operator"
@@ -98,13 +98,13 @@
 }
 
 // SharedClock implements relay.Others: the store's clock.
-func (g *group) SharedClock() backends.SharedClock {
+func (g *group) SharedClock() coldstart.Clock {
 	f := g.followers[operator.Table]
 	if f == nil {
-		return backends.SharedClock{}
+		return coldstart.Clock{}
 	}
 	now, known := f.StoreTime()
-	return backends.SharedClock{Now: now, Known: known}
+	return coldstart.Clock{Now: now, Known: known}
 }
 
 // contenders lists the peers that have requests waiting for a service.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"kingcupplank.example/kingcup/backends"
+	"kingcupplank.example/kingcup/coldstart"
 	"kingcupplank.example/kingcup/flow"
 	"kingcupplank.example/kingcup/internal/clock"
 	"kingcupplank.example/kingcup/quarantine"
@@ -93,7 +94,7 @@
 	// domain, nil while only this process has such runs.
 	MoveTurns(domain string) *flow.Turns
 	// SharedClock is a clock that all processes go by.
-	SharedClock() backends.SharedClock
+	SharedClock() coldstart.Clock
 }
 
 // Relay serves requests. It is safe for concurrent use; mu is taken before the lock
