What an engine reports of its leaving is told to all gateways

Cause, by the log of all gateways: while the directory is away each gateway asks only the engines that it runs streams on. Of the gateways with runs on one engine the first heard 0.45 s before another; the rest heard nothing until the store was back 7 s later, and sent runs and copies to engines that were about to end. Ruled out: the question itself (answered within 0.25 s), the entries.

Change: a report of leaving goes with the state to the peers, at once, and counts there as if they had asked. It holds for one life of the server.

Before: gateways without a run there never knew. Now all know within 1 s of the report, in a test over real links with the store away.

--- a/backends/load.go
+++ b/backends/load.go
@@ -86,8 +86,8 @@
 // Loss is the requests that a server has lost in a row.
 type Loss struct {
 	InARow int
-	// Ended says that it listens no more.
-	Ended bool
+	// Ended says that it listens no more, Leaving that it has reported that it will end.
+	Ended, Leaving bool
 	// Born is the life of the server that lost them, see Server.
 	Born int64
 }
@@ -99,22 +99,33 @@
 	defer r.mu.Unlock()
 	out := make(map[string]Loss)
 	for id, s := range r.servers {
-		if n, ended := s.lostInARow(now), now < s.endedUntil; n > 0 || ended {
-			out[id] = Loss{InARow: n, Ended: ended, Born: s.Born}
+		l := Loss{InARow: s.lostInARow(now), Ended: now < s.endedUntil, Leaving: s.reported && !s.gone, Born: s.Born}
+		if l.InARow > 0 || l.Ended || l.Leaving {
+			out[id] = l
 		}
 	}
 	return out
 }
 
 // SetLosses replaces what another process has told of lost requests; nil forgets it.
+//
+// While the directory is away only those that run something on a server ask whether it is
+// leaving; the others would go on sending runs and copies there.
 func (r *Registry) SetLosses(process string, losses map[string]Loss) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	if len(losses) == 0 {
 		delete(r.losses, process)
-		return
+	} else {
+		r.losses[process] = losses
+	}
+	var left []leave
+	for id, l := range losses {
+		if s := r.servers[id]; l.Leaving && s != nil && s.Born == l.Born {
+			left = s.report(left, NoticeTold)
+		}
 	}
-	r.losses[process] = losses
+	r.mu.Unlock()
+	r.tell(left)
 }
 
 // losing reports whether a server is left for what it has lost, by what all processes
--- a/backends/registry.go
+++ b/backends/registry.go
@@ -92,6 +92,8 @@
 	NoticeVanished Notice = "entry vanished"
 	NoticeReplaced Notice = "another server has its address"
 	NoticeReported Notice = "its own report"
+	// NoticeTold is told of a server whose report another process has seen.
+	NoticeTold Notice = "its own report to a peer"
 	// NoticeRestarted is told of the life that has ended; its runs ended with it.
 	NoticeRestarted Notice = "started again"
 )
@@ -247,17 +249,17 @@
 	r.tell(left)
 }
 
-// Reported notes that a server itself says that it is leaving.
-func (r *Registry) Reported(leaving Server) {
+// Reported notes that a server itself says that it is leaving, and reports whether that is
+// news.
+func (r *Registry) Reported(leaving Server) bool {
 	r.mu.Lock()
-	s := r.current(leaving)
 	var left []leave
-	if s != nil && !s.gone && !s.Leaving {
-		s.Leaving = true
-		left = append(left, leave{s.Server, NoticeReported})
+	if s := r.current(leaving); s != nil {
+		left = s.report(nil, NoticeReported)
 	}
 	r.mu.Unlock()
 	r.tell(left)
+	return len(left) > 0
 }
 
 // Query asks for a server.
--- a/backends/registry_test.go
+++ b/backends/registry_test.go
@@ -283,3 +283,28 @@
 	require.Equal(t, []string{"b"}, picked(3*lostFor-1), "for longer each time")
 	require.Len(t, picked(3*lostFor), 2)
 }
+
+// Guards against runs and copies being sent to servers that are about to end while the
+// directory cannot say so: only those that run something there have asked.
+func TestReportIsToldToAll(t *testing.T) {
+	var notices []Notice
+	leaving := Server{ID: "a", Service: svc, FailureDomain: "z", Slots: 6, Born: 7}
+	reg := func() *Registry {
+		r := New("z", func(string) Traits { return Traits{} }, func(_ Server, n Notice) { notices = append(notices, n) })
+		r.Put(leaving, 0)
+		return r
+	}
+	asked, told := reg(), reg()
+	require.True(t, asked.Reported(leaving))
+	require.False(t, asked.Reported(leaving), "no news")
+	losses := asked.Losses(0)
+	require.Equal(t, map[string]Loss{"a": {Leaving: true, Born: 7}}, losses)
+	told.SetLosses("vm-1", map[string]Loss{"a": {Leaving: true, Born: 6}})
+	require.Equal(t, 1, told.Ready(svc), "an earlier life")
+	told.SetLosses("vm-1", losses)
+	told.SetLosses("vm-1", losses)
+	require.Zero(t, told.Ready(svc))
+	require.Equal(t, []Notice{NoticeReported, NoticeTold}, notices)
+	told.Remove("a", 0, 0)
+	require.Empty(t, told.Losses(0), "gone")
+}
--- a/backends/server.go
+++ b/backends/server.go
@@ -40,6 +40,9 @@
 	// gone is set when the entry has vanished or another start of the server
 	// answers at its address.
 	gone bool
+	// reported is set when the server's own report says that it leaves: others are told, as
+	// the directory may not tell them.
+	reported bool
 	// replaced is set when another server has answered at its address; its entry does
 	// not bring it back.
 	replaced bool
@@ -99,6 +102,15 @@
 	s.endedUntil = s.leftUntil
 }
 
+// report notes that the server is leaving by its own report.
+func (s *server) report(left []leave, n Notice) []leave {
+	if s.gone || s.Leaving {
+		return left
+	}
+	s.Leaving, s.reported = true, true
+	return append(left, leave{s.Server, n})
+}
+
 // failureRate is the share of failures as it stood, faded by its age.
 func (s *server) failureRate(now time.Duration) float64 {
 	if s.failures == 0 {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -101,7 +101,7 @@
 		})
 	}
 	for id, l := range g.registry.Losses(clock.SinceBoot()) {
-		s.Losses = append(s.Losses, &peerv1.Loss{Server: id, InARow: uint32(l.InARow), Ended: l.Ended, Born: l.Born})
+		s.Losses = append(s.Losses, &peerv1.Loss{Server: id, InARow: uint32(l.InARow), Ended: l.Ended, Leaving: l.Leaving, Born: l.Born})
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -134,7 +134,7 @@
 	}
 	losses := make(map[string]backends.Loss, len(s.GetLosses()))
 	for _, l := range s.GetLosses() {
-		losses[l.GetServer()] = backends.Loss{InARow: int(l.GetInARow()), Ended: l.GetEnded(), Born: l.GetBorn()}
+		losses[l.GetServer()] = backends.Loss{InARow: int(l.GetInARow()), Ended: l.GetEnded(), Leaving: l.GetLeaving(), Born: l.GetBorn()}
 	}
 	g.registry.SetLosses(peer, losses)
 	loads := make(map[string]backends.Load, len(s.GetLoads()))
--- a/internal/gateway/queues_test.go
+++ b/internal/gateway/queues_test.go
@@ -122,3 +122,25 @@
 	}
 	require.Less(t, time.Since(met), 100*time.Millisecond)
 }
+
+// Guards against gateways that run nothing on an engine sending runs there, while the store is
+// away and the engine has told only those that asked it that it will end.
+func TestReportOfALeavingServerReachesAll(t *testing.T) {
+	s := newSystem(t)
+	nodes := []*node{s.gateway("vm-1"), s.gateway("vm-2"), s.gateway("vm-3")}
+	engine := s.server(fleet.ModelService, fleet.Behaviour{Events: 1000, EventEvery: 20 * time.Millisecond})
+	for _, n := range nodes {
+		n.eventually(func() bool { return len(n.group.links.Live()) == 2 && n.registry.Ready(fleet.ModelService) == 1 }, "linked")
+	}
+	c := nodes[0].dial()
+	c.send(generation(fleet.PlanPath))
+	nodes[0].eventually(func() bool { return engine.Running() == 1 }, "running")
+	s.fleet.Store.SetFault(fleet.Busy)
+	nodes[0].eventually(nodes[0].directory.Away, "the store is away")
+	left := time.Now()
+	engine.Drain(true)
+	for _, n := range nodes {
+		n.eventually(func() bool { return n.registry.Ready(fleet.ModelService) == 0 }, "told")
+	}
+	require.Less(t, time.Since(left), time.Second)
+}
