Loads of the others are summed as they are told; one lock for an old copy

Change: SetRemote keeps the sums by life of a server. Ruled out: fewer choices (the queue polls each 20 ms only with waiters).

--- a/backends/load.go
+++ b/backends/load.go
@@ -27,13 +27,26 @@
 
 // load is what is known of a server's load, here and at other processes.
 func (r *Registry) load(s *server) Load {
-	sum := s.own
-	for _, loads := range r.remote {
-		if l := loads[s.ID]; l.Born == s.Born {
-			sum = sum.plus(l)
+	return s.own.plus(r.told[life{s.ID, s.Born}])
+}
+
+// life is one start of a server.
+type life struct {
+	id   string
+	born int64
+}
+
+// addTold adds what a process tells of its loads to the sums, or takes it back; mu is held.
+func (r *Registry) addTold(loads map[string]Load, sign func(sum, l Load) Load) {
+	for id, l := range loads {
+		of := life{id, l.Born}
+		sum := sign(r.told[of], l)
+		if sum == (Load{}) {
+			delete(r.told, of)
+		} else {
+			r.told[of] = sum
 		}
 	}
-	return sum
 }
 
 // Loads is this process's load, by server.
@@ -55,11 +68,13 @@
 func (r *Registry) SetRemote(process string, loads map[string]Load) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.addTold(r.remote[process], Load.minus)
 	if loads == nil {
 		delete(r.remote, process)
 		return
 	}
 	r.remote[process] = loads
+	r.addTold(loads, Load.plus)
 }
 
 const (
--- a/backends/registry.go
+++ b/backends/registry.go
@@ -67,6 +67,8 @@
 	// remote are the loads that other processes have told of, by process and
 	// server.
 	remote map[string]map[string]Load
+	// told are the sums of those, by the life of a server.
+	told map[life]Load
 	// losses are the lost requests that other processes have told of, likewise.
 	losses map[string]map[string]Loss
 	// lists caches the servers of each service, scratch their descriptions.
@@ -103,7 +105,7 @@
 func New(domain string, traits func(service string) Traits, leaving func(Server, Notice)) *Registry {
 	return &Registry{
 		domain: domain, traits: traits, leaving: leaving,
-		policy: placement.Direct(), copies: placement.Copies(), servers: make(map[string]*server), endings: make(map[string]ending), remote: make(map[string]map[string]Load), losses: make(map[string]map[string]Loss),
+		policy: placement.Direct(), copies: placement.Copies(), servers: make(map[string]*server), endings: make(map[string]ending), remote: make(map[string]map[string]Load), told: make(map[life]Load), losses: make(map[string]map[string]Loss),
 		lists: make(map[string][]*server),
 	}
 }
@@ -122,8 +124,14 @@
 // Reset replaces the directory. outage is how long it was silent before.
 func (r *Registry) Reset(list []Server, outage, now time.Duration) {
 	r.mu.Lock()
+	left := r.reset(list, outage, now)
+	r.mu.Unlock()
+	r.tell(left)
+}
+
+// reset replaces the directory; mu is held.
+func (r *Registry) reset(list []Server, outage, now time.Duration) (left []leave) {
 	listed := make(map[string]bool, len(list))
-	var left []leave
 	for _, s := range list {
 		listed[s.ID] = true
 		left = r.put(left, s, now)
@@ -133,8 +141,7 @@
 			left = r.vanish(left, s, outage, now)
 		}
 	}
-	r.mu.Unlock()
-	r.tell(left)
+	return left
 }
 
 // Put adds or changes a server.
--- a/backends/restore.go
+++ b/backends/restore.go
@@ -28,18 +28,24 @@
 // withheld until their entry is written again, or for as long as they are remembered. Those
 // that have joined since are not in it, and stay for a while, as after an outage.
 func (r *Registry) Restore(list []Server, outage, now time.Duration) {
-	r.Reset(list, outage, now)
 	r.mu.Lock()
-	defer r.mu.Unlock()
+	left := r.reset(list, outage, now)
 	for _, s := range list {
-		e, ended := r.endings[s.ID]
-		known := r.servers[s.ID]
-		if !ended || known == nil || !known.SameLife(e.Server) || now-e.at >= endedFor {
-			continue
-		}
-		known.withheld, known.withheldUntil = true, e.at+endedFor
-		r.unlist()
+		r.withholdEnded(s, now)
+	}
+	r.mu.Unlock()
+	r.tell(left)
+}
+
+// withholdEnded withholds a server that has gone since the copy was made; mu is held.
+func (r *Registry) withholdEnded(s Server, now time.Duration) {
+	e, ended := r.endings[s.ID]
+	known := r.servers[s.ID]
+	if !ended || known == nil || !known.SameLife(e.Server) || now-e.at >= endedFor {
+		return
 	}
+	known.withheld, known.withheldUntil = true, e.at+endedFor
+	r.unlist()
 }
 
 // expireEndings forgets servers that have gone long ago; mu is held.
