Idempotent requests at a server that hangs go to a second one as well

Cause: a repeat follows an error only. A server that hangs gives none; it is left once requests have been silent for three targets, by then the first ones are lost.

Ways: waiting (as it was); ending the first attempt and sending a second (the first may be about to answer, and is broken off at work); both at once after half of the target, the first answer counts. The last is built, for requests of plain services that may run at two servers, within the budget of repeats. The attempt is a part of its own now (attempt.go): only its sending runs beside the request's goroutine.

--- /dev/null
+++ b/internal/relay/attempt.go
@@ -0,0 +1,97 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"kingcupplank.example/kingcup/backends"
+)
+
+// attempt is one try of a request at a server. Only run may be called beside the request's
+// own goroutine.
+type attempt struct {
+	*Attempt
+	relay *Relay
+	lease *backends.Lease
+	// try is its number within the request, begun when it was sent.
+	try   int
+	begun time.Duration
+	ctx   context.Context
+	cut   context.CancelFunc
+	// unwatch ends the watch over its start.
+	unwatch func()
+}
+
+// reply is what came of an attempt.
+type reply struct {
+	*attempt
+	answer *Answer
+	err    error
+	at     time.Duration
+}
+
+// send makes one attempt at the server of a lease.
+func (r *Relay) send(ctx context.Context, j *job, lease *backends.Lease, a *Attempt) (*offer, error) {
+	t, err := r.startAttempt(ctx, j, lease, a)
+	if err != nil {
+		return nil, err
+	}
+	return r.finishAttempt(j, t.run())
+}
+
+// startAttempt counts an attempt that is about to be sent. Errors: *Refused.
+func (r *Relay) startAttempt(ctx context.Context, j *job, lease *backends.Lease, a *Attempt) (*attempt, error) {
+	if r.Registry.Barred(lease.Server, j.regions) {
+		// Its failure domain was cordoned since the lease was taken, or the copy was made.
+		j.reached++
+		return nil, &Refused{Why: RefusedBarred, Detail: lease.Server.FailureDomain}
+	}
+	a.Request, a.Server, a.Team = j.Request, lease.Server, j.team
+	a.Left = j.left()
+	a.Priority = -1
+	if j.Generation != nil {
+		a.Priority = j.priority
+	}
+	j.sent++
+	j.reached++
+	j.answering.Store(false)
+	t := &attempt{Attempt: a, relay: r, lease: lease, try: j.sent, begun: r.Now()}
+	t.unwatch = r.watchStart(j, lease, a)
+	t.ctx, t.cut = context.WithCancel(ctx)
+	return t, nil
+}
+
+// run sends the attempt and waits for the head of its answer.
+func (t *attempt) run() reply {
+	answer, err := t.relay.Upstream.Send(t.ctx, t.Attempt)
+	t.unwatch()
+	return reply{t, answer, err, t.relay.Now()}
+}
+
+// finishAttempt counts what came of an attempt.
+func (r *Relay) finishAttempt(j *job, p reply) (*offer, error) {
+	lease := p.lease
+	entry := j.log.WithFields(logrus.Fields{
+		"server": lease.Server.ID, "try": p.try, "running": lease.Running, "tokens": lease.Tokens,
+		"prompt": lease.Prompt, "of": lease.Of,
+		"waited_ms": (p.begun - j.arrived).Milliseconds(), "answer_ms": (p.at - p.begun).Milliseconds(),
+	})
+	if p.err != nil {
+		p.cut()
+		entry.WithField("result", p.err.Error()).Info("sent")
+		return nil, p.err
+	}
+	if p.answer.SaysCold {
+		r.Registry.ReportedCold(lease.Server, p.answer.ColdFor, p.at)
+	}
+	j.ran++
+	j.answering.Store(true)
+	lease.Begun()
+	if p.From == nil {
+		r.prompted(lease.Prompt+j.prompt(), p.at-p.begun)
+	}
+	entry.WithField("status", p.answer.Status).Info("sent")
+	return &offer{lease: lease, answer: p.answer, cut: p.cut}, nil
+}
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/sirupsen/logrus"
 
 	"kingcupplank.example/kingcup/backends"
 	"kingcupplank.example/kingcup/internal/wait"
@@ -64,60 +63,16 @@
 			j.log.WithField("sent", j.sent).Warn("retry budget is used up")
 			return nil, r.refuse(j, ReasonNoRoom)
 		}
-		o, err := r.sendCovered(ctx, j, lease, &Attempt{After: after})
+		o, used, err := r.sendRaced(ctx, j, lease, &Attempt{After: after})
 		if err == nil {
 			return o, nil
 		}
-		if refusal := r.passOver(ctx, j, lease, err); refusal != nil {
+		if refusal := r.passOver(ctx, j, used, err); refusal != nil {
 			return nil, refusal
 		}
 	}
 }
 
-// send makes one attempt at the server of a lease.
-func (r *Relay) send(ctx context.Context, j *job, lease *backends.Lease, a *Attempt) (*offer, error) {
-	if r.Registry.Barred(lease.Server, j.regions) {
-		// Its failure domain was cordoned since the lease was taken, or the copy was made.
-		j.reached++
-		return nil, &Refused{Why: RefusedBarred, Detail: lease.Server.FailureDomain}
-	}
-	a.Request, a.Server, a.Team = j.Request, lease.Server, j.team
-	a.Left = j.left()
-	a.Priority = -1
-	if j.Generation != nil {
-		a.Priority = j.priority
-	}
-	j.sent++
-	j.reached++
-	j.answering.Store(false)
-	begun := r.Now()
-	stop := r.watchStart(j, lease, a)
-	ctx, cut := context.WithCancel(ctx)
-	answer, err := r.Upstream.Send(ctx, a)
-	stop()
-	entry := j.log.WithFields(logrus.Fields{
-		"server": lease.Server.ID, "try": j.sent, "running": lease.Running, "tokens": lease.Tokens,
-		"prompt": lease.Prompt, "of": lease.Of,
-		"waited_ms": (begun - j.arrived).Milliseconds(), "answer_ms": (r.Now() - begun).Milliseconds(),
-	})
-	if err != nil {
-		cut()
-		entry.WithField("result", err.Error()).Info("sent")
-		return nil, err
-	}
-	if answer.SaysCold {
-		r.Registry.ReportedCold(lease.Server, answer.ColdFor, r.Now())
-	}
-	j.ran++
-	j.answering.Store(true)
-	lease.Begun()
-	if a.From == nil {
-		r.prompted(lease.Prompt+j.prompt(), r.Now()-begun)
-	}
-	entry.WithField("status", answer.Status).Info("sent")
-	return &offer{lease: lease, answer: answer, cut: cut}, nil
-}
-
 // passOver judges a failed attempt. It returns nil if another server may be
 // asked.
 func (r *Relay) passOver(ctx context.Context, j *job, lease *backends.Lease, err error) *Refusal {
