Drills: a start of all inside one, several in a row

What docs/design/12-eras.md listed as not run: four gateways that all start while the store comes back older serve the newest key and refuse those of the copy and of before within the bound of a new version; so do two gateways behind three drills in a row.

--- a/internal/gateway/era_test.go
+++ b/internal/gateway/era_test.go
@@ -186,6 +186,61 @@
 	require.Equal(t, events(1, 150), a.body)
 }
 
+// Guards against gateways that all start inside a drill, with nobody to tell them better, never
+// being ready, or keeping what the copy showed once the operator has written again.
+func TestStartOfAllInsideADrill(t *testing.T) {
+	s := newSystem(t)
+	s.server(fleet.DeskService, fleet.Behaviour{})
+	c := s.fleet.Store.Copy()
+	for range 20 {
+		s.fleet.Store.Put("other", "row", 1)
+	}
+	s.fleet.Configure("second")
+	s.fleet.Store.SetFault(fleet.Reset)
+	var nodes []*node
+	for _, name := range []string{"vm-1", "vm-2", "vm-3", "vm-4"} {
+		set, door := s.settings(name)
+		door.SetFault(fleet.Reset)
+		nodes = append(nodes, s.launch(set, door))
+	}
+	time.Sleep(away)
+	s.fleet.Store.Restore(c)
+	s.fleet.Store.SetFault(fleet.Sound)
+	s.fleet.Configure("third")
+	written := time.Now()
+	for _, n := range nodes {
+		n.eventually(func() bool { return n.status("third") == http.StatusOK }, "the newest key")
+		require.Equal(t, http.StatusUnauthorized, n.status(fleet.Key), "of the copy")
+		require.Equal(t, http.StatusUnauthorized, n.status("second"), "of before the drill")
+	}
+	require.Less(t, time.Since(written), testBounds.ApplyConfig)
+}
+
+// Guards against a second drill, within the time of the first one's reads, being taken for the
+// same: the store falls back twice to the same copy, and what is written between is gone.
+func TestDrillsInARow(t *testing.T) {
+	s := newSystem(t)
+	s.server(fleet.DeskService, fleet.Behaviour{})
+	nodes := []*node{s.gateway("vm-1"), s.gateway("vm-2")}
+	c := s.fleet.Store.Copy()
+	s.fleet.Configure("second")
+	for _, n := range nodes {
+		n.eventually(func() bool { return n.status("second") == http.StatusOK }, "the second key")
+	}
+	for range 3 {
+		s.fleet.Store.Restore(c)
+		s.fleet.Store.Put("other", "row", 1)
+		time.Sleep(30 * time.Millisecond)
+	}
+	s.fleet.Configure("third")
+	written := time.Now()
+	for _, n := range nodes {
+		n.eventually(func() bool { return n.status("third") == http.StatusOK }, "the third key")
+		require.Equal(t, http.StatusUnauthorized, n.status("second"))
+	}
+	require.Less(t, time.Since(written), testBounds.ApplyConfig)
+}
+
 // Twelve gateways, each with a few links. What they call the store for in the five seconds
 // after it came back older is at most twice what they call it for after a plain outage of
 // the same length.
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -90,6 +90,14 @@
 }
 
 func (s *system) start(set *settings.Settings, door *fleet.Door) *node {
+	s.t.Helper()
+	n := s.launch(set, door)
+	n.eventually(n.isReady, "ready")
+	return n
+}
+
+// launch starts a gateway without waiting until it is ready.
+func (s *system) launch(set *settings.Settings, door *fleet.Door) *node {
 	s.t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -102,7 +110,6 @@
 	require.NoError(s.t, err)
 	n := &node{Gateway: g, t: s.t, callers: set.Callers, ready: set.Ready, door: door}
 	s.t.Cleanup(func() { n.Close() })
-	n.eventually(n.isReady, "ready")
 	return n
 }
 
