--- a/internal/gateway/readers.go
+++ b/internal/gateway/readers.go
@@ -107,9 +107,13 @@
 	r.group.log.WithField("reads", reads).WithField("crowd", crowd).Info("reader of the store")
 }
 
-// answered has the peers told at once that this gateway reads, with the first answer since it
-// began to: until they know, more of them try every 50 ms.
+// answered has the peers told at once that this gateway reads, with the first answers for both
+// tables since it began to: until they know, more of them try every 50 ms.
 func (r *readerRole) answered() {
+	now, known := r.now()
+	if !known || now-r.group.answered() >= readers.Lapse {
+		return
+	}
 	r.mu.Lock()
 	reading := r.role.Reading()
 	r.mu.Unlock()
