Cold servers are left to their cell

Found by reading: gateways of other cells may spill to an engine, and counted their part of a cold one among their own cell. 103 gateways with four cells sent one 32 requests in a second where 17 are allowed (the new test without the change); now they leave a cold server with a rate alone.

Besides, an attempt that is barred before it is sent is not counted at all, in place of being counted and taken back.

--- a/backends/cold.go
+++ b/backends/cold.go
@@ -16,6 +16,21 @@
 	return r.inAll
 }
 
+// inOwnCell reports whether a server of a service of so many is one that this process's cell
+// sends to; mu is held.
+func (r *Registry) inOwnCell(s *server, servers int) bool {
+	return !cells.Divided(servers, r.count) || cells.Of(s.hash, r.count) == r.cell
+}
+
+// bears reports whether a cold server of a service of so many takes a request of this process
+// now; mu is held. What it bears is shared out within its cell, so others leave it alone.
+func (r *Registry) bears(s *server, l coldstart.Limit, of int, at coldstart.Clock, now time.Duration) bool {
+	if l.Rate > 0 && !r.inOwnCell(s, of) {
+		return false
+	}
+	return s.pacer.May(r.share(of), l, s.hash, at, now)
+}
+
 // ReportedCold notes that a server itself says how much longer it is cold.
 func (r *Registry) ReportedCold(at Server, coldFor, now time.Duration) {
 	r.mu.Lock()
--- a/backends/cold_test.go
+++ b/backends/cold_test.go
@@ -143,6 +143,22 @@
 	require.LessOrEqual(t, most(c.got["s-z0-0"], 8*time.Second, 9*time.Second), int(coldMost), "by its own report")
 }
 
+// Guards against gateways of other cells, which spill, sending to a cold server beside those
+// that share what it bears.
+func TestColdServersAreLeftToTheirCell(t *testing.T) {
+	const many, perCell = 103, 18
+	c := newCrowd(many)
+	var servers []Server
+	for i := range perCell * cells.Count(many) {
+		servers = append(servers, coldServer(i, "z0", coldTime))
+	}
+	c.put(time.Second, servers...)
+	c.ask(time.Second, 2*time.Second)
+	for id, times := range c.got {
+		require.LessOrEqual(t, most(times, time.Second, 2*time.Second), int(coldMost), id)
+	}
+}
+
 // A gateway that does not know the shared time leaves cold servers to the others, where these
 // are so many that they take turns.
 func TestColdServersNeedTheSharedClock(t *testing.T) {
--- a/backends/registry.go
+++ b/backends/registry.go
@@ -322,7 +322,7 @@
 	req := &placement.Request{FailureDomain: near, Tried: q.Tried, Tokens: q.Tokens, PromptSpeed: q.PromptSpeed, MostUsed: q.MostUsed, MostPrompt: q.MostPrompt, Within: q.Within, Regions: q.Regions, CopySpeed: q.CopySpeed}
 	divided := cells.Divided(len(views), r.count)
 	if divided {
-		req.Own = func(k int) bool { return cells.Of(list[k].hash, r.count) == r.cell }
+		req.Own = func(k int) bool { return r.inOwnCell(list[k], len(list)) }
 	}
 	if q.MostOfAll > 0 && placement.UsedOfAll(req, views) > q.MostOfAll {
 		return nil
@@ -381,12 +381,11 @@
 func (r *Registry) views(service string, at coldstart.Clock, now time.Duration) ([]placement.Server, []*server) {
 	list := r.listed(service)
 	traits := r.traits(service)
-	share := r.share(len(list))
 	r.scratch = r.scratch[:0]
 	for _, s := range list {
 		load := r.load(s)
 		cold := now < s.coldUntil
-		paced := cold && !s.pacer.May(share, traits.Cold, s.hash, at, now)
+		paced := cold && !r.bears(s, traits.Cold, len(list), at, now)
 		r.scratch = append(r.scratch, placement.Server{
 			Name: s.ID, FailureDomain: s.FailureDomain, Region: r.regions[s.FailureDomain], Leaving: s.Leaving, Cordoned: r.cordoned[s.FailureDomain], Connected: true,
 			Running: load.Running, Slots: s.Slots,
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -45,7 +45,6 @@
 func (r *Relay) startAttempt(ctx context.Context, j *job, lease *backends.Lease, a *Attempt) (*attempt, error) {
 	if r.Registry.Barred(lease.Server, j.regions) {
 		// Its failure domain was cordoned since the lease was taken, or the copy was made.
-		j.reached++
 		return nil, &Refused{Why: RefusedBarred, Detail: lease.Server.FailureDomain}
 	}
 	a.Request, a.Server, a.Team = j.Request, lease.Server, j.team
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -110,8 +110,7 @@
 // would be refused for a budget that protects servers which are not there. Others are told of
 // a server that has ended: each would find out by attempts of its own.
 func (r *Relay) unreached(j *job, why RefusedWhy) {
-	switch why {
-	case RefusedUnreachable, RefusedEnded, RefusedBarred:
+	if why == RefusedUnreachable || why == RefusedEnded {
 		j.reached--
 	}
 	if why == RefusedEnded {
--- a/tools/without/gateway.go
+++ b/tools/without/gateway.go
@@ -79,6 +79,7 @@
 	{"cordoned domains", "placement/placement.go", "NotEnded, NotCordoned, InRegions,", "NotEnded, InRegions,", "./backends", "TestDomainThatIsTakenBackCountsAsCold|TestRequestsStayInTheirRegions"},
 	{"regions of a request", "placement/placement.go", "NotEnded, NotCordoned, InRegions,", "NotEnded, NotCordoned,", "./backends", "TestRequestsStayInTheirRegions"},
 	{"what cold servers bear", "placement/placement.go", "WithinBounds, NotPaced}", "WithinBounds}", "./backends", "TestColdServersGetTheirRate"},
+	{"cold servers of other cells", "backends/cold.go", "if l.Rate > 0 && !r.inOwnCell(s, of) {", "if false {", "./backends", "TestColdServersAreLeftToTheirCell"},
 	{"domains that are taken back", "backends/cordon.go", "s.coldUntil = max(s.coldUntil, now+r.traits(s.Service).ColdTime)", "", "./backends", "TestDomainThatIsTakenBackCountsAsCold"},
 	{"last look before a request is sent", "internal/relay/attempt.go", "if r.Registry.Barred(lease.Server, j.regions) {", "if false {", "./internal/relay", "TestCopyInACordonedDomainIsNotUsed"},
 	{"cordons of a restored store", "cordon/cordon.go", "!listed && s.era(r.Revision) < era", "!listed && false", "./cordon", "TestCordonOutlivesARestoredStore"},
