Plain requests wait for cold servers in place of being refused

Cause: where all servers of a plain service are cold, one that finds no turn is refused after half of its target, though a server takes the next request some milliseconds later. Generations wait in their queue anyway.

Change: while servers of the service are cold and take a rate, a request asks again each 10 ms, for half of the time that its caller has; then it is told when to come back. A service whose servers bear any rate is as it was.

--- a/backends/cold.go
+++ b/backends/cold.go
@@ -1,10 +1,12 @@
 package backends
 
 import (
+	"slices"
 	"time"
 
 	"kingcupplank.example/kingcup/cells"
 	"kingcupplank.example/kingcup/coldstart"
+	"kingcupplank.example/kingcup/routing"
 )
 
 // share is this process's part of what cold servers bear, among those that send to a
@@ -31,6 +33,19 @@
 	return s.pacer.May(r.share(of), l, s.hash, at, now)
 }
 
+// Pacing reports whether servers of a service are cold and take requests at a rate: who waits
+// a little gets one.
+func (r *Registry) Pacing(service string, within routing.Regions, now time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.traits(service).Cold.Rate <= 0 {
+		return false
+	}
+	return slices.ContainsFunc(r.listed(service), func(s *server) bool {
+		return !s.Leaving && now < s.coldUntil && !r.cordoned[s.FailureDomain] && within.Allow(r.regions[s.FailureDomain]) && !r.ended(s, now)
+	})
+}
+
 // ReportedCold notes that a server itself says how much longer it is cold.
 func (r *Registry) ReportedCold(at Server, coldFor, now time.Duration) {
 	r.mu.Lock()
--- a/internal/relay/barred_test.go
+++ b/internal/relay/barred_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"kingcupplank.example/kingcup/backends"
+	"kingcupplank.example/kingcup/coldstart"
 	"kingcupplank.example/kingcup/routing"
 )
 
@@ -71,3 +74,37 @@
 		require.Len(t, w.up.sent, 1)
 	})
 }
+
+// Guards against callers being refused by the dozen because the only servers have just started:
+// they take a request each 50 ms, and the callers have a second.
+func TestRequestsWaitForColdServers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, Config{})
+		w.plain = backends.Traits{ColdTime: 5 * time.Second, Cold: coldstart.Limit{Rate: 20, Most: 25}}
+		s := w.entry("a", deskService)
+		s.ColdFor = w.plain.ColdTime
+		w.registry.Put(s, w.now())
+		w.up.send = func(context.Context, *Attempt) (*Answer, error) { return answer(200, "ok"), nil }
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		served, refused := 0, 0
+		for range 30 {
+			wg.Go(func() {
+				begun := time.Now()
+				c := w.serve(request("/once/x"))
+				mu.Lock()
+				defer mu.Unlock()
+				if c.refusal == nil {
+					served++
+					return
+				}
+				refused++
+				require.Less(t, time.Since(begun), 600*time.Millisecond, "told in time to come back")
+				require.Positive(t, c.refusal.RetryAfter)
+			})
+		}
+		wg.Wait()
+		require.GreaterOrEqual(t, served, 9, "of half a second")
+		require.Equal(t, 30, served+refused)
+	})
+}
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -37,6 +37,8 @@
 	others    *others
 	// checkServers is how many servers a request of the route check may go to, 2 if fewer.
 	checkServers int
+	// plain are the traits of the plain service.
+	plain backends.Traits
 }
 
 // others are the other processes.
@@ -114,7 +116,7 @@
 		if s == modelService {
 			return backends.Traits{MemoryTokens: 30000}
 		}
-		return backends.Traits{}
+		return w.plain
 	}, func(s backends.Server, n backends.Notice) { w.relay.Noticed(s, n) })
 	if cfg.RetryExtra == 0 {
 		cfg.RetryExtra = 100
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -15,6 +15,9 @@
 	// roomPoll is the wait before servers that refused are asked again. A batch of
 	// a few dozen generations of seconds each frees a place every 100 to 200 ms.
 	roomPoll = 150 * time.Millisecond
+	// pacePoll is the wait before servers are asked again that are cold: they take a request
+	// each few ms, by turns of all gateways.
+	pacePoll = 10 * time.Millisecond
 	// patienceShare is the part of a route's target that a request may wait for a
 	// server with room; the rest is needed to run it on time.
 	patienceShare = 0.5
@@ -149,20 +152,30 @@
 		if refusal := r.cordoned(j); refusal != nil {
 			return nil, refusal
 		}
+		poll, patience := roomPoll, j.patience()
+		if r.Registry.Pacing(j.service, j.regions, r.Now()) {
+			poll, patience = pacePoll, max(patience, r.paceWait(j))
+		}
 		waited := r.Now() - j.arrived
-		if waited+roomPoll > j.patience() || j.left() < roomPoll {
+		if waited+poll > patience || j.left() < poll {
 			if ready, _ := r.Registry.Standing(j.service, j.regions); ready == 0 {
 				return nil, r.refuse(j, ReasonNoServer)
 			}
 			return nil, r.refuse(j, ReasonNoRoom)
 		}
-		if !wait.For(ctx, roomPoll) {
+		if !wait.For(ctx, poll) {
 			return nil, r.refuse(j, ReasonDeadline)
 		}
 		j.tryAgain()
 	}
 }
 
+// paceWait is how long a request may wait for cold servers from its arrival: half of the time
+// that it had, as the other half may be needed to run it there.
+func (r *Relay) paceWait(j *job) time.Duration {
+	return (r.Now() - j.arrived + j.left()) / 2
+}
+
 // query asks for a server for a request.
 func (r *Relay) query(j *job) backends.Query {
 	return backends.Query{Service: j.service, Tried: j.tried, Regions: j.regions, Clock: r.Others.SharedClock(), Draw: rand.Uint64()}
