--- a/cells/cells.go
+++ b/cells/cells.go
@@ -2,9 +2,8 @@
 // that all who send to a server hear each other. It is pure.
 //
 // A process tells a bounded number of others what it has sent where. Beyond that number each
-// sees a part of the load only: at 103 gateways with 32 links each, two thirds of the prompts
-// that an engine has to read were sent by gateways unseen, and of the generations that began
-// late nine in ten had gone to an engine that looked idle. Within a cell the view is whole.
+// sees a part of the load only, and sends to engines that look idle to it. Within a cell the
+// view is whole.
 package cells
 
 import (
--- a/flow/queue.go
+++ b/flow/queue.go
@@ -121,9 +121,8 @@
 // caller will have left before its turn.
 //
 // One that cannot be on time any more waits on, behind all that can, and takes the room
-// that those leave. When it was sent away as long as others could be on time, 5.1 % of
-// the generations of busy days were refused for good, 4.0 % so, and as many were on time
-// (24 paired days with 24 to 31 gateways, 44,500 generations).
+// that those leave. Sent away as long as others can be on time, more are refused for good,
+// and no more are on time.
 func (q *Queue) Refuse(w *Waiter, now time.Duration) bool {
 	return now+q.Wait(w, now) > w.LastBy
 }
--- a/internal/peers/state.go
+++ b/internal/peers/state.go
@@ -13,8 +13,8 @@
 	// in that time by a few per cent; what others act on at once is sent at once.
 	leastPeriod = 150 * time.Millisecond
 	// statesPerSecond bounds what a gateway spends on states. One costs sender and
-	// receiver some 30 us each: at 28 links and a state every 150 ms that was half of
-	// all processor time of a gateway (0.027 cores, 0.017 at one every 500 ms).
+	// receiver some 30 us each, which would be half of all processor time of a gateway with
+	// one every 150 ms on each of 28 links.
 	statesPerSecond = 100
 	// missing is how many states in a row may be lost before a peer is not believed
 	// any more.
--- a/internal/relay/cover.go
+++ b/internal/relay/cover.go
@@ -11,16 +11,11 @@
 
 const (
 	// coverRoom is the part of a server's memory up to which standing copies are sent to
-	// it. Up to all of it they take the room that runs and moves need: a quiet day fell
-	// from 0.90 of its worth to 0.84, a busy one from 0.42 to 0.34; up to 0.7 the quiet
-	// one stood at 0.87, up to a half both were as without.
+	// it. Beyond, they take the room that runs and moves need.
 	coverRoom = 0.5
 	// coverOfAll is the part of the memory of all engines of a service up to which
-	// standing copies are made. Where engines are scarce, those that have just joined
-	// are under coverRoom, and copies took the room that callers wait for: without this
-	// bound busy days of 24 to 31 gateways lost 0.02 to 0.04 of their worth. Up to 0.4
-	// copies earn 0.008 on crashing days of a deployment that has 0.42 in use, up to 0.5
-	// 0.04.
+	// standing copies are made. Where engines are scarce, those that have just joined are
+	// under coverRoom, and copies would take the room that callers wait for.
 	coverOfAll = 0.5
 	// coverAfter is how long no request may have waited for room here before standing
 	// copies are made again: bursts come in series, and a copy keeps its room for as long
@@ -36,9 +31,8 @@
 // there is none to spare or the generation is not worth one.
 //
 // An engine that dies without a notice takes its runs with it, and their callers lose
-// answers that may not run again: 5 to 11 in 100 of the long ones on days on which
-// engines crash. A run with a standing copy goes on there within some 30 ms. With a
-// sixth of the engines crashing twice a day that earned 0.02 to 0.05 of the day's worth.
+// answers that may not run again. A run with a standing copy goes on there within some
+// 30 ms.
 func (r *Relay) cover(j *job, s backends.Server) *backends.Lease {
 	e := j.engine
 	if e == nil || !e.Backups || j.Generation == nil || j.route.Resumable {
--- a/readers/readers.go
+++ b/readers/readers.go
@@ -20,9 +20,7 @@
 	Lapse = 1800 * time.Millisecond
 	// volunteersPerSecond bounds how many processes in all try the store when there are
 	// too few readers. The first one tries after 50 ms on average, and what it hears
-	// reaches the others before many have tried too: of 103 that lose both readers three
-	// or four call, of 330 up to seven, where each for itself would call (played with the
-	// roles alone, three seeds each).
+	// reaches the others before many have tried too; each for itself would call.
 	volunteersPerSecond = 20
 	// longestLook bounds the time between two looks that counts for a chance: a process
 	// that was suspended is one of many that begin to look.
