--- a/backends/server.go
+++ b/backends/server.go
@@ -67,6 +67,10 @@
 	// tried again.
 	left      int
 	leftUntil time.Duration
+	// limit is what the server says that it takes, unreadableAdvice is set once it has said
+	// something of itself that means nothing.
+	limit            limit
+	unreadableAdvice bool
 	// endedUntil is until when the server is taken not to listen.
 	endedUntil time.Duration
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -117,7 +117,13 @@
 		},
 		func() clock.Source { return clock.SinceBoot },
 		func(rec *gatewaymetrics.Recorder) *store.Client { return store.New(set.Store, set.LinkMbps, rec) },
-		upstream.New,
+		func(l *late) *upstream.Client {
+			return upstream.New(func(s backends.Server, a backends.Advice, begun time.Duration) {
+				if r := l.relay.Load(); r != nil {
+					r.Advised(s, a, begun)
+				}
+			})
+		},
 		gatewaymetrics.New,
 		newControlCosts,
 		routing.NewReplica,
@@ -210,6 +216,7 @@
 	rec.Gauge("kingcup_gateway_peers_heard", "Other gateways whose states come in.", func() float64 { return float64(len(g.group.links.Live())) })
 	rec.Gauge("kingcup_gateway_requests_held", "Requests that are not sent to servers, because servers end under them.", func() float64 { return float64(g.group.suspects.holds()) })
 	rec.Gauge("kingcup_gateway_domains_cordoned", "Failure domains whose servers get nothing.", func() float64 { return float64(len(g.group.cordons.List())) })
+	rec.Gauge("kingcup_gateway_servers_limited", "Servers that name a limit in their answers.", func() float64 { return float64(g.registry.Limited()) })
 	rec.Gauge("kingcup_gateway_log_lines_dropped", "Log lines that were not written.", func() float64 { return float64(g.opts.DroppedLines()) })
 	if err := g.serveMetrics(set, rec); err != nil {
 		callers.Close()
--- /dev/null
+++ b/internal/relay/advice.go
@@ -0,0 +1,25 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"kingcupplank.example/kingcup/backends"
+)
+
+// Advised is told what a server says of itself in the head of an answer. begun is that of the
+// attempt that it answers, 0 if it answers none.
+func (r *Relay) Advised(s backends.Server, a backends.Advice, begun time.Duration) {
+	news := r.Registry.Advised(s, a, begun, r.Now())
+	log := r.Log.WithFields(logrus.Fields{"server": s.ID, "born": s.Born, "service": s.Service})
+	if news.Unreadable {
+		log.WithField("headers", a.Unreadable).Warn("server says something of itself that means nothing")
+	}
+	switch {
+	case news.Limited:
+		log.WithField("per_second", a.Limit).Info("server names a limit")
+	case news.Lifted:
+		log.Info("server names no limit any more")
+	}
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -15,11 +15,10 @@
 	*Attempt
 	relay *Relay
 	lease *backends.Lease
-	// try is its number within the request, begun when it was sent.
-	try   int
-	begun time.Duration
-	ctx   context.Context
-	cut   context.CancelFunc
+	// try is its number within the request.
+	try int
+	ctx context.Context
+	cut context.CancelFunc
 	// unwatch ends the watch over its start.
 	unwatch func()
 }
@@ -48,7 +47,7 @@
 		return nil, &Refused{Why: RefusedBarred, Detail: lease.Server.FailureDomain}
 	}
 	a.Request, a.Server, a.Team = j.Request, lease.Server, j.team
-	a.Left = j.left()
+	a.Begun, a.Left = r.Now(), j.left()
 	a.Priority = -1
 	if j.Generation != nil {
 		a.Priority = j.priority
@@ -56,7 +55,7 @@
 	j.sent++
 	j.reached++
 	j.answering.Store(false)
-	t := &attempt{Attempt: a, relay: r, lease: lease, try: j.sent, begun: r.Now()}
+	t := &attempt{Attempt: a, relay: r, lease: lease, try: j.sent}
 	t.unwatch = r.watchStart(j, lease, a)
 	t.ctx, t.cut = context.WithCancel(ctx)
 	return t, nil
@@ -75,7 +74,7 @@
 	entry := j.log.WithFields(logrus.Fields{
 		"server": lease.Server.ID, "try": p.try, "running": lease.Running, "tokens": lease.Tokens,
 		"prompt": lease.Prompt, "of": lease.Of,
-		"waited_ms": (p.begun - j.arrived).Milliseconds(), "answer_ms": (p.at - p.begun).Milliseconds(),
+		"waited_ms": (p.Begun - j.arrived).Milliseconds(), "answer_ms": (p.at - p.Begun).Milliseconds(),
 	})
 	if p.err != nil {
 		p.cut()
@@ -89,7 +88,7 @@
 	j.answering.Store(true)
 	lease.Begun()
 	if p.From == nil {
-		r.prompted(lease.Prompt+j.prompt(), p.at-p.begun)
+		r.prompted(lease.Prompt+j.prompt(), p.at-p.Begun)
 	}
 	entry.WithField("status", p.answer.Status).Info("sent")
 	return &offer{lease: lease, answer: p.answer, cut: p.cut}, nil
--- a/internal/relay/race.go
+++ b/internal/relay/race.go
@@ -94,7 +94,7 @@
 	j.tried = append(j.tried, slow.Server.ID)
 	slow.cut()
 	result := backends.Unjudged
-	if r.Now()-slow.begun >= j.route.Target {
+	if r.Now()-slow.Begun >= j.route.Target {
 		result = backends.Lost
 	}
 	slow.lease.Done(result, r.Now())
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -53,6 +53,8 @@
 type Attempt struct {
 	Request *Request
 	Server  backends.Server
+	// Begun is when it was sent.
+	Begun time.Duration
 	// Left is how long the server may take.
 	Left time.Duration
 	// Team is the name of the key's holder, empty if none.
