--- /dev/null
+++ b/internal/gateway/advice_test.go
@@ -0,0 +1,97 @@
+package gateway
+
+import (
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"kingcupplank.example/kingcup/internal/standin/fleet"
+)
+
+const (
+	// limitWindow is the time in which what reaches a limited server is counted.
+	limitWindow = 4 * time.Second
+	// knownWithin is the aim for what a server says of itself to be known at all gateways.
+	knownWithin = 300 * time.Millisecond
+)
+
+// allowedIn is the platform's bound for what a server that names a limit gets in limitWindow.
+func allowedIn(perSecond float64) int { return int(1.5*perSecond*limitWindow.Seconds()) + 5 }
+
+// pressAll has callers ask every gateway for a time, each again and again, and returns how many
+// were served.
+func pressAll(nodes []*node, each int, d time.Duration, c call) (served, refused int) {
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	for begun, n := range callersOf(nodes, each) {
+		wg.Go(func() {
+			time.Sleep(time.Duration(begun) * time.Millisecond)
+			for from := time.Now(); time.Since(from) < d; time.Sleep(25 * time.Millisecond) {
+				status := n.do(c).status
+				mu.Lock()
+				if status == http.StatusOK {
+					served++
+				} else {
+					refused++
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	return served, refused
+}
+
+func callersOf(nodes []*node, each int) (out []*node) {
+	for range each {
+		out = append(out, nodes...)
+	}
+	return out
+}
+
+// mostIn is the most that reached a server in any span of limitWindow from a time on.
+func mostIn(srv *fleet.Server, from time.Time) (most int) {
+	var at []time.Time
+	for _, a := range srv.Arrived() {
+		if !a.At.Before(from) {
+			at = append(at, a.At)
+		}
+	}
+	for first, i := 0, 0; i < len(at); i++ {
+		for at[i].Sub(at[first]) >= limitWindow {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// Guards against servers that name a limit getting several times as much from all gateways
+// together.
+func TestLimitedServersGetTheirLimitFromAllGateways(t *testing.T) {
+	s := newSystem(t)
+	limits := map[*fleet.Server]float64{
+		s.server(fleet.DeskService, fleet.Behaviour{}): 2.3,
+		s.server(fleet.DeskService, fleet.Behaviour{}): 3.9,
+	}
+	s.server(fleet.DeskService, fleet.Behaviour{})
+	nodes := []*node{s.gateway("vm-1"), s.gateway("vm-2"), s.gateway("vm-3")}
+	for _, n := range nodes {
+		n.eventually(func() bool { return n.registry.Ready(fleet.DeskService) == 3 && len(n.group.links.Live()) == 2 }, "listed")
+	}
+	pressAll(nodes, 1, time.Second, plain(fleet.OncePath))
+	for srv, limit := range limits {
+		srv.SetBehaviour(fleet.Behaviour{Says: fleet.NamesLimit(limit)})
+	}
+	named := time.Now()
+	_, refused := pressAll(nodes, 1, limitWindow+time.Second, plain(fleet.OncePath))
+	require.Zero(t, refused, "the third server has room")
+	for srv, limit := range limits {
+		most := mostIn(srv, named.Add(knownWithin))
+		t.Logf("%s got %d in %v, its limit is %v a second", srv.ID, most, limitWindow, limit)
+		require.LessOrEqual(t, most, allowedIn(limit), srv.ID)
+	}
+}
--- /dev/null
+++ b/internal/standin/fleet/says.go
@@ -0,0 +1,14 @@
+package fleet
+
+import (
+	"net/http"
+	"strconv"
+)
+
+// limitHeader names the requests a second that a server takes from all gateways.
+const limitHeader = "Server-Limit"
+
+// NamesLimit are the headers of a server that takes so many requests a second.
+func NamesLimit(perSecond float64) http.Header {
+	return http.Header{limitHeader: {strconv.FormatFloat(perSecond, 'f', -1, 64)}}
+}
--- a/internal/standin/fleet/server.go
+++ b/internal/standin/fleet/server.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"math"
 	"net"
 	"net/http"
@@ -21,6 +22,12 @@
 	Continued bool
 }
 
+// Arrival is a request that reached a server, whether it ran or was refused.
+type Arrival struct {
+	ID string
+	At time.Time
+}
+
 // Server is a backend server: a plain service, or a model engine if Events is set.
 type Server struct {
 	ID, Service, Address, Zone string
@@ -35,8 +42,10 @@
 	// end ends the server as by a fault of its own.
 	end func(*Server)
 
-	mu   sync.Mutex
-	seen []Seen
+	mu sync.Mutex
+	// seen are the requests that it ran, arrived all that were sent to it.
+	seen    []Seen
+	arrived []Arrival
 	runs map[string]*run
 	// copies are runs' memories that were moved here or stay after a stop, by
 	// handle.
@@ -62,6 +71,8 @@
 	Status int
 	// Full refuses everything as not run.
 	Full bool
+	// Says are headers of every answer, refusals too.
+	Says http.Header
 	// Events is the number of events of a stream, EventEvery the time between two.
 	Events     int
 	EventEvery time.Duration
@@ -203,6 +214,13 @@
 	return append([]Seen(nil), s.seen...)
 }
 
+// Arrived lists the requests that reached the server, but for those meant for another one.
+func (s *Server) Arrived() []Arrival {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Arrival(nil), s.arrived...)
+}
+
 // Waiting counts the requests that are not answered.
 func (s *Server) Waiting() int { return int(s.waiting.Load()) }
 
@@ -226,6 +244,8 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	s.arrive(r)
+	maps.Copy(w.Header(), b.Says)
 	if b.Full {
 		w.Header().Set("X-Kingcupplank-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -261,6 +281,12 @@
 	s.answer(w, r, b, from)
 }
 
+func (s *Server) arrive(r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.arrived = append(s.arrived, Arrival{ID: r.Header.Get("X-Kingcupplank-Attempt-Id"), At: time.Now()})
+}
+
 func (s *Server) answer(w http.ResponseWriter, r *http.Request, b Behaviour, from int) {
 	s.waiting.Add(1)
 	defer s.waiting.Add(-1)
