--- a/backends/cold.go
+++ b/backends/cold.go
@@ -5,13 +5,13 @@
 	"time"
 
 	"kingcupplank.example/kingcup/cells"
-	"kingcupplank.example/kingcup/coldstart"
+	"kingcupplank.example/kingcup/pacing"
 	"kingcupplank.example/kingcup/routing"
 )
 
 // share is this process's part of what cold servers bear, among those that send to a
 // service of so many servers; mu is held.
-func (r *Registry) share(servers int) *coldstart.Share {
+func (r *Registry) share(servers int) *pacing.Share {
 	if cells.Divided(servers, r.count) {
 		return r.inCell
 	}
@@ -26,7 +26,7 @@
 
 // bears reports whether a cold server of a service of so many takes a request of this process
 // now; mu is held. What it bears is shared out within its cell, so others leave it alone.
-func (r *Registry) bears(s *server, l coldstart.Limit, of int, at coldstart.Clock, now time.Duration) bool {
+func (r *Registry) bears(s *server, l pacing.Limit, of int, at pacing.Clock, now time.Duration) bool {
 	if l.Rate > 0 && !r.inOwnCell(s, of) {
 		return false
 	}
--- a/backends/registry.go
+++ b/backends/registry.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"kingcupplank.example/kingcup/cells"
-	"kingcupplank.example/kingcup/coldstart"
 	"kingcupplank.example/kingcup/flow"
+	"kingcupplank.example/kingcup/pacing"
 	"kingcupplank.example/kingcup/placement"
 	"kingcupplank.example/kingcup/routing"
 )
@@ -23,7 +23,7 @@
 	MemoryTokens int
 	// ColdTime is how long a server is cold after its start, Cold what it bears meanwhile.
 	ColdTime time.Duration
-	Cold     coldstart.Limit
+	Cold     pacing.Limit
 }
 
 const (
@@ -79,7 +79,7 @@
 	cell, count int
 	// inCell and inAll are this process's part of what cold servers bear, among those of its
 	// cell and among all.
-	inCell, inAll *coldstart.Share
+	inCell, inAll *pacing.Share
 	// cordoned are the failure domains that get nothing, regions those that domains are in.
 	cordoned map[string]bool
 	regions  map[string]string
@@ -294,7 +294,7 @@
 	// Regions are where the request may run.
 	Regions routing.Regions
 	// Clock is what cold servers are shared out by.
-	Clock coldstart.Clock
+	Clock pacing.Clock
 	// Turns bounds the choice to servers where it is this process's turn, nil for
 	// all.
 	Turns *flow.Turns
@@ -357,7 +357,7 @@
 // SetPlace says which of how many cells this process is in, and which others send to the same
 // servers. It reports whether the cell is news.
 func (r *Registry) SetPlace(p cells.Place) bool {
-	inCell, inAll := coldstart.NewShare(p.Self, p.Cell), coldstart.NewShare(p.Self, p.All)
+	inCell, inAll := pacing.NewShare(p.Self, p.Cell), pacing.NewShare(p.Self, p.All)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	news := r.cell != p.Own || r.count != p.Count
@@ -378,7 +378,7 @@
 
 // views describes the servers of a service to a policy. The result is valid until
 // mu is released.
-func (r *Registry) views(service string, at coldstart.Clock, now time.Duration) ([]placement.Server, []*server) {
+func (r *Registry) views(service string, at pacing.Clock, now time.Duration) ([]placement.Server, []*server) {
 	list := r.listed(service)
 	traits := r.traits(service)
 	r.scratch = r.scratch[:0]
--- a/backends/server.go
+++ b/backends/server.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"kingcupplank.example/kingcup/coldstart"
+	"kingcupplank.example/kingcup/pacing"
 )
 
 // Server is a backend server as the directory lists it.
@@ -55,7 +55,7 @@
 	suspectUntil time.Duration
 	// coldUntil is when the server bears any rate, pacer what was sent to it until then.
 	coldUntil  time.Duration
-	pacer      coldstart.Pacer
+	pacer      pacing.Pacer
 	avoidUntil time.Duration
 	own        Load
 	failures   float64
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,13 +17,13 @@
 	"go.uber.org/dig"
 
 	"kingcupplank.example/kingcup/backends"
-	"kingcupplank.example/kingcup/coldstart"
 	"kingcupplank.example/kingcup/internal/admin"
 	"kingcupplank.example/kingcup/internal/clock"
 	"kingcupplank.example/kingcup/internal/follow"
 	"kingcupplank.example/kingcup/internal/gatewaymetrics"
 	"kingcupplank.example/kingcup/internal/peers"
 	"kingcupplank.example/kingcup/internal/relay"
+	"kingcupplank.example/kingcup/pacing"
 	"kingcupplank.example/kingcup/platform/directory"
 	"kingcupplank.example/kingcup/platform/ingress"
 	"kingcupplank.example/kingcup/platform/operator"
@@ -162,6 +162,9 @@
 	return net.JoinHostPort(set.IP, strconv.Itoa(set.PeerPorts[0]))
 }
 
+// coldWindow is the time in which the platform counts what a cold server gets.
+const coldWindow = time.Second
+
 func traitsOf(rep *routing.Replica, l *late) func(service string) backends.Traits {
 	return func(service string) (t backends.Traits) {
 		cfg, _ := rep.Current()
@@ -174,7 +177,7 @@
 		}
 		bounds := l.set.Load().Bounds
 		t.ColdTime = s.ColdTime
-		t.Cold = coldstart.Limit{Rate: s.ColdRate, Most: max(1, bounds.ColdOverage)*s.ColdRate + bounds.ColdTolerance}
+		t.Cold = pacing.Limit{Rate: s.ColdRate, Most: max(1, bounds.ColdOverage)*s.ColdRate + bounds.ColdTolerance, Window: coldWindow}
 		if s.Engine != nil {
 			t.MemoryTokens = s.Engine.MemoryTokens
 		}
--- a/internal/gateway/queues.go
+++ b/internal/gateway/queues.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"kingcupplank.example/kingcup/coldstart"
 	"kingcupplank.example/kingcup/flow"
 	"kingcupplank.example/kingcup/internal/clock"
+	"kingcupplank.example/kingcup/pacing"
 	"kingcupplank.example/kingcup/platform/operator"
 )
 
@@ -98,13 +98,13 @@
 }
 
 // SharedClock implements relay.Others: the store's clock.
-func (g *group) SharedClock() coldstart.Clock {
+func (g *group) SharedClock() pacing.Clock {
 	f := g.followers[operator.Table]
 	if f == nil {
-		return coldstart.Clock{}
+		return pacing.Clock{}
 	}
 	now, known := f.StoreTime()
-	return coldstart.Clock{Now: now, Known: known}
+	return pacing.Clock{Now: now, Known: known}
 }
 
 // contenders lists the peers that have requests waiting for a service.
--- a/internal/relay/barred_test.go
+++ b/internal/relay/barred_test.go
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"kingcupplank.example/kingcup/backends"
-	"kingcupplank.example/kingcup/coldstart"
+	"kingcupplank.example/kingcup/pacing"
 	"kingcupplank.example/kingcup/routing"
 )
 
@@ -80,7 +80,7 @@
 func TestRequestsWaitForColdServers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, Config{})
-		w.plain = backends.Traits{ColdTime: 5 * time.Second, Cold: coldstart.Limit{Rate: 20, Most: 25}}
+		w.plain = backends.Traits{ColdTime: 5 * time.Second, Cold: pacing.Limit{Rate: 20, Most: 25, Window: time.Second}}
 		s := w.entry("a", deskService)
 		s.ColdFor = w.plain.ColdTime
 		w.registry.Put(s, w.now())
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -14,8 +14,8 @@
 	"github.com/stretchr/testify/require"
 
 	"kingcupplank.example/kingcup/backends"
-	"kingcupplank.example/kingcup/coldstart"
 	"kingcupplank.example/kingcup/flow"
+	"kingcupplank.example/kingcup/pacing"
 	"kingcupplank.example/kingcup/routing"
 )
 
@@ -88,7 +88,7 @@
 	return o.usage
 }
 
-func (o *others) SharedClock() coldstart.Clock { return coldstart.Clock{} }
+func (o *others) SharedClock() pacing.Clock { return pacing.Clock{} }
 
 func (o *others) MoveTurns(string) *flow.Turns { return o.Turns("", 0) }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -10,9 +10,9 @@
 	"github.com/sirupsen/logrus"
 
 	"kingcupplank.example/kingcup/backends"
-	"kingcupplank.example/kingcup/coldstart"
 	"kingcupplank.example/kingcup/flow"
 	"kingcupplank.example/kingcup/internal/clock"
+	"kingcupplank.example/kingcup/pacing"
 	"kingcupplank.example/kingcup/quarantine"
 	"kingcupplank.example/kingcup/retry"
 	"kingcupplank.example/kingcup/routing"
@@ -94,7 +94,7 @@
 	// domain, nil while only this process has such runs.
 	MoveTurns(domain string) *flow.Turns
 	// SharedClock is a clock that all processes go by.
-	SharedClock() coldstart.Clock
+	SharedClock() pacing.Clock
 }
 
 // Relay serves requests. It is safe for concurrent use; mu is taken before the lock
--- a/internal/standin/fleet/server.go
+++ b/internal/standin/fleet/server.go
@@ -46,7 +46,7 @@
 	// seen are the requests that it ran, arrived all that were sent to it.
 	seen    []Seen
 	arrived []Arrival
-	runs map[string]*run
+	runs    map[string]*run
 	// copies are runs' memories that were moved here or stay after a stop, by
 	// handle.
 	copies map[string]string
--- a/coldstart/coldstart.go
+++ b/pacing/pacing.go
@@ -1,12 +1,12 @@
-// Package coldstart bounds what many processes together send to a backend server that has
-// just started, or has lost its caches, and ends under more than a certain rate. It is pure.
+// Package pacing bounds what many processes together send to a backend server that takes no
+// more than a certain rate: one that has just started, or that names a limit. It is pure.
 //
 // Few processes have an equal part of the bound each, and use it at once. Of many, each of
 // which may send one request, the sum would be too much at once: there the rate is cut into
 // tickets, numbered on a clock that all share, and rendezvous hashing gives each ticket to
 // one process. Neither way needs a message. Processes that disagree on who is there disagree
 // on the tickets of those only.
-package coldstart
+package pacing
 
 import (
 	"time"
@@ -14,12 +14,13 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Limit is what a cold server bears.
+// Limit is what a server takes of all processes together.
 type Limit struct {
-	// Rate is the requests a second that it bears for long, 0 for no bound.
+	// Rate is the requests a second that it takes for long, 0 for no bound.
 	Rate float64
-	// Most is the most requests in any one second.
-	Most float64
+	// Most is the most requests in any span of Window.
+	Most   float64
+	Window time.Duration
 }
 
 // Clock is a steady clock that all processes share, as one of them knows it.
@@ -53,7 +54,7 @@
 
 const (
 	// usable is the part of the bound that is given out: requests that are sent in two
-	// seconds may arrive in one.
+	// windows may arrive in one.
 	usable = 0.9
 	// leastPart is the part of the rate that equal parts must give for long.
 	leastPart = 0.5
@@ -63,7 +64,7 @@
 // where there are too many for that.
 func (s *Share) equalPart(l Limit) (perSecond float64, ok bool) {
 	n := float64(s.count())
-	together := usable*l.Most - n
+	together := (usable*l.Most - n) / l.Window.Seconds()
 	return together / n, together >= leastPart*l.Rate
 }
 
--- a/coldstart/coldstart_test.go
+++ b/pacing/pacing_test.go
@@ -1,4 +1,4 @@
-package coldstart
+package pacing
 
 import (
 	"fmt"
@@ -20,7 +20,7 @@
 )
 
 // limit is what a server bears, and the platform's bound for one second.
-func limit(rate float64) Limit { return Limit{Rate: rate, Most: 1.5*rate + 5} }
+func limit(rate float64) Limit { return Limit{Rate: rate, Most: 1.5*rate + 5, Window: time.Second} }
 
 var server = xxhash.Sum64String("server")
 
