--- a/backends/advice.go
+++ b/backends/advice.go
@@ -1,6 +1,12 @@
 package backends
 
-import "time"
+import (
+	"time"
+)
+
+// MostLimit bounds the requests a second that a server may name as its limit. A higher number
+// says nothing.
+const MostLimit = 1e6
 
 // Advice is what a server says of itself in the head of an answer.
 type Advice struct {
@@ -25,12 +31,83 @@
 type limit struct {
 	named     bool
 	perSecond float64
-	// asOf is the time that this is known of.
+	// asOf is the time that this is known of, 0 if nothing ever was.
 	asOf time.Duration
+	// tellUntil is until when others are told that there is none.
+	tellUntil time.Duration
+}
+
+// ToldLimit is what a process knows of the limit that a server names.
+type ToldLimit struct {
+	// Known reports that it knows something, Named that the server names a limit.
+	Known, Named bool
+	PerSecond    float64
+	// Age is how long ago it was so.
+	Age time.Duration
+}
+
+const (
+	// liftedFor is how long others are told that a limit has ended, from when that is learnt or
+	// somebody does not know: those that get no answer of the server, as it takes little, do not
+	// learn of it otherwise.
+	liftedFor = 10 * time.Second
+	// fresher is how much newer than what is known something must be that changes nothing.
+	// What one process tells another comes back a little younger than it was.
+	fresher = time.Second
+)
+
+// told is what others are told.
+func (l limit) told(now time.Duration) ToldLimit {
+	if !l.named && now >= l.tellUntil {
+		return ToldLimit{}
+	}
+	return ToldLimit{Known: true, Named: l.named, PerSecond: l.perSecond, Age: now - l.asOf}
+}
+
+// name notes that the server names a limit, and reports whether that is news.
+func (l *limit) name(perSecond float64, now time.Duration) (news bool) {
+	news = !l.named
+	*l = limit{named: true, perSecond: perSecond, asOf: now}
+	return news
+}
+
+// lift notes that the server named none at a time, and reports whether that is news.
+func (l *limit) lift(asOf, now time.Duration) (news bool) {
+	if asOf <= l.asOf {
+		return false
+	}
+	if l.named {
+		*l, news = limit{tellUntil: now + liftedFor}, true
+	}
+	l.asOf = asOf
+	return news
+}
+
+// hear takes what another process tells, unless something newer is known, and reports whether
+// it is news that the server names a limit, or none. What is kept is the newest that anybody
+// knows, in whatever order it is told.
+func (l *limit) hear(t ToldLimit, now time.Duration) (news bool) {
+	if !t.Known || t.Age < 0 || t.Named && !(t.PerSecond >= 0 && t.PerSecond <= MostLimit) {
+		return false
+	}
+	asOf := now - t.Age
+	if asOf <= l.asOf {
+		if t.Named && !l.named {
+			l.tellUntil = now + liftedFor
+		}
+		return false
+	}
+	switch {
+	case !t.Named:
+		return l.lift(asOf, now)
+	case l.named && asOf < l.asOf+fresher:
+		return false
+	}
+	return l.name(t.PerSecond, asOf)
 }
 
 // Advised notes what a server says of itself in an answer. sent is when the request was sent
-// that it answers, 0 if that is not known.
+// that it answers, 0 if what it leaves out says nothing.
 //
 // Answers overtake each other. That a limit is missing says that it has ended only in an answer
 // to a request that was sent after the limit was last heard of.
@@ -43,11 +120,9 @@
 	}
 	switch {
 	case a.Limited:
-		n.Limited = !s.limit.named
-		s.limit = limit{named: true, perSecond: a.Limit, asOf: now}
-	case s.limit.named && len(a.Unreadable) == 0 && sent > s.limit.asOf:
-		n.Lifted = true
-		s.limit = limit{asOf: sent}
+		n.Limited = s.limit.name(a.Limit, now)
+	case len(a.Unreadable) == 0:
+		n.Lifted = s.limit.lift(sent, now)
 	}
 	if len(a.Unreadable) > 0 && !s.unreadableAdvice {
 		s.unreadableAdvice, n.Unreadable = true, true
--- a/backends/advice_test.go
+++ b/backends/advice_test.go
@@ -1,10 +1,16 @@
 package backends
 
 import (
+	"fmt"
+	"math"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"kingcupplank.example/kingcup/pacing"
 )
 
 func limitedRegistry() (*Registry, Server) {
@@ -50,3 +56,110 @@
 	require.Equal(t, News{}, r.Advised(s, spoilt, 4*time.Second, 5*time.Second))
 	require.Equal(t, 1, r.Limited())
 }
+
+// Guards against gateways that disagree for ever on a limit because they hear of it in another
+// order, twice, or not at all from some.
+func TestGatewaysAgreeOnTheNewestThatAnyKnowsOfALimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const gateways = 4
+		var regs []*Registry
+		var s Server
+		for range gateways {
+			r, server := limitedRegistry()
+			regs, s = append(regs, r), server
+		}
+		now := 10 * time.Second
+		tell := func(from, to int) {
+			regs[to].SetLosses(fmt.Sprint("vm-", from), regs[from].Losses(now), now+time.Millisecond)
+		}
+		var newest Advice
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(20, 400).Draw(t, "passes")) * time.Millisecond
+			i := rapid.IntRange(0, gateways-1).Draw(t, "gateway")
+			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			case 0:
+				newest = Advice{Limited: true, Limit: float64(rapid.IntRange(0, 1).Draw(t, "limit"))}
+				regs[i].Advised(s, newest, now, now)
+			case 1:
+				newest = Advice{}
+				regs[i].Advised(s, newest, now, now)
+			case 2:
+				tell(i, rapid.IntRange(0, gateways-1).Draw(t, "to"))
+			}
+		}
+		for range gateways {
+			for from := range regs {
+				for to := range regs {
+					if from != to {
+						tell(from, to)
+					}
+				}
+			}
+		}
+		for i, r := range regs {
+			require.Equal(t, newest.Limited, r.Limited() == 1, "gateway %d", i)
+		}
+	})
+}
+
+// Guards against what a peer tells that cannot be meant being taken over.
+func TestSpoiltWordsOfPeersChangeNoLimit(t *testing.T) {
+	r, s := limitedRegistry()
+	for _, l := range []ToldLimit{
+		{Named: true, PerSecond: 3}, {Known: true, Named: true, PerSecond: -1}, {Known: true, Named: true, PerSecond: math.NaN()},
+		{Known: true, Named: true, PerSecond: math.Inf(1)}, {Known: true, Named: true, PerSecond: 3, Age: -time.Second},
+	} {
+		require.Empty(t, r.SetLosses("vm-2", map[string]Loss{s.ID: {Limit: l, Born: s.Born}}, time.Minute))
+		require.Empty(t, r.SetLosses("vm-2", map[string]Loss{s.ID: {Limit: ToldLimit{Known: true, Named: true}, Born: s.Born + 1}}, time.Minute), "another life")
+		require.Zero(t, r.Limited())
+	}
+	require.Len(t, r.SetLosses("vm-2", map[string]Loss{s.ID: {Limit: ToldLimit{Known: true, Named: true, PerSecond: 3}, Born: s.Born}}, time.Minute), 1)
+	require.Equal(t, 1, r.Limited())
+}
+
+// mostInWindow is the most of some times within any span.
+func mostInWindow(times []time.Duration, window time.Duration) (most int) {
+	slices.Sort(times)
+	for first, i := 0, 0; i < len(times); i++ {
+		for times[i]-times[first] >= window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// Guards against a server that names a limit getting more than that from gateways most of which
+// know of it from others only, also while it is cold, and against its standing idle.
+func TestLimitedServerGetsItsLimitFromAllGateways(t *testing.T) {
+	const from, to, named = time.Second, 21 * time.Second, 2.8
+	for _, cold := range []time.Duration{0, time.Minute} {
+		for _, gateways := range []int{1, 4, 23, 103} {
+			c := newCrowd(gateways)
+			s := coldServer(0, "z0", cold)
+			c.put(0, s)
+			c.regs[0].Advised(s, Advice{Limited: true, Limit: named}, 0, 500*time.Millisecond)
+			for i, r := range c.regs[1:] {
+				r.SetLosses("vm-0", c.regs[i].Losses(600*time.Millisecond), 600*time.Millisecond)
+			}
+			c.ask(from, to)
+			got := c.got[s.ID]
+			require.LessOrEqual(t, float64(mostInWindow(got, 4*time.Second)), 1.5*named*4+5, "%d gateways, cold for %v", gateways, cold)
+			require.LessOrEqual(t, most(got, from, to), int(coldMost), "%d gateways, cold for %v", gateways, cold)
+			require.InDelta(t, named*(to-from).Seconds(), len(got), 0.2*named*(to-from).Seconds()+float64(min(gateways, 4)), "%d gateways, cold for %v", gateways, cold)
+		}
+	}
+}
+
+// Guards against a server that names a limit being given runs' copies, which lead to requests
+// that cannot wait.
+func TestLimitedServerGetsNoCopies(t *testing.T) {
+	r, s := limitedRegistry()
+	q := Query{Service: svc, Copy: true}
+	lease := r.Acquire(q, time.Second)
+	require.NotNil(t, lease)
+	r.Advised(s, Advice{Limited: true, Limit: 5}, 0, time.Second)
+	require.Nil(t, r.Acquire(q, 2*time.Second))
+	require.True(t, r.TakeTurn(lease, pacing.Clock{}, 2*time.Second), "a copy of before")
+	require.False(t, r.TakeTurn(lease, pacing.Clock{}, 2*time.Second), "and no second one at once")
+}
--- a/backends/load.go
+++ b/backends/load.go
@@ -98,35 +98,39 @@
 	believedLosses = 2
 )
 
-// Loss is the requests that a server has lost in a row.
+// Loss is what is wrong with a server: requests that it has lost in a row, its end, its limit.
 type Loss struct {
 	InARow int
 	// Ended says that it listens no more, Leaving that it has reported that it will end.
 	Ended, Leaving bool
+	// Limit is what is known of its limit.
+	Limit ToldLimit
 	// Born is the life of the server that lost them, see Server.
 	Born int64
 }
 
-// Losses tells, by server, the requests that were lost in a row of late: without an
-// answer, or far too long without one.
+// Losses tells what is wrong with servers: requests that were lost in a row of late, without an
+// answer or far too long without one, their ends and limits.
 func (r *Registry) Losses(now time.Duration) map[string]Loss {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	out := make(map[string]Loss)
 	for id, s := range r.servers {
-		l := Loss{InARow: s.lostInARow(now), Ended: now < s.endedUntil, Leaving: s.reported && !s.gone, Born: s.Born}
-		if l.InARow > 0 || l.Ended || l.Leaving {
+		l := Loss{InARow: s.lostInARow(now), Ended: now < s.endedUntil, Leaving: s.reported && !s.gone, Limit: s.limit.told(now), Born: s.Born}
+		if l.InARow > 0 || l.Ended || l.Leaving || l.Limit.Known {
 			out[id] = l
 		}
 	}
 	return out
 }
 
-// SetLosses replaces what another process has told of lost requests; nil forgets it.
+// SetLosses replaces what another process has told of what is wrong with servers; nil forgets
+// it. It returns the servers of which is news that they name a limit, or none: others have to
+// be told at once, as who hears this process need not hear that one.
 //
 // While the directory is away only those that run something on a server ask whether it is
 // leaving; the others would go on sending runs and copies there.
-func (r *Registry) SetLosses(process string, losses map[string]Loss) {
+func (r *Registry) SetLosses(process string, losses map[string]Loss, now time.Duration) (news []Server) {
 	r.mu.Lock()
 	if len(losses) == 0 {
 		delete(r.losses, process)
@@ -135,12 +139,20 @@
 	}
 	var left []leave
 	for id, l := range losses {
-		if s := r.servers[id]; l.Leaving && s != nil && s.Born == l.Born {
+		s := r.servers[id]
+		if s == nil || s.Born != l.Born {
+			continue
+		}
+		if l.Leaving {
 			left = s.report(left, NoticeTold)
 		}
+		if s.limit.hear(l.Limit, now) {
+			news = append(news, s.Server)
+		}
 	}
 	r.mu.Unlock()
 	r.tell(left)
+	return news
 }
 
 // losing reports whether a server is left for what it has lost, by what all processes
--- /dev/null
+++ b/backends/pace.go
@@ -0,0 +1,106 @@
+package backends
+
+import (
+	"time"
+
+	"kingcupplank.example/kingcup/cells"
+	"kingcupplank.example/kingcup/pacing"
+	"kingcupplank.example/kingcup/routing"
+)
+
+// share is this process's part of what servers with a bound take, among those that send to a
+// service of so many servers; mu is held.
+func (r *Registry) share(servers int) *pacing.Share {
+	if cells.Divided(servers, r.count) {
+		return r.inCell
+	}
+	return r.inAll
+}
+
+// inOwnCell reports whether a server of a service of so many is one that this process's cell
+// sends to; mu is held.
+func (r *Registry) inOwnCell(s *server, servers int) bool {
+	return !cells.Divided(servers, r.count) || cells.Of(s.hash, r.count) == r.cell
+}
+
+// bound is what a server takes of all processes now; mu is held.
+func (s *server) bound(t Traits, now time.Duration) (l pacing.Limit) {
+	if now < s.coldUntil {
+		l = t.Cold
+	}
+	if s.limit.named {
+		l = l.And(pacing.Named(s.limit.perSecond))
+	}
+	return l
+}
+
+// bears reports whether a server of a service of so many takes a request of this process now;
+// mu is held. What it takes is shared out within its cell, so others leave it alone.
+func (r *Registry) bears(s *server, l pacing.Limit, of int, at pacing.Clock, now time.Duration) bool {
+	if l.Rate > 0 && !r.inOwnCell(s, of) {
+		return false
+	}
+	return s.pacer.May(r.share(of), l, s.hash, at, now)
+}
+
+// TakeTurn counts a request that goes to a server for which no turn was taken when it was
+// chosen, as that was for a copy. It reports whether the server takes the request: it may have
+// named a limit since.
+func (r *Registry) TakeTurn(l *Lease, at pacing.Clock, now time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !l.s.limit.named {
+		return true
+	}
+	of, bound := len(r.listed(l.Server.Service)), l.s.bound(r.traits(l.Server.Service), now)
+	if !r.bears(l.s, bound, of, at, now) {
+		return false
+	}
+	l.s.pacer.Sent(r.share(of), bound, at, now)
+	return true
+}
+
+// Pace is at what rate the servers of a service take requests of this process.
+type Pace struct {
+	// Open reports that there is a server that takes any number, Bounded one that does not.
+	Open, Bounded bool
+	// PerSecond is what those with a bound take of this process, Next how long it is at the
+	// least until one of them takes a request.
+	PerSecond float64
+	Next      time.Duration
+}
+
+// Pace tells at what rate servers of a service take requests that must stay in some regions.
+func (r *Registry) Pace(service string, within routing.Regions, at pacing.Clock, now time.Duration) (p Pace) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	traits, list := r.traits(service), r.listed(service)
+	for _, s := range list {
+		if s.Leaving || r.cordoned[s.FailureDomain] || !within.Allow(r.regions[s.FailureDomain]) || r.ended(s, now) {
+			continue
+		}
+		l := s.bound(traits, now)
+		switch {
+		case l.Rate <= 0:
+			p.Open = true
+		case r.inOwnCell(s, len(list)):
+			share := r.share(len(list))
+			next := s.pacer.Next(share, l, s.hash, at, now)
+			if !p.Bounded || next < p.Next {
+				p.Next = next
+			}
+			p.Bounded = true
+			p.PerSecond += share.Part(l)
+		}
+	}
+	return p
+}
+
+// ReportedCold notes that a server itself says how much longer it is cold.
+func (r *Registry) ReportedCold(at Server, coldFor, now time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s := r.current(at); s != nil {
+		s.coldUntil = now + coldFor
+	}
+}
--- a/backends/registry.go
+++ b/backends/registry.go
@@ -314,7 +314,7 @@
 func (r *Registry) Acquire(q Query, now time.Duration) *Lease {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	views, list := r.views(q.Service, q.Clock, now)
+	views, list := r.views(q, now)
 	near := q.Near
 	if near == "" {
 		near = r.domain
@@ -348,8 +348,8 @@
 		return nil
 	}
 	s := list[i]
-	if now < s.coldUntil {
-		s.pacer.Sent(r.share(len(list)), r.traits(q.Service).Cold, q.Clock, now)
+	if l := s.bound(r.traits(q.Service), now); l.Rate > 0 {
+		s.pacer.Sent(r.share(len(list)), l, q.Clock, now)
 	}
 	return r.lease(s, q, len(list))
 }
@@ -378,19 +378,19 @@
 
 // views describes the servers of a service to a policy. The result is valid until
 // mu is released.
-func (r *Registry) views(service string, at pacing.Clock, now time.Duration) ([]placement.Server, []*server) {
-	list := r.listed(service)
-	traits := r.traits(service)
+func (r *Registry) views(q Query, now time.Duration) ([]placement.Server, []*server) {
+	list := r.listed(q.Service)
+	traits := r.traits(q.Service)
 	r.scratch = r.scratch[:0]
 	for _, s := range list {
 		load := r.load(s)
-		cold := now < s.coldUntil
-		paced := cold && !r.bears(s, traits.Cold, len(list), at, now)
+		// A copy of a run leads to requests that cannot wait for their turn.
+		paced := q.Copy && s.limit.named || !r.bears(s, s.bound(traits, now), len(list), q.Clock, now)
 		r.scratch = append(r.scratch, placement.Server{
 			Name: s.ID, FailureDomain: s.FailureDomain, Region: r.regions[s.FailureDomain], Leaving: s.Leaving, Cordoned: r.cordoned[s.FailureDomain], Connected: true,
 			Running: load.Running, Slots: s.Slots,
 			MemoryForecast: uint64(max(0, load.Tokens)), PromptPending: max(0, load.Prompt), CopyPending: max(0, load.Copying), MemoryTotal: uint64(traits.MemoryTokens),
-			FailureRate: s.failureRate(now), Avoid: now < s.avoidUntil || s.suspectUntil > 0 || r.losing(s, now), Cold: cold, Paced: paced, Ended: r.ended(s, now),
+			FailureRate: s.failureRate(now), Avoid: now < s.avoidUntil || s.suspectUntil > 0 || r.losing(s, now), Cold: now < s.coldUntil, Paced: paced, Ended: r.ended(s, now),
 		})
 	}
 	return r.scratch, list
--- a/backends/server.go
+++ b/backends/server.go
@@ -53,7 +53,8 @@
 	withheldUntil time.Duration
 	// suspectUntil is when a vanished entry counts as gone.
 	suspectUntil time.Duration
-	// coldUntil is when the server bears any rate, pacer what was sent to it until then.
+	// coldUntil is when the server is warm, pacer what was sent to it while it took a bounded
+	// rate.
 	coldUntil  time.Duration
 	pacer      pacing.Pacer
 	avoidUntil time.Duration
--- a/flow/queue.go
+++ b/flow/queue.go
@@ -34,6 +34,9 @@
 	return &Queue{rate: rate{perSecond: perSecond}}
 }
 
+// SetRate says what goes to servers in a second, where that is known without measuring.
+func (q *Queue) SetRate(perSecond float64) { q.rate.perSecond = perSecond }
+
 // Enter adds a waiter.
 func (q *Queue) Enter(w *Waiter) { q.waiting = append(q.waiting, w) }
 
--- a/internal/gateway/advice_test.go
+++ b/internal/gateway/advice_test.go
@@ -95,3 +95,33 @@
 		require.LessOrEqual(t, most, allowedIn(limit), srv.ID)
 	}
 }
+
+// Guards against gateways that learn of a limit, or of its end, only by their own requests; the
+// store tells them nothing of it.
+func TestLimitIsKnownToAllGatewaysAtOnce(t *testing.T) {
+	s := newSystem(t)
+	srv := s.server(fleet.DeskService, fleet.Behaviour{})
+	nodes := []*node{s.gateway("vm-1"), s.gateway("vm-2"), s.gateway("vm-3")}
+	for _, n := range nodes {
+		n.eventually(func() bool { return n.registry.Ready(fleet.DeskService) == 1 && len(n.group.links.Live()) == 2 }, "listed")
+	}
+	nodes[2].door.SetFault(fleet.Reset)
+	know := func(limited int) {
+		t.Helper()
+		for begun := time.Now(); time.Since(begun) < knownWithin; time.Sleep(5 * time.Millisecond) {
+			if nodes[1].registry.Limited() == limited && nodes[2].registry.Limited() == limited {
+				return
+			}
+		}
+		t.Fatalf("not known to all within %v", knownWithin)
+	}
+	srv.SetBehaviour(fleet.Behaviour{Says: fleet.NamesLimit(20)})
+	require.Equal(t, http.StatusOK, nodes[0].do(plain(fleet.OncePath)).status)
+	know(1)
+	srv.SetBehaviour(fleet.Behaviour{})
+	nodes[0].eventually(func() bool {
+		nodes[0].do(plain(fleet.OncePath))
+		return nodes[0].registry.Limited() == 0
+	}, "no limit any more")
+	know(0)
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -101,7 +101,7 @@
 		})
 	}
 	for id, l := range g.registry.Losses(clock.SinceBoot()) {
-		s.Losses = append(s.Losses, &peerv1.Loss{Server: id, InARow: uint32(l.InARow), Ended: l.Ended, Leaving: l.Leaving, Born: l.Born})
+		s.Losses = append(s.Losses, lossOf(id, l))
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -116,6 +116,39 @@
 	return s
 }
 
+// limitsHeard passes on what a peer has told of limits that is news here.
+func (g *group) limitsHeard(peer string, losses map[string]backends.Loss, news []backends.Server) {
+	for _, s := range news {
+		l := losses[s.ID].Limit
+		g.log.WithFields(logrus.Fields{
+			"server": s.ID, "born": s.Born, "service": s.Service, "peer": peer,
+			"named": l.Named, "per_second": l.PerSecond, "age_ms": l.Age.Milliseconds(),
+		}).Info("a peer tells of a server's limit")
+	}
+	if len(news) > 0 {
+		g.links.Nudge()
+	}
+}
+
+func lossOf(server string, l backends.Loss) *peerv1.Loss {
+	out := &peerv1.Loss{Server: server, InARow: uint32(l.InARow), Ended: l.Ended, Leaving: l.Leaving, Born: l.Born}
+	if l.Limit.Known {
+		out.Limit = &peerv1.Limit{Named: l.Limit.Named, PerSecond: l.Limit.PerSecond, AgeMs: l.Limit.Age.Milliseconds()}
+	}
+	return out
+}
+
+// mostAge bounds the age of what a peer tells.
+const mostAge = 24 * time.Hour
+
+func lossFrom(l *peerv1.Loss) backends.Loss {
+	out := backends.Loss{InARow: int(l.GetInARow()), Ended: l.GetEnded(), Leaving: l.GetLeaving(), Born: l.GetBorn()}
+	if t := l.GetLimit(); t != nil {
+		out.Limit = backends.ToldLimit{Known: true, Named: t.GetNamed(), PerSecond: t.GetPerSecond(), Age: time.Duration(min(t.GetAgeMs(), mostAge.Milliseconds())) * time.Millisecond}
+	}
+	return out
+}
+
 func (g *group) reached() bool {
 	for _, f := range g.followers {
 		if !f.Reached() {
@@ -129,14 +162,14 @@
 func (g *group) State(peer string, s *peerv1.State) {
 	if s == nil {
 		g.registry.SetRemote(peer, nil)
-		g.registry.SetLosses(peer, nil)
+		g.registry.SetLosses(peer, nil, clock.SinceBoot())
 		return
 	}
 	losses := make(map[string]backends.Loss, len(s.GetLosses()))
 	for _, l := range s.GetLosses() {
-		losses[l.GetServer()] = backends.Loss{InARow: int(l.GetInARow()), Ended: l.GetEnded(), Leaving: l.GetLeaving(), Born: l.GetBorn()}
+		losses[l.GetServer()] = lossFrom(l)
 	}
-	g.registry.SetLosses(peer, losses)
+	g.limitsHeard(peer, losses, g.registry.SetLosses(peer, losses, clock.SinceBoot()))
 	loads := make(map[string]backends.Load, len(s.GetLoads()))
 	for _, l := range s.GetLoads() {
 		loads[l.GetServer()] = backends.Load{
--- a/internal/relay/advice.go
+++ b/internal/relay/advice.go
@@ -9,7 +9,7 @@
 )
 
 // Advised is told what a server says of itself in the head of an answer. begun is that of the
-// attempt that it answers, 0 if it answers none.
+// attempt that it answers, 0 if what the answer leaves out says nothing.
 func (r *Relay) Advised(s backends.Server, a backends.Advice, begun time.Duration) {
 	news := r.Registry.Advised(s, a, begun, r.Now())
 	log := r.Log.WithFields(logrus.Fields{"server": s.ID, "born": s.Born, "service": s.Service})
@@ -19,7 +19,9 @@
 	switch {
 	case news.Limited:
 		log.WithField("per_second", a.Limit).Info("server names a limit")
+		r.Others.Nudge()
 	case news.Lifted:
 		log.Info("server names no limit any more")
+		r.Others.Nudge()
 	}
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -46,6 +46,9 @@
 		// Its failure domain was cordoned since the lease was taken, or the copy was made.
 		return nil, &Refused{Why: RefusedBarred, Detail: lease.Server.FailureDomain}
 	}
+	if a.From != nil && !r.Registry.TakeTurn(lease, r.Others.SharedClock(), r.Now()) {
+		return nil, &Refused{Why: RefusedBarred, Detail: "limit of " + lease.Server.ID}
+	}
 	a.Request, a.Server, a.Team = j.Request, lease.Server, j.team
 	a.Begun, a.Left = r.Now(), j.left()
 	a.Priority = -1
--- /dev/null
+++ b/internal/relay/line.go
@@ -0,0 +1,79 @@
+package relay
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"kingcupplank.example/kingcup/backends"
+	"kingcupplank.example/kingcup/flow"
+)
+
+// line is the queue of plain requests for a service whose servers all take a bounded rate. The
+// most urgent goes first. One that cannot have its turn in time is refused at once: waiting
+// would cost its caller the time to go elsewhere, or to come back.
+type line struct {
+	mu    sync.Mutex
+	queue *flow.Queue
+}
+
+func (r *Relay) line(service string) *line {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := r.lines[service]
+	if l == nil {
+		l = &line{queue: flow.NewQueue(1)}
+		r.lines[service] = l
+	}
+	return l
+}
+
+// mayAsk reports whether a request may ask for a server: the first of the line, or, with nil,
+// any while there is none.
+func (l *line) mayAsk(w *flow.Waiter, now time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if w == nil {
+		return l.queue.Len() == 0
+	}
+	return l.queue.Next(now) == w
+}
+
+func (l *line) enter(w *flow.Waiter) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.queue.Enter(w)
+}
+
+// leave takes a request out; nil was never in.
+func (l *line) leave(w *flow.Waiter, now time.Duration) {
+	if w == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.queue.Leave(w, false, now)
+}
+
+// wait estimates how long a request waits for its turn.
+func (l *line) wait(w *flow.Waiter, p backends.Pace, now time.Duration) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.queue.SetRate(p.PerSecond)
+	return p.Next + l.queue.Wait(w, now)
+}
+
+// lineWaiter describes a plain request to its line.
+func (r *Relay) lineWaiter(j *job) *flow.Waiter {
+	lastBy := j.arrived + max(j.patience(), r.paceWait(j))
+	return &flow.Waiter{Priority: j.priority, Prompt: 1, Arrived: j.arrived, OnTimeBy: lastBy, LastBy: lastBy}
+}
+
+// refuseInLine refuses a request that would have its turn too late.
+func (r *Relay) refuseInLine(j *job, wait time.Duration) *Refusal {
+	f := r.refuse(j, ReasonNoRoom)
+	if !f.Run {
+		f.RetryAfter = max(f.RetryAfter, wait+time.Duration(rand.Float64()*float64(returnSpread)))
+	}
+	return f
+}
--- /dev/null
+++ b/internal/relay/line_test.go
@@ -0,0 +1,172 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"kingcupplank.example/kingcup/backends"
+	"kingcupplank.example/kingcup/routing"
+)
+
+// limitedWorld has plain servers that each take so many requests a second; an answer takes
+// 20 ms.
+func limitedWorld(t *testing.T, perSecond float64, servers int) *world {
+	w := newWorld(t, Config{})
+	split := []routing.Weighted{{Service: deskService, Weight: 1}}
+	route := func(name string, priority int) *routing.Route {
+		return &routing.Route{Name: name, Host: "h", Prefix: "/" + name + "/", Kind: routing.Once, Public: true, Priority: priority, Target: 150 * time.Millisecond, Servers: 2, Split: split}
+	}
+	w.replica.Put(routing.Content{Version: 2, Routes: []*routing.Route{route("urgent", 0), route("other", 5)}}, func() {})
+	w.replica.Confirm(w.now())
+	for i := range servers {
+		s := w.server(fmt.Sprint("s", i), deskService)
+		w.relay.Advised(s, backends.Advice{Limited: true, Limit: perSecond}, 0)
+	}
+	w.up.send = func(context.Context, *Attempt) (*Answer, error) {
+		time.Sleep(20 * time.Millisecond)
+		return answer(200, "ok"), nil
+	}
+	return w
+}
+
+// outcomes are those of requests by their path.
+type outcomes struct {
+	mu      sync.Mutex
+	served  map[string]int
+	refused map[string]int
+	// longest is how long a request waited that was refused, soonest the least time after
+	// which one may come back.
+	longest, soonest time.Duration
+}
+
+// press makes requests for a path, n at once each so often.
+func (w *world) press(o *outcomes, path string, n int, every, lasts time.Duration) {
+	var wg sync.WaitGroup
+	for begun := time.Now(); time.Since(begun) < lasts; time.Sleep(every) {
+		for range n {
+			wg.Go(func() {
+				from := time.Now()
+				c := w.serve(request(path))
+				o.mu.Lock()
+				defer o.mu.Unlock()
+				if c.refusal == nil {
+					o.served[path]++
+					return
+				}
+				o.refused[path]++
+				o.longest = max(o.longest, time.Since(from))
+				if o.soonest == 0 || c.refusal.RetryAfter < o.soonest {
+					o.soonest = c.refusal.RetryAfter
+				}
+			})
+		}
+	}
+	wg.Wait()
+}
+
+func newOutcomes() *outcomes {
+	return &outcomes{served: make(map[string]int), refused: make(map[string]int)}
+}
+
+// Guards against callers of a service whose servers all name a limit waiting for what they
+// cannot get, against the urgent ones being served no sooner, and against servers standing idle.
+func TestServiceOfLimitedServersServesTheMostUrgent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const perSecond, servers, lasts = 10.0, 2, 4 * time.Second
+		w := limitedWorld(t, perSecond, servers)
+		o := newOutcomes()
+		var wg sync.WaitGroup
+		wg.Go(func() { w.press(o, "/urgent/x", 3, 200*time.Millisecond, lasts) })
+		wg.Go(func() { w.press(o, "/other/x", 10, 100*time.Millisecond, lasts) })
+		wg.Wait()
+		urgent := o.served["/urgent/x"]
+		t.Logf("served %v, refused %v, refused after %v at the most, to come back in %v at the least", o.served, o.refused, o.longest, o.soonest)
+		require.GreaterOrEqual(t, float64(urgent+o.served["/other/x"]), 0.8*perSecond*servers*lasts.Seconds())
+		require.GreaterOrEqual(t, float64(urgent), 0.9*15*lasts.Seconds(), "they take three quarters of the limits")
+		require.LessOrEqual(t, o.longest, 500*time.Millisecond, "half of the time that callers have")
+		require.GreaterOrEqual(t, o.soonest, returnBase)
+	})
+}
+
+// Guards against a caller waiting in vain for servers that take next to nothing.
+func TestServiceThatTakesNothingRefusesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := limitedWorld(t, 0, 1)
+		w.serve(request("/urgent/x")).whole(t, "ok")
+		for range 5 {
+			begun := time.Now()
+			c := w.serve(request("/urgent/x"))
+			require.Equal(t, ReasonNoRoom, c.refusal.Reason)
+			require.False(t, c.refusal.Run)
+			require.Zero(t, time.Since(begun))
+			require.Greater(t, c.refusal.RetryAfter, 5*time.Second, "the next look at the server")
+		}
+		require.Len(t, w.up.sent, 1)
+	})
+}
+
+// Guards against requests queueing behind a limit that has ended, or that a further server
+// has made up for.
+func TestLineEndsWithTheLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := limitedWorld(t, 2, 1)
+		o := newOutcomes()
+		go w.press(o, "/urgent/x", 1, 400*time.Millisecond, 2*time.Second)
+		time.Sleep(900 * time.Millisecond)
+		w.server("more", deskService)
+		begun := time.Now()
+		w.serve(request("/urgent/x")).whole(t, "ok")
+		require.Less(t, time.Since(begun), 30*time.Millisecond)
+		time.Sleep(3 * time.Second)
+	})
+}
+
+// Guards against an answer at hand being held back for a second server that takes no more.
+func TestAnswerAtHandDoesNotWaitForLimitedServers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, Config{})
+		w.server("a", deskService)
+		s := w.server("b", deskService)
+		w.relay.Advised(s, backends.Advice{Limited: true}, 0)
+		w.up.send = func(context.Context, *Attempt) (*Answer, error) { return answer(500, "failed"), nil }
+		for range 3 {
+			begun := time.Now()
+			require.Equal(t, 500, w.serve(request("/safe/x")).status)
+			require.Zero(t, time.Since(begun))
+		}
+	})
+}
+
+// Guards against a stream going on from its standing copy at a server that has named a limit
+// since and has had its part.
+func TestCopyAtALimitedServerTakesItsTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, Config{})
+		servers := map[string]backends.Server{"a": w.server("a", modelService), "b": w.server("b", modelService)}
+		w.up.send = func(_ context.Context, a *Attempt) (*Answer, error) {
+			require.Nil(t, a.From, "sent beyond the limit")
+			src := newSource()
+			go func() {
+				src.write(events(1, 3))
+				for id, s := range servers {
+					if id+":1" == a.Backup {
+						w.relay.Advised(s, backends.Advice{Limited: true}, 0)
+						lease := w.registry.Acquire(backends.Query{Service: modelService, Tried: []string{a.Server.ID}}, w.now())
+						lease.Done(backends.Unjudged, w.now())
+					}
+				}
+				src.breakOff()
+			}()
+			return src.answer(), nil
+		}
+		require.True(t, w.serve(request("/plan/x")).aborted)
+		require.Len(t, w.up.sent, 1)
+		require.Empty(t, w.registry.Loads())
+	})
+}
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"kingcupplank.example/kingcup/backends"
+	"kingcupplank.example/kingcup/flow"
 	"kingcupplank.example/kingcup/internal/wait"
 )
 
@@ -143,21 +144,45 @@
 	if j.engine != nil && j.Generation != nil {
 		return r.acquireEngine(ctx, j)
 	}
+	return r.acquirePlain(ctx, j)
+}
+
+// acquirePlain takes a server for a request that waits for no engine.
+func (r *Relay) acquirePlain(ctx context.Context, j *job) (*backends.Lease, *Refusal) {
+	l := r.line(j.service)
+	var w *flow.Waiter
+	defer func() { l.leave(w, r.Now()) }()
 	for {
-		q := r.query(j)
-		q.Tokens, q.Prompt, q.Spill = j.memory(0), j.prompt(), true
-		if lease := r.Registry.Acquire(q, r.Now()); lease != nil {
-			return lease, nil
+		ask := l.mayAsk(w, r.Now())
+		if !ask {
+			// The line is of no use any more once a server takes any number.
+			ask = r.paceOf(j).Open
+		}
+		if ask {
+			q := r.query(j)
+			q.Tokens, q.Prompt, q.Spill = j.memory(0), j.prompt(), true
+			if lease := r.Registry.Acquire(q, r.Now()); lease != nil {
+				return lease, nil
+			}
 		}
 		if refusal := r.cordoned(j); refusal != nil {
 			return nil, refusal
 		}
 		poll, patience := roomPoll, j.patience()
-		if r.Registry.Pacing(j.service, j.regions, r.Now()) {
-			poll, patience = pacePoll, max(patience, r.paceWait(j))
+		if pace := r.paceOf(j); pace.Bounded && !pace.Open {
+			if j.hasAnswer {
+				return nil, r.refuse(j, ReasonNoRoom)
+			}
+			if w == nil {
+				w = r.lineWaiter(j)
+				l.enter(w)
+			}
+			poll, patience = pacePoll, w.LastBy-j.arrived
+			if turn := l.wait(w, pace, r.Now()); r.Now()+turn > w.LastBy {
+				return nil, r.refuseInLine(j, turn)
+			}
 		}
-		waited := r.Now() - j.arrived
-		if waited+poll > patience || j.left() < poll {
+		if r.Now()-j.arrived+poll > patience || j.left() < poll {
 			if ready, _ := r.Registry.Standing(j.service, j.regions); ready == 0 {
 				return nil, r.refuse(j, ReasonNoServer)
 			}
@@ -170,6 +195,11 @@
 	}
 }
 
+// paceOf is at what rate servers take requests like this one.
+func (r *Relay) paceOf(j *job) backends.Pace {
+	return r.Registry.Pace(j.service, j.regions, r.Others.SharedClock(), r.Now())
+}
+
 // paceWait is how long a request may wait for cold servers from its arrival: half of the time
 // that it had, as the other half may be needed to run it there.
 func (r *Relay) paceWait(j *job) time.Duration {
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -40,7 +40,7 @@
 				if j.mayRepeat() && !w.more {
 					r.Observer.Attempt(j.service, "server error")
 					j.tried = append(j.tried, o.lease.Server.ID)
-					spare = w
+					spare, j.hasAnswer = w, true
 					continue
 				}
 			} else {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -107,6 +107,7 @@
 	budgets map[string]*retry.Budget
 	runs    map[string]map[*run]struct{}
 	lanes   map[string]*lane
+	lines   map[string]*line
 	// inquests are those of the servers whose answers broke of late.
 	inquests map[life]*inquest
 	active   int
@@ -129,6 +130,7 @@
 		budgets:  make(map[string]*retry.Budget),
 		runs:     make(map[string]map[*run]struct{}),
 		lanes:    make(map[string]*lane),
+		lines:    make(map[string]*line),
 		inquests: make(map[life]*inquest),
 		jobs:     make(map[*job]struct{}),
 		pace:     startPace,
@@ -177,6 +179,8 @@
 	// trial says that the request is held, and is sent to one server to see whether it is
 	// harmful.
 	trial bool
+	// hasAnswer says that a server's answer is at hand if no other one gives a better.
+	hasAnswer bool
 	// broken says that the answer of a server broke off.
 	broken bool
 	// progress is how far a stream came.
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -116,7 +116,7 @@
 	// RefusedEnded is a server that does not listen at its address any more.
 	RefusedEnded RefusedWhy = "ended"
 	// RefusedBarred is a server that the request must not be sent to: its failure domain is
-	// cordoned, or outside the request's regions.
+	// cordoned or outside the request's regions, or it takes no more now.
 	RefusedBarred RefusedWhy = "barred"
 )
 
--- a/pacing/pacing.go
+++ b/pacing/pacing.go
@@ -21,6 +21,41 @@
 	// Most is the most requests in any span of Window.
 	Most   float64
 	Window time.Duration
+	// Lasting keeps what is sent for long to Rate, where Most would allow more.
+	Lasting bool
+}
+
+const (
+	// namedWindow, namedOverage and namedTolerance are the platform's bound for a server that
+	// names a limit: so many times the limit, and so many requests more, in a window.
+	namedWindow    = 4 * time.Second
+	namedOverage   = 1.5
+	namedTolerance = 5
+	// leastNamed is the requests a second that are sent at the least. Only an answer says that
+	// a limit has ended, and a server that gets nothing gives none.
+	leastNamed = 0.1
+)
+
+// Named is the bound on a server that names a limit of so many requests a second.
+func Named(perSecond float64) Limit {
+	return Limit{
+		Rate: max(perSecond, leastNamed), Lasting: true,
+		Most: namedOverage*perSecond*namedWindow.Seconds() + namedTolerance, Window: namedWindow,
+	}
+}
+
+// And is a bound that keeps both.
+func (l Limit) And(o Limit) Limit {
+	switch {
+	case l.Rate <= 0:
+		return o
+	case o.Rate <= 0:
+		return l
+	}
+	return Limit{
+		Rate: min(l.Rate, o.Rate), Lasting: l.Lasting || o.Lasting,
+		Most: min(l.Most, o.Most), Window: max(l.Window, o.Window),
+	}
 }
 
 // Clock is a steady clock that all processes share, as one of them knows it.
@@ -56,16 +91,40 @@
 	// usable is the part of the bound that is given out: requests that are sent in two
 	// windows may arrive in one.
 	usable = 0.9
-	// leastPart is the part of the rate that equal parts must give for long.
-	leastPart = 0.5
+	// leastPart is the part of the rate that equal parts must give for long, leastLasting that
+	// where nothing beyond the rate makes up for it.
+	leastPart    = 0.5
+	leastLasting = 0.8
+	// burstTime is the time whose part of a lasting rate may be sent at once: requests come in
+	// bursts, and those that wait ask each few ms.
+	burstTime = 100 * time.Millisecond
 )
 
-// equalPart is what each process may send a second behind a first request at once, false
-// where there are too many for that.
-func (s *Share) equalPart(l Limit) (perSecond float64, ok bool) {
-	n := float64(s.count())
-	together := (usable*l.Most - n) / l.Window.Seconds()
-	return together / n, together >= leastPart*l.Rate
+// part is what each process may send: some requests at once, and so many a second.
+type part struct {
+	burst, perSecond float64
+}
+
+// equalPart is what each process may send where all have the same part, false where there are
+// too many for that.
+func (s *Share) equalPart(l Limit) (part, bool) {
+	n, window := float64(s.count()), l.Window.Seconds()
+	together := (usable*l.Most - n) / window
+	least := leastPart
+	burst := 1.0
+	if l.Lasting {
+		together, least = min(together, l.Rate), leastLasting
+		burst = max(1, min(together*burstTime.Seconds(), usable*l.Most-window*together)/n)
+	}
+	return part{burst, together / n}, together >= least*l.Rate
+}
+
+// Part is the requests a second that this process may send for long.
+func (s *Share) Part(l Limit) float64 {
+	if part, ok := s.equalPart(l); ok {
+		return part.perSecond
+	}
+	return l.Rate / float64(s.count())
 }
 
 // mine reports whether a ticket of a server, by the hash of its name, is this process's.
@@ -97,8 +156,8 @@
 	// spent counts what was sent of the equal part, less what has come back until at.
 	spent float64
 	at    time.Duration
-	// used is the ticket behind the last that was used.
-	used int64
+	// used is when the last ticket that was used ended, on the shared clock.
+	used time.Duration
 }
 
 // May reports whether a request may be sent to a server, by the hash of its name, now. A
@@ -108,33 +167,74 @@
 	if l.Rate <= 0 {
 		return true
 	}
-	if perSecond, ok := s.equalPart(l); ok {
-		return p.left(perSecond, now) <= 0
+	if part, ok := s.equalPart(l); ok {
+		return p.left(part, now) <= part.burst-1
 	}
-	ticket, known := s.ticket(l, shared, now)
-	return known && ticket >= p.used && s.mine(server, ticket)
+	t, known := s.ticket(l, shared, now)
+	return known && !p.hasUsed(t) && s.mine(server, t.number)
+}
+
+// lookAhead is how many tickets are looked through for the next of this process.
+const lookAhead = 64
+
+// Next is how long it is until a request may be sent, at the least.
+func (p *Pacer) Next(s *Share, l Limit, server uint64, shared Clock, now time.Duration) time.Duration {
+	if l.Rate <= 0 {
+		return 0
+	}
+	if part, ok := s.equalPart(l); ok {
+		over := max(0, p.left(part, now)-(part.burst-1))
+		return time.Duration(over / part.perSecond * float64(time.Second))
+	}
+	t, known := s.ticket(l, shared, now)
+	if !known {
+		return time.Duration(float64(time.Second) / s.Part(l))
+	}
+	if s.count() == 1 {
+		shared.Now = now
+	}
+	span := t.until - t.from
+	for range lookAhead {
+		if !p.hasUsed(t) && s.mine(server, t.number) {
+			return max(0, t.from-shared.Now)
+		}
+		t = ticket{t.number + 1, t.until, t.until + span}
+	}
+	return t.from - shared.Now
 }
 
 // Sent notes that a request was sent.
 func (p *Pacer) Sent(s *Share, l Limit, shared Clock, now time.Duration) {
-	if perSecond, ok := s.equalPart(l); ok {
-		p.spent, p.at = p.left(perSecond, now)+1, now
+	if part, ok := s.equalPart(l); ok {
+		p.spent, p.at = p.left(part, now)+1, now
 		return
 	}
-	if ticket, known := s.ticket(l, shared, now); known {
-		p.used = ticket + 1
+	if t, known := s.ticket(l, shared, now); known {
+		p.used = t.until
 	}
 }
 
+// hasUsed reports whether a request was sent in the time of a ticket. Rates change and the
+// shared clock may fall: a time beyond the ticket's is of another rate or of before the fall.
+func (p *Pacer) hasUsed(t ticket) bool { return t.from < p.used && p.used <= t.until }
+
 // left is what was sent and has not come back.
-func (p *Pacer) left(perSecond float64, now time.Duration) float64 {
-	return max(0, p.spent-(now-p.at).Seconds()*perSecond)
+func (p *Pacer) left(o part, now time.Duration) float64 {
+	return max(0, p.spent-(now-p.at).Seconds()*o.perSecond)
+}
+
+// ticket lets one process send one request in a span of the shared clock.
+type ticket struct {
+	number      int64
+	from, until time.Duration
 }
 
 // ticket is the one that is valid now; a process that is alone needs no shared clock.
-func (s *Share) ticket(l Limit, shared Clock, now time.Duration) (int64, bool) {
+func (s *Share) ticket(l Limit, shared Clock, now time.Duration) (ticket, bool) {
 	if s.count() == 1 {
 		shared = Clock{Now: now, Known: true}
 	}
-	return int64(shared.Now.Seconds() * l.Rate), shared.Known
+	span := time.Duration(float64(time.Second) / l.Rate)
+	n := int64(shared.Now / span)
+	return ticket{n, time.Duration(n) * span, time.Duration(n+1) * span}, shared.Known
 }
--- a/pacing/pacing_test.go
+++ b/pacing/pacing_test.go
@@ -70,11 +70,11 @@
 type tickets struct{ paced }
 
 func (k *tickets) may(shared, now time.Duration) bool {
-	ticket, _ := k.share.ticket(k.limit, Clock{Now: shared, Known: true}, now)
-	if ticket < k.used || !k.share.mine(server, ticket) {
+	t, _ := k.share.ticket(k.limit, Clock{Now: shared, Known: true}, now)
+	if k.hasUsed(t) || !k.share.mine(server, t.number) {
 		return false
 	}
-	k.used = ticket + 1
+	k.used = t.until
 	return true
 }
 
@@ -208,6 +208,31 @@
 	require.True(t, p.May(NewShare("self", names), Limit{}, server, Clock{}, 0), "no bound")
 }
 
+// Guards against tickets that are not given out for hours because the rate fell, or the shared
+// clock did.
+func TestTicketsGoOnWhenRateOrClockFalls(t *testing.T) {
+	var names []string
+	for i := range 100 {
+		names = append(names, fmt.Sprint("vm-", i))
+	}
+	share := NewShare("self", names)
+	sent := func(p *Pacer, rate float64, from time.Duration) (n int) {
+		l := Named(rate)
+		for now := from; now < from+100*time.Second; now += wait {
+			if p.May(share, l, server, Clock{Now: now, Known: true}, now) {
+				p.Sent(share, l, Clock{Now: now, Known: true}, now)
+				n++
+			}
+		}
+		return n
+	}
+	const begun = 10 * time.Hour
+	var p Pacer
+	require.Positive(t, sent(&p, 20, begun))
+	require.Positive(t, sent(&p, 5, begun+100*time.Second), "the rate fell")
+	require.Positive(t, sent(&p, 5, begun-time.Hour), "the clock fell")
+}
+
 // BenchmarkMay: a look takes 0.1 us, in a cell of 26 and among 330.
 func BenchmarkMay(b *testing.B) {
 	for _, n := range []int{26, 330} {
