--- a/backends/advice.go
+++ b/backends/advice.go
@@ -14,6 +14,11 @@
 	// processes together.
 	Limited bool
 	Limit   float64
+	// LimitUnreadable reports that it names one that means nothing.
+	LimitUnreadable bool
+	// SaysCold reports that it says how much longer it is cold.
+	SaysCold bool
+	ColdFor  time.Duration
 	// Unreadable names the headers whose values mean nothing.
 	Unreadable []string
 }
@@ -121,9 +126,12 @@
 	switch {
 	case a.Limited:
 		n.Limited = s.limit.name(a.Limit, now)
-	case len(a.Unreadable) == 0:
+	case !a.LimitUnreadable:
 		n.Lifted = s.limit.lift(sent, now)
 	}
+	if a.SaysCold {
+		s.coldUntil = now + a.ColdFor
+	}
 	if len(a.Unreadable) > 0 && !s.unreadableAdvice {
 		s.unreadableAdvice, n.Unreadable = true, true
 	}
--- a/backends/pace.go
+++ b/backends/pace.go
@@ -95,12 +95,3 @@
 	}
 	return p
 }
-
-// ReportedCold notes that a server itself says how much longer it is cold.
-func (r *Registry) ReportedCold(at Server, coldFor, now time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if s := r.current(at); s != nil {
-		s.coldUntil = now + coldFor
-	}
-}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -84,9 +84,6 @@
 		entry.WithField("result", p.err.Error()).Info("sent")
 		return nil, p.err
 	}
-	if p.answer.SaysCold {
-		r.Registry.ReportedCold(lease.Server, p.answer.ColdFor, p.at)
-	}
 	j.ran++
 	j.answering.Store(true)
 	lease.Begun()
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -85,9 +85,6 @@
 	Length int64
 	// Events marks a stream.
 	Events bool
-	// ColdFor is how much longer the server is cold, if SaysCold says that it told.
-	SaysCold bool
-	ColdFor  time.Duration
 	// Sealed marks an answer that bears the server's signature.
 	Sealed bool
 	// Encoded marks a body that is not as the server made it.
