--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -110,6 +110,7 @@
 		res.Broken = append(res.Broken, err.Error())
 	}
 	res.Broken = append(res.Broken, s.emptyCalmly(ctx)...)
+	res.Broken = append(res.Broken, s.adviseCalmly(ctx)...)
 	s.mu.Lock()
 	servers := s.servers
 	s.mu.Unlock()
