--- a/backends/advice.go
+++ b/backends/advice.go
@@ -19,6 +19,8 @@
 	// SaysCold reports that it says how much longer it is cold.
 	SaysCold bool
 	ColdFor  time.Duration
+	// Leaving reports that it will end soon.
+	Leaving bool
 	// Unreadable names the headers whose values mean nothing.
 	Unreadable []string
 }
@@ -28,6 +30,8 @@
 	// Limited reports that the server names a limit that it did not name before, Lifted that
 	// it names none any more.
 	Limited, Lifted bool
+	// Leaving reports the first answer that says that the server is leaving.
+	Leaving bool
 	// Unreadable reports the first advice of the server's life that means nothing.
 	Unreadable bool
 }
@@ -132,6 +136,9 @@
 	if a.SaysCold {
 		s.coldUntil = now + a.ColdFor
 	}
+	if a.Leaving && !s.saysLeaving {
+		s.saysLeaving, n.Leaving = true, true
+	}
 	if len(a.Unreadable) > 0 && !s.unreadableAdvice {
 		s.unreadableAdvice, n.Unreadable = true, true
 	}
--- a/backends/server.go
+++ b/backends/server.go
@@ -72,6 +72,8 @@
 	// something of itself that means nothing.
 	limit            limit
 	unreadableAdvice bool
+	// saysLeaving is set once it has said in an answer that it is leaving.
+	saysLeaving bool
 	// endedUntil is until when the server is taken not to listen.
 	endedUntil time.Duration
 }
--- a/internal/relay/advice.go
+++ b/internal/relay/advice.go
@@ -16,6 +16,9 @@
 	if news.Unreadable {
 		log.WithField("headers", a.Unreadable).Warn("server says something of itself that means nothing")
 	}
+	if news.Leaving {
+		log.Info("server says in an answer that it is leaving")
+	}
 	switch {
 	case news.Limited:
 		log.WithField("per_second", a.Limit).Info("server names a limit")
