--- a/internal/gateway/advice_test.go
+++ b/internal/gateway/advice_test.go
@@ -125,3 +125,41 @@
 	}, "no limit any more")
 	know(0)
 }
+
+// sentAfter counts what reached a server from a time on.
+func sentAfter(srv *fleet.Server, from time.Time) (n int) {
+	for _, a := range srv.Arrived() {
+		if a.At.After(from) {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against requests for a server that has said in an answer that it is leaving, while the
+// store is away and when it returns with an entry that still says that the server is ready.
+func TestServerThatSaysItIsLeavingGetsNothingNew(t *testing.T) {
+	s := newSystem(t)
+	leaves := s.server(fleet.DeskService, fleet.Behaviour{})
+	s.server(fleet.DeskService, fleet.Behaviour{})
+	nodes := []*node{s.gateway("vm-1"), s.gateway("vm-2"), s.gateway("vm-3")}
+	for _, n := range nodes {
+		n.eventually(func() bool { return n.registry.Ready(fleet.DeskService) == 2 && len(n.group.links.Live()) == 2 }, "listed")
+	}
+	s.fleet.Store.SetFault(fleet.Reset)
+	leaves.Say(fleet.SaysLeaving())
+	before := len(leaves.Arrived())
+	nodes[0].eventually(func() bool {
+		require.Equal(t, http.StatusOK, nodes[0].do(plain(fleet.OpenPath)).status)
+		return len(leaves.Arrived()) > before
+	}, "asked")
+	told := time.Now()
+	ask(t, nodes[:1], knownWithin, plain(fleet.OpenPath))
+	require.Zero(t, sentAfter(leaves, told), "from the gateway that was told")
+	ask(t, nodes, time.Second, plain(fleet.OpenPath))
+	require.Zero(t, sentAfter(leaves, told.Add(knownWithin)), "from any")
+	s.fleet.Store.SetFault(fleet.Sound)
+	leaves.Heartbeat()
+	ask(t, nodes, time.Second, plain(fleet.OpenPath))
+	require.Zero(t, sentAfter(leaves, told.Add(knownWithin)), "behind an entry that lags")
+}
--- a/internal/standin/fleet/says.go
+++ b/internal/standin/fleet/says.go
@@ -8,6 +8,9 @@
 // limitHeader names the requests a second that a server takes from all gateways.
 const limitHeader = "Server-Limit"
 
+// SaysLeaving are the headers of a server that is about to end.
+func SaysLeaving() http.Header { return http.Header{"Server-Leaving": {"1"}} }
+
 // NamesLimit are the headers of a server that takes so many requests a second.
 func NamesLimit(perSecond float64) http.Header {
 	return http.Header{limitHeader: {strconv.FormatFloat(perSecond, 'f', -1, 64)}}
