--- a/backends/advice.go
+++ b/backends/advice.go
@@ -122,10 +122,17 @@
 // to a request that was sent after the limit was last heard of.
 func (r *Registry) Advised(at Server, a Advice, sent, now time.Duration) (n News) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
+	n, left := r.advised(at, a, sent, now)
+	r.mu.Unlock()
+	r.tell(left)
+	return n
+}
+
+// advised is Advised with mu held.
+func (r *Registry) advised(at Server, a Advice, sent, now time.Duration) (n News, left []leave) {
 	s := r.current(at)
 	if s == nil {
-		return n
+		return n, nil
 	}
 	switch {
 	case a.Limited:
@@ -136,13 +143,14 @@
 	if a.SaysCold {
 		s.coldUntil = now + a.ColdFor
 	}
-	if a.Leaving && !s.saysLeaving {
-		s.saysLeaving, n.Leaving = true, true
+	if a.Leaving {
+		n.Leaving = !s.reported
+		left = s.report(nil, NoticeReported)
 	}
 	if len(a.Unreadable) > 0 && !s.unreadableAdvice {
 		s.unreadableAdvice, n.Unreadable = true, true
 	}
-	return n
+	return n, left
 }
 
 // Limited counts the servers that name a limit.
--- a/backends/advice_test.go
+++ b/backends/advice_test.go
@@ -165,3 +165,33 @@
 	require.True(t, r.TakeTurn(lease, pacing.Clock{}, 2*time.Second), "a copy of before")
 	require.False(t, r.TakeTurn(lease, pacing.Clock{}, 2*time.Second), "and no second one at once")
 }
+
+// Guards against a server that said it is leaving being used again because its entry went in an
+// outage and comes back as it was before, and against another life being taken for that one.
+func TestLaggingEntryBringsBackNoLeavingServer(t *testing.T) {
+	r, s := limitedRegistry()
+	require.Equal(t, News{Leaving: true}, r.Advised(s, Advice{Leaving: true}, 0, time.Second))
+	require.Equal(t, News{}, r.Advised(s, Advice{Leaving: true}, 0, time.Second), "once")
+	r.Put(s, 2*time.Second)
+	require.Zero(t, r.Ready(svc))
+	r.Reset(nil, 10*time.Second, 12*time.Second)
+	r.Put(s, 13*time.Second)
+	require.Zero(t, r.Ready(svc))
+	again := s
+	again.Born = 2
+	r.Put(again, 14*time.Second)
+	require.Equal(t, 1, r.Ready(svc))
+	r.Advised(s, Advice{Leaving: true}, 0, 15*time.Second)
+	require.Equal(t, 1, r.Ready(svc), "the word of the life before")
+}
+
+// Guards against others not being told of a server whose entry had said that it leaves: theirs
+// may lag.
+func TestOwnWordIsToldThoughTheEntryIsKnown(t *testing.T) {
+	r, s := limitedRegistry()
+	s.Leaving = true
+	r.Put(s, time.Second)
+	require.Empty(t, r.Losses(time.Second))
+	r.Advised(s, Advice{Leaving: true}, 0, time.Second)
+	require.True(t, r.Losses(time.Second)[s.ID].Leaving)
+}
--- a/backends/load.go
+++ b/backends/load.go
@@ -101,7 +101,7 @@
 // Loss is what is wrong with a server: requests that it has lost in a row, its end, its limit.
 type Loss struct {
 	InARow int
-	// Ended says that it listens no more, Leaving that it has reported that it will end.
+	// Ended says that it listens no more, Leaving that it has said itself that it will end.
 	Ended, Leaving bool
 	// Limit is what is known of its limit.
 	Limit ToldLimit
@@ -124,13 +124,20 @@
 	return out
 }
 
+// Told is news that another process has told of a server.
+type Told struct {
+	Server
+	// Limit reports that it is of its limit.
+	Limit bool
+}
+
 // SetLosses replaces what another process has told of what is wrong with servers; nil forgets
-// it. It returns the servers of which is news that they name a limit, or none: others have to
-// be told at once, as who hears this process need not hear that one.
+// it. It returns the servers of which is news that they name a limit, or none, or that they are
+// leaving: others have to be told at once, as who hears this process need not hear that one.
 //
 // While the directory is away only those that run something on a server ask whether it is
 // leaving; the others would go on sending runs and copies there.
-func (r *Registry) SetLosses(process string, losses map[string]Loss, now time.Duration) (news []Server) {
+func (r *Registry) SetLosses(process string, losses map[string]Loss, now time.Duration) (news []Told) {
 	r.mu.Lock()
 	if len(losses) == 0 {
 		delete(r.losses, process)
@@ -143,11 +150,12 @@
 		if s == nil || s.Born != l.Born {
 			continue
 		}
+		leavingNews := l.Leaving && !s.gone && !s.reported
 		if l.Leaving {
 			left = s.report(left, NoticeTold)
 		}
-		if s.limit.hear(l.Limit, now) {
-			news = append(news, s.Server)
+		if limitNews := s.limit.hear(l.Limit, now); limitNews || leavingNews {
+			news = append(news, Told{Server: s.Server, Limit: limitNews})
 		}
 	}
 	r.mu.Unlock()
--- a/backends/registry.go
+++ b/backends/registry.go
@@ -175,6 +175,9 @@
 	if old == nil {
 		old = &server{hash: cells.Hash(s.ID)}
 		r.servers[s.ID] = old
+		// An entry that lags brings back no server that was about to end when it went.
+		e, ended := r.endings[s.ID]
+		s.Leaving = s.Leaving || ended && e.Leaving && e.SameLife(s)
 	}
 	return old.update(left, s, now)
 }
--- a/backends/server.go
+++ b/backends/server.go
@@ -40,8 +40,8 @@
 	// gone is set when the entry has vanished or another start of the server
 	// answers at its address.
 	gone bool
-	// reported is set when the server's own report says that it leaves: others are told, as
-	// the directory may not tell them.
+	// reported is set when the server itself says that it leaves, in a report or an answer:
+	// others are told, as the directory may not tell them.
 	reported bool
 	// replaced is set when another server has answered at its address; its entry does
 	// not bring it back.
@@ -72,8 +72,6 @@
 	// something of itself that means nothing.
 	limit            limit
 	unreadableAdvice bool
-	// saysLeaving is set once it has said in an answer that it is leaving.
-	saysLeaving bool
 	// endedUntil is until when the server is taken not to listen.
 	endedUntil time.Duration
 }
@@ -109,12 +107,16 @@
 	s.endedUntil = s.leftUntil
 }
 
-// report notes that the server is leaving by its own report.
+// report notes that the server is leaving by its own word.
 func (s *server) report(left []leave, n Notice) []leave {
-	if s.gone || s.Leaving {
+	if s.gone {
 		return left
 	}
-	s.Leaving, s.reported = true, true
+	s.reported = true
+	if s.Leaving {
+		return left
+	}
+	s.Leaving = true
 	return append(left, leave{s.Server, n})
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -116,12 +116,15 @@
 	return s
 }
 
-// limitsHeard passes on what a peer has told of limits that is news here.
-func (g *group) limitsHeard(peer string, losses map[string]backends.Loss, news []backends.Server) {
-	for _, s := range news {
-		l := losses[s.ID].Limit
+// pass passes on what a peer has told of servers that is news here.
+func (g *group) pass(peer string, losses map[string]backends.Loss, news []backends.Told) {
+	for _, t := range news {
+		if !t.Limit {
+			continue
+		}
+		l := losses[t.ID].Limit
 		g.log.WithFields(logrus.Fields{
-			"server": s.ID, "born": s.Born, "service": s.Service, "peer": peer,
+			"server": t.ID, "born": t.Born, "service": t.Service, "peer": peer,
 			"named": l.Named, "per_second": l.PerSecond, "age_ms": l.Age.Milliseconds(),
 		}).Info("a peer tells of a server's limit")
 	}
@@ -169,7 +172,7 @@
 	for _, l := range s.GetLosses() {
 		losses[l.GetServer()] = lossFrom(l)
 	}
-	g.limitsHeard(peer, losses, g.registry.SetLosses(peer, losses, clock.SinceBoot()))
+	g.pass(peer, losses, g.registry.SetLosses(peer, losses, clock.SinceBoot()))
 	loads := make(map[string]backends.Load, len(s.GetLoads()))
 	for _, l := range s.GetLoads() {
 		loads[l.GetServer()] = backends.Load{
--- a/internal/relay/advice.go
+++ b/internal/relay/advice.go
@@ -18,6 +18,7 @@
 	}
 	if news.Leaving {
 		log.Info("server says in an answer that it is leaving")
+		r.Others.Nudge()
 	}
 	switch {
 	case news.Limited:
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"kingcupplank.example/kingcup/backends"
@@ -42,9 +43,9 @@
 
 // startAttempt counts an attempt that is about to be sent. Errors: *Refused.
 func (r *Relay) startAttempt(ctx context.Context, j *job, lease *backends.Lease, a *Attempt) (*attempt, error) {
-	if r.Registry.Barred(lease.Server, j.regions) {
-		// Its failure domain was cordoned since the lease was taken, or the copy was made.
-		return nil, &Refused{Why: RefusedBarred, Detail: lease.Server.FailureDomain}
+	a.Look = func() error { return r.look(j, lease, a) }
+	if err := a.Look(); err != nil {
+		return nil, err
 	}
 	if a.From != nil && !r.Registry.TakeTurn(lease, r.Others.SharedClock(), r.Now()) {
 		return nil, &Refused{Why: RefusedBarred, Detail: "limit of " + lease.Server.ID}
@@ -64,6 +65,18 @@
 	return t, nil
 }
 
+// look is the last look before a request goes to a server: what was known when it was chosen, or
+// when the copy was made that the run goes on from, may be so no more.
+func (r *Relay) look(j *job, lease *backends.Lease, a *Attempt) error {
+	if r.Registry.Barred(lease.Server, j.regions) {
+		return &Refused{Why: RefusedBarred, Detail: lease.Server.FailureDomain}
+	}
+	if _, leaving := r.Registry.State(lease.Server); leaving && a.From == nil {
+		return &Refused{Why: RefusedBarred, Detail: lease.Server.ID + " is leaving"}
+	}
+	return nil
+}
+
 // run sends the attempt and waits for the head of its answer.
 func (t *attempt) run() reply {
 	answer, err := t.relay.Upstream.Send(t.ctx, t.Attempt)
@@ -71,6 +84,11 @@
 	return reply{t, answer, err, t.relay.Now()}
 }
 
+func isBarred(err error) bool {
+	var refused *Refused
+	return errors.As(err, &refused) && refused.Why == RefusedBarred
+}
+
 // finishAttempt counts what came of an attempt.
 func (r *Relay) finishAttempt(j *job, p reply) (*offer, error) {
 	lease := p.lease
@@ -81,6 +99,10 @@
 	})
 	if p.err != nil {
 		p.cut()
+		if isBarred(p.err) {
+			// Nothing has arrived.
+			j.reached--
+		}
 		entry.WithField("result", p.err.Error()).Info("sent")
 		return nil, p.err
 	}
--- a/internal/relay/barred_test.go
+++ b/internal/relay/barred_test.go
@@ -108,3 +108,31 @@
 		require.Equal(t, 30, served+refused)
 	})
 }
+
+// Guards against a request going to a server that says it is leaving while the request is on its
+// way to it; a run that goes on there from its copy may.
+func TestRequestThatFindsItsServerLeavingGoesElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, Config{})
+		w.server("a", deskService)
+		w.server("b", deskService)
+		w.up.send = func(_ context.Context, a *Attempt) (*Answer, error) {
+			if len(w.up.servers()) > 1 {
+				require.NoError(t, a.Look())
+				return answer(200, "ok"), nil
+			}
+			require.NoError(t, a.Look())
+			w.relay.Advised(a.Server, backends.Advice{Leaving: true}, 0)
+			err := a.Look()
+			require.Error(t, err)
+			a.From = &Copy{}
+			require.NoError(t, a.Look())
+			return nil, err
+		}
+		w.serve(request("/once/x")).whole(t, "ok")
+		servers := w.up.servers()
+		require.Len(t, servers, 2)
+		require.NotEqual(t, servers[0], servers[1])
+		require.Positive(t, w.others.nudged(), "others are told at once")
+	})
+}
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -68,6 +68,9 @@
 	Backup string
 	// From is a copy of the run's memory to go on from, nil for a new run.
 	From *Copy
+	// Look is the last look before the attempt is sent, once there is a connection for it. An
+	// error ends the attempt unsent. Errors: *Refused.
+	Look func() error
 }
 
 // Copy is a run's memory at another server.
@@ -113,7 +116,7 @@
 	// RefusedEnded is a server that does not listen at its address any more.
 	RefusedEnded RefusedWhy = "ended"
 	// RefusedBarred is a server that the request must not be sent to: its failure domain is
-	// cordoned or outside the request's regions, or it takes no more now.
+	// cordoned or outside the request's regions, it is leaving, or it takes no more now.
 	RefusedBarred RefusedWhy = "barred"
 )
 
