--- a/backends/advice.go
+++ b/backends/advice.go
@@ -8,6 +8,10 @@
 // says nothing.
 const MostLimit = 1e6
 
+// MostRest bounds the time for which a server that asks for rest gets none. It is asked again
+// then, and may ask for more.
+const MostRest = time.Hour
+
 // Advice is what a server says of itself in the head of an answer.
 type Advice struct {
 	// Limited reports that it names a limit: the requests a second that it takes from all
@@ -21,6 +25,8 @@
 	ColdFor  time.Duration
 	// Leaving reports that it will end soon.
 	Leaving bool
+	// Rest is for how long it wants nothing of this process, 0 if it does not say.
+	Rest time.Duration
 	// Unreadable names the headers whose values mean nothing.
 	Unreadable []string
 }
@@ -32,6 +38,8 @@
 	Limited, Lifted bool
 	// Leaving reports the first answer that says that the server is leaving.
 	Leaving bool
+	// Rests reports that the server rests from now on.
+	Rests bool
 	// Unreadable reports the first advice of the server's life that means nothing.
 	Unreadable bool
 }
@@ -147,6 +155,10 @@
 		n.Leaving = !s.reported
 		left = s.report(nil, NoticeReported)
 	}
+	if a.Rest > 0 {
+		n.Rests = now >= s.restUntil
+		s.restUntil = max(s.restUntil, now+a.Rest)
+	}
 	if len(a.Unreadable) > 0 && !s.unreadableAdvice {
 		s.unreadableAdvice, n.Unreadable = true, true
 	}
@@ -164,3 +176,15 @@
 	}
 	return n
 }
+
+// Resting counts the servers that have asked this process for rest.
+func (r *Registry) Resting(now time.Duration) (n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range r.servers {
+		if now < s.restUntil && !s.gone {
+			n++
+		}
+	}
+	return n
+}
--- a/backends/server.go
+++ b/backends/server.go
@@ -72,6 +72,8 @@
 	// something of itself that means nothing.
 	limit            limit
 	unreadableAdvice bool
+	// restUntil is until when the server has asked this process for rest.
+	restUntil time.Duration
 	// endedUntil is until when the server is taken not to listen.
 	endedUntil time.Duration
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -220,6 +220,7 @@
 	rec.Gauge("kingcup_gateway_requests_held", "Requests that are not sent to servers, because servers end under them.", func() float64 { return float64(g.group.suspects.holds()) })
 	rec.Gauge("kingcup_gateway_domains_cordoned", "Failure domains whose servers get nothing.", func() float64 { return float64(len(g.group.cordons.List())) })
 	rec.Gauge("kingcup_gateway_servers_limited", "Servers that name a limit in their answers.", func() float64 { return float64(g.registry.Limited()) })
+	rec.Gauge("kingcup_gateway_servers_resting", "Servers that have asked this gateway for rest.", func() float64 { return float64(g.registry.Resting(clock.SinceBoot())) })
 	rec.Gauge("kingcup_gateway_log_lines_dropped", "Log lines that were not written.", func() float64 { return float64(g.opts.DroppedLines()) })
 	if err := g.serveMetrics(set, rec); err != nil {
 		callers.Close()
--- a/internal/relay/advice.go
+++ b/internal/relay/advice.go
@@ -20,6 +20,9 @@
 		log.Info("server says in an answer that it is leaving")
 		r.Others.Nudge()
 	}
+	if news.Rests {
+		log.WithField("for_ms", a.Rest.Milliseconds()).Info("server asks for rest")
+	}
 	switch {
 	case news.Limited:
 		log.WithField("per_second", a.Limit).Info("server names a limit")
