--- a/internal/gateway/advice_test.go
+++ b/internal/gateway/advice_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"net/http"
 	"sync"
 	"testing"
@@ -163,3 +164,31 @@
 	ask(t, nodes, time.Second, plain(fleet.OpenPath))
 	require.Zero(t, sentAfter(leaves, told.Add(knownWithin)), "behind an entry that lags")
 }
+
+// Guards against requests from a gateway that a server has turned away and asked for rest, against
+// callers being refused for it, and against the server being forgotten when its rest is over.
+func TestServerThatAsksForRestGetsNone(t *testing.T) {
+	const rest = 2 * time.Second
+	s := newSystem(t)
+	tired := s.server(fleet.DeskService, fleet.Behaviour{Full: true, Says: fleet.AsksForRest(rest)})
+	s.server(fleet.DeskService, fleet.Behaviour{})
+	nodes := []*node{s.gateway("vm-1"), s.gateway("vm-2")}
+	for i, n := range nodes {
+		n.eventually(func() bool { return n.registry.Ready(fleet.DeskService) == 2 }, "listed")
+		c := plain(fleet.OncePath).with("X-Kingcupplank-Attempt-Id", fmt.Sprint("of vm-", i+1))
+		before := len(tired.Arrived())
+		n.eventually(func() bool {
+			require.Equal(t, http.StatusOK, n.do(c).status)
+			return len(tired.Arrived()) > before
+		}, "turned away")
+		turned := tired.Arrived()[before].At
+		ask(t, []*node{n}, rest-time.Since(turned)-100*time.Millisecond, c)
+		for _, a := range tired.Arrived()[before+1:] {
+			require.False(t, a.At.Sub(turned) < rest, "asked again %v after it was turned away", a.At.Sub(turned))
+		}
+	}
+	tired.SetBehaviour(fleet.Behaviour{})
+	served := len(tired.Seen())
+	ask(t, nodes, rest, plain(fleet.OncePath))
+	require.Greater(t, len(tired.Seen()), served, "used again")
+}
--- a/internal/standin/fleet/says.go
+++ b/internal/standin/fleet/says.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"time"
 )
 
 // limitHeader names the requests a second that a server takes from all gateways.
@@ -11,6 +12,11 @@
 // SaysLeaving are the headers of a server that is about to end.
 func SaysLeaving() http.Header { return http.Header{"Server-Leaving": {"1"}} }
 
+// AsksForRest are the headers of a server that turns requests away and wants none for a time.
+func AsksForRest(d time.Duration) http.Header {
+	return http.Header{"Retry-After": {strconv.FormatFloat(d.Seconds(), 'f', -1, 64)}}
+}
+
 // NamesLimit are the headers of a server that takes so many requests a second.
 func NamesLimit(perSecond float64) http.Header {
 	return http.Header{limitHeader: {strconv.FormatFloat(perSecond, 'f', -1, 64)}}
