--- a/backends/advice.go
+++ b/backends/advice.go
@@ -177,6 +177,29 @@
 	return n
 }
 
+// Rests reports whether a server wants nothing of this process for now.
+func (r *Registry) Rests(at Server, now time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.current(at)
+	return s != nil && now < s.restUntil
+}
+
+// restingElsewhere are the other processes that a server must have asked for rest to be asked
+// last here. It may have asked one alone for what that one sends.
+const restingElsewhere = 2
+
+// restsElsewhere reports whether a server has asked others for rest; mu is held.
+func (r *Registry) restsElsewhere(s *server) bool {
+	n := 0
+	for _, losses := range r.losses {
+		if l := losses[s.ID]; l.Resting && l.Born == s.Born {
+			n++
+		}
+	}
+	return n >= restingElsewhere
+}
+
 // Resting counts the servers that have asked this process for rest.
 func (r *Registry) Resting(now time.Duration) (n int) {
 	r.mu.Lock()
--- a/backends/advice_test.go
+++ b/backends/advice_test.go
@@ -195,3 +195,50 @@
 	r.Advised(s, Advice{Leaving: true}, 0, time.Second)
 	require.True(t, r.Losses(time.Second)[s.ID].Leaving)
 }
+
+// Guards against a rest that is cut short by a later, shorter one or by the answer to an earlier
+// request, and against the rest of a life that is over.
+func TestLongestRestCounts(t *testing.T) {
+	r, s := limitedRegistry()
+	require.Equal(t, News{Rests: true}, r.Advised(s, Advice{Rest: 3 * time.Second}, 0, time.Second))
+	require.Equal(t, News{}, r.Advised(s, Advice{Rest: time.Second}, 0, 2*time.Second))
+	require.Equal(t, News{}, r.Advised(s, Advice{}, 500*time.Millisecond, 3*time.Second), "an answer to an earlier request")
+	require.Nil(t, r.Acquire(Query{Service: svc}, 3900*time.Millisecond))
+	require.Nil(t, r.Acquire(Query{Service: svc, Copy: true}, 3900*time.Millisecond))
+	lease := r.Acquire(Query{Service: svc}, 4*time.Second)
+	require.NotNil(t, lease)
+	lease.Done(Good, 4*time.Second)
+	r.Advised(s, Advice{Rest: MostRest}, 0, 5*time.Second)
+	again := s
+	again.Born = 2
+	r.Put(again, 6*time.Second)
+	require.Zero(t, r.Resting(6*time.Second))
+}
+
+// Guards against each of many gateways finding out by a request of its own that a server rests,
+// and against a server being left by all that asks one gateway alone for rest.
+func TestServerThatRestsForOthersIsAskedLast(t *testing.T) {
+	r := New("z0", func(string) Traits { return Traits{} }, func(Server, Notice) {})
+	tired, other := Server{ID: "a", Service: svc, Slots: 6}, Server{ID: "b", Service: svc, Slots: 6}
+	r.Put(tired, 0)
+	r.Put(other, 0)
+	picked := func() (n int) {
+		for draw := range uint64(100) {
+			lease := r.Acquire(Query{Service: svc, Draw: draw}, time.Second)
+			if lease.Server.ID == "a" {
+				n++
+			}
+			lease.Done(Unjudged, time.Second)
+		}
+		return n
+	}
+	r.SetLosses("vm-2", map[string]Loss{"a": {Resting: true}}, time.Second)
+	require.Greater(t, picked(), 20, "one alone")
+	r.SetLosses("vm-3", map[string]Loss{"a": {Resting: true}}, time.Second)
+	require.Zero(t, picked())
+	lease := r.Acquire(Query{Service: svc, Tried: []string{"b"}}, time.Second)
+	require.NotNil(t, lease, "it wants nothing of the others only")
+	lease.Done(Unjudged, time.Second)
+	r.SetLosses("vm-3", nil, time.Second)
+	require.Greater(t, picked(), 20)
+}
--- a/backends/load.go
+++ b/backends/load.go
@@ -98,11 +98,14 @@
 	believedLosses = 2
 )
 
-// Loss is what is wrong with a server: requests that it has lost in a row, its end, its limit.
+// Loss is what is wrong with a server: requests that it has lost in a row, its end, what it says
+// of itself.
 type Loss struct {
 	InARow int
 	// Ended says that it listens no more, Leaving that it has said itself that it will end.
 	Ended, Leaving bool
+	// Resting says that it has asked the process for rest.
+	Resting bool
 	// Limit is what is known of its limit.
 	Limit ToldLimit
 	// Born is the life of the server that lost them, see Server.
@@ -110,14 +113,14 @@
 }
 
 // Losses tells what is wrong with servers: requests that were lost in a row of late, without an
-// answer or far too long without one, their ends and limits.
+// answer or far too long without one, their ends, and what they say of themselves.
 func (r *Registry) Losses(now time.Duration) map[string]Loss {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	out := make(map[string]Loss)
 	for id, s := range r.servers {
-		l := Loss{InARow: s.lostInARow(now), Ended: now < s.endedUntil, Leaving: s.reported && !s.gone, Limit: s.limit.told(now), Born: s.Born}
-		if l.InARow > 0 || l.Ended || l.Leaving || l.Limit.Known {
+		l := Loss{InARow: s.lostInARow(now), Ended: now < s.endedUntil, Leaving: s.reported && !s.gone, Resting: now < s.restUntil, Limit: s.limit.told(now), Born: s.Born}
+		if l.InARow > 0 || l.Ended || l.Leaving || l.Resting || l.Limit.Known {
 			out[id] = l
 		}
 	}
--- a/backends/pace.go
+++ b/backends/pace.go
@@ -62,14 +62,21 @@
 
 // Pace is at what rate the servers of a service take requests of this process.
 type Pace struct {
-	// Open reports that there is a server that takes any number, Bounded one that does not.
-	Open, Bounded bool
-	// PerSecond is what those with a bound take of this process, Next how long it is at the
-	// least until one of them takes a request.
+	// Open reports that there is a server that takes any number.
+	Open bool
+	// Bounded reports that there is one that takes a bounded rate: PerSecond is what all of
+	// them take of this process, Next how long it is at the least until one takes a request.
+	Bounded   bool
 	PerSecond float64
 	Next      time.Duration
+	// Resting reports that there is one that takes any number once it has rested for Rest.
+	Resting bool
+	Rest    time.Duration
 }
 
+// Later reports whether servers take requests later only.
+func (p Pace) Later() bool { return !p.Open && (p.Bounded || p.Resting) }
+
 // Pace tells at what rate servers of a service take requests that must stay in some regions.
 func (r *Registry) Pace(service string, within routing.Regions, at pacing.Clock, now time.Duration) (p Pace) {
 	r.mu.Lock()
@@ -79,19 +86,31 @@
 		if s.Leaving || r.cordoned[s.FailureDomain] || !within.Allow(r.regions[s.FailureDomain]) || r.ended(s, now) {
 			continue
 		}
-		l := s.bound(traits, now)
+		l, rest := s.bound(traits, now), max(0, s.restUntil-now)
 		switch {
-		case l.Rate <= 0:
+		case l.Rate <= 0 && rest == 0:
 			p.Open = true
+		case l.Rate <= 0:
+			p.rests(rest)
 		case r.inOwnCell(s, len(list)):
 			share := r.share(len(list))
-			next := s.pacer.Next(share, l, s.hash, at, now)
-			if !p.Bounded || next < p.Next {
-				p.Next = next
-			}
-			p.Bounded = true
-			p.PerSecond += share.Part(l)
+			p.bounds(share.Part(l), max(rest, s.pacer.Next(share, l, s.hash, at, now)))
 		}
 	}
 	return p
 }
+
+func (p *Pace) rests(rest time.Duration) {
+	if !p.Resting || rest < p.Rest {
+		p.Rest = rest
+	}
+	p.Resting = true
+}
+
+func (p *Pace) bounds(perSecond float64, next time.Duration) {
+	if !p.Bounded || next < p.Next {
+		p.Next = next
+	}
+	p.Bounded = true
+	p.PerSecond += perSecond
+}
--- a/internal/relay/advice.go
+++ b/internal/relay/advice.go
@@ -22,6 +22,7 @@
 	}
 	if news.Rests {
 		log.WithField("for_ms", a.Rest.Milliseconds()).Info("server asks for rest")
+		r.Others.Nudge()
 	}
 	switch {
 	case news.Limited:
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -74,6 +74,9 @@
 	if _, leaving := r.Registry.State(lease.Server); leaving && a.From == nil {
 		return &Refused{Why: RefusedBarred, Detail: lease.Server.ID + " is leaving"}
 	}
+	if r.Registry.Rests(lease.Server, r.Now()) {
+		return &Refused{Why: RefusedBarred, Detail: lease.Server.ID + " rests"}
+	}
 	return nil
 }
 
--- a/internal/relay/lane.go
+++ b/internal/relay/lane.go
@@ -188,6 +188,9 @@
 			r.tellQueue(j.service, l, -told)
 		}
 	}()
+	if refusal := r.resting(j, w); refusal != nil {
+		return nil, refusal
+	}
 	entered := r.Now()
 	for asked := entered; ; {
 		if l.first(w, r.Now()) {
@@ -195,6 +198,9 @@
 				sent = true
 				return lease, nil
 			}
+			if refusal := r.resting(j, w); refusal != nil {
+				return nil, refusal
+			}
 			if r.Now()-asked > roomPoll {
 				j.tryAgain()
 				asked = r.Now()
@@ -218,6 +224,15 @@
 	}
 }
 
+// resting refuses a request whose engines all rest for longer than it can wait, nil otherwise.
+func (r *Relay) resting(j *job, w *flow.Waiter) *Refusal {
+	p := r.paceOf(j)
+	if !p.Later() || p.Bounded || r.Now()+p.Rest <= w.LastBy {
+		return nil
+	}
+	return r.refuseInLine(j, p.Rest)
+}
+
 // spillAfter is how long a request waits for an engine of its own gateway's cell before it
 // may take another's. An engine of the own cell gets room within that as a rule; one of
 // another cell may be full, unseen, and a request that meets a prompt there waits for twice
--- a/internal/relay/line.go
+++ b/internal/relay/line.go
@@ -9,8 +9,8 @@
 	"kingcupplank.example/kingcup/flow"
 )
 
-// line is the queue of plain requests for a service whose servers all take a bounded rate. The
-// most urgent goes first. One that cannot have its turn in time is refused at once: waiting
+// line is the queue of plain requests for a service whose servers all take a bounded rate, or
+// rest. The most urgent goes first. One that cannot have its turn in time is refused at once: waiting
 // would cost its caller the time to go elsewhere, or to come back.
 type line struct {
 	mu    sync.Mutex
@@ -57,10 +57,17 @@
 
 // wait estimates how long a request waits for its turn.
 func (l *line) wait(w *flow.Waiter, p backends.Pace, now time.Duration) time.Duration {
+	if !p.Bounded {
+		return p.Rest
+	}
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.queue.SetRate(p.PerSecond)
-	return p.Next + l.queue.Wait(w, now)
+	turn := p.Next + l.queue.Wait(w, now)
+	l.mu.Unlock()
+	if p.Resting {
+		turn = min(turn, p.Rest)
+	}
+	return turn
 }
 
 // lineWaiter describes a plain request to its line.
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -169,7 +169,7 @@
 			return nil, refusal
 		}
 		poll, patience := roomPoll, j.patience()
-		if pace := r.paceOf(j); pace.Bounded && !pace.Open {
+		if pace := r.paceOf(j); pace.Later() {
 			if j.hasAnswer {
 				return nil, r.refuse(j, ReasonNoRoom)
 			}
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -116,7 +116,8 @@
 	// RefusedEnded is a server that does not listen at its address any more.
 	RefusedEnded RefusedWhy = "ended"
 	// RefusedBarred is a server that the request must not be sent to: its failure domain is
-	// cordoned or outside the request's regions, it is leaving, or it takes no more now.
+	// cordoned or outside the request's regions, it is leaving or rests, or it takes no more
+	// now.
 	RefusedBarred RefusedWhy = "barred"
 )
 
--- a/placement/filters.go
+++ b/placement/filters.go
@@ -17,6 +17,9 @@
 // InRegions drops servers outside the regions that the request must stay in.
 func InRegions(r *Request, s *Server) bool { return r.Regions.Allow(s.Region) }
 
+// NotResting drops servers that want nothing of this process for now.
+func NotResting(_ *Request, s *Server) bool { return !s.Resting }
+
 // NotPaced drops cold servers that take no more of this process for now.
 func NotPaced(_ *Request, s *Server) bool { return !s.Paced }
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -42,8 +42,9 @@
 	FailureRate float64
 	// Avoid marks a server that refused or could not be reached a moment ago.
 	Avoid bool
-	// Ended marks a server that does not listen.
-	Ended bool
+	// Ended marks a server that does not listen, Resting one that wants nothing of this process
+	// for now.
+	Ended, Resting bool
 	// Cold marks a server that is still slow after its start, Paced one that takes no
 	// more of this process for now.
 	Cold, Paced bool
@@ -110,7 +111,7 @@
 // every other, a server that refused a moment ago against all but failing ones.
 func Direct() Policy {
 	return Policy{
-		Filters: []Filter{NotLeaving, NotEnded, NotCordoned, InRegions, NotTried, InDomain, WithinBounds, NotPaced},
+		Filters: []Filter{NotLeaving, NotEnded, NotResting, NotCordoned, InRegions, NotTried, InDomain, WithinBounds, NotPaced},
 		Scorers: []Scorer{
 			{Weight: 1.0, Score: Room},
 			{Weight: 1.0, Score: PromptRead},
