--- a/internal/soak/advice.go
+++ b/internal/soak/advice.go
@@ -28,6 +28,20 @@
 	return fmt.Sprintf("limit of %v a second at %s", limit, srv.ID), func() { srv.Say(nil) }
 }
 
+// sayLeaving has a server say in its answers only that it is leaving, and end some time later.
+func sayLeaving(s *Soak, _ context.Context) (string, func()) {
+	srv := s.victim()
+	if srv == nil {
+		return "nothing to end", nil
+	}
+	srv.Say(fleet.SaysLeaving())
+	return srv.ID + " says that it is leaving", func() {
+		srv.Kill()
+		srv.Leave()
+		s.replace(srv)
+	}
+}
+
 // drawServer draws a server, whether it has ended or not.
 func (s *Soak) drawServer() *fleet.Server {
 	s.mu.Lock()
@@ -38,12 +52,18 @@
 // adviseCalmly has fresh servers say things of themselves behind all faults, while callers ask,
 // a gateway is killed and the store is away: all gateways keep to what was said.
 func (s *Soak) adviseCalmly(ctx context.Context) (faults []string) {
-	limited, err := s.add(fleet.DeskService)
-	if err != nil {
-		return []string{err.Error()}
+	var fresh [2]*fleet.Server
+	for i := range fresh {
+		srv, err := s.addIn(fleet.DeskService, ownZone)
+		if err != nil {
+			return []string{err.Error()}
+		}
+		fresh[i] = srv
 	}
+	limited, leaving := fresh[0], fresh[1]
 	s.press(ctx, adviceBound)
 	limited.Say(fleet.NamesLimit(calmLimit))
+	leaving.Say(fleet.SaysLeaving())
 	named := time.Now()
 	victim := s.nodes[0]
 	time.AfterFunc(adviceBound, func() {
@@ -52,20 +72,31 @@
 		victim.restart(ctx, s.Binary, longest)
 	})
 	time.AfterFunc(2*adviceBound, func() { s.fleet.Store.SetFault(fleet.Sound) })
-	s.press(ctx, adviceBound+limitWindow)
+	via := s.press(ctx, adviceBound+limitWindow)
 	if got, most := mostIn(limited, named.Add(adviceBound)), 1.5*calmLimit*limitWindow.Seconds()+5; float64(got) > most {
 		faults = append(faults, fmt.Sprintf("%s names a limit of %v a second and got %d requests in %v", limited.ID, calmLimit, got, limitWindow))
 	}
+	if len(leaving.Arrived()) == 0 {
+		faults = append(faults, leaving.ID+" was never asked")
+	}
+	for _, a := range leaving.Arrived() {
+		// A gateway that starts again knows nothing at first.
+		if late := a.At.Sub(named); late > adviceBound && via[a.ID] != victim {
+			faults = append(faults, fmt.Sprintf("%s got %s %v after it said that it was leaving", leaving.ID, a.ID, late))
+		}
+	}
 	return faults
 }
 
-// press makes plain requests to all gateways for a time.
-func (s *Soak) press(ctx context.Context, d time.Duration) {
+// press makes plain requests to all gateways for a time, and returns which went to which.
+func (s *Soak) press(ctx context.Context, d time.Duration) (via map[string]*gateway) {
+	via = make(map[string]*gateway)
 	for begun := time.Now(); time.Since(begun) < d; wait.For(ctx, 10*time.Millisecond) {
 		for _, g := range s.nodes {
-			s.call(ctx, g)
+			via[s.call(ctx, g)] = g
 		}
 	}
+	return via
 }
 
 // mostIn is the most that reached a server in any limitWindow from a time on.
--- a/internal/soak/emptied.go
+++ b/internal/soak/emptied.go
@@ -43,13 +43,16 @@
 	return faults
 }
 
-// call makes a plain request and a generation whose answers do not matter.
-func (s *Soak) call(ctx context.Context, g *gateway) {
+// call makes a plain request and a generation whose answers do not matter, and returns the id of
+// the first.
+func (s *Soak) call(ctx context.Context, g *gateway) string {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
 	s.mu.Lock()
 	key := s.key
 	s.mu.Unlock()
-	fleet.CallAs(ctx, g.node.Callers, fleet.SafePath, fleet.As{ID: fleet.NextID(), Key: key})
+	id := fleet.NextID()
+	fleet.CallAs(ctx, g.node.Callers, fleet.SafePath, fleet.As{ID: id, Key: key})
 	go s.generate(g, "after the faults")
+	return id
 }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -16,7 +16,7 @@
 
 // faults are drawn with equal chance. New ones go to the end, so that a seed that failed
 // draws the same of those before.
-var faults = []fault{harmStore, harmStore, harmServer, harmServer, kill, pause, terminate, hup, reclaim, crash, refuse, compact, revoke, grow, grow, rebirth, spoil, herd, harmful, drill, drill, empty, chill, nameLimit}
+var faults = []fault{harmStore, harmStore, harmServer, harmServer, kill, pause, terminate, hup, reclaim, crash, refuse, compact, revoke, grow, grow, rebirth, spoil, herd, harmful, drill, drill, empty, chill, nameLimit, sayLeaving}
 
 const (
 	shortest, longest = 200 * time.Millisecond, 3 * time.Second
@@ -270,8 +270,8 @@
 	rewritePause = 100 * time.Millisecond
 )
 
-// emptiedZone is where some of the servers stand.
-const emptiedZone = "zone-2"
+// emptiedZone is where some of the servers stand, ownZone where all gateways do.
+const emptiedZone, ownZone = "zone-2", "zone-1"
 
 // empty has the operator empty a zone for a time.
 func empty(s *Soak, _ context.Context) (string, func()) {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -173,12 +173,14 @@
 	s.servers = append(s.servers, srv)
 }
 
-func (s *Soak) add(service string) (*fleet.Server, error) {
+func (s *Soak) add(service string) (*fleet.Server, error) { return s.addIn(service, s.zone()) }
+
+func (s *Soak) addIn(service, zone string) (*fleet.Server, error) {
 	b := fleet.Behaviour{}
 	if service == fleet.ModelService {
 		b = fleet.Behaviour{Events: streamEvents, EventEvery: eventEvery, CopyTime: copyTime, EndsUnder: harmfulBody, EndsAfter: endsAfter}
 	}
-	srv, err := s.fleet.Add(service, s.zone(), b)
+	srv, err := s.fleet.Add(service, zone, b)
 	if err != nil {
 		return nil, err
 	}
@@ -196,7 +198,7 @@
 	if s.Kinds > oneZoneKinds && s.added/2%2 == 0 {
 		return emptiedZone
 	}
-	return "zone-1"
+	return ownZone
 }
 
 func (s *Soak) addGateway(i int) error {
