--- a/internal/soak/advice.go
+++ b/internal/soak/advice.go
@@ -16,6 +16,8 @@
 	// calmLimit the limit that is checked once nothing else is harmed.
 	limitWindow = 4 * time.Second
 	calmLimit   = 2.8
+	// calmRest is the rest that a server asks for then.
+	calmRest = 2 * time.Second
 	// adviceBound is how long after a server has said something of itself all gateways keep to
 	// it.
 	adviceBound = time.Second
@@ -42,6 +44,13 @@
 	}
 }
 
+// tire has a server turn requests away and ask for rest.
+func tire(s *Soak, _ context.Context) (string, func()) {
+	srv, rest := s.drawServer(), s.duration(shortest, longest)
+	undo := srv.Tire(rest)
+	return fmt.Sprintf("%s asks for %v of rest", srv.ID, rest.Round(time.Millisecond)), undo
+}
+
 // drawServer draws a server, whether it has ended or not.
 func (s *Soak) drawServer() *fleet.Server {
 	s.mu.Lock()
@@ -52,7 +61,7 @@
 // adviseCalmly has fresh servers say things of themselves behind all faults, while callers ask,
 // a gateway is killed and the store is away: all gateways keep to what was said.
 func (s *Soak) adviseCalmly(ctx context.Context) (faults []string) {
-	var fresh [2]*fleet.Server
+	var fresh [3]*fleet.Server
 	for i := range fresh {
 		srv, err := s.addIn(fleet.DeskService, ownZone)
 		if err != nil {
@@ -60,10 +69,11 @@
 		}
 		fresh[i] = srv
 	}
-	limited, leaving := fresh[0], fresh[1]
+	limited, leaving, tired := fresh[0], fresh[1], fresh[2]
 	s.press(ctx, adviceBound)
 	limited.Say(fleet.NamesLimit(calmLimit))
 	leaving.Say(fleet.SaysLeaving())
+	tired.Tire(calmRest)
 	named := time.Now()
 	victim := s.nodes[0]
 	time.AfterFunc(adviceBound, func() {
@@ -85,6 +95,27 @@
 			faults = append(faults, fmt.Sprintf("%s got %s %v after it said that it was leaving", leaving.ID, a.ID, late))
 		}
 	}
+	return append(faults, checkRest(tired, via, victim)...)
+}
+
+// checkRest requires that no gateway but one that started again asks a server within the time of
+// rest that it was asked for.
+func checkRest(tired *fleet.Server, via map[string]*gateway, restarted *gateway) (faults []string) {
+	turned := make(map[*gateway]time.Time)
+	for _, a := range tired.Arrived() {
+		g := via[a.ID]
+		if g == nil || g == restarted {
+			continue
+		}
+		if at, asked := turned[g]; asked && a.At.Sub(at) < calmRest {
+			faults = append(faults, fmt.Sprintf("%s got %s from %s %v after it asked it for %v of rest", tired.ID, a.ID, g.node.Name, a.At.Sub(at), calmRest))
+			continue
+		}
+		turned[g] = a.At
+	}
+	if len(turned) == 0 {
+		faults = append(faults, tired.ID+" was never asked")
+	}
 	return faults
 }
 
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -16,7 +16,7 @@
 
 // faults are drawn with equal chance. New ones go to the end, so that a seed that failed
 // draws the same of those before.
-var faults = []fault{harmStore, harmStore, harmServer, harmServer, kill, pause, terminate, hup, reclaim, crash, refuse, compact, revoke, grow, grow, rebirth, spoil, herd, harmful, drill, drill, empty, chill, nameLimit, sayLeaving}
+var faults = []fault{harmStore, harmStore, harmServer, harmServer, kill, pause, terminate, hup, reclaim, crash, refuse, compact, revoke, grow, grow, rebirth, spoil, herd, harmful, drill, drill, empty, chill, nameLimit, sayLeaving, tire}
 
 const (
 	shortest, longest = 200 * time.Millisecond, 3 * time.Second
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -33,6 +33,7 @@
 	{9613, 19, "request that many make is held by chance ends, and its trial is cut short"},
 	{9622, 19, "request that many make explains the ends under a harmful one"},
 	{9640, 21, "request that many make is in no doubt once another one is absolved"},
+	{9821, 26, "zone stays empty that the stand-in's operator does not take back again after a drill"},
 }
 
 var binary = sync.OnceValues(func() (string, error) {
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -48,7 +48,8 @@
 	grown []string
 	// config is the newest version as it was written.
 	config map[string]any
-	// cordoned are the zones that the operator has emptied.
+	// cordoned are the zones that the operator has ever emptied, false for those that were
+	// taken back.
 	cordoned map[string]bool
 	// coldPerS is what cold servers bear, 0 for no bound; regions are where requests of the
 	// desk service may run, nil for all.
@@ -254,7 +255,7 @@
 // Uncordon takes that back.
 func (f *Fleet) Uncordon(zone string) {
 	f.mu.Lock()
-	delete(f.cordoned, zone)
+	f.cordoned[zone] = false
 	f.mu.Unlock()
 	f.Store.Remove("op", cordonPrefix+zone)
 }
@@ -263,11 +264,15 @@
 // come back older; pause is called between two writes.
 func (f *Fleet) Rewrite(pause func()) {
 	f.mu.Lock()
-	config, servers, cordoned := f.config, slices.Clone(f.servers), slices.Sorted(maps.Keys(f.cordoned))
+	config, servers, cordoned := f.config, slices.Clone(f.servers), maps.Clone(f.cordoned)
 	f.mu.Unlock()
 	f.Store.Put("op", "config", config)
-	for _, zone := range cordoned {
-		f.Store.Put("op", cordonPrefix+zone, map[string]any{})
+	for zone, empty := range cordoned {
+		if empty {
+			f.Store.Put("op", cordonPrefix+zone, map[string]any{})
+		} else {
+			f.Store.Remove("op", cordonPrefix+zone)
+		}
 	}
 	for _, s := range servers {
 		pause()
--- a/internal/standin/fleet/says.go
+++ b/internal/standin/fleet/says.go
@@ -28,3 +28,15 @@
 	defer s.mu.Unlock()
 	s.behave.Says = h
 }
+
+// Tire has the server turn all requests away and ask for rest, until rested is called.
+func (s *Server) Tire(rest time.Duration) (rested func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.behave.Full, s.behave.Says = true, AsksForRest(rest)
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.behave.Full, s.behave.Says = false, nil
+	}
+}
