--- a/internal/standin/link.go
+++ b/internal/standin/link.go
@@ -19,11 +19,15 @@
 // NewLink returns a link with a rate in Mbit/s.
 func NewLink(mbps float64) *Link { return &Link{bytesPerSecond: mbps * 1e6 / 8} }
 
+// catchUp is how far the link may be behind its rate and make up for it, as a queue in front of
+// it does. A writer that a busy machine wakes late would see a thinner link.
+const catchUp = 20 * time.Millisecond
+
 // Pass waits until n bytes have passed.
 func (l *Link) Pass(n int) {
 	l.mu.Lock()
-	if now := time.Now(); l.free.Before(now) {
-		l.free = now
+	if earliest := time.Now().Add(-catchUp); l.free.Before(earliest) {
+		l.free = earliest
 	}
 	l.free = l.free.Add(time.Duration(float64(n) / l.bytesPerSecond * float64(time.Second)))
 	l.passed += int64(n)
