--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -57,6 +57,10 @@
 	RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second,
 }
 
+// testMemory is for all gateways of a test and what they are tried on: the limit that the runtime
+// keeps to is the process's.
+const testMemory = 8 << 30
+
 func (s *system) settings(name string) (*settings.Settings, *fleet.Door) {
 	s.t.Helper()
 	door, err := s.fleet.Store.Open()
@@ -67,7 +71,7 @@
 	require.NoError(s.t, err)
 	return &settings.Settings{
 		VM: name, FailureDomain: "zone-1", IP: ip, Callers: standin.OwnAddress(), Ready: standin.OwnAddress(),
-		PeerPorts: [2]int{peers, peers}, Store: door.Address, MemoryBytes: 128 << 20, MaxFiles: 1000, LinkMbps: s.linkMbps,
+		PeerPorts: [2]int{peers, peers}, Store: door.Address, MemoryBytes: testMemory, MaxFiles: 1000, LinkMbps: s.linkMbps,
 		ServerHeartbeat: time.Second, Bounds: testBounds,
 	}, door
 }
