--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -25,4 +25,7 @@
 virtual='/internal/(proof|relay|follow)$'
 go test -race -timeout 10m -skip "$skip" $(go list ./... | grep -Ev "$virtual")
 go test -count=1 -timeout 10m -skip "$skip" $(go list ./... | grep -E "$virtual")
+# How long a grown configuration takes is asked without the detector, which makes it eight times
+# as long.
+go test -count=1 -timeout 5m -run '^(TestGrownConfigurationIsInForceOnThinVMs|TestLoneVMReadsAGrownConfigurationOnce)$' -skip "$skip" ./internal/gateway
 KINGCUP_PROOF_RACE=1 go test -count=1 -timeout 10m -run '^TestProcess' -skip "$skip" ./internal/proof
