--- a/internal/relay/line.go
+++ b/internal/relay/line.go
@@ -28,9 +28,15 @@
 	return l
 }
 
-// mayAsk reports whether a request may ask for a server: the first of the line, or, with nil,
-// any while there is none.
-func (l *line) mayAsk(w *flow.Waiter, now time.Duration) bool {
+// mayAsk reports whether a request, in its line or with nil not, may ask for a server now. One
+// that may have run asks out of line, as it would hold up the others for the few servers that are
+// left to it. The line is of no use once a server takes any number.
+func (r *Relay) mayAsk(j *job, l *line, w *flow.Waiter) bool {
+	return j.ran > 0 || l.isNext(w, r.Now()) || r.paceOf(j).Open
+}
+
+// isNext reports whether a request is the next of the line, or, with nil, that there is none.
+func (l *line) isNext(w *flow.Waiter, now time.Duration) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if w == nil {
--- a/internal/relay/line_test.go
+++ b/internal/relay/line_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -170,3 +171,33 @@
 		require.Empty(t, w.registry.Loads())
 	})
 }
+
+// Guards against requests waiting behind one that may have run and has only a server left that
+// rests.
+func TestRequestThatMayHaveRunHoldsUpNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, Config{})
+		a, b := w.server("a", deskService), w.server("b", deskService)
+		w.relay.Advised(a, backends.Advice{Limited: true, Limit: 20}, 0)
+		w.relay.Advised(b, backends.Advice{Rest: 450 * time.Millisecond}, 0)
+		lost := false
+		w.up.send = func(_ context.Context, at *Attempt) (*Answer, error) {
+			if at.Request.Path == "/safe/x" && !lost {
+				lost = true
+				return nil, io.ErrUnexpectedEOF
+			}
+			return answer(200, "ok"), nil
+		}
+		var wg sync.WaitGroup
+		wg.Go(func() { w.serve(request("/safe/x")).whole(t, "ok") })
+		time.Sleep(100 * time.Millisecond)
+		require.True(t, lost)
+		for range 3 {
+			begun := time.Now()
+			w.serve(request("/once/x")).whole(t, "ok")
+			require.Less(t, time.Since(begun), 60*time.Millisecond)
+		}
+		wg.Wait()
+		require.Equal(t, []string{"a", "a", "a", "a", "b"}, w.up.servers())
+	})
+}
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -153,12 +153,7 @@
 	var w *flow.Waiter
 	defer func() { l.leave(w, r.Now()) }()
 	for {
-		ask := l.mayAsk(w, r.Now())
-		if !ask {
-			// The line is of no use any more once a server takes any number.
-			ask = r.paceOf(j).Open
-		}
-		if ask {
+		if r.mayAsk(j, l, w) {
 			q := r.query(j)
 			q.Tokens, q.Prompt, q.Spill = j.memory(0), j.prompt(), true
 			if lease := r.Registry.Acquire(q, r.Now()); lease != nil {
@@ -168,25 +163,24 @@
 		if refusal := r.cordoned(j); refusal != nil {
 			return nil, refusal
 		}
-		poll, patience := roomPoll, j.patience()
+		poll, until := roomPoll, j.arrived+j.patience()
 		if pace := r.paceOf(j); pace.Later() {
 			if j.hasAnswer {
 				return nil, r.refuse(j, ReasonNoRoom)
 			}
 			if w == nil {
 				w = r.lineWaiter(j)
-				l.enter(w)
+				if j.ran == 0 {
+					l.enter(w)
+				}
 			}
-			poll, patience = pacePoll, w.LastBy-j.arrived
 			if turn := l.wait(w, pace, r.Now()); r.Now()+turn > w.LastBy {
 				return nil, r.refuseInLine(j, turn)
 			}
+			poll, until = pacePoll, w.LastBy
 		}
-		if r.Now()-j.arrived+poll > patience || j.left() < poll {
-			if ready, _ := r.Registry.Standing(j.service, j.regions); ready == 0 {
-				return nil, r.refuse(j, ReasonNoServer)
-			}
-			return nil, r.refuse(j, ReasonNoRoom)
+		if r.Now()+poll > until || j.left() < poll {
+			return nil, r.refuseUnplaced(j)
 		}
 		if !wait.For(ctx, poll) {
 			return nil, r.refuse(j, ReasonDeadline)
@@ -195,6 +189,14 @@
 	}
 }
 
+// refuseUnplaced refuses a request that found no server in the time that it may wait.
+func (r *Relay) refuseUnplaced(j *job) *Refusal {
+	if ready, _ := r.Registry.Standing(j.service, j.regions); ready == 0 {
+		return r.refuse(j, ReasonNoServer)
+	}
+	return r.refuse(j, ReasonNoRoom)
+}
+
 // paceOf is at what rate servers take requests like this one.
 func (r *Relay) paceOf(j *job) backends.Pace {
 	return r.Registry.Pace(j.service, j.regions, r.Others.SharedClock(), r.Now())
