--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -219,6 +219,7 @@
 func (n *node) do(r call) reply {
 	n.t.Helper()
 	c := n.dial()
+	defer c.Close()
 	c.send(r)
 	return c.read()
 }
