--- a/cordon/cordon.go
+++ b/cordon/cordon.go
@@ -7,13 +7,15 @@
 	"strings"
 	"sync"
 	"time"
+
+	"kingcupplank.example/kingcup/revision"
 )
 
 // Request is the operator's request to cordon a failure domain.
 type Request struct {
 	Domain string
 	// Revision is that of its row in the platform's store.
-	Revision uint64
+	Revision revision.Revision
 }
 
 // rewriteTime is how long a request that a restored store does not show stays in force: the
@@ -23,8 +25,6 @@
 // Set is the requests in force. It is safe for concurrent use; mu comes before the locks of
 // those that are told of changes.
 type Set struct {
-	// era is the number of times that the store had been restored at a revision.
-	era     func(revision uint64) uint64
 	changed func(domains []string)
 
 	mu       sync.Mutex
@@ -38,10 +38,10 @@
 	until time.Duration
 }
 
-// New returns an empty set. era tells the era of a revision; changed is told all cordoned
-// domains, sorted, whenever they change, one call at a time.
-func New(era func(revision uint64) uint64, changed func(domains []string)) *Set {
-	return &Set{era: era, changed: changed, requests: make(map[string]request)}
+// New returns an empty set. changed is told all cordoned domains, sorted, whenever they change,
+// one call at a time.
+func New(changed func(domains []string)) *Set {
+	return &Set{changed: changed, requests: make(map[string]request)}
 }
 
 // Put adds a request.
@@ -59,8 +59,8 @@
 // A store that was restored from an older copy lacks requests that were written since.
 // Dropping them would send requests to servers of a cordoned domain until the operator has
 // written them again, so those of an earlier era stay in force for that time.
-func (s *Set) Replace(list []Request, revision uint64, now time.Duration) {
-	era := s.era(revision)
+func (s *Set) Replace(list []Request, at revision.Revision, now time.Duration) {
+	era := at.Era()
 	s.update(func() {
 		old := s.requests
 		s.requests = make(map[string]request, len(list))
@@ -68,7 +68,7 @@
 			s.keep(r, old[r.Domain], era, now)
 		}
 		for domain, r := range old {
-			if _, listed := s.requests[domain]; !listed && s.era(r.Revision) < era {
+			if _, listed := s.requests[domain]; !listed && r.Revision.Era() < era {
 				s.keep(r.Request, r, era, now)
 			}
 		}
@@ -78,7 +78,7 @@
 // keep notes a request; mu is held.
 func (s *Set) keep(r Request, old request, era uint64, now time.Duration) {
 	next := request{Request: r}
-	if s.era(r.Revision) < era {
+	if r.Revision.Era() < era {
 		next.until = now + rewriteTime
 		if old.until > 0 && old.Revision == r.Revision {
 			next.until = old.until
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -14,6 +14,7 @@
 	"kingcupplank.example/kingcup/internal/clock"
 	"kingcupplank.example/kingcup/internal/wait"
 	"kingcupplank.example/kingcup/retry"
+	"kingcupplank.example/kingcup/revision"
 )
 
 // ErrHistoryLost says that a feed no longer has the changes asked for.
@@ -23,7 +24,7 @@
 type Row struct {
 	Key      string
 	Value    []byte
-	Revision uint64
+	Revision revision.Revision
 	Deleted  bool
 }
 
@@ -31,7 +32,7 @@
 type Page struct {
 	Rows []Row
 	// Revision is where the feed goes on.
-	Revision uint64
+	Revision revision.Revision
 	// Clock is the store's steady clock when it made the answer.
 	Clock time.Duration
 	// Outage is how long the store was away until shortly before the answer, 0 if
@@ -40,7 +41,7 @@
 	// Whole says that Rows are the whole table.
 	Whole bool
 	// Changed is the revision after which the table has not changed, 0 if it is not known.
-	Changed uint64
+	Changed revision.Revision
 }
 
 // Feed reads one table.
@@ -50,7 +51,7 @@
 	Snapshot(ctx context.Context, patience time.Duration) (Page, error)
 	// Changes waits until rows have changed since a revision, or for wait. long is called
 	// once a long answer has begun to come in. Errors: ErrHistoryLost, or the store's.
-	Changes(ctx context.Context, since uint64, wait time.Duration, long func()) (Page, error)
+	Changes(ctx context.Context, since revision.Revision, wait time.Duration, long func()) (Page, error)
 }
 
 // Sink takes what a feed brings. Its methods are called one at a time.
@@ -123,7 +124,7 @@
 
 	mu sync.Mutex
 	// revision and changed are the follower's position, with stamp.
-	revision, changed uint64
+	revision, changed revision.Revision
 	synced            bool
 	// filled is set by the first whole table and stays.
 	filled bool
@@ -134,7 +135,7 @@
 	// answeredAt is the store's steady clock when it last answered this process.
 	answeredAt time.Duration
 	// gapTo is the revision up to which pages were missed.
-	gapTo uint64
+	gapTo revision.Revision
 	// behind says that another process has a newer table.
 	behind bool
 	// heard is when the last page came in, made when the store made it, stamp the same
@@ -286,7 +287,7 @@
 	f.applying.Lock()
 	defer f.applying.Unlock()
 	f.mu.Lock()
-	older := f.synced && page.Revision < f.revision
+	older := f.synced && page.Revision.Before(f.revision)
 	if !older {
 		page.Outage = f.answered()
 		f.answeredAt = page.Clock
@@ -307,11 +308,11 @@
 // replace puts a whole table in place of what is known; applying is held.
 func (f *Follower) replace(page Page, begun time.Duration) {
 	f.mu.Lock()
-	was, restored := f.revision, f.filled && EraOf(page.Revision) > EraOf(f.revision)
+	was, restored := f.revision, f.filled && page.Revision.Era() > f.revision.Era()
 	f.mu.Unlock()
 	if restored {
 		page.Outage = max(page.Outage, restoredOutage)
-		f.log.WithFields(logrus.Fields{"era": EraOf(page.Revision), "before": VersionOf(was), "after": VersionOf(page.Revision), "rows": len(page.Rows)}).Warn("store has come back from a copy")
+		f.log.WithFields(logrus.Fields{"era": page.Revision.Era(), "before": was.Version(), "after": page.Revision.Version(), "rows": len(page.Rows)}).Warn("store has come back from a copy")
 	}
 	if r, ok := f.sink.(Restorer); ok && restored {
 		r.Restored(page.Rows, page.Outage)
@@ -324,7 +325,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.revision, f.changed = page.Revision, page.Changed
-	if f.changed == 0 {
+	if f.changed.IsZero() {
 		f.changed = page.Revision
 	}
 	f.synced, f.filled, f.begun = true, true, 0
@@ -349,7 +350,7 @@
 	f.mu.Unlock()
 	fresh := page.Rows[:0:0]
 	for _, row := range page.Rows {
-		if row.Revision > known {
+		if known.Before(row.Revision) {
 			fresh = append(fresh, row)
 		}
 	}
@@ -361,11 +362,11 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.changed = max(f.changed, page.Changed)
+	f.changed = revision.Later(f.changed, page.Changed)
 	for _, row := range page.Rows {
-		f.changed = max(f.changed, row.Revision)
+		f.changed = revision.Later(f.changed, row.Revision)
 	}
-	f.revision = max(f.revision, page.Revision)
+	f.revision = revision.Later(f.revision, page.Revision)
 	f.standUnder(page.Outage)
 	f.confirm(page.Clock, begun)
 }
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -12,6 +12,8 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
+
+	"kingcupplank.example/kingcup/revision"
 )
 
 var errAway = errors.New("store away")
@@ -44,7 +46,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	r.Revision = s.revision
+	r.Revision = revision.At(0, s.revision)
 	s.log = append(s.log, r)
 	s.rows[r.Key] = r
 	if r.Deleted {
@@ -74,7 +76,7 @@
 }
 
 func (s *fakeStore) page() Page {
-	return Page{Revision: s.revision, Clock: time.Since(s.start)}
+	return Page{Revision: revision.At(0, s.revision), Clock: time.Since(s.start)}
 }
 
 func (s *fakeStore) Snapshot(ctx context.Context, patience time.Duration) (Page, error) {
@@ -98,18 +100,18 @@
 	return p, nil
 }
 
-func (s *fakeStore) Changes(ctx context.Context, since uint64, wait time.Duration, _ func()) (Page, error) {
+func (s *fakeStore) Changes(ctx context.Context, since revision.Revision, wait time.Duration, _ func()) (Page, error) {
 	s.mu.Lock()
 	s.calls++
 	if s.away {
 		s.mu.Unlock()
 		return Page{}, errAway
 	}
-	if since < s.oldest {
+	if since.Version() < s.oldest {
 		s.mu.Unlock()
 		return Page{}, ErrHistoryLost
 	}
-	changed, none := s.changed, since >= s.revision
+	changed, none := s.changed, since.Version() >= s.revision
 	s.mu.Unlock()
 	if none {
 		select {
@@ -123,7 +125,7 @@
 	defer s.mu.Unlock()
 	p := s.page()
 	for _, r := range s.log {
-		if r.Revision > since {
+		if since.Before(r.Revision) {
 			p.Rows = append(p.Rows, r)
 		}
 	}
@@ -202,7 +204,7 @@
 
 func (f fixedSharing) Turn(time.Duration) bool { return true }
 
-func (f fixedSharing) Fetch(context.Context, uint64) (Page, error) {
+func (f fixedSharing) Fetch(context.Context, revision.Revision) (Page, error) {
 	if f.fetch == nil {
 		return Page{}, ErrNoPeer
 	}
@@ -336,7 +338,7 @@
 		time.Sleep(10 * time.Millisecond)
 		store.put("a", "2")
 		store.put("b", "1")
-		f.Offer(Shared{Since: 2, Page: Page{Revision: 3, Clock: time.Since(store.start), Rows: []Row{{Key: "b", Value: []byte("1"), Revision: 3}}}})
+		f.Offer(Shared{Since: revision.At(0, 2), Page: Page{Revision: revision.At(0, 3), Clock: time.Since(store.start), Rows: []Row{{Key: "b", Value: []byte("1"), Revision: revision.At(0, 3)}}}})
 		time.Sleep(10 * time.Millisecond)
 		require.Equal(t, "2", sink.get("a"))
 		require.Equal(t, "1", sink.get("b"))
@@ -351,11 +353,12 @@
 		store.put("a", "1")
 		f, _ := begin(t, store, sink, fixedSharing{reads: func(bool) bool { return false }, shared: func(Shared) {}})
 		time.Sleep(10 * time.Millisecond)
-		row := func(v string, rev uint64) Page {
+		row := func(v string, version uint64) Page {
+			rev := revision.At(0, version)
 			return Page{Revision: rev, Clock: time.Since(store.start), Rows: []Row{{Key: "a", Value: []byte(v), Revision: rev}}}
 		}
-		f.Offer(Shared{Since: 1, Page: row("3", 3)})
-		f.Offer(Shared{Since: 1, Page: row("2", 2)})
+		f.Offer(Shared{Since: revision.At(0, 1), Page: row("3", 3)})
+		f.Offer(Shared{Since: revision.At(0, 1), Page: row("2", 2)})
 		require.Equal(t, "3", sink.get("a"))
 	})
 }
@@ -389,20 +392,20 @@
 						return Page{}, errAway
 					}
 					sink.Apply([]Row{{Key: "a", Value: []byte("2")}}, 0)
-					return Page{Revision: 2, Clock: time.Since(store.start)}, nil
+					return Page{Revision: revision.At(0, 2), Clock: time.Since(store.start)}, nil
 				},
 			})
 			time.Sleep(10 * time.Millisecond)
 			store.put("a", "2")
 			before := store.called()
-			f.Offer(Shared{Since: 2, Page: Page{Revision: 2, Clock: time.Since(store.start)}})
+			f.Offer(Shared{Since: revision.At(0, 2), Page: Page{Revision: revision.At(0, 2), Clock: time.Since(store.start)}})
 			time.Sleep(10 * time.Millisecond)
 			require.Equal(t, "2", sink.get("a"))
 			require.Equal(t, 1, fetched)
 			require.Equal(t, !serves, store.called() > before)
 			require.Less(t, sink.age(now()), 50*time.Millisecond)
 			position, _ := f.Position()
-			require.EqualValues(t, 2, position.Revision)
+			require.EqualValues(t, 2, position.Revision.Version())
 		})
 	}
 }
@@ -416,7 +419,7 @@
 		time.Sleep(10 * time.Millisecond)
 		before := store.called()
 		for range 5 {
-			f.Heard(Position{Changed: 99, Revision: 99})
+			f.Heard(Position{Changed: revision.At(0, 99), Revision: revision.At(0, 99)})
 			time.Sleep(100 * time.Millisecond)
 		}
 		require.Equal(t, before, store.called())
--- a/internal/follow/position_test.go
+++ b/internal/follow/position_test.go
@@ -9,19 +9,24 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"kingcupplank.example/kingcup/revision"
 )
 
 // history is a store with one table that is followed and others that are not.
 type history struct {
-	revision uint64
+	revision revision.Revision
 	changes  []Row
 }
 
+// next is a change of some table.
+func (h *history) next() { h.revision = revision.At(0, h.revision.Version()+1) }
+
 // at is the table as it stood at a revision.
-func (h *history) at(revision uint64) map[string]string {
+func (h *history) at(seen revision.Revision) map[string]string {
 	out := make(map[string]string)
 	for _, c := range h.changes {
-		if c.Revision > revision {
+		if seen.Before(c.Revision) {
 			break
 		}
 		if c.Deleted {
@@ -33,9 +38,9 @@
 	return out
 }
 
-func (h *history) since(revision uint64) (out []Row) {
+func (h *history) since(known revision.Revision) (out []Row) {
 	for _, c := range h.changes {
-		if c.Revision > revision {
+		if known.Before(c.Revision) {
 			out = append(out, c)
 		}
 	}
@@ -51,12 +56,12 @@
 func (c *copied) take(list []Row, p Position) {
 	var fresh []Row
 	for _, r := range list {
-		if r.Revision > c.Revision {
+		if c.Revision.Before(r.Revision) {
 			fresh = append(fresh, r)
 		}
 	}
 	c.rows.apply(fresh)
-	c.Position = Position{Changed: max(c.Changed, p.Changed), Revision: max(c.Revision, p.Revision)}
+	c.Position = Position{Changed: revision.Later(c.Changed, p.Changed), Revision: revision.Later(c.Revision, p.Revision)}
 }
 
 func (c *copied) values() map[string]string {
@@ -75,27 +80,27 @@
 // that have left.
 func TestPositionsNeverSayMoreThanTheCopyHas(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		h := &history{revision: 1}
+		h := &history{revision: revision.At(0, 1)}
 		all := make([]*copied, 4)
 		for i := range all {
-			all[i] = &copied{Position: Position{Changed: 1, Revision: 1}}
-			all[i].rows.reset(nil, 1)
+			all[i] = &copied{Position: Position{Changed: revision.At(0, 1), Revision: revision.At(0, 1)}}
+			all[i].rows.reset(nil, revision.At(0, 1))
 		}
 		pick := func(name string) *copied { return all[rapid.IntRange(0, len(all)-1).Draw(t, name)] }
 		t.Repeat(map[string]func(*rapid.T){
-			"write elsewhere": func(*rapid.T) { h.revision++ },
+			"write elsewhere": func(*rapid.T) { h.next() },
 			"write": func(t *rapid.T) {
-				h.revision++
+				h.next()
 				key := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key")
 				_, exists := h.at(h.revision)[key]
-				h.changes = append(h.changes, Row{Key: key, Value: fmt.Append(nil, h.revision), Revision: h.revision, Deleted: exists && rapid.Bool().Draw(t, "drop")})
+				h.changes = append(h.changes, Row{Key: key, Value: fmt.Append(nil, h.revision.Version()), Revision: h.revision, Deleted: exists && rapid.Bool().Draw(t, "drop")})
 			},
 			"read changes": func(*rapid.T) {
 				c := pick("reader")
 				list := h.since(c.Revision)
 				p := Position{Revision: h.revision}
 				for _, r := range list {
-					p.Changed = max(p.Changed, r.Revision)
+					p.Changed = revision.Later(p.Changed, r.Revision)
 				}
 				c.take(list, p)
 			},
@@ -131,7 +136,7 @@
 			"": func(t *rapid.T) {
 				for i, c := range all {
 					require.True(t, maps.Equal(h.at(c.Revision), c.values()), "copy %d at %d: %v, is %v", i, c.Revision, c.values(), h.at(c.Revision))
-					require.Equal(t, h.at(c.Revision), h.at(min(c.Changed, c.Revision)), "no change since %d", c.Changed)
+					require.Equal(t, h.at(c.Revision), h.at(revision.Earlier(c.Changed, c.Revision)), "no change since %d", c.Changed)
 				}
 			},
 		})
@@ -149,12 +154,12 @@
 		calls := store.called()
 		for range 600 {
 			time.Sleep(300 * time.Millisecond)
-			f.Heard(Position{Changed: 1, Revision: 5, Clock: time.Since(store.start)})
+			f.Heard(Position{Changed: revision.At(0, 1), Revision: revision.At(0, 5), Clock: time.Since(store.start)})
 			require.Less(t, sink.age(now()), 10*time.Millisecond)
 		}
 		require.Equal(t, calls, store.called())
 		position, _ := f.Position()
-		require.EqualValues(t, 5, position.Revision)
+		require.EqualValues(t, 5, position.Revision.Version())
 	})
 }
 
@@ -171,7 +176,7 @@
 		})
 		time.Sleep(10 * time.Millisecond)
 		time.Sleep(time.Second)
-		f.Heard(Position{Changed: 3, Revision: 3, Clock: time.Since(store.start)})
+		f.Heard(Position{Changed: revision.At(0, 3), Revision: revision.At(0, 3), Clock: time.Since(store.start)})
 		time.Sleep(10 * time.Millisecond)
 		require.GreaterOrEqual(t, sink.age(now()), time.Second)
 	})
@@ -184,7 +189,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store, sink := newFakeStore(), newTable()
 		store.setAway(true)
-		old := Page{Whole: true, Revision: 7, Clock: time.Second, Rows: []Row{{Key: "a", Value: []byte("1"), Revision: 7}}}
+		old := Page{Whole: true, Revision: revision.At(0, 7), Clock: time.Second, Rows: []Row{{Key: "a", Value: []byte("1"), Revision: revision.At(0, 7)}}}
 		f, now := begin(t, store, sink, fixedSharing{
 			reads: func(bool) bool { return false }, shared: func(Shared) {},
 			fetch: func() (Page, error) { return old, nil },
@@ -208,7 +213,7 @@
 		begin(t, store, sink, fixedSharing{
 			reads: func(bool) bool { return true }, shared: func(Shared) {},
 			fetch: func() (Page, error) {
-				return Page{Revision: 2, Changed: 2, Clock: time.Since(store.start), Rows: []Row{{Key: "a", Value: []byte("2"), Revision: 2}}}, nil
+				return Page{Revision: revision.At(0, 2), Changed: revision.At(0, 2), Clock: time.Since(store.start), Rows: []Row{{Key: "a", Value: []byte("2"), Revision: revision.At(0, 2)}}}, nil
 			},
 		})
 		time.Sleep(10 * time.Millisecond)
@@ -227,13 +232,13 @@
 // changes alone it would use the servers on that are forgotten.
 func TestForgottenDropsAreToldByTheWholeTable(t *testing.T) {
 	var r rows
-	r.reset([]Row{{Key: "stays", Revision: 1}}, 1)
+	r.reset([]Row{{Key: "stays", Revision: revision.At(0, 1)}}, revision.At(0, 1))
 	for i := range maxDrops + 1 {
 		key := fmt.Sprint("server-", i)
-		r.apply([]Row{{Key: key, Revision: uint64(2*i + 2)}, {Key: key, Revision: uint64(2*i + 3), Deleted: true}})
+		r.apply([]Row{{Key: key, Revision: revision.At(0, uint64(2*i+2))}, {Key: key, Revision: revision.At(0, uint64(2*i+3)), Deleted: true}})
 	}
-	list, whole := r.since(5)
+	list, whole := r.since(revision.At(0, 5))
 	require.True(t, whole)
-	require.Equal(t, []Row{{Key: "stays", Revision: 1}}, list)
+	require.Equal(t, []Row{{Key: "stays", Revision: revision.At(0, 1)}}, list)
 	require.LessOrEqual(t, len(r.all), maxDrops+1)
 }
--- a/internal/follow/rows.go
+++ b/internal/follow/rows.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"kingcupplank.example/kingcup/revision"
 )
 
 // maxDrops is how many dropped rows are remembered, in some 100 KB: a hundred times those
@@ -15,13 +17,13 @@
 	all map[string]Row
 	// drops counts the dropped rows in all; those up to forgotten are not there.
 	drops     int
-	forgotten uint64
+	forgotten revision.Revision
 }
 
 // reset replaces everything by the table as it stood at a revision.
-func (r *rows) reset(list []Row, revision uint64) {
+func (r *rows) reset(list []Row, at revision.Revision) {
 	r.all = make(map[string]Row, len(list))
-	r.drops, r.forgotten = 0, revision
+	r.drops, r.forgotten = 0, at
 	for _, row := range list {
 		r.all[row.Key] = row
 	}
@@ -47,7 +49,7 @@
 func (r *rows) forget() {
 	for key, row := range r.all {
 		if row.Deleted {
-			r.forgotten = max(r.forgotten, row.Revision)
+			r.forgotten = revision.Later(r.forgotten, row.Revision)
 			delete(r.all, key)
 		}
 	}
@@ -56,15 +58,15 @@
 
 // since lists what has changed after a revision, by revision. It is the whole table, with
 // whole set, where drops since then are not remembered.
-func (r *rows) since(revision uint64) (list []Row, whole bool) {
-	whole = revision < r.forgotten || revision == 0
+func (r *rows) since(known revision.Revision) (list []Row, whole bool) {
+	whole = known.Before(r.forgotten) || known.IsZero()
 	for _, row := range r.all {
-		if whole && !row.Deleted || !whole && row.Revision > revision {
+		if whole && !row.Deleted || !whole && known.Before(row.Revision) {
 			list = append(list, row)
 		}
 	}
 	slices.SortFunc(list, func(a, b Row) int {
-		return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.Key, b.Key))
+		return cmp.Or(a.Revision.Compare(b.Revision), cmp.Compare(a.Key, b.Key))
 	})
 	return list, whole
 }
--- a/internal/follow/sharing.go
+++ b/internal/follow/sharing.go
@@ -5,13 +5,15 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"kingcupplank.example/kingcup/revision"
 )
 
 // Shared is a page as one process passes it on to others.
 type Shared struct {
 	Page
 	// Since is the revision that the page goes on from.
-	Since uint64
+	Since revision.Revision
 }
 
 // ErrNoPeer says that no other process brings this table up to date.
@@ -23,7 +25,7 @@
 	// Fetch has another process bring the sink up to what it has, from a revision on, 0
 	// for everything. What it returns are rows to take, or where the other's copy is if the
 	// sink has them already. Errors: ErrNoPeer, or why it failed.
-	Fetch(ctx context.Context, since uint64) (Page, error)
+	Fetch(ctx context.Context, since revision.Revision) (Page, error)
 	// Reads reports whether this process is one of those that read the store;
 	// the others live on what they are told. reached says whether the store
 	// answered this process last.
@@ -96,9 +98,9 @@
 	f.applying.Lock()
 	defer f.applying.Unlock()
 	f.mu.Lock()
-	synced, joins := f.synced, s.Since <= f.revision
+	synced, joins := f.synced, !f.revision.Before(s.Since)
 	if synced && !joins {
-		f.gapTo = max(f.gapTo, s.Since)
+		f.gapTo = revision.Later(f.gapTo, s.Since)
 	}
 	f.mu.Unlock()
 	if !synced {
@@ -160,7 +162,7 @@
 
 // Since gives what has changed after a revision, for another process. It is false where
 // rows are not kept, or there are none yet.
-func (f *Follower) Since(revision uint64) (Page, bool) {
+func (f *Follower) Since(known revision.Revision) (Page, bool) {
 	f.applying.Lock()
 	defer f.applying.Unlock()
 	f.mu.Lock()
@@ -169,7 +171,7 @@
 		return Page{}, false
 	}
 	page := Page{Revision: f.revision, Changed: f.changed, Clock: f.stamp, Outage: f.outageNow()}
-	page.Rows, page.Whole = f.kept.since(revision)
+	page.Rows, page.Whole = f.kept.since(known)
 	return page, true
 }
 
@@ -199,7 +201,7 @@
 // seconds old would look new, and keys be trusted beyond their bound.
 func (f *Follower) startFromPeer(ctx context.Context) bool {
 	f.mu.Lock()
-	known, from := f.offsetKnown, uint64(0)
+	known, from := f.offsetKnown, revision.Revision{}
 	if f.filled {
 		from = f.revision
 	}
@@ -215,15 +217,15 @@
 	f.applying.Lock()
 	defer f.applying.Unlock()
 	f.mu.Lock()
-	synced, revision := f.synced, f.revision
+	synced, own := f.synced, f.revision
 	f.mu.Unlock()
 	switch {
 	case synced:
 		return true
-	case page.Revision <= revision:
+	case !own.Before(page.Revision):
 		// Nothing newer than what the store has no history of any more.
 		return false
-	case page.Whole || from == 0:
+	case page.Whole || from.IsZero():
 		f.replace(page, 0)
 	default:
 		f.take(page, 0)
@@ -231,7 +233,7 @@
 		f.synced, f.begun = true, 0
 		f.mu.Unlock()
 	}
-	f.log.WithField("revision", page.Revision).WithField("rows", len(page.Rows)).Info("table is taken over from a peer")
+	f.log.WithField("revision", page.Revision.String()).WithField("rows", len(page.Rows)).Info("table is taken over from a peer")
 	return true
 }
 
@@ -242,7 +244,7 @@
 }
 
 // gap reports whether pages were missed; mu is held.
-func (f *Follower) gap() bool { return f.gapTo > f.revision }
+func (f *Follower) gap() bool { return f.revision.Before(f.gapTo) }
 
 func (f *Follower) nudge() {
 	select {
@@ -264,7 +266,7 @@
 	f.applying.Lock()
 	defer f.applying.Unlock()
 	f.mu.Lock()
-	older := page.Revision < f.revision
+	older := page.Revision.Before(f.revision)
 	f.mu.Unlock()
 	switch {
 	case !page.Whole:
--- a/internal/follow/status.go
+++ b/internal/follow/status.go
@@ -14,12 +14,12 @@
 func (f *Follower) failed(ctx context.Context, err error) {
 	f.mu.Lock()
 	if errors.Is(err, ErrHistoryLost) {
-		f.log.WithField("revision", f.revision).Warn("feed has a gap, reading the table anew")
+		f.log.WithField("revision", f.revision.String()).Warn("feed has a gap, reading the table anew")
 		f.synced, f.begun = false, f.now()
 		f.mu.Unlock()
 		return
 	}
-	log := f.log.WithError(err).WithFields(fieldsOf(err)).WithField("revision", f.revision)
+	log := f.log.WithError(err).WithFields(fieldsOf(err)).WithField("revision", f.revision.String())
 	if f.failures == 0 {
 		log.Warn("store is lost")
 	} else {
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -15,6 +15,7 @@
 	"kingcupplank.example/kingcup/platform/operator"
 	peerv1 "kingcupplank.example/kingcup/proto/kingcup/peer/v1"
 	"kingcupplank.example/kingcup/readers"
+	"kingcupplank.example/kingcup/revision"
 	"kingcupplank.example/kingcup/routing"
 )
 
@@ -86,11 +87,11 @@
 }
 
 // Fetch implements follow.Sharing.
-func (s *configSharing) Fetch(ctx context.Context, since uint64) (follow.Page, error) {
+func (s *configSharing) Fetch(ctx context.Context, since revision.Revision) (follow.Page, error) {
 	err := follow.ErrNoPeer
-	for _, peer := range s.candidates(since == 0) {
+	for _, peer := range s.candidates(since.IsZero()) {
 		var page follow.Page
-		if page, err = s.fetchFrom(ctx, peer); err == nil && page.Revision <= since {
+		if page, err = s.fetchFrom(ctx, peer); err == nil && !since.Before(page.Revision) {
 			err = errNotFurther
 		}
 		if err == nil {
@@ -134,7 +135,7 @@
 	}
 	head := taker.head
 	s.adoptCordons(head)
-	page := follow.Page{Revision: head.GetRevision(), Changed: head.GetChanged(), Clock: time.Duration(head.GetClockMs()) * time.Millisecond}
+	page := follow.Page{Revision: revision.FromWire(head.GetRevision()), Changed: revision.FromWire(head.GetChanged()), Clock: time.Duration(head.GetClockMs()) * time.Millisecond}
 	if head.GetVersion() == from {
 		return page, nil
 	}
@@ -207,7 +208,7 @@
 		return nil, nil, err
 	}
 	return &peerv1.Change{
-		Base: e.head.GetBase(), Version: e.head.GetVersion(), Revision: position.Revision, Changed: position.Changed, ClockMs: position.Clock.Milliseconds(),
+		Base: e.head.GetBase(), Version: e.head.GetVersion(), Revision: position.Revision.Wire(), Changed: position.Changed.Wire(), ClockMs: position.Clock.Milliseconds(),
 		Access: e.head.GetAccess(), Parts: e.head.GetParts(), Cordoned: s.cordonsOf(),
 	}, e.parts, nil
 }
--- a/internal/gateway/cordons.go
+++ b/internal/gateway/cordons.go
@@ -6,6 +6,7 @@
 	"kingcupplank.example/kingcup/cordon"
 	"kingcupplank.example/kingcup/internal/clock"
 	peerv1 "kingcupplank.example/kingcup/proto/kingcup/peer/v1"
+	"kingcupplank.example/kingcup/revision"
 )
 
 // cordonsChanged has the registry know which failure domains get nothing.
@@ -18,7 +19,7 @@
 // are fewer than failure domains.
 func (g *group) cordonsOf() (out []*peerv1.Cordon) {
 	for _, r := range g.cordons.List() {
-		out = append(out, &peerv1.Cordon{Domain: r.Domain, Revision: r.Revision})
+		out = append(out, &peerv1.Cordon{Domain: r.Domain, Revision: r.Revision.Wire()})
 	}
 	return out
 }
@@ -31,7 +32,7 @@
 			g.log.WithField("revision", c.GetRevision()).Error("peer tells of a cordon without a failure domain, it is passed over")
 			continue
 		}
-		list = append(list, cordon.Request{Domain: c.GetDomain(), Revision: c.GetRevision()})
+		list = append(list, cordon.Request{Domain: c.GetDomain(), Revision: revision.FromWire(c.GetRevision())})
 	}
-	g.cordons.Replace(list, head.GetRevision(), clock.SinceBoot())
+	g.cordons.Replace(list, revision.FromWire(head.GetRevision()), clock.SinceBoot())
 }
--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -23,6 +23,7 @@
 	"kingcupplank.example/kingcup/platform/operator"
 	peerv1 "kingcupplank.example/kingcup/proto/kingcup/peer/v1"
 	"kingcupplank.example/kingcup/quarantine"
+	"kingcupplank.example/kingcup/revision"
 	"kingcupplank.example/kingcup/routing"
 )
 
@@ -31,7 +32,7 @@
 
 func (m memberRows) Put(context.Context, string, string, []byte) error { return nil }
 
-func (m memberRows) Remove(context.Context, string, string, uint64) error { return nil }
+func (m memberRows) Remove(context.Context, string, string, revision.Revision) error { return nil }
 
 func (m memberRows) Table(string) follow.Feed { return memberFeed(m) }
 
@@ -133,7 +134,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		var mixed, clean memberRows
 		for i := range rapid.IntRange(0, 10).Draw(t, "rows") {
-			row := follow.Row{Key: fmt.Sprint("vm-", i), Value: fmt.Appendf(nil, `{"address":"10.0.0.%d:7200","failure_domain":"z"}`, i+1), Revision: uint64(i)}
+			row := follow.Row{Key: fmt.Sprint("vm-", i), Value: fmt.Appendf(nil, `{"address":"10.0.0.%d:7200","failure_domain":"z"}`, i+1), Revision: revision.At(0, uint64(i))}
 			if rapid.Bool().Draw(t, "bad") {
 				row.Value = []byte(rapid.SampledFrom(bad).Draw(t, "data"))
 			} else {
@@ -150,7 +151,7 @@
 
 var errNotFollowed = errors.New("the table of gateways is not followed")
 
-func (m memberFeed) Changes(context.Context, uint64, time.Duration, func()) (follow.Page, error) {
+func (m memberFeed) Changes(context.Context, revision.Revision, time.Duration, func()) (follow.Page, error) {
 	return follow.Page{}, errNotFollowed
 }
 
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -112,7 +112,7 @@
 // forgotten removes the row of a gateway that is gone, unless it has been written
 // anew.
 func (g *group) forgotten(m peers.Member) {
-	if m.Revision == 0 {
+	if m.Revision.IsZero() {
 		return
 	}
 	if err := g.store.Remove(context.Background(), membersTable, m.Name, m.Revision); err != nil {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -21,13 +21,14 @@
 	"kingcupplank.example/kingcup/platform/directory"
 	"kingcupplank.example/kingcup/platform/operator"
 	peerv1 "kingcupplank.example/kingcup/proto/kingcup/peer/v1"
+	"kingcupplank.example/kingcup/revision"
 	"kingcupplank.example/kingcup/routing"
 )
 
 // rows is what membership needs of the store.
 type rows interface {
 	Put(ctx context.Context, table, key string, data []byte) error
-	Remove(ctx context.Context, table, key string, revision uint64) error
+	Remove(ctx context.Context, table, key string, at revision.Revision) error
 	Table(name string) follow.Feed
 }
 
@@ -68,7 +69,7 @@
 	g.role = newReaderRole(g)
 	g.suspects = newSuspects(g)
 	g.answerBy(g.newest)
-	g.cordons = cordon.New(follow.EraOf, g.cordonsChanged)
+	g.cordons = cordon.New(g.cordonsChanged)
 	g.config = &configSharing{group: g, replica: replica, sink: operator.NewSink(replica, g.cordons, clock.SinceBoot, wait.Breathe, log)}
 	var d net.Dialer
 	g.links = peers.New(self, peers.Deps{
@@ -194,14 +195,14 @@
 		return
 	}
 	page := follow.Page{
-		Revision: p.GetRevision(), Clock: time.Duration(p.GetClockMs()) * time.Millisecond,
+		Revision: revision.FromWire(p.GetRevision()), Clock: time.Duration(p.GetClockMs()) * time.Millisecond,
 		Outage: time.Duration(p.GetOutageMs()) * time.Millisecond,
 	}
 	page.Rows = rowsFrom(p.GetRows())
 	if p.GetTable() == operator.Table {
 		g.config.announced(peer)
 	}
-	f.Offer(follow.Shared{Page: page, Since: p.GetSince()})
+	f.Offer(follow.Shared{Page: page, Since: revision.FromWire(p.GetSince())})
 }
 
 // Known implements relay.Others.
@@ -262,11 +263,11 @@
 func (s sharing) Share(p follow.Shared) {
 	s.role.answered()
 	page := &peerv1.Page{
-		Table: s.table, Since: p.Since, Revision: p.Revision,
+		Table: s.table, Since: p.Since.Wire(), Revision: p.Revision.Wire(),
 		ClockMs: p.Clock.Milliseconds(), OutageMs: p.Outage.Milliseconds(),
 	}
 	if s.tooLong(p) {
-		page.Since = p.Revision
+		page.Since = p.Revision.Wire()
 		p.Rows = nil
 	}
 	page.Rows = rowsOf(p.Rows)
--- a/internal/gateway/suspectrows.go
+++ b/internal/gateway/suspectrows.go
@@ -12,6 +12,7 @@
 
 	"kingcupplank.example/kingcup/internal/follow"
 	"kingcupplank.example/kingcup/quarantine"
+	"kingcupplank.example/kingcup/revision"
 )
 
 // suspectPrefix begins the keys of rows on requests in the table of gateways; names of VMs
@@ -23,7 +24,7 @@
 // suspectRow is a row of the store.
 type suspectRow struct {
 	record   quarantine.Record
-	revision uint64
+	revision revision.Revision
 }
 
 // suspectData is what a row holds. Times are in ms on the store's steady clock.
@@ -114,7 +115,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, known := range s.rows {
-		if suspectKey(id) == row.Key && known.revision < row.Revision {
+		if suspectKey(id) == row.Key && known.revision.Before(row.Revision) {
 			delete(s.rows, id)
 		}
 	}
@@ -215,7 +216,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, row := range s.rows {
-		if row.revision > 0 && s.book.Expired(row.record, now) {
+		if !row.revision.IsZero() && s.book.Expired(row.record, now) {
 			out = append(out, row)
 		}
 	}
--- a/internal/gateway/suspectrows_test.go
+++ b/internal/gateway/suspectrows_test.go
@@ -8,6 +8,7 @@
 
 	"kingcupplank.example/kingcup/internal/follow"
 	"kingcupplank.example/kingcup/quarantine"
+	"kingcupplank.example/kingcup/revision"
 )
 
 // dueNow lists the requests whose rows are to be written.
@@ -22,10 +23,10 @@
 }
 
 // stored has the table bring the row of a request as it is known here.
-func (s *suspects) stored(t *testing.T, id quarantine.ID, revision uint64) {
+func (s *suspects) stored(t *testing.T, id quarantine.ID, version uint64) {
 	data, err := encodeSuspect(s.book.Record(id))
 	require.NoError(t, err)
-	s.read([]follow.Row{{Key: suspectKey(id), Value: data, Revision: revision}}, false)
+	s.read([]follow.Row{{Key: suspectKey(id), Value: data, Revision: revision.At(0, version)}}, false)
 }
 
 // A request that is held in doubt is tried, and servers end under its trials. All gateways
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -13,6 +13,7 @@
 	"kingcupplank.example/kingcup/internal/follow"
 	"kingcupplank.example/kingcup/internal/wait"
 	peerv1 "kingcupplank.example/kingcup/proto/kingcup/peer/v1"
+	"kingcupplank.example/kingcup/revision"
 )
 
 // errNoTable says that a table has not been read here.
@@ -28,13 +29,13 @@
 // locks.
 type tableAnswers struct {
 	mu             sync.Mutex
-	since, changed uint64
+	since, changed revision.Revision
 	whole          bool
 	parts          [][]byte
 }
 
 // answer gives what has changed in a follower's table after a revision.
-func (t *tableAnswers) answer(f *follow.Follower, since uint64) (*peerv1.Change, [][]byte, error) {
+func (t *tableAnswers) answer(f *follow.Follower, since revision.Revision) (*peerv1.Change, [][]byte, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	page, ok := f.Since(since)
@@ -42,7 +43,7 @@
 		return nil, nil, errNoTable
 	}
 	if page.Whole {
-		since = 0
+		since = revision.Revision{}
 	}
 	if t.parts == nil || t.changed != page.Changed || t.since != since || t.whole != page.Whole {
 		parts, err := encodeRows(page.Rows)
@@ -52,7 +53,7 @@
 		t.since, t.changed, t.whole, t.parts = since, page.Changed, page.Whole, parts
 	}
 	return &peerv1.Change{
-		Base: since, Revision: page.Revision, Changed: page.Changed,
+		Base: since.Wire(), Revision: page.Revision.Wire(), Changed: page.Changed.Wire(),
 		ClockMs: page.Clock.Milliseconds(), OutageMs: page.Outage.Milliseconds(), Parts: uint32(len(t.parts)),
 	}, t.parts, nil
 }
@@ -73,7 +74,7 @@
 func rowsOf(rows []follow.Row) []*peerv1.Row {
 	out := make([]*peerv1.Row, 0, len(rows))
 	for _, r := range rows {
-		out = append(out, &peerv1.Row{Key: r.Key, Value: r.Value, Revision: r.Revision, Deleted: r.Deleted})
+		out = append(out, &peerv1.Row{Key: r.Key, Value: r.Value, Revision: r.Revision.Wire(), Deleted: r.Deleted})
 	}
 	return out
 }
@@ -81,7 +82,7 @@
 func rowsFrom(rows []*peerv1.Row) []follow.Row {
 	out := make([]follow.Row, 0, len(rows))
 	for _, r := range rows {
-		out = append(out, follow.Row{Key: r.GetKey(), Value: r.GetValue(), Revision: r.GetRevision(), Deleted: r.GetDeleted()})
+		out = append(out, follow.Row{Key: r.GetKey(), Value: r.GetValue(), Revision: revision.FromWire(r.GetRevision()), Deleted: r.GetDeleted()})
 	}
 	return out
 }
@@ -92,7 +93,7 @@
 // Head implements peers.Taker.
 func (t *rowsTaker) Head(head *peerv1.Change) error {
 	t.page = follow.Page{
-		Revision: head.GetRevision(), Changed: head.GetChanged(), Whole: head.GetBase() == 0,
+		Revision: revision.FromWire(head.GetRevision()), Changed: revision.FromWire(head.GetChanged()), Whole: head.GetBase() == 0,
 		Clock: time.Duration(head.GetClockMs()) * time.Millisecond, Outage: time.Duration(head.GetOutageMs()) * time.Millisecond,
 	}
 	return nil
@@ -109,12 +110,12 @@
 }
 
 // Fetch implements follow.Sharing.
-func (s sharing) Fetch(ctx context.Context, since uint64) (follow.Page, error) {
+func (s sharing) Fetch(ctx context.Context, since revision.Revision) (follow.Page, error) {
 	err := follow.ErrNoPeer
-	for _, peer := range s.ahead(s.table, since == 0) {
+	for _, peer := range s.ahead(s.table, since.IsZero()) {
 		taker := &rowsTaker{}
-		err = s.links.Fetch(ctx, peer, &peerv1.Fetch{Table: s.table, Since: since, LinkMbps: s.linkMbps}, taker)
-		if err == nil && taker.page.Revision <= since {
+		err = s.links.Fetch(ctx, peer, &peerv1.Fetch{Table: s.table, Since: since.Wire(), LinkMbps: s.linkMbps}, taker)
+		if err == nil && !since.Before(taker.page.Revision) {
 			err = errNotFurther
 		}
 		if err == nil {
@@ -145,7 +146,7 @@
 }
 
 func positionOf(p *peerv1.Position) follow.Position {
-	return follow.Position{Changed: p.GetChanged(), Revision: p.GetRevision(), Clock: time.Duration(p.GetClockMs()) * time.Millisecond}
+	return follow.Position{Changed: revision.FromWire(p.GetChanged()), Revision: revision.FromWire(p.GetRevision()), Clock: time.Duration(p.GetClockMs()) * time.Millisecond}
 }
 
 // positions are how far this gateway's tables are. A version of the configuration that
@@ -156,7 +157,7 @@
 		if !ok || table == g.config.table() && g.config.sink.Unreadable() {
 			continue
 		}
-		out = append(out, &peerv1.Position{Table: table, Changed: p.Changed, Revision: p.Revision, ClockMs: p.Clock.Milliseconds()})
+		out = append(out, &peerv1.Position{Table: table, Changed: p.Changed.Wire(), Revision: p.Revision.Wire(), ClockMs: p.Clock.Milliseconds()})
 	}
 	return out
 }
@@ -190,5 +191,5 @@
 	if f == nil {
 		return nil, nil, errNoTable
 	}
-	return g.answers[ask.GetTable()].answer(f, ask.GetSince())
+	return g.answers[ask.GetTable()].answer(f, revision.FromWire(ask.GetSince()))
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -24,6 +24,7 @@
 	"kingcupplank.example/kingcup/internal/mux"
 	peerv1 "kingcupplank.example/kingcup/proto/kingcup/peer/v1"
 	"kingcupplank.example/kingcup/retry"
+	"kingcupplank.example/kingcup/revision"
 	"kingcupplank.example/kingcup/subset"
 )
 
@@ -51,7 +52,7 @@
 	// LinkMbps is its bandwidth in Mbit/s, 0 if it is not known.
 	LinkMbps float64
 	// Revision is that of the member's row, 0 if it was not read.
-	Revision uint64
+	Revision revision.Revision
 }
 
 // Receiver takes what peers tell. Its methods are called from several goroutines.
