--- a/backends/advice.go
+++ b/backends/advice.go
@@ -1,8 +1,6 @@
 package backends
 
-import (
-	"time"
-)
+import "time"
 
 // MostLimit bounds the requests a second that a server may name as its limit. A higher number
 // says nothing.
@@ -52,6 +50,8 @@
 	asOf time.Duration
 	// tellUntil is until when others are told that there is none.
 	tellUntil time.Duration
+	// namedNews and liftedNews are when it was last news that there is one, or none.
+	namedNews, liftedNews time.Duration
 }
 
 // ToldLimit is what a process knows of the limit that a server names.
@@ -68,6 +68,10 @@
 	// somebody does not know: those that get no answer of the server, as it takes little, do not
 	// learn of it otherwise.
 	liftedFor = 10 * time.Second
+	// newsEvery is the least time between two changes that are logged and told at once. A
+	// server that names a limit in every other answer would have all gateways tell each other
+	// of each; the next state tells them anyway.
+	newsEvery = 500 * time.Millisecond
 	// fresher is how much newer than what is known something must be that changes nothing.
 	// What one process tells another comes back a little younger than it was.
 	fresher = time.Second
@@ -82,19 +86,31 @@
 }
 
 // name notes that the server names a limit, and reports whether that is news.
-func (l *limit) name(perSecond float64, now time.Duration) (news bool) {
-	news = !l.named
-	*l = limit{named: true, perSecond: perSecond, asOf: now}
+func (l *limit) name(perSecond float64, asOf, now time.Duration) (news bool) {
+	if !l.named {
+		news = isNews(&l.namedNews, now)
+	}
+	l.named, l.perSecond, l.asOf = true, perSecond, asOf
 	return news
 }
 
+// isNews reports whether a change is told at once; last is when one was.
+func isNews(last *time.Duration, now time.Duration) bool {
+	if *last > 0 && now-*last < newsEvery {
+		return false
+	}
+	*last = now
+	return true
+}
+
 // lift notes that the server named none at a time, and reports whether that is news.
 func (l *limit) lift(asOf, now time.Duration) (news bool) {
 	if asOf <= l.asOf {
 		return false
 	}
 	if l.named {
-		*l, news = limit{tellUntil: now + liftedFor}, true
+		l.named, l.perSecond, l.tellUntil = false, 0, now+liftedFor
+		news = isNews(&l.liftedNews, now)
 	}
 	l.asOf = asOf
 	return news
@@ -120,7 +136,7 @@
 	case l.named && asOf < l.asOf+fresher:
 		return false
 	}
-	return l.name(t.PerSecond, asOf)
+	return l.name(t.PerSecond, asOf, now)
 }
 
 // Advised notes what a server says of itself in an answer. sent is when the request was sent
@@ -144,7 +160,7 @@
 	}
 	switch {
 	case a.Limited:
-		n.Limited = s.limit.name(a.Limit, now)
+		n.Limited = s.limit.name(a.Limit, now, now)
 	case !a.LimitUnreadable:
 		n.Lifted = s.limit.lift(sent, now)
 	}
--- a/backends/advice_test.go
+++ b/backends/advice_test.go
@@ -242,3 +242,20 @@
 	r.SetLosses("vm-3", nil, time.Second)
 	require.Greater(t, picked(), 20)
 }
+
+// Guards against a line and a message to all gateways for each answer of a server that names a
+// limit in every other one.
+func TestLimitThatComesAndGoesIsNoBurstOfNews(t *testing.T) {
+	r, s := limitedRegistry()
+	news := 0
+	for now := time.Second; now < 3*time.Second; now += 10 * time.Millisecond {
+		for _, a := range []Advice{{Limited: true, Limit: 5}, {}} {
+			n := r.Advised(s, a, now+time.Millisecond, now)
+			if n.Limited || n.Lifted {
+				news++
+			}
+			require.Equal(t, a.Limited, r.Limited() == 1, "what is believed follows each answer")
+		}
+	}
+	require.LessOrEqual(t, news, 8, "twice in half a second")
+}
--- a/internal/relay/lane.go
+++ b/internal/relay/lane.go
@@ -230,7 +230,7 @@
 	if !p.Later() || p.Bounded || r.Now()+p.Rest <= w.LastBy {
 		return nil
 	}
-	return r.refuseInLine(j, p.Rest)
+	return r.refuseInLine(j, p, p.Rest)
 }
 
 // spillAfter is how long a request waits for an engine of its own gateway's cell before it
--- a/internal/relay/line.go
+++ b/internal/relay/line.go
@@ -10,8 +10,8 @@
 )
 
 // line is the queue of plain requests for a service whose servers all take a bounded rate, or
-// rest. The most urgent goes first. One that cannot have its turn in time is refused at once: waiting
-// would cost its caller the time to go elsewhere, or to come back.
+// rest. The most urgent goes first. One that cannot have its turn in time is refused at once:
+// waiting would cost its caller the time to go elsewhere, or to come back.
 type line struct {
 	mu    sync.Mutex
 	queue *flow.Queue
@@ -82,11 +82,18 @@
 	return &flow.Waiter{Priority: j.priority, Prompt: 1, Arrived: j.arrived, OnTimeBy: lastBy, LastBy: lastBy}
 }
 
+// latestReturn bounds when a caller is told to come back to servers that name a limit: the limit
+// may end, and it may meet another gateway whose turn comes sooner.
+const latestReturn = 10 * time.Second
+
 // refuseInLine refuses a request that would have its turn too late.
-func (r *Relay) refuseInLine(j *job, wait time.Duration) *Refusal {
+func (r *Relay) refuseInLine(j *job, p backends.Pace, turn time.Duration) *Refusal {
 	f := r.refuse(j, ReasonNoRoom)
+	if p.Bounded {
+		turn = min(turn, latestReturn)
+	}
 	if !f.Run {
-		f.RetryAfter = max(f.RetryAfter, wait+time.Duration(rand.Float64()*float64(returnSpread)))
+		f.RetryAfter = max(f.RetryAfter, turn+time.Duration(rand.Float64()*float64(returnSpread)))
 	}
 	return f
 }
--- a/internal/relay/line_test.go
+++ b/internal/relay/line_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"kingcupplank.example/kingcup/backends"
+	"kingcupplank.example/kingcup/cells"
 	"kingcupplank.example/kingcup/routing"
 )
 
@@ -112,6 +113,22 @@
 	})
 }
 
+// Guards against callers being told to come back in many minutes because this gateway is one of
+// many that take turns at a server.
+func TestCallersOfLimitedServersComeBackSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := limitedWorld(t, 0.1, 1)
+		var others []string
+		for i := range 100 {
+			others = append(others, fmt.Sprint("vm-", i))
+		}
+		w.registry.SetPlace(cells.Place{Self: "self", Count: 1, All: others})
+		c := w.serve(request("/urgent/x"))
+		require.Equal(t, ReasonNoRoom, c.refusal.Reason)
+		require.LessOrEqual(t, c.refusal.RetryAfter, latestReturn+returnSpread)
+	})
+}
+
 // Guards against requests queueing behind a limit that has ended, or that a further server
 // has made up for.
 func TestLineEndsWithTheLimit(t *testing.T) {
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -175,7 +175,7 @@
 				}
 			}
 			if turn := l.wait(w, pace, r.Now()); r.Now()+turn > w.LastBy {
-				return nil, r.refuseInLine(j, turn)
+				return nil, r.refuseInLine(j, pace, turn)
 			}
 			poll, until = pacePoll, w.LastBy
 		}
--- a/tools/without/gateway.go
+++ b/tools/without/gateway.go
@@ -96,6 +96,8 @@
 	{"turns of copies", "internal/relay/attempt.go", "if a.From != nil && !r.Registry.TakeTurn", "if false && !r.Registry.TakeTurn", "./internal/relay", "TestCopyAtALimitedServerTakesItsTurn"},
 	{"the line before limited servers", "internal/relay/place.go", "r.Now()+turn > w.LastBy", "turn < 0", "./internal/relay", "TestServiceThatTakesNothingRefusesAtOnce"},
 	{"requests that may have run, beside that line", "internal/relay/place.go", "if j.ran == 0 {\n\t\t\t\t\tl.enter(w)", "if true {\n\t\t\t\t\tl.enter(w)", "./internal/relay", "TestRequestThatMayHaveRunHoldsUpNobody"},
+	{"soon enough a return", "internal/relay/line.go", "turn = min(turn, latestReturn)", "", "./internal/relay", "TestCallersOfLimitedServersComeBackSoon"},
+	{"news of a limit that comes and goes", "backends/advice.go", "now-*last < newsEvery", "now-*last < 0", "./backends", "TestLimitThatComesAndGoesIsNoBurstOfNews"},
 	{"urgency in that line", "internal/relay/line.go", "Priority: j.priority, Prompt: 1", "Prompt: 1", "./internal/relay", "TestServiceOfLimitedServersServesTheMostUrgent"},
 	{"leaving by a server's own word", "backends/advice.go", "left = s.report(nil, NoticeReported)", "", "./internal/gateway", "TestServerThatSaysItIsLeavingGetsNothingNew"},
 	{"last look at leaving servers", "internal/relay/attempt.go", "leaving && a.From == nil {", "false && leaving {", "./internal/relay", "TestRequestThatFindsItsServerLeavingGoesElsewhere"},
