--- a/internal/relay/line.go
+++ b/internal/relay/line.go
@@ -28,27 +28,43 @@
 	return l
 }
 
-// mayAsk reports whether a request, in its line or with nil not, may ask for a server now. One
+// mayAsk reports whether a request, in its line or not, may ask for a server now. One
 // that may have run asks out of line, as it would hold up the others for the few servers that are
 // left to it. The line is of no use once a server takes any number.
 func (r *Relay) mayAsk(j *job, l *line, w *flow.Waiter) bool {
 	return j.ran > 0 || l.isNext(w, r.Now()) || r.paceOf(j).Open
 }
 
-// isNext reports whether a request is the next of the line, or, with nil, that there is none.
+// standInLine has a request wait for its turn where no server takes any number, and refuses it
+// if that comes too late. It returns nil otherwise.
+func (r *Relay) standInLine(j *job, l *line, w *flow.Waiter, p backends.Pace) *Refusal {
+	if !p.Later() {
+		return nil
+	}
+	if j.ran == 0 {
+		l.enter(w)
+	}
+	if turn := l.wait(w, p, r.Now()); r.Now()+turn > w.LastBy {
+		return r.refuseInLine(j, p, turn)
+	}
+	return nil
+}
+
+// isNext reports whether a request is the next of the line, or there is none.
 func (l *line) isNext(w *flow.Waiter, now time.Duration) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if w == nil {
-		return l.queue.Len() == 0
-	}
-	return l.queue.Next(now) == w
+	next := l.queue.Next(now)
+	return next == nil || next == w
 }
 
+// enter puts a request in the line unless it is there.
 func (l *line) enter(w *flow.Waiter) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.queue.Enter(w)
+	if !l.queue.Holds(w) {
+		l.queue.Enter(w)
+	}
 }
 
 // leave takes a request out; nil was never in.
--- a/internal/relay/line_test.go
+++ b/internal/relay/line_test.go
@@ -218,3 +218,23 @@
 		require.Equal(t, []string{"a", "a", "a", "a", "b"}, w.up.servers())
 	})
 }
+
+// Guards against a request that a full server has turned away being refused while others, which
+// take a bounded rate, would take it in time.
+func TestRequestWaitsForLimitedServersBesideAFullOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, Config{})
+		w.server("full", deskService)
+		s := w.server("limited", deskService)
+		w.relay.Advised(s, backends.Advice{Limited: true, Limit: 4}, 0)
+		w.up.send = func(_ context.Context, a *Attempt) (*Answer, error) {
+			if a.Server.ID == "full" {
+				return nil, &Refused{Why: RefusedFull}
+			}
+			return answer(200, "ok"), nil
+		}
+		for range 3 {
+			w.serve(request("/once/x")).whole(t, "ok")
+		}
+	})
+}
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -164,18 +164,15 @@
 			return nil, refusal
 		}
 		poll, until := roomPoll, j.arrived+j.patience()
-		if pace := r.paceOf(j); pace.Later() {
+		if pace := r.paceOf(j); pace.Bounded || pace.Resting {
 			if j.hasAnswer {
 				return nil, r.refuse(j, ReasonNoRoom)
 			}
 			if w == nil {
 				w = r.lineWaiter(j)
-				if j.ran == 0 {
-					l.enter(w)
-				}
 			}
-			if turn := l.wait(w, pace, r.Now()); r.Now()+turn > w.LastBy {
-				return nil, r.refuseInLine(j, pace, turn)
+			if refusal := r.standInLine(j, l, w, pace); refusal != nil {
+				return nil, refusal
 			}
 			poll, until = pacePoll, w.LastBy
 		}
