--- a/internal/relay/barred_test.go
+++ b/internal/relay/barred_test.go
@@ -14,26 +14,33 @@
 	"kingcupplank.example/kingcup/routing"
 )
 
+// breakBesideACopy plays a generation whose answer breaks off and whose standing copy must not be
+// used: meanwhile is called before, with the only attempt that may be sent.
+func (w *world) breakBesideACopy(meanwhile func(sent *Attempt)) {
+	w.t.Helper()
+	w.server("a", modelService)
+	w.server("b", modelService)
+	w.up.send = func(_ context.Context, a *Attempt) (*Answer, error) {
+		require.Nil(w.t, a.From, "sent to the copy")
+		src := newSource()
+		go func() {
+			src.write(events(1, 3))
+			meanwhile(a)
+			src.breakOff()
+		}()
+		return src.answer(), nil
+	}
+	require.True(w.t, w.serve(request("/plan/x")).aborted)
+	require.Len(w.t, w.up.sent, 1)
+	require.Empty(w.t, w.registry.Loads())
+}
+
 // Guards against a stream going on at a server of a cordoned failure domain because its
 // standing copy is there.
 func TestCopyInACordonedDomainIsNotUsed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, Config{})
-		w.server("a", modelService)
-		w.server("b", modelService)
-		w.up.send = func(_ context.Context, a *Attempt) (*Answer, error) {
-			require.Nil(t, a.From, "sent to a cordoned domain")
-			src := newSource()
-			go func() {
-				src.write(events(1, 3))
-				w.registry.SetCordoned([]string{"zone-1"}, w.now())
-				src.breakOff()
-			}()
-			return src.answer(), nil
-		}
-		require.True(t, w.serve(request("/plan/x")).aborted)
-		require.Len(t, w.up.sent, 1)
-		require.Empty(t, w.registry.Loads())
+		w.breakBesideACopy(func(*Attempt) { w.registry.SetCordoned([]string{"zone-1"}, w.now()) })
 	})
 }
 
--- a/internal/relay/line_test.go
+++ b/internal/relay/line_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -166,26 +167,12 @@
 func TestCopyAtALimitedServerTakesItsTurn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, Config{})
-		servers := map[string]backends.Server{"a": w.server("a", modelService), "b": w.server("b", modelService)}
-		w.up.send = func(_ context.Context, a *Attempt) (*Answer, error) {
-			require.Nil(t, a.From, "sent beyond the limit")
-			src := newSource()
-			go func() {
-				src.write(events(1, 3))
-				for id, s := range servers {
-					if id+":1" == a.Backup {
-						w.relay.Advised(s, backends.Advice{Limited: true}, 0)
-						lease := w.registry.Acquire(backends.Query{Service: modelService, Tried: []string{a.Server.ID}}, w.now())
-						lease.Done(backends.Unjudged, w.now())
-					}
-				}
-				src.breakOff()
-			}()
-			return src.answer(), nil
-		}
-		require.True(t, w.serve(request("/plan/x")).aborted)
-		require.Len(t, w.up.sent, 1)
-		require.Empty(t, w.registry.Loads())
+		w.breakBesideACopy(func(sent *Attempt) {
+			copied := w.entry(strings.TrimSuffix(sent.Backup, ":1"), modelService)
+			w.relay.Advised(copied, backends.Advice{Limited: true}, 0)
+			lease := w.registry.Acquire(backends.Query{Service: modelService, Tried: []string{sent.Server.ID}}, w.now())
+			lease.Done(backends.Unjudged, w.now())
+		})
 	})
 }
 
--- a/internal/relay/rest_test.go
+++ b/internal/relay/rest_test.go
@@ -65,22 +65,11 @@
 func TestCopyAtARestingServerIsNotUsed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, Config{})
-		servers := []backends.Server{w.server("a", modelService), w.server("b", modelService)}
-		w.up.send = func(_ context.Context, a *Attempt) (*Answer, error) {
-			require.Nil(t, a.From, "sent to a server that rests")
-			src := newSource()
-			go func() {
-				src.write(events(1, 3))
-				for _, s := range servers {
-					w.relay.Advised(s, backends.Advice{Rest: time.Minute}, 0)
-				}
-				src.breakOff()
-			}()
-			return src.answer(), nil
-		}
-		require.True(t, w.serve(request("/plan/x")).aborted)
-		require.Len(t, w.up.sent, 1)
-		require.Empty(t, w.registry.Loads())
+		w.breakBesideACopy(func(*Attempt) {
+			for _, id := range []string{"a", "b"} {
+				w.relay.Advised(w.entry(id, modelService), backends.Advice{Rest: time.Minute}, 0)
+			}
+		})
 	})
 }
 
--- a/pacing/named_test.go
+++ b/pacing/named_test.go
@@ -62,13 +62,9 @@
 			}
 		}
 	}
-	slices.Sort(arrivals)
-	for i, first := 0, 0; i < len(arrivals); i++ {
-		for arrivals[i]-arrivals[first] >= limit.Window {
-			first++
-		}
-		r.most = max(r.most, i-first+1)
-		if arrivals[i] >= limit.Window {
+	r.most = mostWithin(arrivals, limit.Window)
+	for _, at := range arrivals {
+		if at >= limit.Window {
 			r.later++
 		}
 	}
--- a/pacing/pacing_test.go
+++ b/pacing/pacing_test.go
@@ -104,6 +104,18 @@
 	mean, taken float64
 }
 
+// mostWithin is the most of some times in any window.
+func mostWithin(times []time.Duration, window time.Duration) (most int) {
+	slices.Sort(times)
+	for i, first := 0, 0; i < len(times); i++ {
+		for times[i]-times[first] >= window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
 func play(o load, make func(i int, names []string) way) (r result) {
 	rng := rand.New(rand.NewPCG(o.seed, 1))
 	var names []string
@@ -128,13 +140,7 @@
 			}
 		}
 	}
-	slices.Sort(arrivals)
-	for i, first := 0, 0; i < len(arrivals); i++ {
-		for arrivals[i]-arrivals[first] >= time.Second {
-			first++
-		}
-		r.most = max(r.most, i-first+1)
-	}
+	r.most = mostWithin(arrivals, time.Second)
 	r.mean, r.taken = float64(len(arrivals))/played.Seconds(), float64(len(arrivals))/float64(came)
 	return r
 }
