--- a/internal/standin/fleet/server.go
+++ b/internal/standin/fleet/server.go
@@ -133,6 +133,8 @@
 	mux.HandleFunc("GET /kingcupplank/report", s.report)
 	mux.HandleFunc("POST /kingcupplank/kv-move", s.move)
 	mux.HandleFunc("DELETE /kingcupplank/kv-handle/{handle}", s.dropHandle)
+	// Calls of the platform that are meant for another process, which had the port before.
+	mux.HandleFunc("/kingcupplank/", http.NotFound)
 	mux.HandleFunc("/", s.request)
 	s.http = &http.Server{Handler: mux}
 	go s.http.Serve(l)
