--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -19,6 +19,9 @@
 	// TrialAfter is how long after the last end under it a request whose verdict is doubtful
 	// may be tried, and again after a trial that decided nothing, each time twice as long.
 	TrialAfter time.Duration
+	// TrialApart is how long a trial keeps requests that share ends with it from theirs,
+	// unless it has shown something earlier.
+	TrialApart time.Duration
 	// TrialEnds is how many servers may end under trials.
 	TrialEnds int
 	// Records bounds the requests that are remembered, PerTeam those of one team.
@@ -28,7 +31,8 @@
 // Default is the policy of gateways. Fewer ends would convict what ran beside a harmful
 // request twice; with more, what runs beside it is lost once more each.
 func Default() Policy {
-	return Policy{Ends: 3, Window: time.Hour, Term: time.Hour, TrialAfter: 1500 * time.Millisecond, TrialEnds: 2, Records: 1024, PerTeam: 128}
+	return Policy{Ends: 3, Window: time.Hour, Term: time.Hour, TrialAfter: 1500 * time.Millisecond, TrialApart: time.Second, TrialEnds: 2,
+		Records: 1024, PerTeam: 128}
 }
 
 // Book holds the records of all requests, and the verdicts that follow from them.
@@ -130,29 +134,6 @@
 	return left, left > 0
 }
 
-// Try reports whether a request that is refused may be let through once, to see whether it
-// is harmful, and notes that it is.
-//
-// A request that many make at once runs on every server that ends under a harmful one. Both
-// have the same ends, and the one that is refused without a reason could show by no answer
-// that it is harmless. A trial may be cut short by what has nothing to do with it; those
-// that servers end under are few, as each costs what runs beside.
-func (b *Book) Try(id ID, now time.Duration) (Change, bool) {
-	v, held := b.held[id]
-	if !held || !v.doubtful || now-v.newest < b.policy.TrialAfter {
-		return Change{}, false
-	}
-	r := b.records[id]
-	if n := len(r.Trials); n > 0 {
-		first := r.Trials[n-1]
-		ended := r.endsAmong(b.policy.Window, func(e End) bool { return e.At > first })
-		if now-r.Trials[0] < b.policy.TrialAfter<<n || ended >= b.policy.TrialEnds {
-			return Change{}, false
-		}
-	}
-	return b.Merge([]Record{{ID: id, Trials: []time.Duration{now}}}), true
-}
-
 // Near reports whether a request would be refused, or already is, if one more server ended
 // under it.
 func (b *Book) Near(id ID) bool {
