--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -89,6 +89,17 @@
 	return s.book.Held(id, now)
 }
 
+// Due implements relay.Suspects.
+func (s *suspects) Due(id quarantine.ID) bool {
+	now, known := s.group.role.now()
+	if !known {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.book.Due(id, now)
+}
+
 // Try implements relay.Suspects.
 func (s *suspects) Try(id quarantine.ID) (tried bool) {
 	now, known := s.group.role.now()
--- a/internal/relay/ended.go
+++ b/internal/relay/ended.go
@@ -215,6 +215,14 @@
 	return r.Suspects.Held(j.id())
 }
 
+// barred reports whether a request is held and is not to be tried either. A trial begins
+// only once there is a server for it: one that waited in vain would count as a trial that
+// has shown nothing.
+func (r *Relay) barred(j *job) (left time.Duration, barred bool) {
+	left, held := r.convicted(j)
+	return left, held && !(j.sent == 0 && r.Suspects.Due(j.id()))
+}
+
 // held reports whether a request must not be sent to a server next; only its own goroutine
 // may ask. One that is held in doubt may be tried at one.
 func (r *Relay) held(j *job) (left time.Duration, held bool) {
@@ -253,6 +261,7 @@
 
 func (noSuspects) Any() bool                                { return false }
 func (noSuspects) Held(quarantine.ID) (time.Duration, bool) { return 0, false }
+func (noSuspects) Due(quarantine.ID) bool                   { return false }
 func (noSuspects) Try(quarantine.ID) bool                   { return false }
 func (noSuspects) Near(quarantine.ID) bool                  { return false }
 func (noSuspects) Ended(backends.Server, []quarantine.ID)   {}
--- a/internal/relay/ended_test.go
+++ b/internal/relay/ended_test.go
@@ -146,6 +146,12 @@
 	return l.book.Held(id, l.now())
 }
 
+func (l *ledger) Due(id quarantine.ID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.book.Due(id, l.now())
+}
+
 func (l *ledger) Try(id quarantine.ID) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -263,6 +269,35 @@
 	})
 }
 
+// Guards against a trial being spent on a request for which there is no server: the next one
+// would be due only twice as long after.
+func TestTrialWaitsForAServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, Config{})
+		l := w.suspicious()
+		w.harmful("/plan/harmful")
+		r := request("/plan/a")
+		popular := quarantine.Of("team-1", r.Method, r.Host, r.Target, nil)
+		for _, id := range []string{"x1", "x2", "x3"} {
+			l.Ended(w.entry(id, modelService), []quarantine.ID{popular, quarantine.Of("team-1", r.Method, r.Host, "/plan/harmful", nil)})
+		}
+		time.Sleep(quarantine.Default().TrialAfter)
+		c := w.serve(request("/plan/a"))
+		require.NotNil(t, c.refusal)
+		require.NotEqual(t, ReasonHarmful, c.refusal.Reason)
+		require.Empty(t, l.book.Record(popular).Trials)
+		w.server("e1", modelService)
+		begun := time.Now()
+		for c.refusal != nil {
+			require.Less(t, time.Since(begun), time.Second, "several turns")
+			time.Sleep(50 * time.Millisecond)
+			c = w.serve(request("/plan/a"))
+		}
+		c.whole(t, events(1, 2))
+		require.Equal(t, 1, l.book.Holds(), "the harmful one")
+	})
+}
+
 // Three servers end under a request while two more of its attempts are on their way: one is
 // at a server that reads its prompt, one is being answered. The first is given up at once,
 // or its server would end as well; the second goes on, as its answer shows.
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -72,7 +72,7 @@
 		out.Abort()
 		return OutcomeCallerGone
 	}
-	if left, held := r.convicted(j); held {
+	if left, barred := r.barred(j); barred {
 		f = *j.refuseHeld(left)
 	}
 	j.log.WithField("content", f.Content).WithField("reason", f.Reason).WithField("may_have_run", f.Run).WithField("retry_after_ms", f.RetryAfter.Milliseconds()).Info("gave up")
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -61,6 +61,8 @@
 	Any() bool
 	// Held reports whether a request must not be sent to servers, and for how much longer.
 	Held(id quarantine.ID) (left time.Duration, held bool)
+	// Due reports whether a request that is held is to be tried.
+	Due(id quarantine.ID) bool
 	// Try reports whether a request that is held may be sent to one server all the same, to
 	// see whether it is harmful. It says so once.
 	Try(id quarantine.ID) bool
@@ -305,7 +307,7 @@
 	if j.engine != nil && req.Generation != nil && req.Generation.PromptTokens > j.engine.MemoryTokens {
 		return nil, &Refusal{Reason: ReasonTooLarge}
 	}
-	if left, held := r.held(j); held {
+	if left, barred := r.barred(j); barred {
 		return nil, &Refusal{Reason: ReasonHarmful, RetryAfter: left, Content: j.id().String()}
 	}
 	j.deadline = time.Now().Add(allowed(req.Wait, route.Timeout))
--- a/quarantine/trial.go
+++ b/quarantine/trial.go
@@ -21,14 +21,14 @@
 // that it is harmless. A trial may be cut short by what has nothing to do with it; those
 // that servers end under are few, as each costs what runs beside.
 func (b *Book) Try(id ID, now time.Duration) (Change, bool) {
-	if !b.trialDue(id, now) || !b.hasTurn(b.records[id], now) {
+	if !b.Due(id, now) || !b.hasTurn(b.records[id], now) {
 		return Change{}, false
 	}
 	return b.Merge([]Record{{ID: id, Trials: []time.Duration{now}}}), true
 }
 
-// trialDue reports whether a request is held in doubt and long enough without a trial.
-func (b *Book) trialDue(id ID, now time.Duration) bool {
+// Due reports whether a request is held in doubt and long enough without a trial.
+func (b *Book) Due(id ID, now time.Duration) bool {
 	v, held := b.held[id]
 	if !held || !v.doubtful || now-v.newest < b.policy.TrialAfter {
 		return false
