--- a/internal/standin/fleet/caller.go
+++ b/internal/standin/fleet/caller.go
@@ -7,14 +7,21 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
+	"strconv"
 	"strings"
 	"sync/atomic"
 )
 
-var attempts atomic.Uint64
+// attempts and servers count those of this process.
+var attempts, servers atomic.Uint64
+
+// process sets their names apart from those of other processes: a port that a server leaves
+// may be the next one of another system, whose gateways must not take it for theirs.
+var process = strconv.FormatInt(int64(os.Getpid()), 36)
 
 // NextID is the id of a caller's next attempt.
-func NextID() string { return fmt.Sprintf("attempt-%d", attempts.Add(1)) }
+func NextID() string { return fmt.Sprintf("attempt-%s-%d", process, attempts.Add(1)) }
 
 // As makes a caller's request as the holder of a key, under an id.
 type As struct {
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -39,7 +39,6 @@
 	mu      sync.Mutex
 	closed  bool
 	servers []*Server
-	next    int
 	version int
 	// timeoutMs is the longest wait on the routes of the desk service.
 	timeoutMs int
@@ -119,10 +118,7 @@
 
 // Add starts a server.
 func (f *Fleet) Add(service, zone string, b Behaviour) (*Server, error) {
-	f.mu.Lock()
-	f.next++
-	id := fmt.Sprintf("i-%s-%d", service, f.next)
-	f.mu.Unlock()
+	id := fmt.Sprintf("i-%s-%s-%d", service, process, servers.Add(1))
 	s, err := newServer(f, service, zone, id, b)
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/standin/fleet/names_test.go
@@ -0,0 +1,27 @@
+package fleet
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a server that takes a request which is meant for one of another system, whose
+// port it has got.
+func TestServersOfTwoSystemsHaveNoNameInCommon(t *testing.T) {
+	first, second := New(), New()
+	t.Cleanup(first.Close)
+	t.Cleanup(second.Close)
+	for range 3 {
+		_, err := first.Add(DeskService, "", Behaviour{})
+		require.NoError(t, err)
+		_, err = second.Add(DeskService, "", Behaviour{})
+		require.NoError(t, err)
+	}
+	seen := make(map[string]bool)
+	for _, s := range append(first.Servers(), second.Servers()...) {
+		require.False(t, seen[s.ID], s.ID)
+		require.Contains(t, s.ID, process)
+		seen[s.ID] = true
+	}
+}
