--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -322,12 +322,12 @@
 // settled waits until every gateway serves every kind of request, also on the route that
 // was added last.
 func (s *Soak) settled(ctx context.Context, when string) error {
-	for _, p := range s.proxies {
-		p.Set(Pass)
-	}
 	s.fleet.Store.SetFault(fleet.Sound)
 	deadline := time.Now().Add(settleTime)
 	s.mu.Lock()
+	for _, p := range s.proxies {
+		p.Set(Pass)
+	}
 	served := slices.Clone(paths)
 	if s.newest != "" {
 		served = append(served, s.newest)
@@ -356,8 +356,10 @@
 		<-g.ended
 		g.log.Close()
 	}
+	s.fleet.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for _, p := range s.proxies {
 		p.Close()
 	}
-	s.fleet.Close()
 }
