--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -218,11 +218,15 @@
 
 // begin runs a follower in a bubble.
 func begin(t *testing.T, feed Feed, sink Sink, sharing Sharing) (f *Follower, now func() time.Duration) {
+	return beginWith(t, Config{Name: "t", Wait: testWait}, feed, sink, sharing)
+}
+
+func beginWith(t *testing.T, cfg Config, feed Feed, sink Sink, sharing Sharing) (f *Follower, now func() time.Duration) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	start := time.Now()
 	now = func() time.Duration { return time.Since(start) + time.Minute }
-	f = New(Config{Name: "t", Wait: testWait}, feed, sink, sharing, now, log)
+	f = New(cfg, feed, sink, sharing, now, log)
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
 	go f.Run(ctx)
--- a/internal/follow/position_test.go
+++ b/internal/follow/position_test.go
@@ -228,6 +228,36 @@
 	})
 }
 
+// Guards against a gateway that starts while the others read the table anew being told nothing
+// by them: all that it could go by is what the store shows, which may be a copy from before.
+func TestTableIsToldWhileItIsReadAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, sink := newFakeStore(), newTable()
+		store.put("a", "1")
+		f, _ := beginWith(t, Config{Name: "t", Wait: testWait, Keep: true}, store, sink, nil)
+		time.Sleep(time.Second)
+		store.mu.Lock()
+		store.slow = 500 * time.Millisecond
+		store.mu.Unlock()
+		store.setAway(true)
+		time.Sleep(2 * time.Second)
+		store.put("b", "1")
+		store.compact()
+		store.setAway(false)
+		for _, synced := f.Position(); synced; _, synced = f.Position() {
+			time.Sleep(10 * time.Millisecond)
+		}
+		page, told := f.Since(revision.Revision{})
+		require.True(t, told)
+		require.Len(t, page.Rows, 1)
+		require.EqualValues(t, 1, page.Revision.Version())
+		last, known := f.Last()
+		require.True(t, known)
+		require.Equal(t, page.Revision, last.Revision)
+		require.GreaterOrEqual(t, time.Since(store.start)-last.Clock, 500*time.Millisecond, "no newer than it is")
+	})
+}
+
 // More servers leave than are remembered. A peer that was away gets the whole table: from
 // changes alone it would use the servers on that are forgotten.
 func TestForgottenDropsAreToldByTheWholeTable(t *testing.T) {
--- a/internal/follow/sharing.go
+++ b/internal/follow/sharing.go
@@ -161,13 +161,14 @@
 }
 
 // Since gives what has changed after a revision, for another process. It is false where
-// rows are not kept, or there are none yet.
+// rows are not kept, or there are none yet. While the table is read anew it gives what there
+// was: one that starts has nothing better than a store that has come back older.
 func (f *Follower) Since(known revision.Revision) (Page, bool) {
 	f.applying.Lock()
 	defer f.applying.Unlock()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.kept == nil || !f.synced {
+	if f.kept == nil || !f.filled {
 		return Page{}, false
 	}
 	page := Page{Revision: f.revision, Changed: f.changed, Clock: f.stamp, Outage: f.outageNow()}
--- a/internal/follow/status.go
+++ b/internal/follow/status.go
@@ -93,6 +93,14 @@
 	return f.position(), f.synced
 }
 
+// Last is how far the sink is, also while its table is read anew; false before the first. What
+// it says of time stays true: the copy gets no newer meanwhile.
+func (f *Follower) Last() (Position, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.position(), f.filled
+}
+
 // position is how far the sink is; mu is held.
 func (f *Follower) position() Position {
 	return Position{Changed: f.changed, Revision: f.revision, Clock: f.stamp}
