--- a/internal/follow/sharing.go
+++ b/internal/follow/sharing.go
@@ -135,6 +135,14 @@
 	}
 }
 
+// SetBehind notes that another process has something newer: it is fetched.
+func (f *Follower) SetBehind() {
+	f.mu.Lock()
+	f.behind = true
+	f.mu.Unlock()
+	f.nudge()
+}
+
 // join takes a position that the own one has. While a page is being taken it is passed over:
 // the next state brings it again, and a link must not wait for a long row.
 func (f *Follower) join(p Position) {
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -91,10 +91,12 @@
 	err := follow.ErrNoPeer
 	for _, peer := range s.candidates(since.IsZero()) {
 		var page follow.Page
-		if page, err = s.fetchFrom(ctx, peer); err == nil && !since.Before(page.Revision) {
+		version := s.replica.Version()
+		if page, err = s.fetchFrom(ctx, peer); err == nil && !since.Before(page.Revision) && s.replica.Version() == version {
 			err = errNotFurther
 		}
 		if err == nil {
+			s.setAgreed("taken from a peer")
 			return page, nil
 		}
 		s.log.WithError(err).WithFields(logrus.Fields{"peer": peer, "config": s.replica.Version()}).Info("configuration is not fetched from a peer")
@@ -103,7 +105,7 @@
 }
 
 // candidates are the live peers to ask: those that announced last, then some that say that
-// they are further. One that announced may be behind by now: it has ended to read the store.
+// they have a newer version, or are further. One that announced may be behind by now: it has ended to read the store.
 // A peer that has fallen silent would cost an answer's timeout. starts says that nothing is
 // known here.
 func (s *configSharing) candidates(starts bool) (out []string) {
@@ -119,7 +121,8 @@
 			out = append(out, name)
 		}
 	}
-	for _, name := range s.ahead(operator.Table, starts) {
+	newer, _ := s.namedVersions()
+	for _, name := range append(newer[:min(len(newer), askedPeers)], s.ahead(operator.Table, starts)...) {
 		if !slices.Contains(out, name) {
 			out = append(out, name)
 		}
--- a/internal/gateway/era_test.go
+++ b/internal/gateway/era_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"kingcupplank.example/kingcup/internal/standin/fleet"
+	peerv1 "kingcupplank.example/kingcup/proto/kingcup/peer/v1"
 )
 
 // away is how long the store is away before it comes back older.
@@ -167,6 +168,31 @@
 	require.Equal(t, http.StatusOK, late.status("second"))
 }
 
+// Guards against a gateway that starts inside a drill trusting the keys of the copy while the
+// others cannot answer it, and keeping to it although they name a newer version.
+func TestGatewayThatStartsTrustsNoKeyBeforePeersAnswer(t *testing.T) {
+	s := newSystem(t)
+	s.server(fleet.DeskService, fleet.Behaviour{})
+	nodes := []*node{s.gateway("vm-1"), s.gateway("vm-2")}
+	c := s.fleet.Store.Copy()
+	s.fleet.Configure("second")
+	for _, n := range nodes {
+		n.eventually(func() bool { return n.status("second") == http.StatusOK }, "the second key")
+		n.group.answerBy(func(*peerv1.Fetch) (*peerv1.Change, [][]byte, error) { return nil, nil, errNoTable })
+	}
+	s.restore(c)
+	late := s.launch(s.settings("vm-3"))
+	for begun := time.Now(); time.Since(begun) < 3*agreePatience; time.Sleep(5 * time.Millisecond) {
+		require.NotEqual(t, http.StatusOK, late.status(fleet.Key), "after %v", time.Since(begun))
+		require.False(t, late.isReady())
+	}
+	for _, n := range nodes {
+		n.group.answerBy(n.group.newest)
+	}
+	late.eventually(func() bool { return late.isReady() && late.status("second") == http.StatusOK }, "the second key")
+	require.Equal(t, http.StatusUnauthorized, late.status(fleet.Key))
+}
+
 // Streams run while the store comes back older: their servers are missing in the copy. They
 // go on to their end.
 func TestStreamsGoOnThroughADrill(t *testing.T) {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -47,6 +47,8 @@
 	links    *peers.Manager
 	costs    *controlCosts
 	stopping atomic.Bool
+	// agreed says that the configuration has been compared with the peers' since the start.
+	agreed   atomic.Bool
 	role     *readerRole
 	suspects *suspects
 	// followers by table take the pages of peers, answers encode what peers ask for of
@@ -92,7 +94,7 @@
 	s := &peerv1.State{
 		From:     &peerv1.Member{Name: g.self.Name, Address: g.self.Address, FailureDomain: g.self.FailureDomain},
 		Stopping: g.stopping.Load(), StoreReached: g.reached(),
-		ConfigVersion: g.config.replica.Version(), LinkMbps: g.linkMbps, ReadingConfig: g.followers[operator.Table].Reading(),
+		ConfigVersion: g.ownVersion(), LinkMbps: g.linkMbps, ReadingConfig: g.followers[operator.Table].Reading(),
 		Positions: g.positions(), Readers: g.role.list(),
 	}
 	for id, l := range g.registry.Loads() {
@@ -183,6 +185,7 @@
 	g.registry.SetRemote(peer, loads)
 	g.role.hear(s.GetReaders())
 	g.positionsHeard(s.GetPositions())
+	g.configNamed(s)
 }
 
 // Suspects implements peers.Receiver.
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -55,6 +55,7 @@
 
 func (o *others) Known() int   { return o.known }
 func (o *others) Taking() bool { return o.taking }
+func (o *others) Agreed() bool { return true }
 
 func (o *others) Nudge() {
 	o.mu.Lock()
