--- a/conf/store.go
+++ b/conf/store.go
@@ -169,9 +169,13 @@
 	return out, nil
 }
 
+// tableTimeout bounds a call to the table within CatchUp. A snapshot ends by its own bound on
+// silence: it may be long.
+const tableTimeout = 4 * time.Second
+
 // CatchUp brings r to the head of the store.
 func (s *Store) CatchUp(ctx context.Context, r *Replica) error {
-	head, err := s.Head(ctx)
+	head, err := s.boundedHead(ctx)
 	if err != nil {
 		return err
 	}
@@ -181,6 +185,8 @@
 	if head <= r.Version() {
 		return nil
 	}
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
 	deltas, err := s.Deltas(ctx, r.Version(), head)
 	if err != nil {
 		return err
@@ -188,6 +194,12 @@
 	return applyAll(r, deltas)
 }
 
+func (s *Store) boundedHead(ctx context.Context) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	return s.Head(ctx)
+}
+
 func applyAll(r *Replica, deltas []*kingcupv1.Delta) error {
 	for _, d := range deltas {
 		if err := r.Apply(d); err != nil {
--- a/internal/confsync/confsync.go
+++ b/internal/confsync/confsync.go
@@ -81,8 +81,6 @@
 	if s.store == nil {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, s.cfg.Poll)
-	defer cancel()
 	before := s.replica.Version()
 	if err := s.store.CatchUp(ctx, s.replica); err != nil {
 		s.log.WithError(err).Debug("configuration store not read")
--- a/storage/objectclient/client.go
+++ b/storage/objectclient/client.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"github.com/pkg/errors"
@@ -11,7 +12,46 @@
 	"kingcupplank.example/kingcup/storage"
 )
 
-const timeout = 5 * time.Second
+const (
+	dialTimeout = 2 * time.Second
+	// stallTimeout is how long nothing may come in or be taken. There is no bound on a whole
+	// answer: it would be one on its size, and each try over a thin link be given up and
+	// begun anew.
+	stallTimeout = 2 * time.Second
+	// maxObject bounds an object in bytes.
+	maxObject = 64 << 20
+)
+
+// patientConn is a connection whose reads and writes end when nothing passes.
+type patientConn struct{ net.Conn }
+
+// Read implements net.Conn.
+func (c patientConn) Read(p []byte) (int, error) {
+	c.SetReadDeadline(time.Now().Add(stallTimeout))
+	return c.Conn.Read(p)
+}
+
+// Write implements net.Conn.
+func (c patientConn) Write(p []byte) (n int, err error) {
+	for n < len(p) && err == nil {
+		var m int
+		c.SetWriteDeadline(time.Now().Add(stallTimeout))
+		m, err = c.Conn.Write(p[n:min(len(p), n+writeSize)])
+		n += m
+	}
+	return n, err
+}
+
+// writeSize is how much is written between two looks at the time: 0.1 s at 10 Mbit/s.
+const writeSize = 128 << 10
+
+func dial(address string) (net.Conn, error) {
+	conn, err := fasthttp.DialTimeout(address, dialTimeout)
+	if err != nil {
+		return nil, err
+	}
+	return patientConn{conn}, nil
+}
 
 // Client talks to one object store. It is safe for concurrent use.
 type Client struct {
@@ -21,7 +61,14 @@
 
 // New returns a client for the store at address (host:port).
 func New(address string) *Client {
-	return &Client{base: "http://" + address + "/objects/", http: &fasthttp.Client{}}
+	return &Client{base: "http://" + address + "/objects/", http: &fasthttp.Client{Dial: dial, MaxResponseBodySize: maxObject, RetryIfErr: retryBroken}}
+}
+
+// retryBroken has a request made again whose connection the store had closed, not one that the
+// store left without bytes.
+func retryBroken(_ *fasthttp.Request, _ int, err error) (resetTimeout, retry bool) {
+	var ne net.Error
+	return false, !(errors.As(err, &ne) && ne.Timeout())
 }
 
 // Put implements storage.Objects.
@@ -43,11 +90,7 @@
 	req.SetRequestURI(c.base + key)
 	req.Header.SetMethod(method)
 	req.SetBody(body)
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		deadline = time.Now().Add(timeout)
-	}
-	if err := c.http.DoDeadline(req, resp, deadline); err != nil {
+	if err := c.send(ctx, req, resp); err != nil {
 		return nil, errors.Wrap(storage.ErrUnavailable, err.Error())
 	}
 	switch resp.StatusCode() {
@@ -58,3 +101,10 @@
 	}
 	return nil, errors.Wrapf(storage.ErrUnavailable, "status %d", resp.StatusCode())
 }
+
+func (c *Client) send(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) error {
+	if deadline, ok := ctx.Deadline(); ok {
+		return c.http.DoDeadline(req, resp, deadline)
+	}
+	return c.http.Do(req, resp)
+}
