--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -77,6 +77,8 @@
 	Gap time.Duration
 	// Called is told why each call to the store is made; it may be nil.
 	Called func(Reason)
+	// Restored is told when the store has come back from a copy; it may be nil.
+	Restored func()
 	// Keep has the rows kept, for Follower.Since.
 	Keep bool
 }
@@ -312,6 +314,9 @@
 	f.mu.Unlock()
 	if restored {
 		page.Outage = max(page.Outage, restoredOutage)
+		if f.cfg.Restored != nil {
+			f.cfg.Restored()
+		}
 		f.log.WithFields(logrus.Fields{"era": page.Revision.Era(), "before": was.Version(), "after": page.Revision.Version(), "rows": len(page.Rows)}).Warn("store has come back from a copy")
 	}
 	if r, ok := f.sink.(Restorer); ok && restored {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -214,6 +214,12 @@
 func (f fixedSharing) Reads(reached bool) bool { return f.reads(reached) }
 func (f fixedSharing) Share(s Shared)          { f.shared(s) }
 
+func quiet() logrus.FieldLogger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
 const testWait = 1500 * time.Millisecond
 
 // begin runs a follower in a bubble.
@@ -222,11 +228,9 @@
 }
 
 func beginWith(t *testing.T, cfg Config, feed Feed, sink Sink, sharing Sharing) (f *Follower, now func() time.Duration) {
-	log := logrus.New()
-	log.SetOutput(io.Discard)
 	start := time.Now()
 	now = func() time.Duration { return time.Since(start) + time.Minute }
-	f = New(cfg, feed, sink, sharing, now, log)
+	f = New(cfg, feed, sink, sharing, now, quiet())
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
 	go f.Run(ctx)
--- a/internal/follow/position_test.go
+++ b/internal/follow/position_test.go
@@ -272,3 +272,15 @@
 	require.Equal(t, []Row{{Key: "stays", Revision: revision.At(0, 1)}}, list)
 	require.LessOrEqual(t, len(r.all), maxDrops+1)
 }
+
+// Guards against a store that has come back from a copy being counted for each read of it, or not
+// at all.
+func TestStoreThatComesBackOlderIsCountedOnce(t *testing.T) {
+	restored := 0
+	f := New(Config{Name: "t", Restored: func() { restored++ }}, nil, newTable(), nil, func() time.Duration { return time.Minute }, quiet())
+	f.Seed(Page{Revision: revision.At(0, 9), Clock: time.Second}, time.Minute)
+	require.Zero(t, restored)
+	f.Seed(Page{Revision: revision.At(1, 4), Clock: 2 * time.Second}, time.Minute)
+	f.Seed(Page{Revision: revision.At(1, 5), Clock: 3 * time.Second}, time.Minute)
+	require.Equal(t, 1, restored)
+}
--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -40,6 +40,13 @@
 	c.calls[table+": "+reason]++
 }
 
+// restored counts a table that has come back from a copy.
+func (c *controlCosts) restored(table string) {
+	if c.recorder != nil {
+		c.recorder.StoreRestored(table)
+	}
+}
+
 // toPeer counts bytes sent to a peer.
 func (c *controlCosts) toPeer(cause peers.Cause, bytes int) {
 	if c.recorder != nil {
--- a/internal/gatewaymetrics/metrics.go
+++ b/internal/gatewaymetrics/metrics.go
@@ -39,6 +39,8 @@
 	transfer          *prometheus.HistogramVec
 	// reasons counts the calls to the store by why they were made.
 	reasons *prometheus.CounterVec
+	// restored counts the times that the store has come back from a copy, by table.
+	restored *prometheus.CounterVec
 	// control counts the bytes between gateways by cause.
 	control *prometheus.CounterVec
 	epoch   time.Time
@@ -93,7 +95,10 @@
 	r.control = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "kingcup_gateway_peer_sent_bytes_total", Help: "Bytes sent to other gateways by cause, without the frames of the links.",
 	}, []string{"cause"})
-	r.registry.MustRegister(r.reasons, r.control)
+	r.restored = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "kingcup_gateway_store_restored_total", Help: "Times that the store has come back from a copy, by table.",
+	}, []string{"table"})
+	r.registry.MustRegister(r.reasons, r.control, r.restored)
 	r.registry.MustRegister(r.finished, r.first, r.pause, r.attempts, r.moves, r.ended, r.unreadable, r.store, r.storeBytes, r.transfer)
 	return r
 }
@@ -149,6 +154,9 @@
 	r.reasons.WithLabelValues(table, reason).Inc()
 }
 
+// StoreRestored counts a table that has come back from a copy.
+func (r *Recorder) StoreRestored(table string) { r.restored.WithLabelValues(table).Inc() }
+
 // PeerSent counts bytes sent to another gateway.
 func (r *Recorder) PeerSent(cause string, bytes int) {
 	r.control.WithLabelValues(cause).Add(float64(bytes))
