--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -124,14 +124,21 @@
 	return r
 }
 
-// Held reports whether a request is refused, and for how much longer.
+// Held reports whether a request is refused, and when to come back: after its term, or after
+// its next trial where it is held in doubt.
 func (b *Book) Held(id ID, now time.Duration) (left time.Duration, held bool) {
 	v, held := b.held[id]
 	if !held {
 		return 0, false
 	}
 	left = b.policy.Term - (now - v.newest)
-	return left, left > 0
+	if left <= 0 {
+		return left, false
+	}
+	if at, tried := b.nextTrial(id); tried {
+		left = min(left, max(0, at-now)+b.policy.TrialApart)
+	}
+	return left, true
 }
 
 // Near reports whether a request would be refused, or already is, if one more server ended
--- a/quarantine/book_test.go
+++ b/quarantine/book_test.go
@@ -236,6 +236,27 @@
 	require.False(t, triedFrom(b, harmful, at+time.Minute))
 }
 
+// Guards against the caller of a harmless request that is held in doubt being sent away for the
+// hour of the verdict, although a trial decides within seconds.
+func TestDoubtfulRequestsAreToldToComeBackSoon(t *testing.T) {
+	p := Default()
+	b, x, y, sole := NewBook(p), request("x"), request("y"), request("sole")
+	for s := range uint64(3) {
+		b.Ended(s, time.Duration(1+s)*time.Second, []ID{x, y})
+		b.Ended(100+s, time.Duration(1+s)*time.Second, []ID{sole})
+	}
+	left, held := b.Held(x, 3*time.Second)
+	require.True(t, held)
+	require.Equal(t, p.TrialAfter+p.TrialApart, left)
+	require.True(t, triedFrom(b, x, 3*time.Second+p.TrialAfter))
+	left, held = b.Held(x, 3*time.Second+p.TrialAfter)
+	require.True(t, held)
+	require.Less(t, left, 2*p.TrialAfter+2*p.TrialApart)
+	left, held = b.Held(sole, 3*time.Second)
+	require.True(t, held)
+	require.Equal(t, p.Term, left)
+}
+
 // Guards against two requests with the same ends being tried at the same time: at one server
 // the harmful one would end the trial of the other.
 func TestRequestsWithTheSameEndsAreTriedOneAfterTheOther(t *testing.T) {
--- a/quarantine/trial.go
+++ b/quarantine/trial.go
@@ -29,18 +29,25 @@
 
 // Due reports whether a request is held in doubt and long enough without a trial.
 func (b *Book) Due(id ID, now time.Duration) bool {
+	at, tried := b.nextTrial(id)
+	return tried && now >= at
+}
+
+// nextTrial is from when on a request is tried, false for one that is not to be tried again.
+func (b *Book) nextTrial(id ID) (at time.Duration, tried bool) {
 	v, held := b.held[id]
-	if !held || !v.doubtful || now-v.newest < b.policy.TrialAfter {
-		return false
+	if !held || !v.doubtful {
+		return 0, false
 	}
+	at = v.newest + b.policy.TrialAfter
 	r := b.records[id]
 	n := len(r.Trials)
 	if n == 0 {
-		return true
+		return at, true
 	}
 	first := r.Trials[n-1]
 	ended := r.endsAmong(b.policy.Window, func(e End) bool { return e.At > first })
-	return now-r.Trials[0] >= b.policy.TrialAfter<<n && ended < b.policy.TrialEnds
+	return max(at, r.Trials[0]+b.policy.TrialAfter<<n), ended < b.policy.TrialEnds
 }
 
 // hasTurn reports whether a request may be tried beside those that share ends with it. They
