--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
+	"kingcupplank.example/kingcup/internal/logging"
 	"kingcupplank.example/kingcup/internal/standin"
 	"kingcupplank.example/kingcup/internal/standin/fleet"
 	"kingcupplank.example/kingcup/platform/settings"
@@ -21,7 +22,7 @@
 
 // system is a platform with gateways.
 type system struct {
-	t     *testing.T
+	t     testing.TB
 	fleet *fleet.Fleet
 	// linkMbps is the bandwidth that gateways are told of.
 	linkMbps float64
@@ -29,7 +30,7 @@
 	peerLinks int
 }
 
-func newSystem(t *testing.T) *system {
+func newSystem(t testing.TB) *system {
 	s := &system{t: t, fleet: fleet.New()}
 	t.Cleanup(s.fleet.Close)
 	return s
@@ -45,7 +46,7 @@
 // node is a gateway with its own way to the store.
 type node struct {
 	*Gateway
-	t       *testing.T
+	t       testing.TB
 	callers string
 	ready   string
 	door    *fleet.Door
@@ -103,8 +104,7 @@
 // launch starts a gateway without waiting until it is ready.
 func (s *system) launch(set *settings.Settings, door *fleet.Door) *node {
 	s.t.Helper()
-	log := logrus.New()
-	log.SetOutput(io.Discard)
+	log := logging.New(io.Discard, logrus.InfoLevel)
 	opts := DefaultOptions()
 	opts.MetricsPort, opts.Leave = 0, 500*time.Millisecond
 	if s.peerLinks > 0 {
@@ -161,7 +161,7 @@
 // conn is a caller's connection.
 type conn struct {
 	net.Conn
-	t  *testing.T
+	t  testing.TB
 	in *bufio.Reader
 }
 
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -89,6 +89,6 @@
 	log := logrus.New()
 	log.SetOutput(w)
 	log.SetLevel(level)
-	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	log.SetFormatter(jsonFormatter{timestampFormat})
 	return log
 }
--- /dev/null
+++ b/internal/logging/logging_test.go
@@ -0,0 +1,62 @@
+package logging
+
+import (
+	"errors"
+	"io"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// Guards against lines that differ from those of the formatter of the library: operators and
+// tools read them.
+func TestLinesAreThoseOfTheLibrary(t *testing.T) {
+	want := &logrus.JSONFormatter{TimestampFormat: timestampFormat}
+	rapid.Check(t, func(t *rapid.T) {
+		e := logrus.NewEntry(logrus.New())
+		e.Time = time.Unix(rapid.Int64Range(0, 1<<33).Draw(t, "s"), rapid.Int64Range(0, 999_999_999).Draw(t, "ns")).UTC()
+		e.Level = logrus.Level(rapid.IntRange(2, 6).Draw(t, "level"))
+		e.Message = rapid.String().Draw(t, "message")
+		for range rapid.IntRange(0, 8).Draw(t, "fields") {
+			e = withField(t, e)
+		}
+		wanted, err := want.Format(e)
+		require.NoError(t, err)
+		got, err := jsonFormatter{timestampFormat}.Format(e)
+		require.NoError(t, err)
+		require.Equal(t, string(wanted), string(got))
+	})
+}
+
+type named string
+
+func withField(t *rapid.T, e *logrus.Entry) *logrus.Entry {
+	keys := rapid.OneOf(rapid.String(), rapid.SampledFrom([]string{"msg", "level", "time", "error", "server", "<b>"}))
+	text := rapid.String().Draw(t, "text")
+	value := rapid.SampledFrom([]any{
+		text, len(text), int64(-len(text)), uint64(math.MaxUint64), len(text)%2 == 0, errors.New(text), nil, 0.1 * float64(len(text)),
+		time.Duration(len(text)), named(text), []string{text, "b"}, map[string]any{text: 1}, []map[string]any{{"a": text}},
+	}).Draw(t, "value")
+	out := e.WithField(keys.Draw(t, "key"), value)
+	out.Time, out.Level, out.Message = e.Time, e.Level, e.Message
+	return out
+}
+
+// Guards against a line with a value that cannot be written being taken for a whole one.
+func TestLineThatCannotBeWrittenIsAnError(t *testing.T) {
+	_, err := jsonFormatter{timestampFormat}.Format(logrus.WithField("value", math.Inf(1)))
+	require.Error(t, err)
+}
+
+// A line as a gateway writes two of a plain request.
+func BenchmarkLine(b *testing.B) {
+	log := New(io.Discard, logrus.InfoLevel).WithField("vm", "vm-1").WithFields(logrus.Fields{"request": "attempt-1234", "route": "safe", "service": "desk", "team": "team-1", "config": uint64(12), "config_age_ms": int64(33)})
+	b.ReportAllocs()
+	for b.Loop() {
+		log.WithFields(logrus.Fields{"server": "i-desk-12", "running": 3, "of": 12, "tokens": 0, "prompt": 0, "waited_ms": int64(0), "answer_ms": int64(12), "try": 1, "status": 200}).Info("sent")
+	}
+}
