--- a/internal/gateway/era_test.go
+++ b/internal/gateway/era_test.go
@@ -271,6 +271,7 @@
 // after it came back older is at most twice what they call it for after a plain outage of
 // the same length.
 func TestDrillIsNoBurst(t *testing.T) {
+	t.Parallel()
 	s, _ := partial(t)
 	after := func(back func()) int {
 		s.fleet.Store.SetFault(fleet.Reset)
--- a/internal/soak/advice.go
+++ b/internal/soak/advice.go
@@ -19,7 +19,7 @@
 	// calmRest is the rest that a server asks for then, restKnown how long after its answer the
 	// platform counts nothing: a second attempt that lost its race is cut before its answer, and
 	// the next request is the first to hear of the rest.
-	calmRest, restKnown = 2*time.Second, 500*time.Millisecond
+	calmRest, restKnown = 2 * time.Second, 500 * time.Millisecond
 	// adviceBound is how long after a server has said something of itself all gateways keep to
 	// it.
 	adviceBound = time.Second
