--- a/internal/gateway/drill_test.go
+++ b/internal/gateway/drill_test.go
@@ -25,8 +25,7 @@
 	drillAway, drillWatched = time.Second, 5 * time.Second
 )
 
-// callsOf counts the calls of gateways to the store while something happens, and for
-// drillWatched behind it.
+// callsOf counts the calls of gateways to the store within drillWatched behind something.
 func callsOf(nodes []*node, happens func()) (calls int) {
 	happens()
 	before := 0
