--- a/storage/objectclient/client.go
+++ b/storage/objectclient/client.go
@@ -22,20 +22,49 @@
 	maxObject = 64 << 20
 )
 
-// patientConn is a connection whose reads and writes end when nothing passes.
-type patientConn struct{ net.Conn }
+// patientConn is a connection whose reads and writes end when nothing passes, and at the
+// deadlines of the request that has it. It is for one goroutine.
+type patientConn struct {
+	net.Conn
+	// readBy and writeBy are the request's deadlines, zero for none.
+	readBy, writeBy time.Time
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *patientConn) SetReadDeadline(t time.Time) error {
+	c.readBy = t
+	return nil
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *patientConn) SetWriteDeadline(t time.Time) error {
+	c.writeBy = t
+	return nil
+}
+
+// stallsAt is when a read or write that begins now ends, at the latest by a deadline.
+func stallsAt(by time.Time) time.Time {
+	if at := time.Now().Add(stallTimeout); by.IsZero() || at.Before(by) {
+		return at
+	}
+	return by
+}
 
 // Read implements net.Conn.
-func (c patientConn) Read(p []byte) (int, error) {
-	c.SetReadDeadline(time.Now().Add(stallTimeout))
+func (c *patientConn) Read(p []byte) (int, error) {
+	if err := c.Conn.SetReadDeadline(stallsAt(c.readBy)); err != nil {
+		return 0, err
+	}
 	return c.Conn.Read(p)
 }
 
 // Write implements net.Conn.
-func (c patientConn) Write(p []byte) (n int, err error) {
+func (c *patientConn) Write(p []byte) (n int, err error) {
 	for n < len(p) && err == nil {
 		var m int
-		c.SetWriteDeadline(time.Now().Add(stallTimeout))
+		if err = c.Conn.SetWriteDeadline(stallsAt(c.writeBy)); err != nil {
+			return n, err
+		}
 		m, err = c.Conn.Write(p[n:min(len(p), n+writeSize)])
 		n += m
 	}
@@ -50,7 +79,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return patientConn{conn}, nil
+	return &patientConn{Conn: conn}, nil
 }
 
 // Client talks to one object store. It is safe for concurrent use.
