--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -105,7 +105,8 @@
 }
 
 // candidates are the live peers to ask: those that announced last, then some that say that
-// they have a newer version, or are further. One that announced may be behind by now: it has ended to read the store.
+// they have a newer version, or are further. One that announced may be behind by now: it has
+// ended to read the store.
 // A peer that has fallen silent would cost an answer's timeout. starts says that nothing is
 // known here.
 func (s *configSharing) candidates(starts bool) (out []string) {
