Admission: short generations go before long ones where callers allow it

In a surge of long generations, short ones of the team that causes it wait behind them for seconds and are refused, although they need engine memory for a fraction of a second only: the order knows the team's usage as a whole, puts late requests last, and checks an engine's memory against the expected peak.

The package admission tells light generations from others by their memory-time product, orders them first where the latency target of the others is at least twice theirs, keeps usage by kind, and estimates the wait on arrival, so that a generation that is queued is served. Light ones are checked against the memory that an engine's runs will hold over their time (Load.Growth, Load.held on the wire). Where the condition does not hold, the order is that of package flow.

--- a/backends/load.go
+++ b/backends/load.go
@@ -8,6 +8,9 @@
 	Running int
 	// ExpectedTokens is the memory in tokens that they are expected to need.
 	ExpectedTokens int
+	// Growth is the part of ExpectedTokens that they don't hold yet, see Held. It is 0 if that is
+	// unknown, so that all of ExpectedTokens counts as held.
+	Growth int
 	// PromptTokens is the number of prompt tokens of the requests that the server has not begun
 	// to answer. A new request waits until they are read.
 	PromptTokens int
@@ -18,12 +21,15 @@
 	StartTime int64
 }
 
+// Held is the memory in tokens that the requests hold now.
+func (l Load) Held() int { return l.ExpectedTokens - l.Growth }
+
 func (l Load) plus(o Load) Load {
-	return Load{Running: l.Running + o.Running, ExpectedTokens: l.ExpectedTokens + o.ExpectedTokens, PromptTokens: l.PromptTokens + o.PromptTokens, CopyTokens: l.CopyTokens + o.CopyTokens}
+	return Load{Running: l.Running + o.Running, ExpectedTokens: l.ExpectedTokens + o.ExpectedTokens, Growth: l.Growth + o.Growth, PromptTokens: l.PromptTokens + o.PromptTokens, CopyTokens: l.CopyTokens + o.CopyTokens}
 }
 
 func (l Load) minus(o Load) Load {
-	return Load{Running: l.Running - o.Running, ExpectedTokens: l.ExpectedTokens - o.ExpectedTokens, PromptTokens: l.PromptTokens - o.PromptTokens, CopyTokens: l.CopyTokens - o.CopyTokens}
+	return Load{Running: l.Running - o.Running, ExpectedTokens: l.ExpectedTokens - o.ExpectedTokens, Growth: l.Growth - o.Growth, PromptTokens: l.PromptTokens - o.PromptTokens, CopyTokens: l.CopyTokens - o.CopyTokens}
 }
 
 // load returns the known load of a server: that of this process and of all others. mu must be
--- a/backends/registry.go
+++ b/backends/registry.go
@@ -287,6 +287,14 @@
 	// ExpectedTokens is the memory in tokens that the request is expected to need at its peak.
 	// PromptTokens is the number of prompt tokens that a server has to read before it answers.
 	ExpectedTokens, PromptTokens int
+	// HeldTokens is the part of ExpectedTokens that the request holds from its start, 0 for all.
+	HeldTokens int
+	// Horizon has the request checked against the memory that the server's runs will hold by the
+	// end of it, see placement.Request; 0 for their expected peak. TokensPerEvent and MeanPause
+	// give the growth of a run.
+	Horizon        time.Duration
+	TokensPerEvent int
+	MeanPause      time.Duration
 	// PromptSpeed is the rate at which servers read prompts, in tokens per second.
 	PromptSpeed float64
 	// MaxMemoryUse bounds the fraction of its memory that the server may have in use,
@@ -335,7 +343,7 @@
 	if preferred == "" {
 		preferred = r.domain
 	}
-	req := &placement.Request{FailureDomain: preferred, Tried: q.Tried, Tokens: q.ExpectedTokens, PromptSpeed: q.PromptSpeed, MaxMemoryUse: q.MaxMemoryUse, MaxPromptPending: q.MaxPromptPending, SameDomainOnly: q.SameDomainOnly, Regions: q.Regions, CopySpeed: q.CopySpeed, MaxPause: q.MaxPause, PauseStretch: q.PauseStretch}
+	req := &placement.Request{FailureDomain: preferred, Tried: q.Tried, Tokens: q.ExpectedTokens, PromptSpeed: q.PromptSpeed, MaxMemoryUse: q.MaxMemoryUse, MaxPromptPending: q.MaxPromptPending, SameDomainOnly: q.SameDomainOnly, Regions: q.Regions, CopySpeed: q.CopySpeed, MaxPause: q.MaxPause, PauseStretch: q.PauseStretch, Horizon: q.Horizon, TokensPerEvent: q.TokensPerEvent, MeanPause: q.MeanPause}
 	divided := cells.IsDivided(len(views), r.cellCount)
 	if divided {
 		req.IsCandidate = func(k int) bool { return r.inOwnCell(list[k], len(list)) }
@@ -408,7 +416,7 @@
 		r.scratch = append(r.scratch, placement.Server{
 			Name: s.ID, FailureDomain: s.FailureDomain, Region: r.domainRegions[s.FailureDomain], Leaving: s.Leaving, Cordoned: r.cordoned[s.FailureDomain], Connected: true,
 			Running: load.Running, Slots: s.Slots, UsualPause: comparablePause(s.usualPause(now), meanPause),
-			MemoryForecast: uint64(max(0, load.ExpectedTokens)), PromptPending: max(0, load.PromptTokens), CopyPending: max(0, load.CopyTokens), MemoryTotal: uint64(traits.MemoryTokens),
+			MemoryForecast: uint64(max(0, load.ExpectedTokens)), MemoryHeld: uint64(max(0, load.Held())), PromptPending: max(0, load.PromptTokens), CopyPending: max(0, load.CopyTokens), MemoryTotal: uint64(traits.MemoryTokens),
 			FailureRate: s.failureRate(now), Avoid: now < s.avoidUntil || s.missingUntil > 0 || r.avoidForLosses(s, now) || r.backsOffElsewhere(s), BackingOff: now < s.backoffUntil, Cold: now < s.coldUntil, Paced: paced, Down: r.isDown(s, now),
 		})
 	}
@@ -458,6 +466,20 @@
 	return ready, cordoned
 }
 
+// ReadyMemory returns the memory in tokens of the servers of a service that accept requests of this
+// process which must stay in some regions.
+func (r *Registry) ReadyMemory(service string, regions routing.Regions) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list, n := r.listed(service), 0
+	for _, s := range list {
+		if !s.Leaving && !r.cordoned[s.FailureDomain] && regions.Allows(r.domainRegions[s.FailureDomain]) && r.inOwnCell(s, len(list)) {
+			n++
+		}
+	}
+	return n * r.traits(service).MemoryTokens
+}
+
 // State reports whether a server is listed and whether it is leaving.
 func (r *Registry) State(of Server) (listed, leaving bool) {
 	r.mu.Lock()
--- a/backends/reservation.go
+++ b/backends/reservation.go
@@ -47,6 +47,9 @@
 // reserve counts a request at a server. mu must be held.
 func (r *Registry) reserve(target *server, q Query, serverCount int) *Reservation {
 	res := &Reservation{registry: r, target: target, Server: target.Server, ServerCount: serverCount, Load: r.load(target), contribution: Load{Running: 1, ExpectedTokens: q.ExpectedTokens, PromptTokens: q.PromptTokens}}
+	if q.HeldTokens > 0 {
+		res.contribution.Growth = max(0, q.ExpectedTokens-q.HeldTokens)
+	}
 	if q.ForCopy {
 		res.contribution.CopyTokens = q.ExpectedTokens
 	}
@@ -78,9 +81,12 @@
 	r.target.ownLoad = r.target.ownLoad.plus(change)
 }
 
-// SetExpectedTokens changes the memory in tokens that the request is expected to need.
-func (r *Reservation) SetExpectedTokens(tokens int) {
-	r.change(func(contribution Load) Load { return Load{ExpectedTokens: tokens - contribution.ExpectedTokens} })
+// SetMemory changes the memory in tokens that the request is expected to need, and the part of it
+// that it holds now.
+func (r *Reservation) SetMemory(expected, held int) {
+	r.change(func(contribution Load) Load {
+		return Load{ExpectedTokens: expected - contribution.ExpectedTokens, Growth: max(0, expected-held) - contribution.Growth}
+	})
 }
 
 // overduePrompt is the load counted for a prompt that a server doesn't begin to answer in time.
--- a/flow/queue.go
+++ b/flow/queue.go
@@ -106,6 +106,9 @@
 // request that can be on time.
 const lateRank = 1000
 
+// LateRank is the lowest rank of a late request.
+const LateRank = lateRank
+
 // Rank orders requests by urgency; 0 is the most urgent. Requests that can be on time
 // precede late ones, then priority decides, then the level of the team's usage.
 func (w *Waiter) Rank(now time.Duration) int {
--- a/flow/shares.go
+++ b/flow/shares.go
@@ -75,6 +75,28 @@
 	return out[:min(n, len(out))]
 }
 
+// Amount returns a team's usage.
+func (s *Shares) Amount(team string, now time.Duration) float64 {
+	s.decay(now)
+	return s.amounts[team]
+}
+
+// Total returns the usage of all teams and their number. elsewhere is the usage that other
+// gateways have reported.
+func (s *Shares) Total(elsewhere []Usage, now time.Duration) (total float64, teams int) {
+	s.decay(now)
+	names := make(map[string]struct{}, len(s.amounts)+len(elsewhere))
+	for name, amount := range s.amounts {
+		total += amount
+		names[name] = struct{}{}
+	}
+	for _, u := range elsewhere {
+		total += u.Amount
+		names[u.Team] = struct{}{}
+	}
+	return total, len(names)
+}
+
 // Level grades how far a team's usage is above an equal share of the usage of
 // all teams: 0 up to the share, then one more for each doubling, up to MaxLevel. elsewhere
 // is the usage that other gateways have reported; it is added to the local usage.
@@ -83,24 +105,22 @@
 // then delays the teams that cause it, and a small team is served as if it were the only
 // one. Teams above their share still get all remaining capacity.
 func (s *Shares) Level(team string, elsewhere []Usage, now time.Duration) int {
-	s.decay(now)
-	own, total := s.amounts[team], 0.0
-	teams := make(map[string]struct{}, len(s.amounts)+len(elsewhere))
-	for name, amount := range s.amounts {
-		total += amount
-		teams[name] = struct{}{}
-	}
+	total, teams := s.Total(elsewhere, now)
+	own := s.amounts[team]
 	for _, u := range elsewhere {
-		total += u.Amount
-		teams[u.Team] = struct{}{}
 		if u.Team == team {
 			own += u.Amount
 		}
 	}
+	return Grade(own, total, teams)
+}
+
+// Grade returns the level of a usage of own, out of a total of a number of teams.
+func Grade(own, total float64, teams int) int {
 	if total <= 0 || own <= 0 {
 		return 0
 	}
-	ratio := own * float64(len(teams)) / total
+	ratio := own * float64(teams) / total
 	if ratio <= 1 {
 		return 0
 	}
--- a/flow/turns.go
+++ b/flow/turns.go
@@ -14,6 +14,8 @@
 	// Rank is the rank of its most urgent waiting request, WaitingAtRank the number of
 	// its waiting requests of that rank.
 	Rank, WaitingAtRank int
+	// Tokens is the memory in tokens that its waiting requests need, 0 if unknown.
+	Tokens int
 }
 
 // NewTurns returns the turns for a request of the given rank that waits at self. others
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -62,17 +62,17 @@
 	fetchHandler atomic.Pointer[fetchHandlerFunc]
 
 	// mu guards queues, the requests that wait here by service, and teamUsage, what the
-	// teams with the highest usage have used by service. No other lock is taken while mu is
-	// locked.
-	mu        sync.Mutex
-	queues    map[string]flow.Contender
-	teamUsage map[string]usageSnapshot
+	// teams with the highest usage have used by service, lightUsage the part of it by light
+	// generations. No other lock is taken while mu is locked.
+	mu                    sync.Mutex
+	queues                map[string]flow.Contender
+	teamUsage, lightUsage map[string]usageSnapshot
 
 	positions positionSchedule
 }
 
 func newGroup(self peers.Member, store tableStore, registry *backends.Registry, replica *routing.Replica, linkMbps float64, maxLinks int, stats *controlStats, log logrus.FieldLogger) *group {
-	g := &group{self: self, store: store, registry: registry, linkMbps: linkMbps, stats: stats, log: log, followers: make(map[string]*follow.Follower), queues: make(map[string]flow.Contender), teamUsage: make(map[string]usageSnapshot)}
+	g := &group{self: self, store: store, registry: registry, linkMbps: linkMbps, stats: stats, log: log, followers: make(map[string]*follow.Follower), queues: make(map[string]flow.Contender), teamUsage: make(map[string]usageSnapshot), lightUsage: make(map[string]usageSnapshot)}
 	g.encoders = map[string]*changeEncoder{directory.Table: {}, membersTable: {}}
 	g.role = newReaderRole(g)
 	g.registrar = newRegistrar(g)
@@ -109,7 +109,7 @@
 		s.Loads = append(s.Loads, &peerv1.Load{
 			Server: id, Running: uint32(l.Running), Tokens: uint64(max(0, l.ExpectedTokens)),
 			Prompt: uint64(max(0, l.PromptTokens)), Copying: uint64(max(0, l.CopyTokens)), Born: l.StartTime,
-			PauseUs: uint32(paces[id].Pause.Microseconds()),
+			PauseUs: uint32(paces[id].Pause.Microseconds()), Held: uint64(max(0, l.Held())),
 		})
 	}
 	for id, st := range g.registry.Statuses(clock.SinceBoot()) {
@@ -118,11 +118,12 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for service, q := range g.queues {
-		s.Queues = append(s.Queues, &peerv1.Queue{Service: service, Waiting: uint32(q.Waiting), Rank: uint32(q.Rank), First: uint32(q.WaitingAtRank)})
+		s.Queues = append(s.Queues, &peerv1.Queue{Service: service, Waiting: uint32(q.Waiting), Rank: uint32(q.Rank), First: uint32(q.WaitingAtRank), Tokens: uint64(max(0, q.Tokens))})
 	}
 	for service, used := range g.teamUsage {
+		light := g.lightAmounts(service, clock.SinceBoot())
 		for _, u := range used.decayedAt(clock.SinceBoot()) {
-			s.Usages = append(s.Usages, &peerv1.Usage{Service: service, Team: u.Team, Amount: float32(u.Amount)})
+			s.Usages = append(s.Usages, &peerv1.Usage{Service: service, Team: u.Team, Amount: float32(u.Amount), LightAmount: float32(light[u.Team])})
 		}
 	}
 	return s
@@ -196,6 +197,7 @@
 		}
 		loads[l.GetServer()] = backends.Load{
 			Running: int(l.GetRunning()), ExpectedTokens: int(l.GetTokens()), PromptTokens: int(l.GetPrompt()), CopyTokens: int(l.GetCopying()), StartTime: l.GetBorn(),
+			Growth: growthFromMessage(l),
 		}
 	}
 	g.registry.SetRemoteLoads(peer, loads)
@@ -206,6 +208,15 @@
 	g.noteConfigVersion(s)
 }
 
+// growthFromMessage returns the part of a peer's load that its runs don't hold yet. It is 0 if the peer
+// does not say what they hold, or if that is more than they are expected to need.
+func growthFromMessage(l *peerv1.Load) int {
+	if held := l.GetHeld(); held > 0 && held < l.GetTokens() {
+		return int(l.GetTokens() - held)
+	}
+	return 0
+}
+
 // Suspects implements peers.Receiver.
 func (g *group) Suspects(peer string, s *peerv1.Suspects) {
 	g.quarantine.receive(peer, s.GetSuspects())
--- a/internal/gateway/queues.go
+++ b/internal/gateway/queues.go
@@ -54,13 +54,53 @@
 	for _, s := range g.links.LiveStates() {
 		for _, u := range s.GetUsages() {
 			if u.GetService() == service {
-				out = append(out, flow.Usage{Team: u.GetTeam(), Amount: float64(u.GetAmount())})
+				out = append(out, flow.Usage{Team: u.GetTeam(), Amount: boundedAmount(u.GetAmount())})
 			}
 		}
 	}
 	return out
 }
 
+// ReportLightUsage implements relay.Peers.
+func (g *group) ReportLightUsage(service string, top []flow.Usage) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.lightUsage[service] = usageSnapshot{top, clock.SinceBoot()}
+}
+
+// LightUsage implements relay.Peers.
+func (g *group) LightUsage(service string) (out []flow.Usage) {
+	for _, s := range g.links.LiveStates() {
+		for _, u := range s.GetUsages() {
+			if amount := boundedAmount(u.GetLightAmount()); amount > 0 && u.GetService() == service {
+				out = append(out, flow.Usage{Team: u.GetTeam(), Amount: min(amount, boundedAmount(u.GetAmount()))})
+			}
+		}
+	}
+	return out
+}
+
+// lightAmounts returns the present usage by light generations, by team. mu must be held.
+func (g *group) lightAmounts(service string, now time.Duration) map[string]float64 {
+	out := make(map[string]float64)
+	for _, u := range g.lightUsage[service].decayedAt(now) {
+		out[u.Team] = u.Amount
+	}
+	return out
+}
+
+// maxAmount bounds a reported usage in token seconds: more than a thousand engines have in the time that
+// usage counts.
+const maxAmount = 1e12
+
+// boundedAmount returns a reported usage, 0 if it is negative or not a number.
+func boundedAmount(amount float32) float64 {
+	if !(amount > 0) {
+		return 0
+	}
+	return min(maxAmount, float64(amount))
+}
+
 // turnPeriod is how long a turn lasts: the time in which a server is left to one gateway.
 // It is longer than the 20 ms that a state takes to reach all peers of a small VM, and
 // short compared with the 400 ms in which an engine reads a prompt.
@@ -108,12 +148,18 @@
 	return pacing.SharedTime{Now: now, Known: known}
 }
 
+// maxQueueTokens bounds the memory that a peer's queue is reported to need.
+const maxQueueTokens = 1 << 40
+
+// Queues implements relay.Peers.
+func (g *group) Queues(service string) []flow.Contender { return g.contenders(service) }
+
 // contenders lists the peers at which requests wait for a service.
 func (g *group) contenders(service string) (out []flow.Contender) {
 	for _, s := range g.links.LiveStates() {
 		for _, q := range s.GetQueues() {
 			if q.GetService() == service {
-				out = append(out, flow.Contender{Name: s.GetFrom().GetName(), Waiting: int(q.GetWaiting()), Rank: int(q.GetRank()), WaitingAtRank: int(q.GetFirst())})
+				out = append(out, flow.Contender{Name: s.GetFrom().GetName(), Waiting: int(q.GetWaiting()), Rank: int(q.GetRank()), WaitingAtRank: int(q.GetFirst()), Tokens: int(min(q.GetTokens(), maxQueueTokens))})
 			}
 		}
 	}
--- a/internal/gatewaymetrics/metrics.go
+++ b/internal/gatewaymetrics/metrics.go
@@ -30,6 +30,10 @@
 	eventPause     prometheus.Histogram
 	failedAttempts *prometheus.CounterVec
 	migrations     *prometheus.CounterVec
+	// queueDecisions counts how generations left the queue for an engine. queueWait is the real wait of
+	// those that were started, queueEstimate the wait that was estimated on their arrival.
+	queueDecisions           *prometheus.CounterVec
+	queueWait, queueEstimate *prometheus.HistogramVec
 	// crashes counts the servers that crashed while requests ran on them.
 	crashes *prometheus.CounterVec
 	// unreadableEntries counts directory entries that don't describe a usable server.
@@ -102,6 +106,17 @@
 	r.storeRestores = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "kingcup_gateway_store_restored_total", Help: "Times that the store has come back from a copy, by table.",
 	}, []string{"table"})
+	r.queueDecisions = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "kingcup_gateway_queue_decisions_total", Help: "Generations that left the queue for an engine by service, kind (light or other) and decision.",
+	}, []string{"service", "kind", "decision"})
+	waits := []float64{.005, .02, .1, .2, .5, 1, 2, 4, 8, 16}
+	r.queueWait = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "kingcup_gateway_queue_wait_seconds", Help: "Time from the arrival of a generation until an engine was reserved for it.", Buckets: waits,
+	}, []string{"service", "kind"})
+	r.queueEstimate = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "kingcup_gateway_queue_estimate_seconds", Help: "The same time as it was estimated on arrival.", Buckets: waits,
+	}, []string{"service", "kind"})
+	r.registry.MustRegister(r.queueDecisions, r.queueWait, r.queueEstimate)
 	r.registry.MustRegister(r.storeCallReasons, r.peerBytes, r.storeRestores)
 	r.registry.MustRegister(r.requests, r.firstByte, r.eventPause, r.failedAttempts, r.migrations, r.crashes, r.unreadableEntries, r.storeCalls, r.storeBytes, r.storeTransfer)
 	return r
@@ -138,6 +153,19 @@
 	r.countObjective(team, burn.StallTime, d <= stallThreshold)
 }
 
+// QueueDecided implements relay.Observer.
+func (r *Recorder) QueueDecided(service string, light bool, d relay.QueueDecision, estimated, waited time.Duration) {
+	kind := "other"
+	if light {
+		kind = "light"
+	}
+	r.queueDecisions.WithLabelValues(service, kind, string(d)).Inc()
+	if d == relay.QueueStarted {
+		r.queueWait.WithLabelValues(service, kind).Observe(waited.Seconds())
+		r.queueEstimate.WithLabelValues(service, kind).Observe(estimated.Seconds())
+	}
+}
+
 // AttemptFailed implements relay.Observer.
 func (r *Recorder) AttemptFailed(service, result string) {
 	r.failedAttempts.WithLabelValues(service, result).Inc()
--- a/internal/relay/enginequeue.go
+++ b/internal/relay/enginequeue.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"kingcupplank.example/kingcup/admission"
 	"kingcupplank.example/kingcup/backends"
 	"kingcupplank.example/kingcup/flow"
 )
@@ -37,11 +38,9 @@
 // engineQueue is the queue in front of the engines of a service.
 type engineQueue struct {
 	mu    sync.Mutex
-	queue *flow.Queue
+	queue *admission.Queue
 	// wakeups notify a waiter that it is the first.
-	wakeups map[*flow.Waiter]chan struct{}
-	// shares counts the teams' usage of the service here.
-	shares *flow.Shares
+	wakeups map[*admission.Waiter]chan struct{}
 	// unplaced counts the queued requests that have found no server with capacity; lastUnplaced
 	// is when it last changed, 0 if never.
 	unplaced     int
@@ -60,17 +59,23 @@
 	defer r.mu.Unlock()
 	eq := r.engineQueues[service]
 	if eq == nil {
-		eq = &engineQueue{queue: flow.NewQueue(initialTokenRate), wakeups: make(map[*flow.Waiter]chan struct{}), shares: flow.NewShares()}
+		eq = &engineQueue{queue: admission.NewQueue(initialTokenRate), wakeups: make(map[*admission.Waiter]chan struct{})}
 		r.engineQueues[service] = eq
 	}
 	return eq
 }
 
-// add queues a request. It returns nil if the request cannot be served in time.
-func (eq *engineQueue) add(w *flow.Waiter, now time.Duration) (wakeup chan struct{}) {
+// add queues a request. It returns nil if the request cannot be served in time. A request that has
+// been sent before was accepted then, and is refused only as a queued one is.
+func (eq *engineQueue) add(w *admission.Waiter, j *job, d admission.Demand, v admission.View, now time.Duration) (wakeup chan struct{}) {
 	eq.mu.Lock()
 	defer eq.mu.Unlock()
-	if eq.queue.ShouldReject(w, now) {
+	eq.queue.Arrive(w, j.team, d, v, now)
+	refused := eq.queue.ShouldRefuse(w, v, now)
+	if j.attempts > 0 {
+		refused = eq.queue.ShouldGiveUp(w, v, now)
+	}
+	if refused {
 		return nil
 	}
 	wakeup = make(chan struct{}, 1)
@@ -79,15 +84,19 @@
 	return wakeup
 }
 
-// shouldReject reports whether a queued request can no longer be served in time.
-func (eq *engineQueue) shouldReject(w *flow.Waiter, now time.Duration) bool {
+// shouldGiveUp reports whether a queued request can no longer be served in time.
+func (r *Relay) shouldGiveUp(j *job, eq *engineQueue, w *admission.Waiter) bool {
+	v := admission.View{Memory: r.Registry.ReadyMemory(j.service, j.regions)}
+	if w.HaveEnginesGone(v.Memory) {
+		v = r.engineView(j)
+	}
 	eq.mu.Lock()
 	defer eq.mu.Unlock()
-	return eq.queue.ShouldReject(w, now)
+	return eq.queue.ShouldGiveUp(w, v, r.Now())
 }
 
 // remove removes a request and wakes the next one.
-func (eq *engineQueue) remove(w *flow.Waiter, sent bool, now time.Duration) {
+func (eq *engineQueue) remove(w *admission.Waiter, sent bool, now time.Duration) {
 	eq.mu.Lock()
 	defer eq.mu.Unlock()
 	if _, queued := eq.wakeups[w]; !queued {
@@ -112,7 +121,7 @@
 
 // isHead reports whether a request is the first, and wakes the first one otherwise: the order
 // changes as time passes.
-func (eq *engineQueue) isHead(w *flow.Waiter, now time.Duration) bool {
+func (eq *engineQueue) isHead(w *admission.Waiter, now time.Duration) bool {
 	eq.mu.Lock()
 	defer eq.mu.Unlock()
 	if eq.queue.Next(now) == w {
@@ -130,57 +139,64 @@
 	defer eq.mu.Unlock()
 	eq.unplaced += change
 	eq.lastUnplaced = r.Now()
-	rank, first := eq.queue.HeadRank(r.Now())
-	r.Peers.ReportQueue(service, flow.Contender{Waiting: eq.unplaced, Rank: rank, WaitingAtRank: first})
+	c := eq.queue.Contender(r.Now())
+	c.Waiting = eq.unplaced
+	r.Peers.ReportQueue(service, c)
 }
 
 // maxReportedTeams is the number of teams whose usage is reported to peers. Surges that matter
 // come from a few teams, and a team that is not reported counts as small.
 const maxReportedTeams = 8
 
-// chargeTeam charges a generation to its team's share: its expected memory times its expected
-// duration.
-func (r *Relay) chargeTeam(j *job, eq *engineQueue) {
-	duration := r.promptReadTime(j) + time.Duration(j.expectedEvents(0))*r.currentMeanPause()
-	amount := float64(j.expectedMemory(0)) * duration.Seconds()
+// recordStart charges a generation that was sent to an engine to its team's share, and reports the
+// usage of the teams to the peers.
+func (r *Relay) recordStart(j *job, eq *engineQueue, w *admission.Waiter, d admission.Demand) {
 	now := r.Now()
 	eq.mu.Lock()
-	eq.shares.Charge(j.team, amount, now)
-	top := eq.shares.Top(maxReportedTeams, now)
+	eq.queue.Start(w, j.team, d, now)
+	all, light := eq.queue.Top(maxReportedTeams, now)
 	eq.mu.Unlock()
-	r.Peers.ReportUsage(j.service, top)
+	r.Peers.ReportUsage(j.service, all)
+	r.Peers.ReportLightUsage(j.service, light)
 }
 
-// teamLevel returns how far a request's team is above an equal share.
-func (r *Relay) teamLevel(j *job, eq *engineQueue) int {
-	peerUsage := r.Peers.Usage(j.service)
-	eq.mu.Lock()
-	defer eq.mu.Unlock()
-	return eq.shares.Level(j.team, peerUsage, r.Now())
+// engineDemand returns what a generation needs. A caller waits no longer than its timeout, whatever
+// length it states.
+func (r *Relay) engineDemand(j *job) admission.Demand {
+	duration := r.promptReadTime(j) + time.Duration(j.expectedEvents(0))*r.currentMeanPause()
+	return admission.Demand{Tokens: j.expectedMemory(0), Time: min(duration, j.timeLeft()), Target: j.route.TargetLatency}
+}
+
+// engineView returns what is known of the engines of a service and of its queues at the peers.
+func (r *Relay) engineView(j *job) admission.View {
+	return admission.View{
+		Memory: r.Registry.ReadyMemory(j.service, j.regions), Queues: r.Peers.Queues(j.service),
+		Usage: r.Peers.Usage(j.service), LightUsage: r.Peers.LightUsage(j.service),
+	}
 }
 
 // engineWaiter returns the queue entry of a generation.
-func (r *Relay) engineWaiter(j *job, eq *engineQueue) *flow.Waiter {
+func (r *Relay) engineWaiter(j *job) *admission.Waiter {
 	readTime := r.promptReadTime(j)
-	runTime := readTime + time.Duration(outputMargin*float64(j.expectedEvents(0))*float64(r.currentMeanPause()))
-	dispatchDeadline := j.arrived + j.timeLeft() - runTime
+	dispatchDeadline := j.arrived + j.timeLeft() - r.expectedRunTime(j)
 	if timeout := j.route.EventTimeout; timeout > 0 {
 		dispatchDeadline = min(dispatchDeadline, j.arrived+time.Duration(eventTimeoutShare*float64(timeout))-readTime)
 	}
-	return &flow.Waiter{
-		Priority: j.priority, Level: r.teamLevel(j, eq), PromptTokens: j.promptTokens(), Arrived: j.arrived,
+	return &admission.Waiter{Waiter: flow.Waiter{
+		Priority: j.priority, PromptTokens: j.promptTokens(), Arrived: j.arrived,
 		OnTimeDeadline:   j.arrived + j.route.TargetLatency - readTime,
 		DispatchDeadline: max(dispatchDeadline, j.arrived+j.maxWait()),
-	}
+	}}
 }
 
 // acquireEngine waits for an engine with capacity and reserves it.
 func (r *Relay) acquireEngine(ctx context.Context, j *job) (*backends.Reservation, *Refusal) {
 	eq := r.engineQueue(j.service)
-	w := r.engineWaiter(j, eq)
-	wakeup := eq.add(w, r.Now())
+	w, demand := r.engineWaiter(j), r.engineDemand(j)
+	wakeup := eq.add(w, j, demand, r.engineView(j), r.Now())
 	if wakeup == nil {
-		return nil, r.refuseSaturated(j)
+		r.recordQueueDecision(j, w, QueueRefusedAtOnce)
+		return nil, r.refuseSaturated(j, eq, w)
 	}
 	reserved, reported := false, 0
 	defer func() {
@@ -188,6 +204,7 @@
 		if reported > 0 {
 			r.reportQueue(j.service, eq, -reported)
 		}
+		r.recordQueueDecision(j, w, queueResult(reserved))
 	}()
 	if refusal := r.refuseIfBackingOff(j, w); refusal != nil {
 		return nil, refusal
@@ -196,6 +213,8 @@
 	for lastReset := entered; ; {
 		if eq.isHead(w, r.Now()) {
 			if reservation := r.reserveEngine(j, eq, w, r.Now()-entered > spillAfter); reservation != nil {
+				r.recordStart(j, eq, w, demand)
+				r.Peers.Notify()
 				reserved = true
 				return reservation, nil
 			}
@@ -213,8 +232,8 @@
 		if ready, _ := r.Registry.CountReadyWithin(j.service, j.regions); ready == 0 && r.Now()-j.arrived > j.maxWait() {
 			return nil, r.refuse(j, ReasonNoServer)
 		}
-		if eq.shouldReject(w, r.Now()) {
-			return nil, r.refuseSaturated(j)
+		if r.shouldGiveUp(j, eq, w) {
+			return nil, r.refuseSaturated(j, eq, w)
 		}
 		// Reported each time, as the rank of the first request changes over time.
 		r.reportQueue(j.service, eq, 1-reported)
@@ -227,7 +246,7 @@
 
 // refuseIfBackingOff returns a refusal if all engines back off for longer than a request can
 // wait, nil otherwise.
-func (r *Relay) refuseIfBackingOff(j *job, w *flow.Waiter) *Refusal {
+func (r *Relay) refuseIfBackingOff(j *job, w *admission.Waiter) *Refusal {
 	servers := r.availability(j)
 	if !servers.MustWait() || servers.HasBoundedRate || r.Now()+servers.BackoffWait <= w.DispatchDeadline {
 		return nil
@@ -243,16 +262,26 @@
 
 // reserveEngine reserves an engine for the first request of a queue. It returns nil if none has
 // capacity or another gateway has the turn.
-func (r *Relay) reserveEngine(j *job, eq *engineQueue, w *flow.Waiter, spill bool) *backends.Reservation {
-	q := r.engineQuery(j, w.Rank(r.Now()))
+func (r *Relay) reserveEngine(j *job, eq *engineQueue, w *admission.Waiter, spill bool) *backends.Reservation {
+	rank, overTime := eq.rank(w, r.Now())
+	q := r.engineQuery(j, rank)
 	q.Spill = spill
-	reservation := r.Registry.Acquire(q, r.Now())
-	if reservation == nil {
-		return nil
+	if overTime {
+		q.Horizon, q.TokensPerEvent, q.MeanPause = r.expectedRunTime(j), j.tokensPerEvent(), r.currentMeanPause()
 	}
-	r.chargeTeam(j, eq)
-	r.Peers.Notify()
-	return reservation
+	return r.Registry.Acquire(q, r.Now())
+}
+
+// rank returns the rank of a request, and whether an engine's memory is checked over time for it.
+func (eq *engineQueue) rank(w *admission.Waiter, now time.Duration) (rank int, overTime bool) {
+	eq.mu.Lock()
+	defer eq.mu.Unlock()
+	return eq.queue.Rank(w, now), eq.queue.FitsOverTime(w)
+}
+
+// expectedRunTime returns the time that a generation takes, with a margin for a longer response.
+func (r *Relay) expectedRunTime(j *job) time.Duration {
+	return r.promptReadTime(j) + time.Duration(outputMargin*float64(j.expectedEvents(0))*float64(r.currentMeanPause()))
 }
 
 // engineQuery returns the query for an engine, for a request of a rank.
@@ -260,6 +289,7 @@
 	speed := r.currentPromptSpeed()
 	q := r.serverQuery(j)
 	q.ExpectedTokens, q.PromptTokens, q.PromptSpeed = j.expectedMemory(0), j.promptTokens(), speed
+	q.HeldTokens = j.promptTokens()
 	q.MaxMemoryUse, q.MaxPromptPending = maxMemoryFraction, int(speed*maxPromptWait.Seconds())
 	q.MaxPause, q.PauseStretch = r.pauseBound(j, 0)
 	q.Turns = r.Peers.Turns(j.service, rank)
@@ -267,15 +297,29 @@
 }
 
 // refuseSaturated refuses a request because its service is saturated.
-func (r *Relay) refuseSaturated(j *job) *Refusal {
+func (r *Relay) refuseSaturated(j *job, eq *engineQueue, w *admission.Waiter) *Refusal {
 	f := r.refuse(j, ReasonNoCapacity)
-	if !f.MayHaveRun {
-		share := minRetryShare + (maxRetryShare-minRetryShare)*rand.Float64()
-		f.RetryAfter = max(f.RetryAfter, time.Duration(share*float64(j.timeLeft())/callerWaitDivisor))
+	if f.MayHaveRun {
+		return f
 	}
+	honored := j.timeLeft() / callerWaitDivisor
+	if retryAfter, ok := eq.retryAfter(w, honored); ok {
+		f.RetryAfter = retryAfter
+		return f
+	}
+	share := minRetryShare + (maxRetryShare-minRetryShare)*rand.Float64()
+	f.RetryAfter = max(f.RetryAfter, time.Duration(share*float64(honored)))
 	return f
 }
 
+// retryAfter returns the time until there will be capacity for a refused request. ok is false where
+// the order of package admission does not apply.
+func (eq *engineQueue) retryAfter(w *admission.Waiter, honored time.Duration) (_ time.Duration, ok bool) {
+	eq.mu.Lock()
+	defer eq.mu.Unlock()
+	return eq.queue.RetryAfter(w, honored, rand.Float64()), eq.queue.IsActive()
+}
+
 // callerWaitDivisor is the divisor of a caller's remaining time: callers wait for at most that
 // part of it before they retry.
 const callerWaitDivisor = 3
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -53,6 +53,7 @@
 	turns         *flow.Turns
 	notifications int
 	usage         []flow.Usage
+	queues        []flow.Contender
 }
 
 func (p *fakePeers) Count() int              { return p.count }
@@ -83,8 +84,18 @@
 	return p.turns
 }
 
+func (p *fakePeers) Queues(string) []flow.Contender {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.queues
+}
+
 func (p *fakePeers) ReportUsage(string, []flow.Usage) {}
 
+func (p *fakePeers) ReportLightUsage(string, []flow.Usage) {}
+
+func (p *fakePeers) LightUsage(string) []flow.Usage { return nil }
+
 func (p *fakePeers) Usage(string) []flow.Usage {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -358,4 +369,6 @@
 func (noObserver) EventPause(string, time.Duration)                      {}
 func (noObserver) AttemptFailed(string, string)                          {}
 func (noObserver) Migrated(string)                                       {}
-func (noObserver) ServerCrashed(string)                                  {}
+func (noObserver) QueueDecided(string, bool, QueueDecision, time.Duration, time.Duration) {
+}
+func (noObserver) ServerCrashed(string) {}
--- a/internal/relay/migration.go
+++ b/internal/relay/migration.go
@@ -100,6 +100,13 @@
 	return u.job.expectedMemory(u.eventCount)
 }
 
+// memory returns the memory, in tokens, that the run is expected to need and that it holds now.
+func (u *run) memory() (expected, held int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.job.expectedMemory(u.eventCount), u.job.promptTokens() + u.eventCount*u.job.tokensPerEvent()
+}
+
 // countEvents returns the number of events forwarded so far.
 func (u *run) countEvents() int {
 	u.mu.Lock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -46,6 +46,9 @@
 	// Migrated is called for each copy of a run, and for each stream that resumed from a copy, was
 	// hedged or was lost.
 	Migrated(result string)
+	// QueueDecided is called for each generation that was queued for an engine, with the wait that was
+	// estimated on its arrival and the real one.
+	QueueDecided(service string, light bool, d QueueDecision, estimated, waited time.Duration)
 	// ServerCrashed is called for each server that crashed while running requests.
 	ServerCrashed(service string)
 }
@@ -102,6 +105,12 @@
 	// returns what the peers have reported.
 	ReportUsage(service string, top []flow.Usage)
 	Usage(service string) []flow.Usage
+	// ReportLightUsage and LightUsage are the same for the part of the usage that is by light
+	// generations, see package admission.
+	ReportLightUsage(service string, top []flow.Usage)
+	LightUsage(service string) []flow.Usage
+	// Queues returns what the peers have reported of their queues for a service.
+	Queues(service string) []flow.Contender
 	// Turns returns which gateway may use the servers of a service, for a request of a rank. It
 	// is nil while no peer has an equally urgent request queued.
 	Turns(service string, rank int) *flow.Turns
@@ -205,6 +214,8 @@
 	hadBrokenResponse bool
 	// progress is the progress of a stream.
 	progress progress
+	// queued is how a generation was queued for an engine.
+	queued queueWait
 	// forecasts estimates the lengths of generations.
 	forecasts *outputForecasts
 	log       logrus.FieldLogger
@@ -256,6 +267,7 @@
 	if g := j.Generation; g != nil {
 		f["prompt"], f["max_output"], f["hint"] = g.PromptTokens, g.MaxOutput, g.EstimatedOutput
 		f["events"], f["first_ms"], f["pause_ms"] = j.progress.events, j.progress.firstDelay.Milliseconds(), j.progress.longestPause.Milliseconds()
+		f["light"], f["est_wait_ms"], f["queue_ms"] = j.queued.light, j.queued.estimated.Milliseconds(), j.queued.waited.Milliseconds()
 	}
 	return f
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -138,7 +138,7 @@
 		}
 		s.run.recordEvent(s.job.progress, s.seq.lastEventID(), s.lastEventAt)
 		if s.job.Generation != nil && s.job.progress.events%memoryUpdateInterval == 0 {
-			placed.reservation.SetExpectedTokens(s.run.expectedMemory())
+			placed.reservation.SetMemory(s.run.memory())
 		}
 	}
 }
--- a/placement/filters.go
+++ b/placement/filters.go
@@ -1,6 +1,9 @@
 package placement
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // Reachable drops servers without a session.
 func Reachable(_ *Request, s *Server) bool { return s.Connected }
@@ -53,5 +56,29 @@
 	if r.MaxMemoryUse <= 0 || s.MemoryTotal == 0 {
 		return true
 	}
-	return float64(s.MemoryForecast)+float64(r.Tokens) <= r.MaxMemoryUse*float64(s.MemoryTotal)
+	return memoryBy(r, s)+float64(r.Tokens) <= r.MaxMemoryUse*float64(s.MemoryTotal)
+}
+
+// heldAge is the age that MemoryHeld may have: a gateway updates what a run holds about every half
+// second, and its report reaches the others within 0.3 s.
+const heldAge = 800 * time.Millisecond
+
+// memoryBy returns the memory, in tokens, that a server's requests need until the end of the
+// request: their expected peak, or for a request with a Horizon what they will hold by then. All
+// of them grow all that time, so that a server never has to preempt one for the request. The
+// peak is the bound in either case.
+func memoryBy(r *Request, s *Server) float64 {
+	peak := float64(s.MemoryForecast)
+	if r.Horizon <= 0 || r.MeanPause <= 0 {
+		return peak
+	}
+	span, pause := r.Horizon+heldAge, r.MeanPause
+	if r.PromptSpeed > 0 {
+		span += time.Duration(float64(s.PromptPending) / r.PromptSpeed * float64(time.Second))
+	}
+	if s.UsualPause > 0 {
+		pause = min(pause, s.UsualPause)
+	}
+	growth := float64(s.Running) * float64(r.TokensPerEvent) * float64(span) / float64(pause)
+	return min(peak, float64(s.MemoryHeld)+growth)
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -31,6 +31,8 @@
 	// Running, Queued, MemoryForecast and MemoryTotal are from the last load report.
 	Running, Queued             int
 	MemoryForecast, MemoryTotal uint64
+	// MemoryHeld is the part of MemoryForecast that the requests hold now.
+	MemoryHeld uint64
 	// SentSinceReport is the number of requests that this process has sent since that report.
 	SentSinceReport int
 	// PromptPending is the number of prompt tokens that the server reads before the prompt
@@ -68,6 +70,13 @@
 	Regions routing.Regions
 	// Tokens is the memory that the request is expected to need, in tokens.
 	Tokens int
+	// Horizon is the expected time for which a short request holds its memory. The memory that the
+	// server's requests will hold by then bounds the choice in place of their expected peak. 0
+	// stands for the peak. TokensPerEvent and MeanPause, the usual pause of the service's
+	// servers, give the growth of a request.
+	Horizon        time.Duration
+	TokensPerEvent int
+	MeanPause      time.Duration
 	// PromptSpeed is the number of prompt tokens per second that a server reads.
 	PromptSpeed float64
 	// MaxMemoryUse bounds the share of a server's memory in use including this request.
--- a/placement/scorers.go
+++ b/placement/scorers.go
@@ -28,8 +28,13 @@
 }
 
 // FreeCapacity prefers servers that will have free memory and free slots with the request added;
-// the scarcer of the two counts.
+// the scarcer of the two counts. All servers rank alike for a request with a Horizon, which fits
+// into the memory that others leave over: the server with most free memory is the one that longer
+// requests of all processes are sent to.
 func FreeCapacity(r *Request, s *Server) float64 {
+	if r.Horizon > 0 {
+		return 0
+	}
 	used := 0.0
 	if s.MemoryTotal > 0 {
 		used = (float64(s.MemoryForecast) + float64(r.Tokens)) / float64(s.MemoryTotal)
