Aged generations go before on-time ones of other gateways too

An accepted generation that is late gets what others leave, and is moved up after 85 % of the time that it can wait. It then had the rank of on-time ones, so that the other gateways did not give way, and dozens that aged at once were not all served in the 4 s left. They now have the rank before.

--- a/admission/order.go
+++ b/admission/order.go
@@ -40,15 +40,15 @@
 }
 
 // The positions within a tier. Light generations that can be on time have those up to MaxLevel, by
-// level, and others that can be on time those from subOther on.
+// level, then come late light and aged ones, and others that can be on time from subOther on.
 const (
 	subLateLight = flow.MaxLevel + 1
 	subOther     = subLateLight + 1
 )
 
 // rankWithin are the ranks within a tier by position. Two levels share a rank: beyond twice an equal
-// share a team counts as large at other gateways. Late light generations have the rank of those of
-// large teams.
+// share a team counts as large at other gateways. Late light generations and aged ones have the rank
+// of on-time light ones of large teams.
 var rankWithin = [subOther + flow.MaxLevel + 1]int{0, 0, 1, 1, 1, 2, 2, 3, 3}
 
 // placeOf returns the place of a generation.
@@ -61,7 +61,7 @@
 	case w.Light:
 		sub = subLateLight
 	case w.isAged(now):
-		sub = subOther
+		sub = subLateLight
 	case isLate:
 		return place{rank: flow.LateRank + tier*tierRanks + level}
 	}
@@ -77,7 +77,7 @@
 const agedShare = 0.85
 
 // isAged reports whether a generation has waited most of the time that it can wait. One that is not
-// light is then ranked before those that can be on time, whatever its team has used: it has been
+// light is then ranked as late light ones are, before others whatever its team has used: it has been
 // accepted and must be served.
 func (w *Waiter) isAged(now time.Duration) bool {
 	return now-w.Arrived > time.Duration(agedShare*float64(w.DispatchDeadline-w.Arrived))
@@ -85,14 +85,15 @@
 
 // isBefore reports whether a is dispatched before b.
 func isBefore(a, b *Waiter, now time.Duration) bool {
-	if c := placeOf(a, now).compare(placeOf(b, now)); c != 0 {
+	p := placeOf(a, now)
+	if c := p.compare(placeOf(b, now)); c != 0 {
 		return c < 0
 	}
-	if now > a.OnTimeDeadline && now > b.OnTimeDeadline {
-		if a.Light {
-			return a.DispatchDeadline < b.DispatchDeadline
-		}
+	switch {
+	case p.rank >= flow.LateRank:
 		return a.Arrived < b.Arrived
+	case p.sub == subLateLight:
+		return a.DispatchDeadline < b.DispatchDeadline
 	}
 	return a.OnTimeDeadline < b.OnTimeDeadline
 }
