Admission: short generations with long prompts are light too, long ones wait longer

Light is now up to a quarter of the average, a long one is accepted while its estimated wait is within 0.7 of a third of the time that its caller waits (half of that for teams above twice their share).

The package's load test: short ones refused or late 4 to 7 of some 820, as before the change.

--- a/admission/kinds.go
+++ b/admission/kinds.go
@@ -15,9 +15,9 @@
 
 const (
 	// lightDivisor is the part of the average memory-time product up to which a generation is
-	// light. Serving one then costs long ones an eighth of one generation's memory at most, which
-	// is within what forecasts are off by.
-	lightDivisor = 8
+	// light. Short generations with prompts of twice their usual length take a sixth of the average of
+	// long ones. Serving one then costs long ones a quarter of one generation's memory at most.
+	lightDivisor = 4
 	// targetRatio is the ratio of latency targets from which on the order of this package
 	// applies. A long generation that waits as long as a light one may wait then has half of its
 	// own target left.
@@ -81,7 +81,7 @@
 	lightTarget average
 }
 
-// IsLight reports whether a generation is light: its product is at most an eighth of the average.
+// IsLight reports whether a generation is light: its product is at most a quarter of the average.
 func (k *Kinds) IsLight(d Demand) bool {
 	p := d.Product()
 	return p > 0 && p*lightDivisor <= k.product.value()
--- a/admission/wait.go
+++ b/admission/wait.go
@@ -27,12 +27,12 @@
 	onTimeShare = 0.7
 	// largeTeamShare is the same for generations that are not light of teams of largeTeamLevel and above:
 	// others that arrive later pass them.
-	largeTeamShare = 0.2
+	largeTeamShare = 0.5
 	largeTeamLevel = 2
 	// minWaitShare is the part of the time until the caller leaves that counts in place of the time in
 	// which a generation can start on time, if that is shorter. A target may be shorter than the prompt
 	// takes to read.
-	minWaitShare = 0.125
+	minWaitShare = 0.35
 	// lostMemoryShare is the part of the engines' memory below which the remaining part counts as a
 	// loss of engines, so that queued generations are checked again.
 	lostMemoryShare = 0.95
