Shared concurrency limit for plain services with few slots

Cause: each gateway allows itself at least one request, so that servers with fewer slots than there are gateways are sent several times their slots when more is asked for than they can answer. While a service has no server, callers are told to retry while there is still none.

Change: the package concurrency estimates the capacity of such servers from their slots and answer times and admits each gateway's part of it, in proportion to its demand, which gateways tell each other in State.demands. Requests that do not get their turn in time are refused on arrival. The limit also applies to retries and second attempts.

--- a/backends/registry.go
+++ b/backends/registry.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"kingcupplank.example/kingcup/cells"
+	"kingcupplank.example/kingcup/concurrency"
 	"kingcupplank.example/kingcup/flow"
 	"kingcupplank.example/kingcup/pacing"
 	"kingcupplank.example/kingcup/placement"
@@ -72,6 +73,8 @@
 	remoteSums map[incarnation]Load
 	// remoteStatuses are what other processes have reported of servers, by process and server.
 	remoteStatuses map[string]map[string]ServerStatus
+	// answers are the times of the answers of all servers of a service, by service.
+	answers map[string]*concurrency.Answers
 	// lists caches the usable servers of each service. scratch is the reused buffer of views.
 	lists     map[string][]*server
 	scratch   []placement.Server
@@ -108,7 +111,7 @@
 	return &Registry{
 		domain: domain, traits: traits, onLeaving: onLeaving,
 		policy: placement.Direct(), copyPolicy: placement.CopyTarget(), servers: make(map[string]*server), departures: make(map[string]departure), remoteLoads: make(map[string]map[string]Load), remoteSums: make(map[incarnation]Load), remoteStatuses: make(map[string]map[string]ServerStatus),
-		lists: make(map[string][]*server),
+		lists: make(map[string][]*server), answers: make(map[string]*concurrency.Answers),
 	}
 }
 
@@ -314,6 +317,9 @@
 	// Spill allows servers of other cells where the process's own cell has none with capacity.
 	// What processes of other cells send there is not known here.
 	Spill bool
+	// OwnLoadOnly ignores the loads that other processes have reported. They are older than a
+	// short request takes, and all processes would choose the server that seemed idle.
+	OwnLoadOnly bool
 	// MaxPause and PauseStretch bound the pauses of a long response, see placement.Request.
 	MaxPause     time.Duration
 	PauseStretch float64
@@ -402,6 +408,9 @@
 	meanPause := meanPause(list, now)
 	for _, s := range list {
 		load := r.load(s)
+		if q.OwnLoadOnly {
+			load = s.ownLoad
+		}
 		// A run that is resumed from its copy can't wait for the rate limit, so rate-limited
 		// servers get no copies.
 		paced := q.ForCopy && s.rateLimit.limited || !r.canSend(s, s.pacingLimit(traits, now), len(list), q.SharedTime, now)
--- a/backends/reservation.go
+++ b/backends/reservation.go
@@ -129,6 +129,7 @@
 	case ResultLost:
 		target.recordLoss(now)
 	case ResultFull:
+		r.observeFull(target, now)
 		target.avoidUntil = max(target.avoidUntil, now+fullAvoidTime)
 	case ResultUnreachable:
 		target.recordAnswer(1, answerGain, now)
--- a/backends/server.go
+++ b/backends/server.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"kingcupplank.example/kingcup/concurrency"
 	"kingcupplank.example/kingcup/pace"
 	"kingcupplank.example/kingcup/pacing"
 )
@@ -64,6 +65,10 @@
 	// avoidUntil is when the server is no longer ranked last for being full or unreachable.
 	avoidUntil time.Duration
 	ownLoad    Load
+	// answers are the times of its answers to requests without an engine. listedAt is when this
+	// incarnation became known, or was listed again.
+	answers  concurrency.Answers
+	listedAt time.Duration
 	// ownPace is estimated from the streams of this process, remotePace from those of another.
 	ownPace, remotePace pace.Estimator
 	// failures is the failure rate as of failuresAt, an exponentially weighted average.
@@ -157,6 +162,9 @@
 		s.StartTime = o.StartTime
 	}
 	o.Server = s
+	if o.gone || o.listedAt == 0 {
+		o.listedAt = now
+	}
 	o.gone = o.gone && (o.replaced || s.Leaving)
 	o.excluded, o.excludedUntil = false, 0
 	o.missingUntil = 0
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -67,12 +67,16 @@
 	mu        sync.Mutex
 	queues    map[string]flow.Contender
 	teamUsage map[string]usageSnapshot
+	// demands are the demands for services here. invalidDemandLogged is when a peer's report that
+	// is out of range was last logged. Both are guarded by mu.
+	demands             map[string]demandSnapshot
+	invalidDemandLogged time.Duration
 
 	positions positionSchedule
 }
 
 func newGroup(self peers.Member, store tableStore, registry *backends.Registry, replica *routing.Replica, linkMbps float64, maxLinks int, stats *controlStats, log logrus.FieldLogger) *group {
-	g := &group{self: self, store: store, registry: registry, linkMbps: linkMbps, stats: stats, log: log, followers: make(map[string]*follow.Follower), queues: make(map[string]flow.Contender), teamUsage: make(map[string]usageSnapshot)}
+	g := &group{self: self, store: store, registry: registry, linkMbps: linkMbps, stats: stats, log: log, followers: make(map[string]*follow.Follower), queues: make(map[string]flow.Contender), teamUsage: make(map[string]usageSnapshot), demands: make(map[string]demandSnapshot)}
 	g.encoders = map[string]*changeEncoder{directory.Table: {}, membersTable: {}}
 	g.role = newReaderRole(g)
 	g.registrar = newRegistrar(g)
@@ -120,6 +124,7 @@
 	for service, q := range g.queues {
 		s.Queues = append(s.Queues, &peerv1.Queue{Service: service, Waiting: uint32(q.Waiting), Rank: uint32(q.Rank), First: uint32(q.WaitingAtRank)})
 	}
+	s.Demands = g.demandMessages(clock.SinceBoot())
 	for service, used := range g.teamUsage {
 		for _, u := range used.decayedAt(clock.SinceBoot()) {
 			s.Usages = append(s.Usages, &peerv1.Usage{Service: service, Team: u.Team, Amount: float32(u.Amount)})
--- a/internal/gatewaymetrics/metrics.go
+++ b/internal/gatewaymetrics/metrics.go
@@ -45,6 +45,7 @@
 	storeRestores *prometheus.CounterVec
 	// peerBytes counts the bytes sent to other gateways, by cause.
 	peerBytes *prometheus.CounterVec
+	limits    limitMetrics
 	// epoch is the zero of the times that the tracker gets.
 	epoch time.Time
 
@@ -102,6 +103,7 @@
 	r.storeRestores = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "kingcup_gateway_store_restored_total", Help: "Times that the store has come back from a copy, by table.",
 	}, []string{"table"})
+	r.limits = newLimitMetrics(r.registry)
 	r.registry.MustRegister(r.storeCallReasons, r.peerBytes, r.storeRestores)
 	r.registry.MustRegister(r.requests, r.firstByte, r.eventPause, r.failedAttempts, r.migrations, r.crashes, r.unreadableEntries, r.storeCalls, r.storeBytes, r.storeTransfer)
 	return r
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -113,6 +113,9 @@
 	j.maybeRun++
 	j.responseBegun.Store(true)
 	reservation.FinishPrompt()
+	if j.engine == nil && result.response.Status < 500 {
+		reservation.ObserveAnswer(result.at-result.SentAt, result.at)
+	}
 	if result.ResumeFrom == nil {
 		r.recordPromptTime(reservation.PromptTokens+j.promptTokens(), result.at-result.SentAt)
 	}
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"kingcupplank.example/kingcup/backends"
+	"kingcupplank.example/kingcup/concurrency"
 	"kingcupplank.example/kingcup/flow"
 	"kingcupplank.example/kingcup/pacing"
 	"kingcupplank.example/kingcup/routing"
@@ -53,6 +54,9 @@
 	turns         *flow.Turns
 	notifications int
 	usage         []flow.Usage
+	// reportedDemand records the relay's calls; the test sets demand.
+	reportedDemand float64
+	demand         concurrency.PeerDemand
 }
 
 func (p *fakePeers) Count() int              { return p.count }
@@ -91,6 +95,18 @@
 	return p.usage
 }
 
+func (p *fakePeers) ReportDemand(_ string, perSecond float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reportedDemand = perSecond
+}
+
+func (p *fakePeers) Demand(string) concurrency.PeerDemand {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.demand
+}
+
 func (p *fakePeers) SharedClock() pacing.SharedTime { return pacing.SharedTime{} }
 
 func (p *fakePeers) MigrationTurns(string) *flow.Turns { return p.Turns("", 0) }
--- a/internal/relay/pacedqueue.go
+++ b/internal/relay/pacedqueue.go
@@ -59,13 +59,23 @@
 	return next == nil || next == w
 }
 
-// add adds a request unless it is queued already.
-func (pq *pacedQueue) add(w *flow.Waiter) {
+// add adds a request. It reports whether the request was queued before.
+func (pq *pacedQueue) add(w *flow.Waiter) bool {
 	pq.mu.Lock()
 	defer pq.mu.Unlock()
-	if !pq.queue.Contains(w) {
-		pq.queue.Add(w)
+	if pq.queue.Contains(w) {
+		return true
 	}
+	pq.queue.Add(w)
+	return false
+}
+
+// countAhead counts the queued requests that precede one.
+func (pq *pacedQueue) countAhead(w *flow.Waiter, now time.Duration) int {
+	pq.mu.Lock()
+	defer pq.mu.Unlock()
+	pq.queue.SetRate(1)
+	return int(pq.queue.EstimateWait(w, now) / time.Second)
 }
 
 // remove removes a request; nil is ignored.
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -51,6 +51,7 @@
 func (r *Relay) place(ctx context.Context, j *job, lastEventID string) (*placedResponse, *Refusal) {
 	if j.attempts == 0 {
 		r.recordFirstAttempt(j.service)
+		r.sharedLimit(j).arrived(r.Now())
 	}
 	for {
 		reservation, refusal := r.acquire(ctx, j)
@@ -148,16 +149,20 @@
 
 // acquirePlain reserves a server for a request that does not need an engine.
 func (r *Relay) acquirePlain(ctx context.Context, j *job) (*backends.Reservation, *Refusal) {
-	pq := r.pacedQueue(j.service)
+	pq, limit := r.pacedQueue(j.service), r.sharedLimit(j)
 	var w *flow.Waiter
 	defer func() { pq.remove(w, r.Now()) }()
 	for {
-		if r.canAskServers(j, pq, w) {
+		r.updateSharedLimit(limit)
+		if r.canAskServers(j, pq, w) && r.takeTurn(j, limit, pq, w) {
 			q := r.serverQuery(j)
 			q.ExpectedTokens, q.PromptTokens, q.Spill = j.expectedMemory(0), j.promptTokens(), true
+			q.OwnLoadOnly = limit.binds()
 			if reservation := r.Registry.Acquire(q, r.Now()); reservation != nil {
+				limit.admitted()
 				return reservation, nil
 			}
+			limit.giveBack()
 		}
 		if refusal := r.refuseIfCordoned(j); refusal != nil {
 			return nil, refusal
@@ -175,6 +180,18 @@
 			}
 			interval, waitUntil = pacedRetryInterval, w.DispatchDeadline
 		}
+		if limit.binds() {
+			if j.hasResponse {
+				return nil, r.refuse(j, ReasonNoCapacity)
+			}
+			if w == nil {
+				w = r.limitedWaiter(j, limit)
+			}
+			if refusal := r.joinLimitedQueue(j, pq, w, limit); refusal != nil {
+				return nil, refusal
+			}
+			interval, waitUntil = pacedRetryInterval, w.DispatchDeadline
+		}
 		if r.Now()+interval > waitUntil || j.timeLeft() < interval {
 			return nil, r.refuseUnplaced(j)
 		}
@@ -188,7 +205,10 @@
 // refuseUnplaced refuses a request that found no server in its maximum wait.
 func (r *Relay) refuseUnplaced(j *job) *Refusal {
 	if ready, _ := r.Registry.CountReadyWithin(j.service, j.regions); ready == 0 {
-		return r.refuse(j, ReasonNoServer)
+		return r.refuseNoServer(j)
+	}
+	if limit := r.sharedLimit(j); limit.binds() {
+		return r.refuseLimited(j, limit)
 	}
 	return r.refuse(j, ReasonNoCapacity)
 }
--- a/internal/relay/race.go
+++ b/internal/relay/race.go
@@ -72,10 +72,16 @@
 func (r *Relay) startSecondAttempt(ctx context.Context, j *job, first *attempt) *attempt {
 	q := r.serverQuery(j)
 	q.Tried, q.Spill = append([]string{first.Server.ID}, j.excluded...), true
+	limit := r.sharedLimit(j)
+	if !limit.tryTake(r.Now()) {
+		return nil
+	}
 	reservation := r.Registry.Acquire(q, r.Now())
 	if reservation == nil {
+		limit.giveBack()
 		return nil
 	}
+	limit.admitted()
 	if _, quarantined := r.quarantined(j); quarantined || !r.takeRetry(j.service) {
 		reservation.Release(backends.ResultInconclusive, r.Now())
 		return nil
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"kingcupplank.example/kingcup/backends"
+	"kingcupplank.example/kingcup/concurrency"
 	"kingcupplank.example/kingcup/flow"
 	"kingcupplank.example/kingcup/internal/clock"
 	"kingcupplank.example/kingcup/pace"
@@ -60,6 +61,8 @@
 	Observer   Observer
 	Peers      Peers
 	Quarantine Quarantine
+	// Limits receives the decisions of shared limits for metrics, nil for none.
+	Limits LimitObserver
 }
 
 // Quarantine decides which requests are quarantined, from the crashes that all gateways have
@@ -108,6 +111,10 @@
 	// MigrationTurns returns which gateway may copy runs off the servers that leave a failure
 	// domain. It is nil while only this gateway has such runs.
 	MigrationTurns(domain string) *flow.Turns
+	// ReportDemand reports to the peers the rate at which requests for a service arrive here.
+	// Demand returns what the peers have reported.
+	ReportDemand(service string, perSecond float64)
+	Demand(service string) concurrency.PeerDemand
 	// SharedClock returns the time of the clock that all gateways share.
 	SharedClock() pacing.SharedTime
 }
@@ -124,6 +131,7 @@
 	runs         map[string]map[*run]struct{}
 	engineQueues map[string]*engineQueue
 	pacedQueues  map[string]*pacedQueue
+	sharedLimits map[string]*sharedLimit
 	// crashChecks are the checks of servers whose responses broke off recently.
 	crashChecks map[incarnation]*crashCheck
 	inProgress  int
@@ -136,6 +144,8 @@
 	// promptSpeed is the moving average of the prompt tokens per second that an engine reads.
 	promptSpeed float64
 	forecasts   *outputForecasts
+	// started is when this process started.
+	started time.Duration
 	// shutdownAt is when this process will stop, zero if unknown. From refuseFrom on, requests
 	// that would outlast it are refused in any case.
 	shutdownAt, refuseFrom time.Time
@@ -149,6 +159,8 @@
 		runs:         make(map[string]map[*run]struct{}),
 		engineQueues: make(map[string]*engineQueue),
 		pacedQueues:  make(map[string]*pacedQueue),
+		sharedLimits: make(map[string]*sharedLimit),
+		started:      deps.Now(),
 		crashChecks:  make(map[incarnation]*crashCheck),
 		jobs:         make(map[*job]struct{}),
 		meanPause:    initialPause,
