--- a/concurrency/answers.go
+++ b/concurrency/answers.go
@@ -23,6 +23,12 @@
 	// maxAnswerTime bounds an answer time. A longer one says nothing of the capacity.
 	maxAnswerTime = 30 * time.Second
 
+	// fasterAnswers is the number of answers in a row below fasterPart of the usual time from which
+	// the usual time is taken anew: a server that has been cold or overloaded no longer is. A
+	// queue makes answers slower, never faster.
+	fasterAnswers = 3
+	fasterPart    = 0.8
+
 	// recentWindow is the number of answers whose shortest time tells whether there is a queue
 	// now, and maxRecentAge how long they count.
 	recentWindow = 2
@@ -50,6 +56,8 @@
 	next   int
 	usual  time.Duration
 	latest time.Duration
+	// faster counts the latest answers that were faster than usual.
+	faster int
 
 	recent     [recentWindow]time.Duration
 	recentNext int
@@ -81,6 +89,7 @@
 		a.slow++
 		a.slowAt = now
 	}
+	a.noteFaster(took)
 	if len(a.times) >= firstAnswers && now-a.latest < usualSpacing {
 		return
 	}
@@ -99,6 +108,17 @@
 	}
 }
 
+// noteFaster drops the earlier answer times once the latest answers were faster.
+func (a *Answers) noteFaster(took time.Duration) {
+	if float64(took) >= fasterPart*float64(a.usual) {
+		a.faster = 0
+		return
+	}
+	if a.faster++; a.faster == fasterAnswers {
+		a.times, a.next, a.faster = append(a.times[:0], took), 0, 0
+	}
+}
+
 // ObserveFull records a refusal for lack of capacity.
 func (a *Answers) ObserveFull(now time.Duration) {
 	a.advance(now)
--- a/concurrency/limiter.go
+++ b/concurrency/limiter.go
@@ -32,6 +32,9 @@
 	// second and per usual time of delay.
 	targetDelay = 0.15
 	boostRate   = 1.0
+	// missingFactor is how many times faster the boost follows while gateways are missing: those
+	// that have died send nothing, those that are cut off do, and only the answers tell which.
+	missingFactor = 3
 	// minBoost and maxBoost bound the boost, maxUncertainBoost where the total is not known.
 	minBoost          = 0.8
 	maxBoost          = 1.3
@@ -144,10 +147,10 @@
 
 // mostBoost returns the upper bound of the boost.
 func (l *Limiter) mostBoost() float64 {
-	if l.isTotalKnown() {
-		return maxBoost
+	if !l.isTotalKnown() {
+		return maxUncertainBoost
 	}
-	return maxUncertainBoost
+	return maxBoost * float64(max(l.in.Gateways, l.in.Peers.Heard+1)) / float64(l.in.Peers.Heard+1)
 }
 
 // adjustBoost moves the boost towards the target delay.
@@ -156,7 +159,12 @@
 	if c.Usual <= 0 {
 		return
 	}
-	l.boost += boostRate * interval.Seconds() * (targetDelay - float64(c.Delay)/float64(c.Usual))
+	delay := float64(c.Delay) / float64(c.Usual)
+	rate := boostRate * (targetDelay - delay)
+	if l.isTotalKnown() && l.in.Peers.Heard+1 < l.in.Gateways {
+		rate *= missingFactor
+	}
+	l.boost += rate * interval.Seconds()
 	l.boost = bounded(l.boost, minBoost, l.mostBoost())
 }
 
--- a/internal/gateway/demands.go
+++ b/internal/gateway/demands.go
@@ -47,8 +47,14 @@
 }
 
 // Demand implements relay.Peers.
-func (g *group) Demand(service string) (sum concurrency.PeerDemand) {
-	for _, s := range g.links.LiveStates() {
+func (g *group) Demand(service string) concurrency.PeerDemand {
+	return sumDemands(g.links.LiveStates(), service, func(peer string, rate float64) { g.logInvalidDemand(peer, service, rate) })
+}
+
+// sumDemands sums the demand for a service in the states of peers. Peers that report no demand at all
+// count as not heard. It calls onInvalid for each report that is out of range.
+func sumDemands(states []*peerv1.State, service string, onInvalid func(peer string, rate float64)) (sum concurrency.PeerDemand) {
+	for _, s := range states {
 		if len(s.GetDemands()) == 0 {
 			continue
 		}
@@ -59,7 +65,7 @@
 			}
 		}
 		if !sum.Add(rate) {
-			g.logInvalidDemand(s.GetFrom().GetName(), service, rate)
+			onInvalid(s.GetFrom().GetName(), rate)
 		}
 	}
 	return sum
