--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -107,6 +107,12 @@
 	return p.demand
 }
 
+func (p *fakePeers) setDemand(d concurrency.PeerDemand) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.demand = d
+}
+
 func (p *fakePeers) SharedClock() pacing.SharedTime { return pacing.SharedTime{} }
 
 func (p *fakePeers) MigrationTurns(string) *flow.Turns { return p.Turns("", 0) }
--- a/internal/relay/sharedlimit_test.go
+++ b/internal/relay/sharedlimit_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	logtest "github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/require"
 
 	"kingcupplank.example/kingcup/backends"
@@ -144,6 +145,62 @@
 	})
 }
 
+// limitRecorder records what a shared limit reports.
+type limitRecorder struct {
+	mu       sync.Mutex
+	last     concurrency.Status
+	decided  map[string]int
+	bindings int
+}
+
+func (l *limitRecorder) LimitUpdated(_ string, s concurrency.Status) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s.Limited && !l.last.Limited {
+		l.bindings++
+	}
+	l.last = s
+}
+
+func (l *limitRecorder) LimitDecided(_, result string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.decided[result]++
+}
+
+// Guards against a limit whose begin and end cannot be seen, or that fills the log when it binds and
+// ceases to bind many times.
+func TestSharedLimitIsReportedWithoutFillingTheLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const times = 10
+		f := newSharedFixture(t, peerDemand)
+		log, hook := logtest.NewNullLogger()
+		recorder := &limitRecorder{decided: make(map[string]int)}
+		f.relay.Log, f.relay.Limits = log, recorder
+		result := &sharedResult{}
+		for range times {
+			f.peers.setDemand(concurrency.PeerDemand{Sum: 21 * peerDemand, Heard: 21})
+			r := f.play("/once/x", peerDemand, time.Second)
+			result.served, result.refused = result.served+r.served, result.refused+r.refused
+			f.peers.setDemand(concurrency.PeerDemand{Heard: 21})
+			f.play("/once/x", peerDemand, time.Second)
+		}
+		require.GreaterOrEqual(t, recorder.bindings, times-1)
+		require.Equal(t, result.refused, recorder.decided[LimitRefused])
+		require.Positive(t, recorder.decided[LimitAdmitted])
+		require.InDelta(t, 200, recorder.last.Capacity, 5)
+		require.Equal(t, 6, recorder.last.Slots)
+		lines := map[string]int{}
+		for _, e := range hook.AllEntries() {
+			lines[e.Message]++
+		}
+		begun := lines["demand exceeds the capacity of the servers, shared limit binds"]
+		require.Positive(t, begun)
+		require.LessOrEqual(t, begun, int(2*times*time.Second/limitLogInterval)+1)
+		require.Equal(t, begun, lines["shared limit no longer binds"])
+	})
+}
+
 // Guards against a request that need not be repeated at a second server exceeding the share.
 func TestSecondAttemptsCountAgainstTheShare(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
