--- a/concurrency/failures_test.go
+++ b/concurrency/failures_test.go
@@ -129,6 +129,36 @@
 	}
 }
 
+// outage plays a service of three servers, with little load, that has no server for 2 s and then one,
+// while all gateways restart. It returns what happened from its begin on.
+func outage(seed uint64, newAdmit func(time.Duration) simAdmission) simResult {
+	f := fleet{22, 3, 6}
+	s := newSim(f.gateways, f.servers, f.slots, seed, newAdmit)
+	s.retry = true
+	s.rate = func(time.Duration) float64 { return 131 }
+	s.events[failAt] = func() {
+		for i, g := range s.gateways {
+			s.reset(g, i)
+		}
+		for i, v := range s.servers {
+			v.upFrom, v.running, v.queue = failAt+2*time.Second+time.Duration(i)*4*time.Second, nil, nil
+		}
+	}
+	before := s.run(failAt)
+	return s.run(failAt + 8*time.Second).since(before)
+}
+
+// Guards against late answers at the first server that returns after an outage, and against callers
+// that are told to retry while there is still no server.
+func TestOutageOfAllServersCostsFewCallers(t *testing.T) {
+	for seed := range uint64(3) {
+		now, old := outage(seed, newShared), outage(seed, newUnlimited)
+		t.Logf("late %d, lost %d; without the limit late %d, lost %d", now.late, now.lost, old.late, old.lost)
+		require.LessOrEqual(t, now.late, now.answered/100)
+		require.Less(t, now.late+now.lost, old.late+old.lost)
+	}
+}
+
 // Guards against a server that answers slowly or is full keeping its capacity, and against one that
 // has recovered not getting it back.
 func TestSlowAndFullAnswersLowerTheCapacity(t *testing.T) {
--- a/concurrency/load_test.go
+++ b/concurrency/load_test.go
@@ -67,6 +67,7 @@
 	r.refused -= o.refused
 	r.refusedHeld -= o.refusedHeld
 	r.delayed -= o.delayed
+	r.lost -= o.lost
 	r.answered -= o.answered
 	r.retryAfter = r.retryAfter[len(o.retryAfter):]
 	return r
--- a/concurrency/sim_test.go
+++ b/concurrency/sim_test.go
@@ -114,8 +114,10 @@
 type simResult struct {
 	arrived, admitted, onTime, late, refused, delayed int
 	refusedHeld                                       int
-	answered                                          int
-	retryAfter                                        []time.Duration
+	// lost counts the callers that were refused and do not retry.
+	lost       int
+	answered   int
+	retryAfter []time.Duration
 	// inFlight has a sample for each tick, in requests at a server or on the way.
 	inFlight []float64
 	answers  []int
@@ -269,6 +271,7 @@
 		s.refusedHeld++
 	}
 	if !s.retry || q.retried {
+		s.lost++
 		return
 	}
 	q.retried = true
