--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -67,12 +67,20 @@
 	mu                    sync.Mutex
 	queues                map[string]flow.Contender
 	teamUsage, lightUsage map[string]usageSnapshot
+	// demands are the demands for services here. invalidDemandLogged is when a peer's report that
+	// is out of range was last logged. Both are guarded by mu.
+	demands             map[string]demandSnapshot
+	invalidDemandLogged time.Duration
 
 	positions positionSchedule
 }
 
 func newGroup(self peers.Member, store tableStore, registry *backends.Registry, replica *routing.Replica, linkMbps float64, maxLinks int, stats *controlStats, log logrus.FieldLogger) *group {
-	g := &group{self: self, store: store, registry: registry, linkMbps: linkMbps, stats: stats, log: log, followers: make(map[string]*follow.Follower), queues: make(map[string]flow.Contender), teamUsage: make(map[string]usageSnapshot), lightUsage: make(map[string]usageSnapshot)}
+	g := &group{
+		self: self, store: store, registry: registry, linkMbps: linkMbps, stats: stats, log: log, followers: make(map[string]*follow.Follower),
+		queues: make(map[string]flow.Contender), teamUsage: make(map[string]usageSnapshot), lightUsage: make(map[string]usageSnapshot),
+		demands: make(map[string]demandSnapshot),
+	}
 	g.encoders = map[string]*changeEncoder{directory.Table: {}, membersTable: {}}
 	g.role = newReaderRole(g)
 	g.registrar = newRegistrar(g)
@@ -120,6 +128,7 @@
 	for service, q := range g.queues {
 		s.Queues = append(s.Queues, &peerv1.Queue{Service: service, Waiting: uint32(q.Waiting), Rank: uint32(q.Rank), First: uint32(q.WaitingAtRank), Tokens: uint64(max(0, q.Tokens))})
 	}
+	s.Demands = g.demandMessages(clock.SinceBoot())
 	for service, used := range g.teamUsage {
 		light := g.lightAmounts(service, clock.SinceBoot())
 		for _, u := range used.decayedAt(clock.SinceBoot()) {
--- a/internal/gatewaymetrics/metrics.go
+++ b/internal/gatewaymetrics/metrics.go
@@ -49,6 +49,7 @@
 	storeRestores *prometheus.CounterVec
 	// peerBytes counts the bytes sent to other gateways, by cause.
 	peerBytes *prometheus.CounterVec
+	limits    limitMetrics
 	// epoch is the zero of the times that the tracker gets.
 	epoch time.Time
 
@@ -117,6 +118,7 @@
 		Name: "kingcup_gateway_queue_estimate_seconds", Help: "The same time as it was estimated on arrival.", Buckets: waits,
 	}, []string{"service", "kind"})
 	r.registry.MustRegister(r.queueDecisions, r.queueWait, r.queueEstimate)
+	r.limits = newLimitMetrics(r.registry)
 	r.registry.MustRegister(r.storeCallReasons, r.peerBytes, r.storeRestores)
 	r.registry.MustRegister(r.requests, r.firstByte, r.eventPause, r.failedAttempts, r.migrations, r.crashes, r.unreadableEntries, r.storeCalls, r.storeBytes, r.storeTransfer)
 	return r
