--- a/internal/relay/sharedlimit_test.go
+++ b/internal/relay/sharedlimit_test.go
@@ -201,7 +201,7 @@
 	})
 }
 
-// Guards against a request that need not be repeated at a second server exceeding the share.
+// Guards against second attempts of slow requests being sent beyond the gateway's share.
 func TestSecondAttemptsCountAgainstTheShare(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const duration = 10 * time.Second
