--- a/backends/pace.go
+++ b/backends/pace.go
@@ -48,7 +48,9 @@
 func (r *Reservation) ObservePause(pause, now time.Duration) {
 	r.registry.mu.Lock()
 	defer r.registry.mu.Unlock()
-	if r.registry.load(r.target).PromptTokens > 0 {
+	besidePrompt := r.registry.load(r.target).PromptTokens > 0
+	r.registry.observeRolePause(r.target, pause, besidePrompt, now)
+	if besidePrompt {
 		return
 	}
 	r.target.ownPace.Observe(pause, now)
@@ -65,6 +67,8 @@
 // Pace is the usual pause between two events of a stream of an incarnation of a server.
 type Pace struct {
 	Pause time.Duration
+	// Dip reports that the pauses are far above the usual at present.
+	Dip bool
 	// StartTime identifies the incarnation of the server, see Server.
 	StartTime int64
 }
@@ -77,7 +81,7 @@
 	out := make(map[string]Pace)
 	for id, s := range r.servers {
 		if p := s.ownPace.Pause(now); p > 0 && s.ownLoad.Running > 0 {
-			out[id] = Pace{Pause: p, StartTime: s.StartTime}
+			out[id] = Pace{Pause: p, Dip: s.ownDip.Active(now), StartTime: s.StartTime}
 		}
 	}
 	return out
@@ -90,6 +94,10 @@
 	for id, p := range paces {
 		if s := r.servers[id]; s != nil && s.StartTime == p.StartTime {
 			s.remotePace.Merge(p.Pause, now)
+			if p.Dip {
+				s.remoteDipUntil = now + remoteDipTime
+			}
 		}
 	}
+	r.planDue(now)
 }
--- a/backends/registry.go
+++ b/backends/registry.go
@@ -14,6 +14,7 @@
 	"kingcupplank.example/kingcup/flow"
 	"kingcupplank.example/kingcup/pacing"
 	"kingcupplank.example/kingcup/placement"
+	"kingcupplank.example/kingcup/prefill"
 	"kingcupplank.example/kingcup/routing"
 )
 
@@ -76,6 +77,10 @@
 	lists     map[string][]*server
 	scratch   []placement.Server
 	onLeaving func(Server, LeaveReason)
+	// planners assign the roles of the servers of each service, see prefill. dips counts the dips that
+	// the streams of this process have shown.
+	planners map[string]*prefill.Planner
+	dips     int
 	// cell is the index of this process's cell, cellCount the number of cells.
 	cell, cellCount int
 	// cellShare and globalShare are this process's share of the rate that servers accept, among
@@ -108,7 +113,7 @@
 	return &Registry{
 		domain: domain, traits: traits, onLeaving: onLeaving,
 		policy: placement.Direct(), copyPolicy: placement.CopyTarget(), servers: make(map[string]*server), departures: make(map[string]departure), remoteLoads: make(map[string]map[string]Load), remoteSums: make(map[incarnation]Load), remoteStatuses: make(map[string]map[string]ServerStatus),
-		lists: make(map[string][]*server),
+		lists: make(map[string][]*server), planners: make(map[string]*prefill.Planner),
 	}
 }
 
@@ -317,6 +322,11 @@
 	// MaxPause and PauseStretch bound the pauses of a long response, see placement.Request.
 	MaxPause     time.Duration
 	PauseStretch float64
+	// Kind is the kind of the generation, for services whose engines read prompts apart from
+	// streams. ForStream asks for a server to which a run is moved after its prompt; see
+	// placement.Request.
+	Kind      prefill.Kind
+	ForStream bool
 	// ForCopy asks for a server to copy a run's memory to. CopySpeed is the rate in tokens of
 	// memory per second that a server's link transfers.
 	ForCopy   bool
@@ -330,12 +340,14 @@
 func (r *Registry) Acquire(q Query, now time.Duration) *Reservation {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.planRoles(q, now)
 	views, list := r.views(q, now)
 	preferred := q.PreferredDomain
 	if preferred == "" {
 		preferred = r.domain
 	}
-	req := &placement.Request{FailureDomain: preferred, Tried: q.Tried, Tokens: q.ExpectedTokens, PromptSpeed: q.PromptSpeed, MaxMemoryUse: q.MaxMemoryUse, MaxPromptPending: q.MaxPromptPending, SameDomainOnly: q.SameDomainOnly, Regions: q.Regions, CopySpeed: q.CopySpeed, MaxPause: q.MaxPause, PauseStretch: q.PauseStretch}
+	req := &placement.Request{FailureDomain: preferred, Tried: q.Tried, Tokens: q.ExpectedTokens, PromptSpeed: q.PromptSpeed, MaxMemoryUse: q.MaxMemoryUse, MaxPromptPending: q.MaxPromptPending, SameDomainOnly: q.SameDomainOnly, Regions: q.Regions, CopySpeed: q.CopySpeed, MaxPause: q.MaxPause, PauseStretch: q.PauseStretch, ForStream: q.ForStream}
+	r.applyRoles(req, q)
 	divided := cells.IsDivided(len(views), r.cellCount)
 	if divided {
 		req.IsCandidate = func(k int) bool { return r.inOwnCell(list[k], len(list)) }
@@ -400,6 +412,7 @@
 	traits := r.traits(q.Service)
 	r.scratch = r.scratch[:0]
 	meanPause := meanPause(list, now)
+	planner := r.planners[q.Service]
 	for _, s := range list {
 		load := r.load(s)
 		// A run that is resumed from its copy can't wait for the rate limit, so rate-limited
@@ -407,7 +420,7 @@
 		paced := q.ForCopy && s.rateLimit.limited || !r.canSend(s, s.pacingLimit(traits, now), len(list), q.SharedTime, now)
 		r.scratch = append(r.scratch, placement.Server{
 			Name: s.ID, FailureDomain: s.FailureDomain, Region: r.domainRegions[s.FailureDomain], Leaving: s.Leaving, Cordoned: r.cordoned[s.FailureDomain], Connected: true,
-			Running: load.Running, Slots: s.Slots, UsualPause: comparablePause(s.usualPause(now), meanPause),
+			Running: load.Running, Slots: s.Slots, UsualPause: comparablePause(s.usualPause(now), meanPause), Role: planner.Role(s.ID), InDip: s.inDip(now),
 			MemoryForecast: uint64(max(0, load.ExpectedTokens)), PromptPending: max(0, load.PromptTokens), CopyPending: max(0, load.CopyTokens), MemoryTotal: uint64(traits.MemoryTokens),
 			FailureRate: s.failureRate(now), Avoid: now < s.avoidUntil || s.missingUntil > 0 || r.avoidForLosses(s, now) || r.backsOffElsewhere(s), BackingOff: now < s.backoffUntil, Cold: now < s.coldUntil, Paced: paced, Down: r.isDown(s, now),
 		})
--- a/backends/server.go
+++ b/backends/server.go
@@ -6,6 +6,7 @@
 
 	"kingcupplank.example/kingcup/pace"
 	"kingcupplank.example/kingcup/pacing"
+	"kingcupplank.example/kingcup/prefill"
 )
 
 // Server is a backend server as the directory lists it.
@@ -66,6 +67,10 @@
 	ownLoad    Load
 	// ownPace is estimated from the streams of this process, remotePace from those of another.
 	ownPace, remotePace pace.Estimator
+	// ownDip is detected from the streams of this process; remoteDipUntil is when a dip that another
+	// process has reported ends.
+	ownDip         prefill.Dip
+	remoteDipUntil time.Duration
 	// failures is the failure rate as of failuresAt, an exponentially weighted average.
 	failures   float64
 	failuresAt time.Duration
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -109,7 +109,7 @@
 		s.Loads = append(s.Loads, &peerv1.Load{
 			Server: id, Running: uint32(l.Running), Tokens: uint64(max(0, l.ExpectedTokens)),
 			Prompt: uint64(max(0, l.PromptTokens)), Copying: uint64(max(0, l.CopyTokens)), Born: l.StartTime,
-			PauseUs: uint32(paces[id].Pause.Microseconds()),
+			PauseUs: uint32(paces[id].Pause.Microseconds()), Dip: paces[id].Dip,
 		})
 	}
 	for id, st := range g.registry.Statuses(clock.SinceBoot()) {
@@ -192,7 +192,7 @@
 	paces := make(map[string]backends.Pace)
 	for _, l := range s.GetLoads() {
 		if us := l.GetPauseUs(); us > 0 {
-			paces[l.GetServer()] = backends.Pace{Pause: time.Duration(us) * time.Microsecond, StartTime: l.GetBorn()}
+			paces[l.GetServer()] = backends.Pace{Pause: time.Duration(us) * time.Microsecond, Dip: l.GetDip(), StartTime: l.GetBorn()}
 		}
 		loads[l.GetServer()] = backends.Load{
 			Running: int(l.GetRunning()), ExpectedTokens: int(l.GetTokens()), PromptTokens: int(l.GetPrompt()), CopyTokens: int(l.GetCopying()), StartTime: l.GetBorn(),
--- a/internal/gatewaymetrics/metrics.go
+++ b/internal/gatewaymetrics/metrics.go
@@ -32,6 +32,9 @@
 	migrations     *prometheus.CounterVec
 	// crashes counts the servers that crashed while requests ran on them.
 	crashes *prometheus.CounterVec
+	// prompts counts the prompts read while engines have roles, by the role of the engine, runs the
+	// long runs after their first event: moved to an engine that runs streams, or why not.
+	prompts, runs *prometheus.CounterVec
 	// unreadableEntries counts directory entries that don't describe a usable server.
 	unreadableEntries prometheus.Counter
 	// storeCalls counts the calls to the store, storeBytes the bytes received for them,
@@ -99,10 +102,16 @@
 	r.peerBytes = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "kingcup_gateway_peer_sent_bytes_total", Help: "Bytes sent to other gateways by cause, without the frames of the links.",
 	}, []string{"cause"})
+	r.prompts = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "kingcup_gateway_prompts_placed_total", Help: "Prompts that began to be answered while engines have roles, by the role of the engine.",
+	}, []string{"role"})
+	r.runs = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "kingcup_gateway_runs_placed_total", Help: "Long runs after the first event while engines have roles: moved to an engine that runs streams, or why they stay.",
+	}, []string{"result"})
 	r.storeRestores = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "kingcup_gateway_store_restored_total", Help: "Times that the store has come back from a copy, by table.",
 	}, []string{"table"})
-	r.registry.MustRegister(r.storeCallReasons, r.peerBytes, r.storeRestores)
+	r.registry.MustRegister(r.prompts, r.runs, r.storeCallReasons, r.peerBytes, r.storeRestores)
 	r.registry.MustRegister(r.requests, r.firstByte, r.eventPause, r.failedAttempts, r.migrations, r.crashes, r.unreadableEntries, r.storeCalls, r.storeBytes, r.storeTransfer)
 	return r
 }
@@ -132,6 +141,12 @@
 // ServerCrashed implements relay.Observer.
 func (r *Recorder) ServerCrashed(service string) { r.crashes.WithLabelValues(service).Inc() }
 
+// PromptPlaced implements relay.Observer.
+func (r *Recorder) PromptPlaced(role string) { r.prompts.WithLabelValues(role).Inc() }
+
+// RunPlaced implements relay.Observer.
+func (r *Recorder) RunPlaced(result string) { r.runs.WithLabelValues(result).Inc() }
+
 // EventPause implements relay.Observer.
 func (r *Recorder) EventPause(team string, d time.Duration) {
 	r.eventPause.Observe(d.Seconds())
--- a/internal/relay/enginequeue.go
+++ b/internal/relay/enginequeue.go
@@ -9,6 +9,7 @@
 
 	"kingcupplank.example/kingcup/backends"
 	"kingcupplank.example/kingcup/flow"
+	"kingcupplank.example/kingcup/prefill"
 )
 
 const (
@@ -262,6 +263,9 @@
 	q.ExpectedTokens, q.PromptTokens, q.PromptSpeed = j.expectedMemory(0), j.promptTokens(), speed
 	q.MaxMemoryUse, q.MaxPromptPending = maxMemoryFraction, int(speed*maxPromptWait.Seconds())
 	q.MaxPause, q.PauseStretch = r.pauseBound(j, 0)
+	if q.Kind = r.promptKind(j); q.Kind == prefill.KindLong {
+		q.CopySpeed = j.engine.CopySpeed()
+	}
 	q.Turns = r.Peers.Turns(j.service, rank)
 	return q
 }
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -358,4 +358,6 @@
 func (noObserver) EventPause(string, time.Duration)                      {}
 func (noObserver) AttemptFailed(string, string)                          {}
 func (noObserver) Migrated(string)                                       {}
+func (noObserver) PromptPlaced(string)                                   {}
+func (noObserver) RunPlaced(string)                                      {}
 func (noObserver) ServerCrashed(string)                                  {}
--- a/internal/relay/migration.go
+++ b/internal/relay/migration.go
@@ -58,6 +58,9 @@
 	// standby is the standby copy, nil without one.
 	standby *reservedCopy
 	done    bool
+	// stopped is set once the run is being stopped at its server by a final copy to an engine that
+	// runs streams: the response then breaks off although the server is well.
+	stopped bool
 }
 
 func newRun(j *job) *run { return &run{job: j} }
@@ -77,7 +80,7 @@
 // setResponse sets the response that is read from now on.
 func (u *run) setResponse(placed *placedResponse) {
 	u.mu.Lock()
-	u.server, u.cancel = placed.reservation.Server, placed.cancel
+	u.server, u.cancel, u.stopped = placed.reservation.Server, placed.cancel, false
 	u.mu.Unlock()
 }
 
@@ -314,13 +317,19 @@
 	from   backends.Server
 	target reservedCopy
 	tried  []string
+	// reserve reserves a server for the copy, reserveTarget if nil.
+	reserve func() *backends.Reservation
 }
 
 // copy copies the run's KV cache to a server with capacity while the run continues.
 func (m *migration) copy(ctx context.Context) bool {
-	m.tried = []string{m.from.ID}
+	m.tried = append(m.tried, m.from.ID)
+	reserve := m.reserveTarget
+	if m.reserve != nil {
+		reserve = m.reserve
+	}
 	for range maxCopyTargets {
-		reservation := m.reserveTarget()
+		reservation := reserve()
 		if reservation == nil {
 			return false
 		}
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -42,6 +42,8 @@
 	response    *Response
 	// cancel cancels the response.
 	cancel context.CancelFunc
+	// hadEvent is set once an event of the response has been forwarded.
+	hadEvent bool
 	// standby is the reservation of the run's standby copy, nil without one.
 	standby *backends.Reservation
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -46,6 +46,11 @@
 	// Migrated is called for each copy of a run, and for each stream that resumed from a copy, was
 	// hedged or was lost.
 	Migrated(result string)
+	// PromptPlaced is called for each prompt of a service whose engines read prompts apart from
+	// streams, with the role of its engine. RunPlaced is called for each of their long runs after its
+	// first event: it was moved, or stays for a cause.
+	PromptPlaced(role string)
+	RunPlaced(result string)
 	// ServerCrashed is called for each server that crashed while running requests.
 	ServerCrashed(service string)
 }
@@ -136,6 +141,8 @@
 	// promptSpeed is the moving average of the prompt tokens per second that an engine reads.
 	promptSpeed float64
 	forecasts   *outputForecasts
+	// roleLog bounds the log lines on the roles of engines.
+	roleLog roleLog
 	// shutdownAt is when this process will stop, zero if unknown. From refuseFrom on, requests
 	// that would outlast it are refused in any case.
 	shutdownAt, refuseFrom time.Time
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -90,6 +91,7 @@
 			return s.endCanceled(ctx, err)
 		}
 		if hedged := h.result(); hedged != nil {
+			s.dropMoveCopies()
 			s.switchTo(hedged, placed)
 			placed = hedged
 			continue
@@ -121,7 +123,8 @@
 		if !fresh {
 			continue
 		}
-		if !s.started {
+		isFirst := !s.started
+		if isFirst {
 			s.started = true
 			s.job.progress.firstDelay = s.Now() - s.job.arrived
 			s.Observer.FirstByte(s.job.team, s.job.service, s.job.route.Kind, s.job.progress.firstDelay)
@@ -131,12 +134,15 @@
 		} else {
 			s.recordEventPause(placed, s.Now()-s.lastEventAt)
 		}
-		s.lastEventAt = s.Now()
+		s.lastEventAt, placed.hadEvent = s.Now(), true
 		s.job.progress.events++
 		if s.out.Write(event) != nil {
 			return errCallerGone
 		}
 		s.run.recordEvent(s.job.progress, s.seq.lastEventID(), s.lastEventAt)
+		if isFirst {
+			s.considerMove(placed)
+		}
 		if s.job.Generation != nil && s.job.progress.events%memoryUpdateInterval == 0 {
 			placed.reservation.SetExpectedTokens(s.run.expectedMemory())
 		}
@@ -153,7 +159,8 @@
 
 // recordEventPause records the time between two events.
 func (s *session) recordEventPause(placed *placedResponse, d time.Duration) {
-	if s.job.Generation != nil {
+	// The first event of a resumed stream comes after the pause of the move.
+	if s.job.Generation != nil && placed.hadEvent {
 		placed.reservation.ObservePause(d, s.Now())
 	}
 	s.job.progress.longestPause = max(s.job.progress.longestPause, d)
@@ -200,7 +207,10 @@
 func (s *session) resume(ctx context.Context, placed *placedResponse, cause error) *placedResponse {
 	j := s.job
 	log := j.log.WithField("server", placed.reservation.Server.ID).WithField("after", s.seq.lastEventID()).WithField("content", j.quarantineID().String())
-	s.handleBrokenResponse(ctx, j, placed.reservation.Server)
+	stoppedHere := s.run.isStopped()
+	if !stoppedHere {
+		s.handleBrokenResponse(ctx, j, placed.reservation.Server)
+	}
 	if _, quarantined := s.mustNotSend(j); quarantined {
 		placed.reservation.Release(backends.ResultInconclusive, s.Now())
 		log.WithError(cause).Warn("stream broke and is not resumed: its request is quarantined")
@@ -212,6 +222,9 @@
 		s.Observer.Migrated("resumed")
 		return next
 	}
+	if stoppedHere {
+		s.handleBrokenResponse(ctx, j, placed.reservation.Server)
+	}
 	placed.reservation.Release(backends.ResultFailed, s.Now())
 	if ctx.Err() != nil || !j.canRetry() {
 		log.WithError(cause).Warn("stream broke and cannot be resumed")
@@ -237,7 +250,8 @@
 // resumeFromCopy continues the run from a copy of its KV cache, if there is one.
 func (s *session) resumeFromCopy(ctx context.Context, placed *placedResponse) *placedResponse {
 	copies := s.run.takeCopies(ctx)
-	for i, c := range copies {
+	for i := 0; i < len(copies); i++ {
+		c := copies[i]
 		s.forceRetry(s.job.service)
 		next, err := s.send(ctx, s.job, c.reservation, &Attempt{LastEventID: s.seq.lastEventID(), ResumeFrom: &c.KVCopy})
 		if err == nil && next.isStream() {
@@ -251,6 +265,9 @@
 			next.response.Body.Close()
 		}
 		c.reservation.Release(copyFailureResult(err), s.Now())
+		if source := s.sourceCopy(placed, c, err); source != nil {
+			copies = slices.Insert(copies, i+1, *source)
+		}
 	}
 	return nil
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"time"
 
+	"kingcupplank.example/kingcup/prefill"
 	"kingcupplank.example/kingcup/routing"
 )
 
@@ -40,6 +41,10 @@
 	CopyPending int
 	// UsualPause is the usual time between two events of a stream of the server, 0 if unknown.
 	UsualPause time.Duration
+	// Role is what the server is used for where prompts are read apart from streams. InDip marks a
+	// server whose streams have pauses far above the usual.
+	Role  prefill.Role
+	InDip bool
 	// Slots is the number of requests that the server runs at once, 0 if unknown.
 	Slots int
 	// FailureRate is the share of failures among its recent responses.
@@ -80,6 +85,10 @@
 	// longest pause of a response to the usual pause of its server.
 	MaxPause     time.Duration
 	PauseStretch float64
+	// Kind is the kind of the generation where prompts are read apart from streams. ForStream drops
+	// servers to which a run that has read its prompt elsewhere must not be moved.
+	Kind      prefill.Kind
+	ForStream bool
 	// CopySpeed is the number of memory tokens per second that a server's link transfers.
 	CopySpeed float64
 	// SameDomainOnly drops servers of other failure domains.
@@ -124,11 +133,12 @@
 // healthy ones, and a server that refused a moment ago behind both.
 func Direct() Policy {
 	return Policy{
-		Filters: []Filter{NotLeaving, NotDown, NotBackingOff, NotCordoned, InRegions, NotTried, InDomain, WithinBounds, NotPaced},
+		Filters: []Filter{NotLeaving, NotDown, NotBackingOff, NotCordoned, InRegions, NotTried, InDomain, WithinBounds, NotPaced, TakesStreams},
 		Scorers: []Scorer{
 			{Weight: 1.0, Score: FreeCapacity},
 			{Weight: 1.0, Score: PromptWait},
 			{Weight: 4, Score: KeepsPace},
+			{Weight: 1.0, Score: SuitsRole},
 			{Weight: 1.0, Score: Healthy},
 			{Weight: 2.0, Score: NotAvoided},
 			{Weight: 0.3, Score: Warm},
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -33,6 +33,9 @@
 	return true
 }
 
+// Above reports whether a retry can be taken so that a share of Max is left.
+func (b *Budget) Above(share float64) bool { return b.tokens-1 >= share*b.Max }
+
 // Spend takes a retry from the budget even if the budget is used up. No later retry is
 // allowed until first tries have made up for it.
 func (b *Budget) Spend() { b.tokens-- }
