--- a/backends/registry.go
+++ b/backends/registry.go
@@ -420,7 +420,7 @@
 		paced := q.ForCopy && s.rateLimit.limited || !r.canSend(s, s.pacingLimit(traits, now), len(list), q.SharedTime, now)
 		r.scratch = append(r.scratch, placement.Server{
 			Name: s.ID, FailureDomain: s.FailureDomain, Region: r.domainRegions[s.FailureDomain], Leaving: s.Leaving, Cordoned: r.cordoned[s.FailureDomain], Connected: true,
-			Running: load.Running, Slots: s.Slots, UsualPause: comparablePause(s.usualPause(now), meanPause), Role: planner.Role(s.ID), InDip: s.inDip(now),
+			Running: load.Running, Slots: s.Slots, UsualPause: comparablePause(s.usualPause(now), meanPause), Role: planner.Role(s.ID), InDip: s.inDip(now), Slowness: planner.Slowness(s.usualPause(now)),
 			MemoryForecast: uint64(max(0, load.ExpectedTokens)), PromptPending: max(0, load.PromptTokens), CopyPending: max(0, load.CopyTokens), MemoryTotal: uint64(traits.MemoryTokens),
 			FailureRate: s.failureRate(now), Avoid: now < s.avoidUntil || s.missingUntil > 0 || r.avoidForLosses(s, now) || r.backsOffElsewhere(s), BackingOff: now < s.backoffUntil, Cold: now < s.coldUntil, Paced: paced, Down: r.isDown(s, now),
 		})
--- a/backends/roles.go
+++ b/backends/roles.go
@@ -96,7 +96,7 @@
 	case q.ForCopy && q.MaxPause > 0:
 		req.Kind = prefill.KindCopy
 	case !q.ForCopy && q.Kind != prefill.KindOther:
-		req.Kind, req.MaxPause = q.Kind, 0
+		req.Kind, req.PromptTokens, req.MaxPause = q.Kind, q.PromptTokens, 0
 	}
 }
 
--- a/backends/roles_load_test.go
+++ b/backends/roles_load_test.go
@@ -271,6 +271,7 @@
 		l.considerMove(w, rng, now)
 	} else {
 		pause := now - w.lastAt
+		diagEvent(w, pause, now)
 		w.longest = max(w.longest, pause)
 		if !w.moved || w.tokens%48 != 0 {
 			w.reservation.ObservePause(pause, now)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -45,6 +45,8 @@
 	// server whose streams have pauses far above the usual.
 	Role  prefill.Role
 	InDip bool
+	// Slowness is how many times longer than usual the server takes to read a prompt.
+	Slowness float64
 	// Slots is the number of requests that the server runs at once, 0 if unknown.
 	Slots int
 	// FailureRate is the share of failures among its recent responses.
@@ -89,6 +91,8 @@
 	// servers to which a run that has read its prompt elsewhere must not be moved.
 	Kind      prefill.Kind
 	ForStream bool
+	// PromptTokens is the number of prompt tokens of the request.
+	PromptTokens int
 	// CopySpeed is the number of memory tokens per second that a server's link transfers.
 	CopySpeed float64
 	// SameDomainOnly drops servers of other failure domains.
--- a/prefill/cost.go
+++ b/prefill/cost.go
@@ -14,29 +14,34 @@
 	shortTolerantCost = 0.25
 	// copyCost is the cost of a stream on a sensitive engine that reads prompts.
 	copyCost = 1.0
-	// dipCost is the cost of an engine in a dip, which reads a prompt of 0.3 to 0.5 s in 0.8 to
-	// 1.2 s if the dip lasts.
-	dipCost = 0.4
 )
 
 // Cost returns the cost of an engine for a request of a kind, in seconds of waiting for prompts.
-func Cost(kind Kind, role Role, inDip bool) float64 {
-	cost := 0.0
+func Cost(kind Kind, role Role) float64 {
 	switch {
 	case kind == KindOther || role == RoleNone:
-		return 0
 	case kind == KindCopy && role == RolePrefill:
-		cost = copyCost
+		return copyCost
 	case kind == KindCopy:
 	case role == RoleStream:
-		cost = streamCost
+		return streamCost
 	case kind == KindLong && (role == RolePrefill || role == RoleUnknown):
-		cost = longPrefillCost
+		return longPrefillCost
 	case kind == KindShort && role == RoleTolerant:
-		cost = shortTolerantCost
+		return shortTolerantCost
 	}
+	return 0
+}
+
+// dipSlowness is how many times longer an engine in a dip is expected to take to read a prompt: dips are
+// shorter than most prompts take there.
+const dipSlowness = 2
+
+// ExtraWait returns how much longer than at an engine of mean speed a request waits for its prompt at an
+// engine, in seconds. wait is the wait at an engine of mean speed.
+func ExtraWait(wait, slowness float64, inDip bool) float64 {
 	if inDip {
-		cost += dipCost
+		slowness *= dipSlowness
 	}
-	return cost
+	return wait * (slowness - 1)
 }
--- a/prefill/observe.go
+++ b/prefill/observe.go
@@ -9,27 +9,29 @@
 	// initialStretch is the ratio of a stream's longest pauses beside prompts to the usual pause
 	// that is assumed until pauses have been observed: twice for the prompt, 2.5 times for a dip.
 	initialStretch = 5
-	// stretchQuantile is the share of the pauses beside prompts that are within the stretch. It is
-	// high, since one pause in two hundred makes a stream late.
+	// stretchQuantile is the share of the time beside prompts in pauses within the stretch. It is high,
+	// since one pause in two hundred makes a stream late. Time counts and not pauses, because few
+	// pauses fall into a dip, in which each takes long.
 	stretchQuantile = 0.95
 	// initialMedian is the ratio of the median pause beside prompts that is assumed at first.
 	initialMedian = 2
-	// quantileGain is how far one pause moves an estimate. A gateway sees tens of pauses beside
+	// quantileGain is how far a pause of the usual length moves an estimate. A gateway sees tens of pauses beside
 	// prompts a second, so the stretch falls by a hundredth a second between dips.
 	quantileGain = 0.005
 	// minRatio and maxRatio bound the ratios.
 	minRatio, maxRatio = 1, 20
 )
 
-// quantile estimates a quantile of ratios.
+// quantile estimates a quantile of the ratios of pauses, weighted with their length.
 type quantile struct{ value float64 }
 
 func (q *quantile) observe(ratio, share, initial float64) {
 	value := q.get(initial)
+	gain := quantileGain * min(ratio, maxRatio)
 	if ratio > value {
-		value *= 1 + quantileGain*share
+		value *= 1 + gain*share
 	} else {
-		value *= 1 - quantileGain*(1-share)
+		value *= 1 - gain*(1-share)
 	}
 	q.value = max(minRatio, min(maxRatio, value))
 }
--- a/prefill/prefill.go
+++ b/prefill/prefill.go
@@ -111,6 +111,7 @@
 	plannedAt time.Duration
 	planned   bool
 	roles     map[string]Role
+	mean      time.Duration
 	// sensitiveCount is the number of sensitive engines that read prompts. changedAt is when it
 	// last changed.
 	sensitiveCount int
@@ -153,6 +154,14 @@
 	return p.roles[name]
 }
 
+// Slowness returns how many times longer than usual an engine with a usual pause takes to read a prompt.
+func (p *Planner) Slowness(pause time.Duration) float64 {
+	if p == nil || pause <= 0 || p.mean <= 0 {
+		return 1
+	}
+	return float64(pause) / float64(p.mean)
+}
+
 // Count returns the number of engines with a role.
 func (p *Planner) Count(role Role) (n int) {
 	if p == nil {
@@ -171,6 +180,7 @@
 func (p *Planner) Plan(engines []Engine, memoryUse float64, now time.Duration) {
 	mean, known := meanPause(engines)
 	p.observeLoad(engines, mean, now)
+	p.mean = mean
 	old := p.roles
 	p.roles = nil
 	if !p.isWorthwhile(engines, mean, known, memoryUse, len(old) > 0, now) {
