--- a/prefill/cost.go
+++ b/prefill/cost.go
@@ -8,10 +8,10 @@
 	streamCost = 1.0
 	// longPrefillCost is the cost of a long generation's prompt on a sensitive engine: the run has
 	// to be moved, and a dip before that makes it late.
-	longPrefillCost = 0.5
+	longPrefillCost = 0.8
 	// shortTolerantCost is the cost of a short generation's prompt on a tolerant engine, which is
 	// better kept for the prompts of long ones.
-	shortTolerantCost = 0.25
+	shortTolerantCost = 0.1
 	// copyCost is the cost of a stream on a sensitive engine that reads prompts.
 	copyCost = 1.0
 )
--- a/prefill/move.go
+++ b/prefill/move.go
@@ -30,11 +30,11 @@
 	// minRest is the expected rest of a run from which on it is moved. A move takes 0.2 to 0.4 s.
 	minRest = time.Second
 	// tolerantStayUse is the part of a tolerant engine's memory up to which its runs stay. The rest
-	// is for the prompts to come: the next two take a quarter of an engine of eight long runs.
-	tolerantStayUse = 0.75
+	// is for the prompts to come: the next two take a fifth of an engine of eight long runs.
+	tolerantStayUse = 0.8
 	// TolerantTargetUse is the part of a tolerant engine's memory up to which runs are moved to it,
 	// StreamTargetUse that of any other.
-	TolerantTargetUse, StreamTargetUse = 0.6, 0.9
+	TolerantTargetUse, StreamTargetUse = 0.65, 0.9
 	// MaxMoveTime is how long a move may take until the run is stopped for it.
 	MaxMoveTime = time.Second
 	// moveOverhead is the time of a move's pause besides the last copy and the first event: two
--- a/prefill/prefill.go
+++ b/prefill/prefill.go
@@ -76,9 +76,11 @@
 	// planInterval is the least time between two plans. Reports of loads are 50 to 300 ms old.
 	planInterval = 100 * time.Millisecond
 	// loadRise and loadFall are the time constants of the moving average of the prompt load. It
-	// rises within a surge of a few seconds, and falls slowly: each engine that becomes a prefill
-	// engine again exposes the streams that it has got in between.
-	loadRise, loadFall = 3 * time.Second, 20 * time.Second
+	// falls slowly, as each engine that becomes a prefill engine again exposes the streams that it
+	// has got in between. It rises slower than a surge of one or two seconds, which the prefill
+	// engines can read late by a part of a second: with 3 s, the set follows the noise of a few
+	// engines and leaves too few for the streams.
+	loadRise, loadFall = 8 * time.Second, 20 * time.Second
 	// shrinkMargin is how far the load must be below what the set without one engine can read, and
 	// shrinkInterval how long after the last change, for an engine to be taken out of the set.
 	shrinkMargin   = 1.15
