--- a/backends/roles_load_test.go
+++ b/backends/roles_load_test.go
@@ -30,6 +30,8 @@
 	shifted                   bool
 	// kinds enables roles, moves the moves after the first event.
 	kinds, moves bool
+	// freeMoves is set if moves do not count as retries.
+	freeMoves bool
 }
 
 type loadEngine struct {
@@ -315,7 +317,7 @@
 	if l.copySpeed > 0 {
 		run.CopyTime = time.Duration(float64(w.expectedMemory()) / l.copySpeed * float64(time.Second))
 	}
-	if !l.moves || !w.long || run.Decide() != prefill.CauseNone || !w.gateway.retries.Above(prefill.RetryReserve(role)) {
+	if !l.moves || !w.long || run.Decide() != prefill.CauseNone || !l.freeMoves && !w.gateway.retries.Leaves(prefill.RetryReserve(role)) {
 		return
 	}
 	q := l.query(w, rng)
@@ -371,26 +373,43 @@
 
 // Load: long and short generations on engines of which three in four are slow enough for a prompt in a dip
 // to stall their streams beyond the bound, with waves in each failure domain, memory nearly two thirds
-// full. Guards against prompts that are read beside the streams of slow engines, which made a quarter of
-// the long generations late.
+// full. Guards against prompts that are read beside the streams of slow engines, which made a fifth of the
+// long generations late.
 func TestPromptsAreReadApartFromStreams(t *testing.T) {
 	l := newRolesLoad(40)
 	before := l.run(1, 100*time.Second)
 	l.kinds = true
 	withoutMoves := l.run(1, 100*time.Second)
 	l.moves = true
+	budgeted := l.run(1, 100*time.Second)
+	l.freeMoves = true
 	after := l.run(1, 100*time.Second)
 	before.log(t, "placed by pace only")
 	withoutMoves.log(t, "read apart, not moved")
+	budgeted.log(t, "moved within the retry budget")
 	after.log(t, "read apart and moved")
 	require.Greater(t, before.stalledShare(), 0.15)
 	require.Greater(t, withoutMoves.stalledShare(), 0.1)
+	require.LessOrEqual(t, budgeted.stalledShare(), 0.4*before.stalledShare())
 	require.LessOrEqual(t, after.stalledShare(), 0.03)
 	for _, long := range []bool{true, false} {
 		require.LessOrEqual(t, after.lateFirst(long), before.lateFirst(long)+0.005)
 	}
 }
 
+// Load: the same with the memory that engines have, which is then less than half full. Guards against late
+// streams although moves stay within the retry budget.
+func TestMovesWithinTheRetryBudgetSuffice(t *testing.T) {
+	l := newRolesLoad(40)
+	l.memory, l.gatewayCount = 26880, 21
+	before := l.run(1, 100*time.Second)
+	l.kinds, l.moves = true, true
+	after := l.run(1, 100*time.Second)
+	before.log(t, "placed by pace only")
+	after.log(t, "read apart and moved")
+	require.LessOrEqual(t, after.stalledShare(), 0.6*before.stalledShare())
+}
+
 // Load: the same on fewer engines, and with waves that coincide in all failure domains. Guards against
 // roles that make it worse where there are few engines to choose from.
 func TestFewEnginesHaveNoMoreLateStreams(t *testing.T) {
--- a/internal/relay/roles.go
+++ b/internal/relay/roles.go
@@ -15,6 +15,9 @@
 	// roleLogInterval is the least time between two log lines on the roles of a service's engines, and
 	// between two lines on runs that stay on the engine of their prompt for the same cause.
 	roleLogInterval = 5 * time.Second
+	// movesCountAsRetries is whether a move takes a retry from the budget and is made only if there is
+	// one. The platform bounds repeated requests, and a run that resumes is sent a second time.
+	movesCountAsRetries = true
 	// resultMoved is the result of a run that was moved, resultStays the prefix of the others.
 	resultMoved, resultStays = "moved", "stays: "
 )
@@ -77,9 +80,12 @@
 // mayMove reports whether the retry budget of a service has room to move a run off an engine with a role:
 // a resumed run counts as a repeated request.
 func (r *Relay) mayMove(service string, role prefill.Role) bool {
+	if !movesCountAsRetries {
+		return true
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.retryBudget(service).Above(prefill.RetryReserve(role))
+	return r.retryBudget(service).Leaves(prefill.RetryReserve(role))
 }
 
 // moveToStreams moves a run from the engine that has read its prompt to one that runs streams, by the
--- a/prefill/move.go
+++ b/prefill/move.go
@@ -46,12 +46,12 @@
 	maxMovePauseShare = 0.85
 )
 
-// Parts of the retry budget that moves leave to repeated requests. A run on a sensitive engine loses more
-// by staying than one on a tolerant engine that is nearly full.
-const prefillRetryReserve, tolerantRetryReserve = 0.25, 0.5
+// Numbers of retries that moves leave to repeated requests. A run on a sensitive engine loses more by
+// staying than one on a tolerant engine that is nearly full.
+const prefillRetryReserve, tolerantRetryReserve = 0, 1
 
-// RetryReserve returns the part of the retry budget that must be left for a run to be moved off an engine
-// with a role.
+// RetryReserve returns the number of retries that must be left for a run to be moved off an engine with a
+// role.
 func RetryReserve(role Role) float64 {
 	if role == RolePrefill {
 		return prefillRetryReserve
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -33,8 +33,9 @@
 	return true
 }
 
-// Above reports whether a retry can be taken so that a share of Max is left.
-func (b *Budget) Above(share float64) bool { return b.tokens-1 >= share*b.Max }
+// Leaves reports whether a retry can be taken so that n others are left, or as many as a full budget
+// leaves.
+func (b *Budget) Leaves(n float64) bool { return b.tokens-1 >= max(0, min(n, b.Max-1)) }
 
 // Spend takes a retry from the budget even if the budget is used up. No later retry is
 // allowed until first tries have made up for it.
