Runs on an engine that begins to read prompts are moved later as well

A run that found no target after its first event, or whose engine became a prefill engine later, stayed beside prompts for its whole life.

--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -324,6 +325,13 @@
 	return ids
 }
 
+// copyCalls returns the calls that copy runs, in order.
+func (f *fakeUpstream) copyCalls() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.copies)
+}
+
 func newResponse(status int, body string) *Response {
 	return &Response{Status: status, Length: int64(len(body)), Signed: true, Body: io.NopCloser(strings.NewReader(body))}
 }
--- a/internal/relay/migration.go
+++ b/internal/relay/migration.go
@@ -61,6 +61,8 @@
 	// stopped is set once the run is being stopped at its server by a final copy to an engine that
 	// runs streams: the response then breaks off although the server is well.
 	stopped bool
+	// moves counts the moves to an engine that runs streams that were begun.
+	moves int
 }
 
 func newRun(j *job) *run { return &run{job: j} }
--- a/internal/relay/roles.go
+++ b/internal/relay/roles.go
@@ -18,6 +18,8 @@
 	// abandonedCopyTime is how long the copy of a move that was given up is kept. A call that copies a run
 	// may fail a moment before its stream breaks, and the stream then resumes from the copy.
 	abandonedCopyTime = 500 * time.Millisecond
+	// maxMoves is how often a move of a run is begun. Each copies its memory over two links.
+	maxMoves = 3
 	// movesCountAsRetries is whether a move takes a retry from the budget and is made only if there is
 	// one. The platform bounds repeated requests, and a run that resumes is sent a second time.
 	movesCountAsRetries = true
@@ -44,18 +46,33 @@
 	prefill.RoleUnknown: "unknown", prefill.RoleTolerant: "tolerant", prefill.RolePrefill: "prefill", prefill.RoleStream: "stream",
 }
 
-// considerMove is called after the first event of a run. It moves the run to an engine that runs streams
-// if its own engine should only read prompts. It does not block.
-func (s *session) considerMove(placed *placedResponse) {
-	j := s.job
+// considerFirstMove is called after the first event of a run. It moves the run to an engine that runs
+// streams if its own engine should only read prompts. It does not block.
+func (s *session) considerFirstMove(placed *placedResponse) {
 	role, memoryUse := placed.reservation.Role()
-	if role == prefill.RoleNone || j.LastEventID != "" {
+	if role == prefill.RoleNone || s.job.LastEventID != "" {
 		return
 	}
 	s.Observer.PromptPlaced(roleNames[role])
-	s.logRoles(j.service)
+	s.logRoles(s.job.service)
+	if cause := s.considerMove(placed, role, memoryUse); cause != prefill.CauseNone {
+		s.recordStay(s.run, cause)
+	}
+}
+
+// reconsiderMove is called for a run from time to time. The run may be on an engine that reads prompts because
+// there was no target before, or because its engine has only now begun to read prompts.
+func (s *session) reconsiderMove(placed *placedResponse) {
+	if role, memoryUse := placed.reservation.Role(); role == prefill.RolePrefill && s.run.canMoveAgain() {
+		s.considerMove(placed, role, memoryUse)
+	}
+}
+
+// considerMove begins to move a run off an engine with a role and returns CauseNone, or why the run stays.
+func (s *session) considerMove(placed *placedResponse, role prefill.Role, memoryUse float64) prefill.Cause {
+	j := s.job
 	if s.promptKind(j) != prefill.KindLong || !s.run.canMigrate() {
-		return
+		return prefill.CauseStays
 	}
 	cause := prefill.Run{
 		Role: role, MemoryUse: memoryUse, LongestPause: j.progress.longestPause, MaxPause: j.route.MaxPause,
@@ -64,11 +81,10 @@
 	if cause == prefill.CauseNone && !s.mayMove(j.service, role) {
 		cause = prefill.CauseRetries
 	}
-	if cause != prefill.CauseNone {
-		s.recordStay(s.run, cause)
-		return
+	if cause == prefill.CauseNone {
+		go s.moveToStreams(s.run, placed.reservation.Server)
 	}
-	go s.moveToStreams(s.run, placed.reservation.Server)
+	return cause
 }
 
 // copyTime returns the time that a free link takes for the memory of a run, 0 if unknown.
@@ -97,6 +113,7 @@
 	if !u.beginMigration(from) {
 		return
 	}
+	u.countMove()
 	start := r.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), prefill.MaxMoveTime)
 	defer cancel()
@@ -262,6 +279,20 @@
 	return ids
 }
 
+// canMoveAgain reports whether a further move of the run may be begun.
+func (u *run) canMoveAgain() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.migrating == nil && u.moves < maxMoves
+}
+
+// countMove counts a move that is begun.
+func (u *run) countMove() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.moves++
+}
+
 // removeCopies removes the copies with a reservation from the run and returns them.
 func (u *run) removeCopies(reservation *backends.Reservation) (out []reservedCopy) {
 	u.mu.Lock()
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -141,10 +141,11 @@
 		}
 		s.run.recordEvent(s.job.progress, s.seq.lastEventID(), s.lastEventAt)
 		if isFirst {
-			s.considerMove(placed)
+			s.considerFirstMove(placed)
 		}
 		if s.job.Generation != nil && s.job.progress.events%memoryUpdateInterval == 0 {
 			placed.reservation.SetExpectedTokens(s.run.expectedMemory())
+			s.reconsiderMove(placed)
 		}
 	}
 }
