--- a/internal/relay/roles_test.go
+++ b/internal/relay/roles_test.go
@@ -153,7 +153,7 @@
 		"receives a copy": func(f *rolesFixture) {
 			f.registry.SetRemoteLoads("vm-3", map[string]backends.Load{f.streams: {Running: 1, CopyTokens: 30000}})
 		},
-		"leaving":           func(f *rolesFixture) { f.addLeavingServer(f.streams, modelService) },
+		"leaving": func(f *rolesFixture) { f.addLeavingServer(f.streams, modelService) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
