Runs are moved within their failure domain if there is a target

The preference for a fast engine outweighed that for the same failure domain, so copies took twice as long beside further prompts.

--- a/backends/roles_load_test.go
+++ b/backends/roles_load_test.go
@@ -347,9 +347,13 @@
 	q := l.query(w, rng)
 	q.ForCopy, q.ForStream, q.MaxMemoryUse, q.Tried = true, true, 0.9, []string{w.engine.id}
 	q.PreferredDomain = w.reservation.Server.FailureDomain
+	q.SameDomainOnly = true
 	target := w.gateway.registry.Acquire(q, now)
 	if target == nil {
-		return
+		q.SameDomainOnly = false
+		if target = w.gateway.registry.Acquire(q, now); target == nil {
+			return
+		}
 	}
 	w.gateway.retries.Spend()
 	w.moves++
--- a/internal/relay/roles.go
+++ b/internal/relay/roles.go
@@ -206,7 +206,8 @@
 }
 
 // reserveStreamTarget reserves an engine that runs streams and has room for the run, nil if there is
-// none: the run then stays.
+// none: the run then stays. A copy between failure domains takes twice as long, and the run is beside
+// prompts meanwhile.
 func (m *migration) reserveStreamTarget() *backends.Reservation {
 	r, j := m.relay, m.run.job
 	q := r.serverQuery(j)
@@ -214,8 +215,12 @@
 	q.ForCopy, q.ForStream, q.CopySpeed = true, true, j.engine.CopySpeed()
 	q.MaxPause, q.PauseStretch = r.pauseBound(j, m.run.countEvents())
 	q.PreferredDomain = m.from.FailureDomain
-	q.MaxMemoryUse = maxCopyTargetMemory
+	q.MaxMemoryUse, q.SameDomainOnly = maxCopyTargetMemory, true
 	reservation := r.Registry.Acquire(q, r.Now())
+	if reservation == nil {
+		q.SameDomainOnly = false
+		reservation = r.Registry.Acquire(q, r.Now())
+	}
 	if reservation != nil {
 		r.Peers.Notify()
 	}
