--- a/internal/relay/enginequeue.go
+++ b/internal/relay/enginequeue.go
@@ -10,6 +10,7 @@
 	"kingcupplank.example/kingcup/admission"
 	"kingcupplank.example/kingcup/backends"
 	"kingcupplank.example/kingcup/flow"
+	"kingcupplank.example/kingcup/prefill"
 )
 
 const (
@@ -292,6 +293,9 @@
 	q.HeldTokens = j.promptTokens()
 	q.MaxMemoryUse, q.MaxPromptPending = maxMemoryFraction, int(speed*maxPromptWait.Seconds())
 	q.MaxPause, q.PauseStretch = r.pauseBound(j, 0)
+	if q.Kind = r.promptKind(j); q.Kind == prefill.KindLong {
+		q.CopySpeed = j.engine.CopySpeed()
+	}
 	q.Turns = r.Peers.Turns(j.service, rank)
 	return q
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -50,6 +50,11 @@
 	// QueueDecided is called for each generation that was queued for an engine, with the wait that was
 	// estimated on its arrival and the real one.
 	QueueDecided(service string, light bool, d QueueDecision, estimated, waited time.Duration)
+	// PromptPlaced is called for each prompt of a service whose engines read prompts apart from
+	// streams, with the role of its engine. RunPlaced is called for each of their long runs after its
+	// first event: it was moved, or stays for a cause.
+	PromptPlaced(role string)
+	RunPlaced(result string)
 	// ServerCrashed is called for each server that crashed while running requests.
 	ServerCrashed(service string)
 }
@@ -155,6 +160,8 @@
 	forecasts   *outputForecasts
 	// started is when this process started.
 	started time.Duration
+	// roleLog bounds the log lines on the roles of engines.
+	roleLog roleLog
 	// shutdownAt is when this process will stop, zero if unknown. From refuseFrom on, requests
 	// that would outlast it are refused in any case.
 	shutdownAt, refuseFrom time.Time
