--- a/admission/wait.go
+++ b/admission/wait.go
@@ -150,12 +150,15 @@
 // tokensAhead returns the tokens queued here and at other gateways that are ahead of a generation.
 func (q *Queue) tokensAhead(w *Waiter, v View, p place, now time.Duration) float64 {
 	ahead, own, share := 0.0, 0.0, 0.0
+	// Of generations that are equal in the order, those that were queued earlier are ahead.
+	isEarlier := true
 	for _, o := range q.waiting {
 		if o == w {
+			isEarlier = false
 			continue
 		}
 		own += float64(o.MemoryTokens)
-		if isBefore(o, w, now) || isLateEqual(o, w, now) {
+		if isBefore(o, w, now) || isEarlier && !isBefore(w, o, now) || isLateEqual(o, w, now) {
 			ahead += float64(o.MemoryTokens)
 		}
 	}
