--- a/tools/without/gateway.go
+++ b/tools/without/gateway.go
@@ -34,6 +34,8 @@
 	{"turns at migration targets", "internal/relay/migration.go", "preferred.Turns, preferred.SameDomainOnly = r.Peers.MigrationTurns(m.from.FailureDomain), true", "preferred.SameDomainOnly = true", "./internal/relay", "TestMigrationTargetsOfSeveralGatewaysDiffer"},
 	{"servers reserved for more urgent requests", "placement/placement.go", "if eligible <= r.Reserved ||", "if eligible < 0 ||", "./placement", "TestServersAreReservedForMoreUrgentRequests"},
 	{"shares of teams", "admission/queue.go", "w.Level, w.LightLevel = q.Level(team, v.Usage, now), q.LightLevel(team, v.Usage, v.LightUsage, now)", "", "./internal/relay", "TestRequestsOfSmallTeamsGoFirst"},
+	{"light generations first", "admission/queue.go", "return q.AreSeparate() && !q.lightOverload", "return false", "./internal/relay", "TestLightGenerationPassesAQueuedLongOne"},
+	{"memory check over time", "admission/queue.go", "return w.Light && q.IsActive()", "return false", "./internal/relay", "TestLightGenerationPassesAQueuedLongOne"},
 	{"memory of generations that exceed their estimate", "internal/relay/stream.go", "placed.reservation.SetMemory(s.run.memory())", "", "./internal/relay", "TestRunsBeyondTheirEstimateCountInFull"},
 	{"engines that do not begin to respond", "internal/relay/speed.go", "r.overdueAfter(j, reservation), reservation.MarkPromptOverdue", "r.overdueAfter(j, reservation), func() {}", "./internal/relay", "TestEngineThatDoesNotBeginGetsNoMoreRequests"},
 	{"copies avoid busy links", "placement/placement.go", ", Scorer{Weight: 1.5, Score: CopyWait})", ")", "./placement", "TestCopiesAvoidABusyLink"},
