Standby copies that give way to requests

Standby copies were disabled while over half of the memory of a service was in use or a request had been queued in the last 15 s, and were made in the run's own failure domain only, so that few runs survived the loss of a whole domain.

With faultTolerance.zones of the settings, copies are made up to 0.85 of the memory, first in other failure domains. Load.standby tells peers their memory, which does not count for requests and migrations. Each gateway drops its copies at an engine whose known load exceeds 0.95, those with the fewest events first. Without the setting nothing changes.

--- a/backends/load.go
+++ b/backends/load.go
@@ -14,16 +14,18 @@
 	// CopyTokens is the number of tokens of memory that are being copied to the server. A further
 	// copy waits for them on the server's link.
 	CopyTokens int
+	// Standby is the part of ExpectedTokens that standby copies take which give way to requests.
+	Standby int
 	// StartTime identifies the incarnation of the server that has the load, see Server.
 	StartTime int64
 }
 
 func (l Load) plus(o Load) Load {
-	return Load{Running: l.Running + o.Running, ExpectedTokens: l.ExpectedTokens + o.ExpectedTokens, PromptTokens: l.PromptTokens + o.PromptTokens, CopyTokens: l.CopyTokens + o.CopyTokens}
+	return Load{Running: l.Running + o.Running, ExpectedTokens: l.ExpectedTokens + o.ExpectedTokens, PromptTokens: l.PromptTokens + o.PromptTokens, CopyTokens: l.CopyTokens + o.CopyTokens, Standby: l.Standby + o.Standby}
 }
 
 func (l Load) minus(o Load) Load {
-	return Load{Running: l.Running - o.Running, ExpectedTokens: l.ExpectedTokens - o.ExpectedTokens, PromptTokens: l.PromptTokens - o.PromptTokens, CopyTokens: l.CopyTokens - o.CopyTokens}
+	return Load{Running: l.Running - o.Running, ExpectedTokens: l.ExpectedTokens - o.ExpectedTokens, PromptTokens: l.PromptTokens - o.PromptTokens, CopyTokens: l.CopyTokens - o.CopyTokens, Standby: l.Standby - o.Standby}
 }
 
 // load returns the known load of a server: that of this process and of all others. mu must be
--- a/backends/registry.go
+++ b/backends/registry.go
@@ -78,6 +78,8 @@
 	onLeaving func(Server, LeaveReason)
 	// cell is the index of this process's cell, cellCount the number of cells.
 	cell, cellCount int
+	// self is the name of this process, empty if unknown.
+	self string
 	// cellShare and globalShare are this process's share of the rate that servers accept, among
 	// the processes of its cell and among all processes.
 	cellShare, globalShare *pacing.Share
@@ -321,6 +323,11 @@
 	// memory per second that a server's link transfers.
 	ForCopy   bool
 	CopySpeed float64
+	// GivesWay asks for a server for a standby copy that gives way to requests. Such a query
+	// counts the memory of all copies, any other only of those that do not give way.
+	GivesWay bool
+	// OtherDomainsOnly excludes the servers of PreferredDomain.
+	OtherDomainsOnly bool
 	// Draw is a random number that seeds the choice.
 	Draw uint64
 }
@@ -335,7 +342,7 @@
 	if preferred == "" {
 		preferred = r.domain
 	}
-	req := &placement.Request{FailureDomain: preferred, Tried: q.Tried, Tokens: q.ExpectedTokens, PromptSpeed: q.PromptSpeed, MaxMemoryUse: q.MaxMemoryUse, MaxPromptPending: q.MaxPromptPending, SameDomainOnly: q.SameDomainOnly, Regions: q.Regions, CopySpeed: q.CopySpeed, MaxPause: q.MaxPause, PauseStretch: q.PauseStretch}
+	req := &placement.Request{FailureDomain: preferred, Tried: q.Tried, Tokens: q.ExpectedTokens, PromptSpeed: q.PromptSpeed, MaxMemoryUse: q.MaxMemoryUse, MaxPromptPending: q.MaxPromptPending, SameDomainOnly: q.SameDomainOnly, OtherDomainsOnly: q.OtherDomainsOnly, Regions: q.Regions, CopySpeed: q.CopySpeed, MaxPause: q.MaxPause, PauseStretch: q.PauseStretch}
 	divided := cells.IsDivided(len(views), r.cellCount)
 	if divided {
 		req.IsCandidate = func(k int) bool { return r.inOwnCell(list[k], len(list)) }
@@ -377,7 +384,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	changed := r.cell != p.OwnCell || r.cellCount != p.CellCount
-	r.cell, r.cellCount = p.OwnCell, p.CellCount
+	r.cell, r.cellCount, r.self = p.OwnCell, p.CellCount, p.Self
 	r.cellShare, r.globalShare = cellShare, globalShare
 	return changed
 }
@@ -402,6 +409,9 @@
 	meanPause := meanPause(list, now)
 	for _, s := range list {
 		load := r.load(s)
+		if !q.GivesWay {
+			load = load.withoutStandby()
+		}
 		// A run that is resumed from its copy can't wait for the rate limit, so rate-limited
 		// servers get no copies.
 		paced := q.ForCopy && s.rateLimit.limited || !r.canSend(s, s.pacingLimit(traits, now), len(list), q.SharedTime, now)
--- a/backends/reservation.go
+++ b/backends/reservation.go
@@ -39,6 +39,7 @@
 
 	registry *Registry
 	target   *server
+	givesWay bool
 	// contribution is what the request adds to the server's load. It is guarded by registry.mu.
 	contribution Load
 	once         sync.Once
@@ -46,10 +47,13 @@
 
 // reserve counts a request at a server. mu must be held.
 func (r *Registry) reserve(target *server, q Query, serverCount int) *Reservation {
-	res := &Reservation{registry: r, target: target, Server: target.Server, ServerCount: serverCount, Load: r.load(target), contribution: Load{Running: 1, ExpectedTokens: q.ExpectedTokens, PromptTokens: q.PromptTokens}}
+	res := &Reservation{registry: r, target: target, Server: target.Server, ServerCount: serverCount, givesWay: q.GivesWay, Load: r.load(target), contribution: Load{Running: 1, ExpectedTokens: q.ExpectedTokens, PromptTokens: q.PromptTokens}}
 	if q.ForCopy {
 		res.contribution.CopyTokens = q.ExpectedTokens
 	}
+	if q.GivesWay {
+		res.contribution.Standby = q.ExpectedTokens
+	}
 	target.ownLoad = target.ownLoad.plus(res.contribution)
 	return res
 }
@@ -80,7 +84,13 @@
 
 // SetExpectedTokens changes the memory in tokens that the request is expected to need.
 func (r *Reservation) SetExpectedTokens(tokens int) {
-	r.change(func(contribution Load) Load { return Load{ExpectedTokens: tokens - contribution.ExpectedTokens} })
+	r.change(func(contribution Load) Load {
+		change := Load{ExpectedTokens: tokens - contribution.ExpectedTokens}
+		if contribution.Standby > 0 {
+			change.Standby = change.ExpectedTokens
+		}
+		return change
+	})
 }
 
 // overduePrompt is the load counted for a prompt that a server doesn't begin to answer in time.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -160,6 +160,7 @@
 	return relay.Config{
 		RevokeTimeout: platform.Bounds.Revoke, ApplyTimeout: platform.Bounds.ApplyConfig,
 		RetryRatio: platform.Bounds.RetryRatio, RetryExtra: platform.Bounds.RetryExtra,
+		DomainFailures: platform.FaultTolerance.FailureDomains,
 	}
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -108,7 +108,7 @@
 	for id, l := range g.registry.Loads() {
 		s.Loads = append(s.Loads, &peerv1.Load{
 			Server: id, Running: uint32(l.Running), Tokens: uint64(max(0, l.ExpectedTokens)),
-			Prompt: uint64(max(0, l.PromptTokens)), Copying: uint64(max(0, l.CopyTokens)), Born: l.StartTime,
+			Prompt: uint64(max(0, l.PromptTokens)), Copying: uint64(max(0, l.CopyTokens)), Born: l.StartTime, Standby: uint64(max(0, l.Standby)),
 			PauseUs: uint32(paces[id].Pause.Microseconds()),
 		})
 	}
@@ -196,6 +196,8 @@
 		}
 		loads[l.GetServer()] = backends.Load{
 			Running: int(l.GetRunning()), ExpectedTokens: int(l.GetTokens()), PromptTokens: int(l.GetPrompt()), CopyTokens: int(l.GetCopying()), StartTime: l.GetBorn(),
+			// More than all of its memory would hide the requests of other gateways.
+			Standby: int(min(l.GetStandby(), l.GetTokens())),
 		}
 	}
 	g.registry.SetRemoteLoads(peer, loads)
--- a/internal/gatewaymetrics/metrics.go
+++ b/internal/gatewaymetrics/metrics.go
@@ -30,6 +30,7 @@
 	eventPause     prometheus.Histogram
 	failedAttempts *prometheus.CounterVec
 	migrations     *prometheus.CounterVec
+	standbyCopies  *prometheus.CounterVec
 	// crashes counts the servers that crashed while requests ran on them.
 	crashes *prometheus.CounterVec
 	// unreadableEntries counts directory entries that don't describe a usable server.
@@ -83,6 +84,9 @@
 			Name: "kingcup_gateway_unreadable_entries_total", Help: "Entries of servers that could not be read.",
 		}),
 	}
+	r.standbyCopies = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "kingcup_gateway_standby_copies_total", Help: "Standby copies of runs by event: made, refused for lack of room, dropped, used, missing when needed.",
+	}, []string{"event"})
 	r.storeCalls = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "kingcup_gateway_store_calls_total", Help: "Calls to the store by table and result: a status, \"no answer\" or \"answer cut\".",
 	}, []string{"table", "result"})
@@ -102,7 +106,7 @@
 	r.storeRestores = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "kingcup_gateway_store_restored_total", Help: "Times that the store has come back from a copy, by table.",
 	}, []string{"table"})
-	r.registry.MustRegister(r.storeCallReasons, r.peerBytes, r.storeRestores)
+	r.registry.MustRegister(r.storeCallReasons, r.peerBytes, r.storeRestores, r.standbyCopies)
 	r.registry.MustRegister(r.requests, r.firstByte, r.eventPause, r.failedAttempts, r.migrations, r.crashes, r.unreadableEntries, r.storeCalls, r.storeBytes, r.storeTransfer)
 	return r
 }
@@ -132,6 +136,11 @@
 // ServerCrashed implements relay.Observer.
 func (r *Recorder) ServerCrashed(service string) { r.crashes.WithLabelValues(service).Inc() }
 
+// StandbyCopy implements relay.Observer.
+func (r *Recorder) StandbyCopy(event relay.StandbyEvent) {
+	r.standbyCopies.WithLabelValues(string(event)).Inc()
+}
+
 // EventPause implements relay.Observer.
 func (r *Recorder) EventPause(team string, d time.Duration) {
 	r.eventPause.Observe(d.Seconds())
--- a/internal/relay/enginequeue.go
+++ b/internal/relay/enginequeue.go
@@ -250,6 +250,7 @@
 	if reservation == nil {
 		return nil
 	}
+	r.giveWay(reservation)
 	r.chargeTeam(j, eq)
 	r.Peers.Notify()
 	return reservation
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -359,3 +359,4 @@
 func (noObserver) AttemptFailed(string, string)                          {}
 func (noObserver) Migrated(string)                                       {}
 func (noObserver) ServerCrashed(string)                                  {}
+func (noObserver) StandbyCopy(StandbyEvent)                              {}
--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -128,6 +128,7 @@
 	if standby == nil {
 		return nil
 	}
+	s.keepStandby(*standby)
 	s.forceRetry(s.job.service)
 	ctx, cancel := context.WithCancel(ctx)
 	timer := time.AfterFunc(maxMigrationWait, cancel)
@@ -143,6 +144,7 @@
 	}
 	s.job.log.WithFields(logrus.Fields{"server": s.run.serverID(), "to": standby.reservation.Server.ID}).Info("silent stream resumed from its standby copy")
 	s.Observer.Migrated("hedged")
+	s.Observer.StandbyCopy(StandbyUsed)
 	s.run.cancelResponse()
 	return next
 }
--- a/internal/relay/migration.go
+++ b/internal/relay/migration.go
@@ -36,6 +36,7 @@
 type reservedCopy struct {
 	KVCopy
 	reservation *backends.Reservation
+	isStandby   bool
 }
 
 // run is a stream at a server.
@@ -238,7 +239,7 @@
 	u.mu.Unlock()
 	if standby != nil {
 		// The engine frees the copy when the run ends.
-		standby.reservation.Release(backends.ResultInconclusive, r.Now())
+		r.releaseStandby(standby.reservation)
 	}
 	r.mu.Lock()
 	r.untrackRun(u, server)
@@ -360,6 +361,7 @@
 	unbounded.MaxMemoryUse = 0
 	for _, q := range []backends.Query{preferred, q, unbounded} {
 		if reservation := r.Registry.Acquire(q, r.Now()); reservation != nil {
+			r.giveWay(reservation)
 			r.Peers.Notify()
 			return reservation
 		}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -30,6 +30,9 @@
 	// further retries that all gateways share.
 	RetryRatio float64
 	RetryExtra int
+	// DomainFailures is how many failure domains may fail at the same time. From 1 on, standby
+	// copies give way, see the package standby.
+	DomainFailures int
 }
 
 // Observer receives events for metrics. Its methods must not block.
@@ -48,6 +51,9 @@
 	Migrated(result string)
 	// ServerCrashed is called for each server that crashed while running requests.
 	ServerCrashed(service string)
+	// StandbyCopy is called for what happens to a standby copy, see the constants of
+	// StandbyEvent.
+	StandbyCopy(event StandbyEvent)
 }
 
 // Deps are the dependencies of a Relay.
@@ -136,6 +142,8 @@
 	// promptSpeed is the moving average of the prompt tokens per second that an engine reads.
 	promptSpeed float64
 	forecasts   *outputForecasts
+	// standbys are the standby copies that give way.
+	standbys *standbyCopies
 	// shutdownAt is when this process will stop, zero if unknown. From refuseFrom on, requests
 	// that would outlast it are refused in any case.
 	shutdownAt, refuseFrom time.Time
@@ -154,6 +162,7 @@
 		meanPause:    initialPause,
 		promptSpeed:  initialPromptSpeed,
 		forecasts:    newOutputForecasts(),
+		standbys:     newStandbyCopies(),
 	}
 	if r.Quarantine == nil {
 		r.Quarantine = noQuarantine{}
--- a/internal/relay/standby.go
+++ b/internal/relay/standby.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"kingcupplank.example/kingcup/backends"
+	"kingcupplank.example/kingcup/standby"
 )
 
 const (
@@ -33,61 +34,146 @@
 // An engine that crashes without warning loses its runs, and their callers lose responses that
 // may not run again. A run with a standby copy continues there within about 30 ms.
 func (r *Relay) reserveStandby(j *job, s backends.Server) *backends.Reservation {
-	engine := j.engine
-	if engine == nil || !engine.SupportsStandby || j.Generation == nil || j.route.Resumable {
+	if !j.canHaveStandby() {
 		return nil
 	}
-	if time.Duration(j.expectedEvents(0))*r.currentMeanPause() < minStandbyRunTime || r.engineQueue(j.service).saturatedSince(r.Now()-standbyPause) {
+	remaining := time.Duration(j.expectedEvents(0)) * r.currentMeanPause()
+	if r.cfg.Load().DomainFailures > 0 {
+		return r.reserveGivingWay(j, s, remaining)
+	}
+	if remaining < minStandbyRunTime || r.engineQueue(j.service).saturatedSince(r.Now()-standbyPause) {
 		return nil
 	}
+	q := r.standbyQuery(j, s)
+	q.MaxMemoryUse, q.MaxServiceMemoryUse = maxStandbyMemory, maxServiceStandbyMemory
+	q.SameDomainOnly = true
+	return r.countStandby(r.Registry.Acquire(q, r.Now()))
+}
+
+// canHaveStandby reports whether a request's stream would be lost with its engine, and a second
+// engine can keep a copy of it.
+func (j *job) canHaveStandby() bool {
+	return j.engine != nil && j.engine.SupportsStandby && j.Generation != nil && !j.route.Resumable
+}
+
+// standbyQuery returns the query for a server for a standby copy of a run that starts at s.
+func (r *Relay) standbyQuery(j *job, s backends.Server) backends.Query {
 	q := r.serverQuery(j)
 	q.ExpectedTokens, q.Tried = j.expectedMemory(0), append([]string{s.ID}, j.excluded...)
-	q.MaxMemoryUse, q.MaxServiceMemoryUse = maxStandbyMemory, maxServiceStandbyMemory
-	q.ForCopy, q.CopySpeed = true, engine.CopySpeed()
+	q.ForCopy, q.CopySpeed = true, j.engine.CopySpeed()
 	q.MaxPause, q.PauseStretch = r.pauseBound(j, 0)
-	q.PreferredDomain, q.SameDomainOnly = s.FailureDomain, true
-	return r.Registry.Acquire(q, r.Now())
+	q.PreferredDomain = s.FailureDomain
+	return q
+}
+
+// reserveGivingWay reserves memory for a standby copy that gives way to requests.
+func (r *Relay) reserveGivingWay(j *job, s backends.Server, remaining time.Duration) *backends.Reservation {
+	limits, worth := standby.LimitsFor(remaining)
+	if !worth {
+		return nil
+	}
+	q := r.standbyQuery(j, s)
+	q.Tried = append(q.Tried, r.standbys.busy()...)
+	q.MaxMemoryUse, q.MaxServiceMemoryUse, q.GivesWay = limits.MaxMemoryUse, limits.MaxServiceMemoryUse, true
+	for _, place := range standby.Places() {
+		q.OtherDomainsOnly, q.SameDomainOnly = place == standby.OtherDomain, place == standby.SameDomain
+		if reservation := r.Registry.Acquire(q, r.Now()); reservation != nil {
+			r.standbys.add(reservation, j.ID)
+			r.scheduleStandbyCheck()
+			return r.countStandby(reservation)
+		}
+	}
+	return r.countStandby(nil)
+}
+
+// countStandby counts whether there was room for a copy.
+func (r *Relay) countStandby(reservation *backends.Reservation) *backends.Reservation {
+	event := StandbyMade
+	if reservation == nil {
+		event = StandbyRefused
+	}
+	r.Observer.StandbyCopy(event)
+	return reservation
 }
 
 // sendWithStandby makes one attempt, with a standby copy if there is memory for one.
 func (r *Relay) sendWithStandby(ctx context.Context, j *job, reservation *backends.Reservation, a *Attempt) (*placedResponse, error) {
-	standby := r.reserveStandby(j, reservation.Server)
-	if standby != nil {
-		a.StandbyAddress = standby.Server.Address
+	copied := r.reserveStandby(j, reservation.Server)
+	if copied != nil {
+		a.StandbyAddress = copied.Server.Address
 	}
 	placed, err := r.send(ctx, j, reservation, a)
 	if err != nil {
-		if standby != nil {
-			standby.Release(backends.ResultInconclusive, r.Now())
+		if copied != nil {
+			r.releaseStandby(copied)
 		}
 		return nil, err
 	}
-	if standby != nil {
+	if copied != nil {
 		// The prompt's KV cache is being sent by the time that the response begins.
-		standby.FinishCopy()
-		placed.standby = standby
+		copied.FinishCopy()
+		placed.standby = copied
 	}
 	return placed, nil
 }
 
-// setStandby records the standby copy with which the run was started.
-func (u *run) setStandby(placed *placedResponse) {
+// standbyOf returns the standby copy that a server keeps.
+func standbyOf(reservation *backends.Reservation, handle string) reservedCopy {
+	return reservedCopy{KVCopy: KVCopy{Source: reservation.Server.Address, Handle: handle}, reservation: reservation, isStandby: true}
+}
+
+// setStandby records the standby copy with which a run was started, unless it has been dropped.
+func (r *Relay) setStandby(u *run, placed *placedResponse) {
 	if placed.standby == nil {
 		return
 	}
+	c := standbyOf(placed.standby, u.job.ID)
+	u.mu.Lock()
+	u.standby = &c
+	u.mu.Unlock()
+	if placed.standby.GivesWay() && !r.standbys.begin(placed.standby, u) {
+		// The engine may have begun to send the copy after it was dropped.
+		u.forgetStandby(placed.standby)
+		placed.standby = nil
+		go r.dropCopy(c)
+	}
+}
+
+// forgetStandby removes a standby copy from its run. It returns false if the run has none, or
+// another one.
+func (u *run) forgetStandby(reservation *backends.Reservation) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.standby = &reservedCopy{KVCopy: KVCopy{Source: placed.standby.Server.Address, Handle: u.job.ID}, reservation: placed.standby}
+	if u.standby == nil || u.standby.reservation != reservation {
+		return false
+	}
+	u.standby = nil
+	return true
 }
 
-// releaseStandby releases the reservation of the standby copy.
-func (p *placedResponse) releaseStandby(now time.Duration) {
-	if p.standby != nil {
-		p.standby.Release(backends.ResultInconclusive, now)
-		p.standby = nil
+// growStandby updates the memory that the standby copy takes.
+func (u *run) growStandby(tokens int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.standby != nil && u.standby.reservation.GivesWay() {
+		u.standby.reservation.SetExpectedTokens(tokens)
 	}
 }
 
+// keepStandby counts a standby copy as memory of a run that resumes from it.
+func (r *Relay) keepStandby(c reservedCopy) {
+	if c.isStandby {
+		r.standbys.remove(c.reservation)
+		c.reservation.KeepStandby()
+	}
+}
+
+// releaseStandby releases the reservation of a standby copy that the engine frees by itself.
+func (r *Relay) releaseStandby(reservation *backends.Reservation) {
+	r.standbys.remove(reservation)
+	reservation.Release(backends.ResultInconclusive, r.Now())
+}
+
 // copyFailureResult is the result for a server that did not resume a run from a copy. A
 // NotRunError means that the server has no such copy, for example because it had no memory for
 // it; that is not a failure of the server.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -35,7 +35,9 @@
 		if err != nil {
 			r.handleBrokenResponse(ctx, j, placed.reservation.Server)
 		}
-		placed.releaseStandby(r.Now())
+		if placed.standby != nil {
+			r.releaseStandby(placed.standby)
+		}
 		placed.reservation.Release(backends.ResultFailed, r.Now())
 		j.excluded = append(j.excluded, placed.reservation.Server.ID)
 		if !j.canRetry() {
@@ -65,7 +67,7 @@
 func (s *session) forward(ctx context.Context, placed *placedResponse) string {
 	s.run = newRun(s.job)
 	s.run.setResponse(placed)
-	s.run.setStandby(placed)
+	s.setStandby(s.run, placed)
 	s.addRun(s.run)
 	defer func() { s.removeRun(s.run) }()
 	head := placed.response
@@ -138,7 +140,9 @@
 		}
 		s.run.recordEvent(s.job.progress, s.seq.lastEventID(), s.lastEventAt)
 		if s.job.Generation != nil && s.job.progress.events%memoryUpdateInterval == 0 {
-			placed.reservation.SetExpectedTokens(s.run.expectedMemory())
+			tokens := s.run.expectedMemory()
+			placed.reservation.SetExpectedTokens(tokens)
+			s.run.growStandby(tokens)
 		}
 	}
 }
@@ -212,6 +216,9 @@
 		s.Observer.Migrated("resumed")
 		return next
 	}
+	if j.canHaveStandby() {
+		s.Observer.StandbyCopy(StandbyMissing)
+	}
 	placed.reservation.Release(backends.ResultFailed, s.Now())
 	if ctx.Err() != nil || !j.canRetry() {
 		log.WithError(cause).Warn("stream broke and cannot be resumed")
@@ -238,11 +245,16 @@
 func (s *session) resumeFromCopy(ctx context.Context, placed *placedResponse) *placedResponse {
 	copies := s.run.takeCopies(ctx)
 	for i, c := range copies {
+		s.keepStandby(c)
 		s.forceRetry(s.job.service)
 		next, err := s.send(ctx, s.job, c.reservation, &Attempt{LastEventID: s.seq.lastEventID(), ResumeFrom: &c.KVCopy})
 		if err == nil && next.isStream() {
 			s.switchTo(next, placed)
+			if c.isStandby {
+				s.Observer.StandbyCopy(StandbyUsed)
+			}
 			for _, unused := range copies[i+1:] {
+				s.standbys.remove(unused.reservation)
 				go s.dropCopy(unused)
 			}
 			return next
--- a/placement/filters.go
+++ b/placement/filters.go
@@ -36,9 +36,11 @@
 	return !slices.Contains(r.Tried, s.Name)
 }
 
-// InDomain drops servers of other failure domains if the request is restricted to its own.
+// InDomain drops servers of other failure domains if the request is restricted to its own, and
+// those of its own if it is restricted to others.
 func InDomain(r *Request, s *Server) bool {
-	return !r.SameDomainOnly || s.FailureDomain == r.FailureDomain
+	same := s.FailureDomain == r.FailureDomain
+	return (same || !r.SameDomainOnly) && !(same && r.OtherDomainsOnly)
 }
 
 // WithinBounds drops servers whose pending prompts or memory use would exceed the bounds
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -84,6 +84,8 @@
 	CopySpeed float64
 	// SameDomainOnly drops servers of other failure domains.
 	SameDomainOnly bool
+	// OtherDomainsOnly drops servers of the request's own failure domain.
+	OtherDomainsOnly bool
 	// IsCandidate restricts the choice to some servers, by their index; nil allows all.
 	IsCandidate func(i int) bool
 	// IsOwnTurn reports whether this process may use a server in the current period (see
--- /dev/null
+++ b/standby/standby.go
@@ -0,0 +1,118 @@
+// Package standby decides which runs get a standby copy, where, and which copies are dropped when
+// their memory is wanted. A standby copy is a run's memory that a second engine receives as it
+// grows; if the run's engine crashes, the run continues there.
+//
+// The package is for deployments that lose a whole failure domain at a time, whose engines are 40
+// to 90 % full and whose long responses may not run again. There copies take what runs and
+// migrations leave, also while requests queue, and give way to them: their memory does not count
+// for a request, and it is freed once a request needs it.
+//
+// All functions are pure; times are durations.
+package standby
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// maxMemoryUse is the fraction of an engine's memory, and of that of all engines of a service,
+	// up to which copies are made, including them. A request of a tenth of the memory still fits
+	// below DropMemoryUse, so a new copy is not dropped for the next request.
+	maxMemoryUse = 0.85
+	// shortMemoryUse is the fraction of the service's memory in use from which on only runs of
+	// minShortTime and more get a copy. Room for a few more copies is left then, and a run that
+	// ends soon would lose little.
+	shortMemoryUse = 0.7
+	minShortTime   = 2 * time.Second
+	// minTime is the expected remaining time from which on a run gets a copy at all. Sending a
+	// prompt's memory takes 0.2 s on two links.
+	minTime = time.Second
+	// DropMemoryUse is the fraction of an engine's memory in use, with all copies, beyond which
+	// copies are dropped. The rest covers requests of other gateways that are not known yet.
+	DropMemoryUse = 0.95
+	// MaxStarting is the number of copies that one gateway starts towards one engine at a time.
+	// Each takes 0.16 s of the engine's link, behind which migrations wait.
+	MaxStarting = 2
+	// PeerWait is how long a gateway waits for those that are to drop their copies before it: a
+	// report of another gateway is up to 300 ms old, but after a request is placed it is sent at
+	// once.
+	PeerWait = 100 * time.Millisecond
+)
+
+// Limits bound where a copy may be made.
+type Limits struct {
+	// MaxMemoryUse and MaxServiceMemoryUse are fractions of the memory of the copy's engine,
+	// including the copy, and of that of all engines of the service.
+	MaxMemoryUse, MaxServiceMemoryUse float64
+}
+
+// LimitsFor returns the limits for a copy of a run that is expected to take remaining. It returns
+// false if the run is not worth a copy.
+func LimitsFor(remaining time.Duration) (Limits, bool) {
+	l := Limits{MaxMemoryUse: maxMemoryUse, MaxServiceMemoryUse: maxMemoryUse}
+	if remaining < minShortTime {
+		l.MaxServiceMemoryUse = shortMemoryUse
+	}
+	return l, remaining >= minTime
+}
+
+// Place says in which failure domains an engine for a copy is looked for.
+type Place int
+
+const (
+	// OtherDomain are all failure domains but the run's.
+	OtherDomain Place = iota
+	// SameDomain is the run's failure domain.
+	SameDomain
+)
+
+// Places returns the places to look for room, in order. A copy in the run's failure domain is lost
+// together with the run if the whole domain fails.
+func Places() [2]Place { return [2]Place{OtherDomain, SameDomain} }
+
+// Copy is a copy that a gateway may drop.
+type Copy struct {
+	// Events is the number of events that its run has made, Tokens its memory.
+	Events, Tokens int
+}
+
+// Excess is by how much an engine's memory in use exceeds DropMemoryUse.
+type Excess struct {
+	Tokens int
+	// PrecedingTokens is the memory of the copies of gateways that are to drop theirs first.
+	PrecedingTokens int
+	// For is how long there has been an excess.
+	For time.Duration
+}
+
+// wanted returns the number of tokens that this gateway is to free. The gateways before it may be
+// cut off, so that it waits for them for PeerWait only.
+func (e Excess) wanted() int {
+	if e.For >= PeerWait {
+		return e.Tokens
+	}
+	return e.Tokens - max(0, e.PrecedingTokens)
+}
+
+// Drops returns the indices of the copies to drop. Copies of the runs that would lose least go
+// first, which are those with the fewest events.
+func Drops(e Excess, copies []Copy) []int {
+	wanted := e.wanted()
+	if wanted <= 0 {
+		return nil
+	}
+	order := make([]int, len(copies))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(copies[a].Events, copies[b].Events) })
+	for n, i := range order {
+		if wanted <= 0 {
+			return order[:n]
+		}
+		wanted -= max(0, copies[i].Tokens)
+	}
+	return order
+}
