Load test of standby copies that give way

A request is placed by the memory without copies, so that it may go to an engine that has to drop one while others have room, and the gateways that have copies there would each drop one for it. KeepsStandby prefers engines without a drop, and gateways drop in an order that all share.

The test simulates 22 gateways and 40 engines at 40 to 90 % memory in use by runs and a crash of 8 engines of a failure domain.

--- a/backends/registry.go
+++ b/backends/registry.go
@@ -408,9 +408,9 @@
 	r.scratch = r.scratch[:0]
 	meanPause := meanPause(list, now)
 	for _, s := range list {
-		load := r.load(s)
+		load, standby := r.load(s), 0
 		if !q.GivesWay {
-			load = load.withoutStandby()
+			load, standby = load.withoutStandby(), max(0, load.Standby)
 		}
 		// A run that is resumed from its copy can't wait for the rate limit, so rate-limited
 		// servers get no copies.
@@ -418,7 +418,7 @@
 		r.scratch = append(r.scratch, placement.Server{
 			Name: s.ID, FailureDomain: s.FailureDomain, Region: r.domainRegions[s.FailureDomain], Leaving: s.Leaving, Cordoned: r.cordoned[s.FailureDomain], Connected: true,
 			Running: load.Running, Slots: s.Slots, UsualPause: comparablePause(s.usualPause(now), meanPause),
-			MemoryForecast: uint64(max(0, load.ExpectedTokens)), PromptPending: max(0, load.PromptTokens), CopyPending: max(0, load.CopyTokens), MemoryTotal: uint64(traits.MemoryTokens),
+			MemoryForecast: uint64(max(0, load.ExpectedTokens)), PromptPending: max(0, load.PromptTokens), CopyPending: max(0, load.CopyTokens), StandbyTokens: standby, MemoryTotal: uint64(traits.MemoryTokens),
 			FailureRate: s.failureRate(now), Avoid: now < s.avoidUntil || s.missingUntil > 0 || r.avoidForLosses(s, now) || r.backsOffElsewhere(s), BackingOff: now < s.backoffUntil, Cold: now < s.coldUntil, Paced: paced, Down: r.isDown(s, now),
 		})
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -40,6 +40,9 @@
 	CopyPending int
 	// UsualPause is the usual time between two events of a stream of the server, 0 if unknown.
 	UsualPause time.Duration
+	// StandbyTokens is the memory of standby copies, in tokens, that MemoryForecast does not
+	// contain as they give way to requests.
+	StandbyTokens int
 	// Slots is the number of requests that the server runs at once, 0 if unknown.
 	Slots int
 	// FailureRate is the share of failures among its recent responses.
@@ -135,6 +138,7 @@
 			{Weight: 2.0, Score: NotAvoided},
 			{Weight: 0.3, Score: Warm},
 			{Weight: 0.03, Score: SameDomain},
+			{Weight: 0.1, Score: KeepsStandby},
 		},
 	}
 }
@@ -143,10 +147,11 @@
 // failure domains takes twice as long, and a leaving server leaves little time, so another
 // domain is chosen only if the domain of the run has no free capacity. Copies to one server go one
 // after the other, so a server that is already receiving copies ranks behind a server with
-// less free memory.
+// less free memory. A server refuses the copy of a run until standby copies there are dropped,
+// while a request waits for that, so standby copies weigh more here than for requests.
 func CopyTarget() Policy {
 	p := Direct()
-	p.Scorers = append(p.Scorers, Scorer{Weight: 0.6, Score: SameDomain}, Scorer{Weight: 1.5, Score: CopyWait})
+	p.Scorers = append(p.Scorers, Scorer{Weight: 0.6, Score: SameDomain}, Scorer{Weight: 1.5, Score: CopyWait}, Scorer{Weight: 1.0, Score: KeepsStandby})
 	return p
 }
 
--- a/placement/scorers.go
+++ b/placement/scorers.go
@@ -1,5 +1,7 @@
 package placement
 
+import "kingcupplank.example/kingcup/standby"
+
 // sentCost is the memory, as a share of capacity, that each request sent since the last
 // load report is assumed to need. It prevents an entry from sending a burst to the server
 // that had the highest score at its last heartbeat.
@@ -93,6 +95,18 @@
 	return -float64(s.CopyPending) / r.CopySpeed
 }
 
+// KeepsStandby prefers servers at which no standby copy has to be dropped for the request. The
+// copies protect runs of other servers, and their memory is free a moment later only.
+func KeepsStandby(r *Request, s *Server) float64 {
+	if s.StandbyTokens <= 0 || s.MemoryTotal == 0 {
+		return 0
+	}
+	if float64(s.MemoryForecast)+float64(s.StandbyTokens)+float64(r.Tokens) <= standby.DropMemoryUse*float64(s.MemoryTotal) {
+		return 0
+	}
+	return -1
+}
+
 // MemoryUtilization returns the share of memory in use over all servers that are neither
 // leaving nor cordoned, 0 if no memory size is known. It ignores servers that are not
 // candidates of the request, because too little is known about their load.
--- /dev/null
+++ b/standby/load_test.go
@@ -0,0 +1,145 @@
+package standby_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"kingcupplank.example/kingcup/standby"
+)
+
+// variant is a way to make and to drop copies.
+type variant struct {
+	limits   func(remaining time.Duration, saturated bool) (standby.Limits, bool)
+	places   []standby.Place
+	givesWay bool
+	// unordered makes all gateways drop copies at once.
+	unordered bool
+}
+
+var (
+	places   = standby.Places()
+	givesWay = variant{limits: giveWayLimits, places: places[:], givesWay: true}
+	// sameDomain makes copies in the run's own failure domain only.
+	sameDomain = variant{limits: giveWayLimits, places: places[1:], givesWay: true}
+	// unordered drops copies of all gateways for one request.
+	unordered = variant{limits: giveWayLimits, places: places[:], givesWay: true, unordered: true}
+	// halfFull are the limits without the setting: copies do not give way.
+	halfFull = variant{limits: halfFullLimits, places: places[1:]}
+)
+
+func giveWayLimits(remaining time.Duration, _ bool) (standby.Limits, bool) {
+	return standby.LimitsFor(remaining)
+}
+
+func halfFullLimits(remaining time.Duration, saturated bool) (standby.Limits, bool) {
+	return standby.Limits{MaxMemoryUse: 0.5, MaxServiceMemoryUse: 0.5}, remaining >= time.Second && !saturated
+}
+
+// result is what a simulation has counted.
+type result struct {
+	memoryUse float64
+	// covered is the part of the long runs at crashed engines with a copy outside of the crash,
+	// copiedRuns that with any copy.
+	covered, copiedRuns float64
+	// coveredDomain is the same for a crash of all engines of the domain.
+	coveredDomain float64
+	made, dropped int
+	// queued counts requests that found no engine at first; blocked those that waited at an engine
+	// because of copies, and blockedTime is the longest such wait.
+	requests, queued, blocked int
+	blockedTime               time.Duration
+	// migrated counts migrations, refused those without a target although one has memory without its
+	// copies. refusals counts single targets that refused for copies.
+	migrated, refused, refusals int
+}
+
+// sample counts, for a crash of engines of each failure domain, the long runs there and those
+// with a copy elsewhere.
+func (s *simulation) sample() {
+	s.samples++
+	held := 0
+	for _, e := range s.engines {
+		held += e.held
+	}
+	s.memorySum += float64(held) / (engines * memory)
+	for d := range domains {
+		domain := fmt.Sprint("z", d)
+		down, n := make(map[*engine]bool), 0
+		for _, e := range s.engines {
+			if e.server.FailureDomain == domain && n < crashed {
+				down[e] = true
+				n++
+			}
+		}
+		for e := range down {
+			for _, g := range e.runs {
+				if g.duration == longDuration {
+					s.count(g, down, domain)
+				}
+			}
+		}
+	}
+}
+
+// count counts a run whose engine crashes.
+func (s *simulation) count(g *generation, down map[*engine]bool, domain string) {
+	s.crashedRuns++
+	if g.copy == nil {
+		return
+	}
+	s.withCopy++
+	if !down[g.copy.engine] {
+		s.outside++
+	}
+	if g.copy.engine.server.FailureDomain != domain {
+		s.outsideDomain++
+	}
+}
+
+// Guards against the loss of most long runs when a fifth of the engines crash at once, which the
+// limits without the setting allow, and against copies that delay requests or migrations. With
+// copies up to half of the memory, hardly any run is covered once the engines are half full.
+func TestRunsAreCoveredAgainstLossOfAFifthOfTheEngines(t *testing.T) {
+	for _, tt := range []struct{ memoryUse, minCovered, maxCoveredHalfFull float64 }{
+		{0.4, 0.6, 0.15}, {0.5, 0.45, 0.08}, {0.6, 0.22, 0.03}, {0.7, 0.1, 0.02}, {0.8, 0, 0.02}, {0.9, 0, 0.02},
+	} {
+		before, after := newSimulation(halfFull, tt.memoryUse).run(), newSimulation(givesWay, tt.memoryUse).run()
+		before.log(t, tt.memoryUse, "half full")
+		after.log(t, tt.memoryUse, "give way")
+		require.Less(t, before.covered, tt.maxCoveredHalfFull)
+		require.GreaterOrEqual(t, after.covered, tt.minCovered)
+		require.GreaterOrEqual(t, after.covered, 0.95*after.copiedRuns, "copies are outside of the crash")
+		require.GreaterOrEqual(t, after.coveredDomain, 0.95*after.covered, "also if the whole domain is lost")
+		require.Zero(t, after.refused, "migrations refused for copies")
+		if tt.memoryUse <= 0.8 {
+			require.Zero(t, after.queued, "requests queued for copies")
+		}
+		require.LessOrEqual(t, after.blocked, after.requests/100, "requests that waited at an engine for a drop")
+		require.LessOrEqual(t, after.blockedTime, maxDropTime)
+	}
+}
+
+// Guards against copies that are lost together with their runs, and against the copies of all
+// gateways being dropped for one request.
+func TestOtherDomainsAndOrderedDropsCoverMoreRuns(t *testing.T) {
+	for _, use := range []float64{0.4, 0.5, 0.6} {
+		chosen := newSimulation(givesWay, use).run()
+		chosen.log(t, use, "give way")
+		same := newSimulation(sameDomain, use).run()
+		same.log(t, use, "same domain")
+		all := newSimulation(unordered, use).run()
+		all.log(t, use, "unordered")
+		require.Greater(t, chosen.covered, 1.5*same.covered)
+		require.Zero(t, same.coveredDomain)
+		require.Greater(t, chosen.covered, all.covered)
+		require.Less(t, chosen.dropped, all.dropped)
+	}
+}
+
+func (r result) log(t *testing.T, memoryUse float64, name string) {
+	t.Logf("%.1f %-11s in use %.2f: covered %.2f (domain %.2f), with any copy %.2f, copies made %d, dropped %d; %d requests, %d queued, %d waited for a drop, up to %v; %d migrations, %d refused, %d single targets",
+		memoryUse, name, r.memoryUse, r.covered, r.coveredDomain, r.copiedRuns, r.made, r.dropped, r.requests, r.queued, r.blocked, r.blockedTime, r.migrated, r.refused, r.refusals)
+}
