--- a/backends/load_test.go
+++ b/backends/load_test.go
@@ -48,7 +48,7 @@
 			loads := make(map[string]Load)
 			for _, s := range servers {
 				if rapid.Bool().Draw(t, "some") {
-					loads[s] = Load{Running: rapid.IntRange(0, 9).Draw(t, "running"), ExpectedTokens: 10, StartTime: rapid.Int64Range(0, 1).Draw(t, "start time")}
+					loads[s] = Load{Running: rapid.IntRange(0, 9).Draw(t, "running"), ExpectedTokens: 10, Standby: rapid.IntRange(0, 10).Draw(t, "standby"), StartTime: rapid.Int64Range(0, 1).Draw(t, "start time")}
 				}
 			}
 			r.SetRemoteLoads(p, loads)
--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -74,7 +74,7 @@
 func FuzzPeer(f *testing.F) {
 	corpus := fuzzseed.New(f)
 	for _, frame := range []*peerv1.Frame{
-		{Kind: &peerv1.Frame_State{State: &peerv1.State{From: &peerv1.Member{Name: "p"}, ConfigVersion: 9, Loads: []*peerv1.Load{{Server: "s", Tokens: 1 << 63}}, Queues: []*peerv1.Queue{{Service: "m"}}}}},
+		{Kind: &peerv1.Frame_State{State: &peerv1.State{From: &peerv1.Member{Name: "p"}, ConfigVersion: 9, Loads: []*peerv1.Load{{Server: "s", Tokens: 1 << 63, Standby: 1 << 63}}, Queues: []*peerv1.Queue{{Service: "m"}}}}},
 		{Kind: &peerv1.Frame_State{State: &peerv1.State{From: &peerv1.Member{Name: "p"}, Positions: []*peerv1.Position{{Table: directory.Table, Changed: 1 << 63, ClockMs: -1}}, Readers: []*peerv1.Reader{{Name: "r", AnsweredMs: 1 << 62}}}}},
 		{Kind: &peerv1.Frame_Page{Page: &peerv1.Page{Table: operator.Table, Since: 5, Revision: 3}}},
 		{Kind: &peerv1.Frame_Page{Page: &peerv1.Page{Table: directory.Table, Rows: []*peerv1.Row{{Key: "s"}}}}},
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"kingcupplank.example/kingcup/backends"
 	"kingcupplank.example/kingcup/cells"
@@ -69,10 +70,12 @@
 	teamUsage map[string]usageSnapshot
 
 	positions positionSchedule
+	// invalidLoads bounds the log lines about loads of peers that are out of range.
+	invalidLoads rate.Sometimes
 }
 
 func newGroup(self peers.Member, store tableStore, registry *backends.Registry, replica *routing.Replica, linkMbps float64, maxLinks int, stats *controlStats, log logrus.FieldLogger) *group {
-	g := &group{self: self, store: store, registry: registry, linkMbps: linkMbps, stats: stats, log: log, followers: make(map[string]*follow.Follower), queues: make(map[string]flow.Contender), teamUsage: make(map[string]usageSnapshot)}
+	g := &group{self: self, store: store, registry: registry, linkMbps: linkMbps, stats: stats, log: log, followers: make(map[string]*follow.Follower), queues: make(map[string]flow.Contender), teamUsage: make(map[string]usageSnapshot), invalidLoads: rate.Sometimes{Interval: invalidLoadsInterval}}
 	g.encoders = map[string]*changeEncoder{directory.Table: {}, membersTable: {}}
 	g.role = newReaderRole(g)
 	g.registrar = newRegistrar(g)
@@ -155,6 +158,10 @@
 	return out
 }
 
+// invalidLoadsInterval is the interval between two log lines about invalid loads: a peer sends its
+// loads several times a second.
+const invalidLoadsInterval = 10 * time.Second
+
 // maxReportAge bounds the age of a rate limit in a peer's report.
 const maxReportAge = 24 * time.Hour
 
@@ -196,8 +203,7 @@
 		}
 		loads[l.GetServer()] = backends.Load{
 			Running: int(l.GetRunning()), ExpectedTokens: int(l.GetTokens()), PromptTokens: int(l.GetPrompt()), CopyTokens: int(l.GetCopying()), StartTime: l.GetBorn(),
-			// More than all of its memory would hide the requests of other gateways.
-			Standby: int(min(l.GetStandby(), l.GetTokens())),
+			Standby: g.standbyTokens(peer, l),
 		}
 	}
 	g.registry.SetRemoteLoads(peer, loads)
@@ -208,6 +214,19 @@
 	g.noteConfigVersion(s)
 }
 
+// standbyTokens returns the memory of standby copies in a peer's report. More than the reported load
+// would hide the requests of other gateways.
+func (g *group) standbyTokens(peer string, l *peerv1.Load) int {
+	const maxTokens = 1 << 40
+	tokens := min(l.GetTokens(), maxTokens)
+	if l.GetStandby() > tokens {
+		g.invalidLoads.Do(func() {
+			g.log.WithFields(logrus.Fields{"peer": peer, "server": l.GetServer(), "tokens": l.GetTokens(), "standby": l.GetStandby()}).Warn("peer reported more standby copies than load")
+		})
+	}
+	return int(min(l.GetStandby(), tokens))
+}
+
 // Suspects implements peers.Receiver.
 func (g *group) Suspects(peer string, s *peerv1.Suspects) {
 	g.quarantine.receive(peer, s.GetSuspects())
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -244,6 +245,7 @@
 	sent       []*Attempt
 	copies     []string
 	closedIdle []string
+	dropped    []KVCopy
 	leaving    map[string]bool
 	down       map[string]bool
 	send       func(ctx context.Context, a *Attempt) (*Response, error)
@@ -293,7 +295,18 @@
 	f.down[id] = true
 }
 
-func (f *fakeUpstream) DropCopy(context.Context, KVCopy) {}
+func (f *fakeUpstream) DropCopy(_ context.Context, c KVCopy) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.dropped = append(f.dropped, c)
+}
+
+// droppedCopies returns the copies that were dropped, in order.
+func (f *fakeUpstream) droppedCopies() []KVCopy {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.dropped)
+}
 
 func (f *fakeUpstream) IsLeaving(_ context.Context, s backends.Server) (bool, error) {
 	f.mu.Lock()
--- a/internal/relay/standby.go
+++ b/internal/relay/standby.go
@@ -98,21 +98,21 @@
 
 // sendWithStandby makes one attempt, with a standby copy if there is memory for one.
 func (r *Relay) sendWithStandby(ctx context.Context, j *job, reservation *backends.Reservation, a *Attempt) (*placedResponse, error) {
-	copied := r.reserveStandby(j, reservation.Server)
-	if copied != nil {
-		a.StandbyAddress = copied.Server.Address
+	standby := r.reserveStandby(j, reservation.Server)
+	if standby != nil {
+		a.StandbyAddress = standby.Server.Address
 	}
 	placed, err := r.send(ctx, j, reservation, a)
 	if err != nil {
-		if copied != nil {
-			r.releaseStandby(copied)
+		if standby != nil {
+			r.releaseStandby(standby)
 		}
 		return nil, err
 	}
-	if copied != nil {
+	if standby != nil {
 		// The prompt's KV cache is being sent by the time that the response begins.
-		copied.FinishCopy()
-		placed.standby = copied
+		standby.FinishCopy()
+		placed.standby = standby
 	}
 	return placed, nil
 }
@@ -151,12 +151,12 @@
 	return true
 }
 
-// growStandby updates the memory that the standby copy takes.
-func (u *run) growStandby(tokens int) {
+// growStandby updates the memory that a standby copy which gives way takes.
+func (u *run) growStandby() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.standby != nil && u.standby.reservation.GivesWay() {
-		u.standby.reservation.SetExpectedTokens(tokens)
+		u.standby.reservation.SetExpectedTokens(u.job.expectedMemory(u.eventCount))
 	}
 }
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -140,9 +140,8 @@
 		}
 		s.run.recordEvent(s.job.progress, s.seq.lastEventID(), s.lastEventAt)
 		if s.job.Generation != nil && s.job.progress.events%memoryUpdateInterval == 0 {
-			tokens := s.run.expectedMemory()
-			placed.reservation.SetExpectedTokens(tokens)
-			s.run.growStandby(tokens)
+			placed.reservation.SetExpectedTokens(s.run.expectedMemory())
+			s.run.growStandby()
 		}
 	}
 }
--- a/placement/direct_test.go
+++ b/placement/direct_test.go
@@ -68,3 +68,30 @@
 	require.Equal(t, 1, CopyTarget().BestOf(2, r, servers, 1))
 	require.Equal(t, 0, Direct().BestOf(2, r, servers, 1))
 }
+
+// Copies protect runs of other servers. A request must not go where some have to be dropped while
+// an equal server has room, but copies must not keep it from a server that is far emptier.
+func TestServersThatDropNoCopiesArePreferred(t *testing.T) {
+	servers := []Server{
+		{Name: "copies", MemoryTotal: 100, MemoryForecast: 40, StandbyTokens: 50},
+		{Name: "runs", MemoryTotal: 100, MemoryForecast: 45},
+	}
+	r := &Request{Tokens: 10}
+	for _, p := range []Policy{Direct(), CopyTarget()} {
+		require.Equal(t, 1, p.BestOf(2, r, servers, 1))
+		servers[0].StandbyTokens = 30
+		require.Equal(t, 0, p.BestOf(2, r, servers, 1))
+		servers[0].StandbyTokens = 50
+	}
+	servers[1].MemoryForecast = 70
+	require.Equal(t, 0, Direct().BestOf(2, r, servers, 1))
+	require.Equal(t, 1, CopyTarget().BestOf(2, r, servers, 1))
+}
+
+// Guards against a copy in the failure domain that it is to outlive.
+func TestOtherDomainsOnly(t *testing.T) {
+	servers := []Server{{Name: "a", FailureDomain: "z1"}, {Name: "b", FailureDomain: "z2"}}
+	require.Equal(t, 1, CopyTarget().BestOf(2, &Request{FailureDomain: "z1", OtherDomainsOnly: true}, servers, 1))
+	require.Equal(t, -1, CopyTarget().BestOf(2, &Request{FailureDomain: "z1", OtherDomainsOnly: true}, servers[:1], 1))
+	require.Equal(t, 0, CopyTarget().BestOf(2, &Request{FailureDomain: "z1", SameDomainOnly: true}, servers, 1))
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -151,7 +151,7 @@
 // while a request waits for that, so standby copies weigh more here than for requests.
 func CopyTarget() Policy {
 	p := Direct()
-	p.Scorers = append(p.Scorers, Scorer{Weight: 0.6, Score: SameDomain}, Scorer{Weight: 1.5, Score: CopyWait}, Scorer{Weight: 1.0, Score: KeepsStandby})
+	p.Scorers = append(p.Scorers, Scorer{Weight: 0.6, Score: SameDomain}, Scorer{Weight: 1.0, Score: KeepsStandby}, Scorer{Weight: 1.5, Score: CopyWait})
 	return p
 }
 
