--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -101,6 +101,9 @@
 		"prompt": reservation.PromptTokens, "of": reservation.ServerCount,
 		"waited_ms": (result.SentAt - j.arrived).Milliseconds(), "answer_ms": (result.at - result.SentAt).Milliseconds(),
 	})
+	if result.StandbyAddress != "" {
+		entry = entry.WithField("standby", result.StandbyAddress)
+	}
 	if result.err != nil {
 		result.cancel()
 		if isIneligible(result.err) {
--- a/standby/load_test.go
+++ b/standby/load_test.go
@@ -26,6 +26,8 @@
 	sameDomain = variant{limits: giveWayLimits, places: places[1:], givesWay: true}
 	// unordered drops copies of all gateways for one request.
 	unordered = variant{limits: giveWayLimits, places: places[:], givesWay: true, unordered: true}
+	// fixed makes the same copies, which do not give way.
+	fixed = variant{limits: giveWayLimits, places: places[:]}
 	// halfFull are the limits without the setting: copies do not give way.
 	halfFull = variant{limits: halfFullLimits, places: places[1:]}
 )
@@ -122,8 +124,8 @@
 	}
 }
 
-// Guards against copies that are lost together with their runs, and against the copies of all
-// gateways being dropped for one request.
+// Guards against copies that are lost together with their runs, against the copies of all gateways
+// being dropped for one request, and against requests that wait for seconds for copies to end.
 func TestOtherDomainsAndOrderedDropsCoverMoreRuns(t *testing.T) {
 	for _, use := range []float64{0.4, 0.5, 0.6} {
 		chosen := newSimulation(givesWay, use).run()
@@ -132,10 +134,15 @@
 		same.log(t, use, "same domain")
 		all := newSimulation(unordered, use).run()
 		all.log(t, use, "unordered")
+		kept := newSimulation(fixed, use).run()
+		kept.log(t, use, "fixed")
 		require.Greater(t, chosen.covered, 1.5*same.covered)
 		require.Zero(t, same.coveredDomain)
 		require.Greater(t, chosen.covered, all.covered)
 		require.Less(t, chosen.dropped, all.dropped)
+		if use >= 0.5 {
+			require.Greater(t, kept.blockedTime, time.Second, "requests wait for the end of copies that do not give way")
+		}
 	}
 }
 
