Only streams get standby copies

A generation whose response is not a stream was sent with the address of a standby engine, although it cannot be resumed, and the reservation of the copy was never released. TestPlainResponseOfAnEngineHasNoStandby fails without the check of the route's kind.

--- a/internal/relay/standby.go
+++ b/internal/relay/standby.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"kingcupplank.example/kingcup/backends"
+	"kingcupplank.example/kingcup/routing"
 	"kingcupplank.example/kingcup/standby"
 )
 
@@ -51,9 +52,9 @@
 }
 
 // canHaveStandby reports whether a request's stream would be lost with its engine, and a second
-// engine can keep a copy of it.
+// engine can keep a copy of it. A response that is not a stream cannot be resumed.
 func (j *job) canHaveStandby() bool {
-	return j.engine != nil && j.engine.SupportsStandby && j.Generation != nil && !j.route.Resumable
+	return j.route.Kind == routing.Stream && j.engine != nil && j.engine.SupportsStandby && j.Generation != nil && !j.route.Resumable
 }
 
 // standbyQuery returns the query for a server for a standby copy of a run that starts at s.
--- a/internal/relay/standby_test.go
+++ b/internal/relay/standby_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"kingcupplank.example/kingcup/backends"
+	"kingcupplank.example/kingcup/routing"
 )
 
 // An engine crashes without warning in the middle of a long response that may not run again. Its
@@ -122,6 +123,29 @@
 	}
 }
 
+// Guards against a copy, and its reservation for good, of a generation whose response is not a
+// stream.
+func TestPlainResponseOfAnEngineHasNoStandby(t *testing.T) {
+	for _, cfg := range []Config{{}, {DomainFailures: 1}} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(t, cfg)
+			f.addServer("a", modelService)
+			f.addServer("b", modelService)
+			engine := &routing.Engine{Slots: 48, MemoryTokens: 30000, TokensPerEvent: 4, SupportsStandby: true}
+			f.replica.Put(routing.Content{Version: 2, Routes: []*routing.Route{
+				{Name: "whole", Host: "h", Prefix: "/plan/", Kind: routing.AtMostOnce, Public: true, Timeout: 39 * time.Second, MaxServers: 1, Split: []routing.Weighted{{Service: modelService, Weight: 1}}},
+			}, Services: []*routing.Service{{Name: modelService, Engine: engine}}}, func() {})
+			f.replica.Confirm(f.now())
+			f.upstream.send = func(_ context.Context, a *Attempt) (*Response, error) {
+				require.Empty(t, a.StandbyAddress)
+				return newResponse(200, "ok"), nil
+			}
+			f.serve(request("/plan/x")).requireWhole(t, "ok")
+			require.Empty(t, f.registry.Loads())
+		})
+	}
+}
+
 // crashLossShare runs long responses on engines, a sixth of which crash at once, and returns the
 // share of responses that are lost.
 func crashLossShare(t *testing.T, engines, runs int, withStandby bool) float64 {
