--- a/internal/gateway/standby_test.go
+++ b/internal/gateway/standby_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"kingcupplank.example/kingcup/backends"
 	"kingcupplank.example/kingcup/cells"
+	"kingcupplank.example/kingcup/internal/standin/fleet"
 	"kingcupplank.example/kingcup/platform/settings"
 	peerv1 "kingcupplank.example/kingcup/proto/kingcup/peer/v1"
 )
@@ -45,3 +47,36 @@
 		require.LessOrEqual(t, uint64(probe.Standby), l.GetTokens())
 	}
 }
+
+// The engine of a long response is killed, and its failure domain has no other one. Where the
+// settings say that a failure domain may be lost, the caller gets the rest from the copy in another
+// domain, and nothing twice.
+func TestLongAnswerOutlivesItsFailureDomain(t *testing.T) {
+	s := newSystem(t)
+	b := fleet.Behavior{Events: 60, EventInterval: 20 * time.Millisecond}
+	var engines []*fleet.Server
+	for _, domain := range []string{"zone-1", "zone-2"} {
+		e, err := s.fleet.Add(fleet.ModelService, domain, b)
+		require.NoError(t, err)
+		engines = append(engines, e)
+	}
+	platform, endpoint := s.settings("vm-1")
+	platform.FaultTolerance.FailureDomains = 1
+	n := s.start(platform, endpoint)
+	done := make(chan response, 1)
+	go func() { done <- n.do(generation(fleet.PlanPath)) }()
+	var host *fleet.Server
+	n.eventually(func() bool {
+		for _, e := range engines {
+			if e.RunningStreams() == 1 {
+				host = e
+			}
+		}
+		return host != nil
+	}, "the run has started")
+	time.Sleep(200 * time.Millisecond)
+	host.Kill()
+	a := <-done
+	require.NoError(t, a.err)
+	require.Equal(t, eventsText(1, 60), a.body)
+}
