Standby copies that give way are made by copying the run after its first event

Cause: an engine does not free a copy that it receives through the standby address. The call that frees it is answered with 200, and the copy grows until the run ends. Such copies can't give way: requests were preempted in their place.

Change: where a failure domain may be lost, a run gets no standby address. After its first event its memory is copied to the standby server by a non-final migration call, two at a time for each gateway, and refreshed after 64 events. These copies are freed at once by the run's own engine, when memory is wanted, when the run ends, and when their server leaves, is cordoned or down. A run of a leaving engine is migrated to its standby copy. Streams that are silent are not continued from these copies. The stand-in engine keeps copies made through the standby address, as engines do.

--- a/backends/standby.go
+++ b/backends/standby.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"kingcupplank.example/kingcup/cells"
 )
@@ -65,3 +66,12 @@
 // dropOrder orders the processes that have standby copies at a server. It differs between servers,
 // so that no process loses all of its copies first.
 func dropOrder(process, server string) uint64 { return cells.Hash(process + "/" + server) }
+
+// CanKeepCopy reports whether a copy of a run at a server can be of use: the server is listed and
+// neither leaving, cordoned nor known to be down.
+func (r *Registry) CanKeepCopy(at Server, now time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.current(at)
+	return s != nil && !s.gone && !s.Leaving && !r.cordoned[s.FailureDomain] && !r.isDown(s, now)
+}
--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -128,7 +128,6 @@
 	if standby == nil {
 		return nil
 	}
-	s.keepStandby(*standby)
 	s.forceRetry(s.job.service)
 	ctx, cancel := context.WithCancel(ctx)
 	timer := time.AfterFunc(maxMigrationWait, cancel)
--- a/internal/relay/migration.go
+++ b/internal/relay/migration.go
@@ -58,6 +58,7 @@
 	copies    []reservedCopy
 	// standby is the standby copy, nil without one.
 	standby *reservedCopy
+	giving  standbyState
 	done    bool
 }
 
@@ -160,21 +161,14 @@
 	return true
 }
 
-// takeCopies waits for the migration in progress, removes all copies from the run and returns
+// takeCopies waits for the copying in progress, removes all copies from the run and returns
 // them. The standby copy is last, as copies of a migration are newer.
 func (u *run) takeCopies(ctx context.Context) []reservedCopy {
 	u.mu.Lock()
-	migrating := u.migrating
+	migrating, copying := u.migrating, u.giving.copying
 	u.mu.Unlock()
-	if migrating != nil {
-		t := time.NewTimer(maxMigrationWait)
-		defer t.Stop()
-		select {
-		case <-migrating:
-		case <-t.C:
-		case <-ctx.Done():
-		}
-	}
+	awaitClosed(ctx, migrating, maxMigrationWait)
+	awaitClosed(ctx, copying, maxMigrationWait)
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	out := u.copies
@@ -238,8 +232,7 @@
 	u.copies, u.standby = nil, nil
 	u.mu.Unlock()
 	if standby != nil {
-		// The engine frees the copy when the run ends.
-		r.releaseStandby(standby.reservation)
+		r.discardStandby(*standby)
 	}
 	r.mu.Lock()
 	r.untrackRun(u, server)
@@ -292,7 +285,7 @@
 			continue
 		}
 		m := &migration{relay: r, run: u, from: s}
-		if m.copy(ctx) {
+		if m.copyToStandby(ctx) || m.copy(ctx) {
 			migrations = append(migrations, m)
 		} else {
 			u.endMigration()
--- a/internal/relay/standby.go
+++ b/internal/relay/standby.go
@@ -8,7 +8,6 @@
 
 	"kingcupplank.example/kingcup/backends"
 	"kingcupplank.example/kingcup/routing"
-	"kingcupplank.example/kingcup/standby"
 )
 
 const (
@@ -29,26 +28,30 @@
 	minStandbyRunTime = time.Second
 )
 
-// reserveStandby reserves memory for a standby copy of a generation on another server. It returns
-// nil if there is none to spare or the generation is not worth a copy.
+// reserveStandby reserves memory for a standby copy that a server receives as the run grows. It
+// returns nil if there is none to spare, the generation is not worth a copy, or copies give way: an
+// engine keeps a copy of this kind until its run ends, also when it is told to free it.
 //
 // An engine that crashes without warning loses its runs, and their callers lose responses that
 // may not run again. A run with a standby copy continues there within about 30 ms.
 func (r *Relay) reserveStandby(j *job, s backends.Server) *backends.Reservation {
-	if !j.canHaveStandby() {
+	if r.cfg.Load().DomainFailures > 0 || !j.canHaveStandby() {
 		return nil
 	}
 	remaining := time.Duration(j.expectedEvents(0)) * r.currentMeanPause()
-	if r.cfg.Load().DomainFailures > 0 {
-		return r.reserveGivingWay(j, s, remaining)
-	}
 	if remaining < minStandbyRunTime || r.engineQueue(j.service).saturatedSince(r.Now()-standbyPause) {
 		return nil
 	}
-	q := r.standbyQuery(j, s)
+	q := r.standbyQuery(j, s, 0)
 	q.MaxMemoryUse, q.MaxServiceMemoryUse = maxStandbyMemory, maxServiceStandbyMemory
 	q.SameDomainOnly = true
-	return r.countStandby(r.Registry.Acquire(q, r.Now()))
+	reservation := r.Registry.Acquire(q, r.Now())
+	event := StandbyMade
+	if reservation == nil {
+		event = StandbyRefused
+	}
+	r.Observer.StandbyCopy(event)
+	return reservation
 }
 
 // canHaveStandby reports whether a request's stream would be lost with its engine, and a second
@@ -57,46 +60,17 @@
 	return j.route.Kind == routing.Stream && j.engine != nil && j.engine.SupportsStandby && j.Generation != nil && !j.route.Resumable
 }
 
-// standbyQuery returns the query for a server for a standby copy of a run that starts at s.
-func (r *Relay) standbyQuery(j *job, s backends.Server) backends.Query {
+// standbyQuery returns the query for a server for a standby copy of a run at s that has had
+// eventCount events.
+func (r *Relay) standbyQuery(j *job, s backends.Server, eventCount int) backends.Query {
 	q := r.serverQuery(j)
-	q.ExpectedTokens, q.Tried = j.expectedMemory(0), append([]string{s.ID}, j.excluded...)
+	q.ExpectedTokens, q.Tried = j.expectedMemory(eventCount), append([]string{s.ID}, j.excluded...)
 	q.ForCopy, q.CopySpeed = true, j.engine.CopySpeed()
-	q.MaxPause, q.PauseStretch = r.pauseBound(j, 0)
+	q.MaxPause, q.PauseStretch = r.pauseBound(j, eventCount)
 	q.PreferredDomain = s.FailureDomain
 	return q
 }
 
-// reserveGivingWay reserves memory for a standby copy that gives way to requests.
-func (r *Relay) reserveGivingWay(j *job, s backends.Server, remaining time.Duration) *backends.Reservation {
-	limits, worth := standby.LimitsFor(remaining)
-	if !worth {
-		return nil
-	}
-	q := r.standbyQuery(j, s)
-	q.Tried = append(q.Tried, r.standbys.busy()...)
-	q.MaxMemoryUse, q.MaxServiceMemoryUse, q.GivesWay = limits.MaxMemoryUse, limits.MaxServiceMemoryUse, true
-	for _, place := range standby.Places() {
-		q.OtherDomainsOnly, q.SameDomainOnly = place == standby.OtherDomain, place == standby.SameDomain
-		if reservation := r.Registry.Acquire(q, r.Now()); reservation != nil {
-			r.standbys.add(reservation, j.ID)
-			r.scheduleStandbyCheck()
-			return r.countStandby(reservation)
-		}
-	}
-	return r.countStandby(nil)
-}
-
-// countStandby counts whether there was room for a copy.
-func (r *Relay) countStandby(reservation *backends.Reservation) *backends.Reservation {
-	event := StandbyMade
-	if reservation == nil {
-		event = StandbyRefused
-	}
-	r.Observer.StandbyCopy(event)
-	return reservation
-}
-
 // sendWithStandby makes one attempt, with a standby copy if there is memory for one.
 func (r *Relay) sendWithStandby(ctx context.Context, j *job, reservation *backends.Reservation, a *Attempt) (*placedResponse, error) {
 	standby := r.reserveStandby(j, reservation.Server)
@@ -118,60 +92,19 @@
 	return placed, nil
 }
 
-// standbyOf returns the standby copy that a server keeps.
-func standbyOf(reservation *backends.Reservation, handle string) reservedCopy {
-	return reservedCopy{KVCopy: KVCopy{Source: reservation.Server.Address, Handle: handle}, reservation: reservation, isStandby: true}
-}
-
-// setStandby records the standby copy with which a run was started, unless it has been dropped.
-func (r *Relay) setStandby(u *run, placed *placedResponse) {
+// setStandby records the standby copy with which a run was started.
+func (u *run) setStandby(placed *placedResponse) {
 	if placed.standby == nil {
 		return
 	}
-	c := standbyOf(placed.standby, u.job.ID)
+	c := reservedCopy{KVCopy: KVCopy{Source: placed.standby.Server.Address, Handle: u.job.ID}, reservation: placed.standby, isStandby: true}
 	u.mu.Lock()
 	u.standby = &c
 	u.mu.Unlock()
-	if placed.standby.GivesWay() && !r.standbys.begin(placed.standby, u) {
-		// The engine may have begun to send the copy after it was dropped.
-		u.forgetStandby(placed.standby)
-		placed.standby = nil
-		go r.dropCopy(c)
-	}
-}
-
-// forgetStandby removes a standby copy from its run. It returns false if the run has none, or
-// another one.
-func (u *run) forgetStandby(reservation *backends.Reservation) bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if u.standby == nil || u.standby.reservation != reservation {
-		return false
-	}
-	u.standby = nil
-	return true
-}
-
-// growStandby updates the memory that a standby copy which gives way takes.
-func (u *run) growStandby() {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if u.standby != nil && u.standby.reservation.GivesWay() {
-		u.standby.reservation.SetExpectedTokens(u.job.expectedMemory(u.eventCount))
-	}
-}
-
-// keepStandby counts a standby copy as memory of a run that resumes from it.
-func (r *Relay) keepStandby(c reservedCopy) {
-	if c.isStandby {
-		r.standbys.remove(c.reservation)
-		c.reservation.KeepStandby()
-	}
 }
 
 // releaseStandby releases the reservation of a standby copy that the engine frees by itself.
 func (r *Relay) releaseStandby(reservation *backends.Reservation) {
-	r.standbys.remove(reservation)
 	reservation.Release(backends.ResultInconclusive, r.Now())
 }
 
--- a/internal/relay/standbycopies.go
+++ b/internal/relay/standbycopies.go
@@ -25,32 +25,30 @@
 // The events.
 const (
 	StandbyMade StandbyEvent = "made"
+	// StandbyRefreshed: a copy has received what its run had made since.
+	StandbyRefreshed StandbyEvent = "refreshed"
 	// StandbyRefused: there was no room for a copy.
 	StandbyRefused StandbyEvent = "refused"
+	// StandbyFailed: the call that makes or refreshes a copy failed.
+	StandbyFailed StandbyEvent = "failed"
 	// StandbyDropped: its memory was wanted.
 	StandbyDropped StandbyEvent = "dropped"
+	// StandbyLost: its engine left, was cordoned or crashed.
+	StandbyLost StandbyEvent = "lost"
 	// StandbyUsed: a stream was resumed from it.
 	StandbyUsed StandbyEvent = "used"
 	// StandbyMissing: a stream broke that has no copy, or could not be resumed from it.
 	StandbyMissing StandbyEvent = "missing"
 )
 
-// standbyCopy is a standby copy that gives way to requests.
-type standbyCopy struct {
-	reservation *backends.Reservation
-	// handle is the copy's handle at its server.
-	handle string
-	// run is nil until the response has begun.
-	run *run
-}
-
 // standbyCopies are the standby copies of this gateway that give way. It is safe for concurrent
-// use; no other lock is taken while its mu is locked.
+// use; no other lock is taken while its mu is locked, and it may be locked while a run's mu is.
 type standbyCopies struct {
-	mu       sync.Mutex
-	byServer map[incarnation]map[*backends.Reservation]*standbyCopy
-	// starting counts the copies of runs without a response yet.
-	starting map[incarnation]int
+	mu sync.Mutex
+	// byServer has the runs of the copies at each server.
+	byServer map[incarnation]map[*backends.Reservation]*run
+	// copying is the number of copies that are being made or refreshed.
+	copying int
 	// excessSince is the time since when the memory in use at a server has been too high.
 	excessSince map[incarnation]time.Duration
 	// checking is set while a check is scheduled.
@@ -62,85 +60,65 @@
 
 func newStandbyCopies() *standbyCopies {
 	return &standbyCopies{
-		byServer: make(map[incarnation]map[*backends.Reservation]*standbyCopy), starting: make(map[incarnation]int),
+		byServer:    make(map[incarnation]map[*backends.Reservation]*run),
 		excessSince: make(map[incarnation]time.Duration), lines: rate.NewLimiter(standbyLinesPerSecond, standbyLinesBurst),
 	}
 }
 
-// add records a copy of a run whose request is about to be sent.
-func (s *standbyCopies) add(reservation *backends.Reservation, handle string) {
+// startCopy counts a call that copies a run. It returns false if there are enough already.
+func (s *standbyCopies) startCopy() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	at := incarnationOf(reservation.Server)
-	if s.byServer[at] == nil {
-		s.byServer[at] = make(map[*backends.Reservation]*standbyCopy)
+	if s.copying >= standby.MaxCopying {
+		return false
 	}
-	s.byServer[at][reservation] = &standbyCopy{reservation: reservation, handle: handle}
-	s.starting[at]++
+	s.copying++
+	return true
 }
 
-// begin records that the response of a copy's run has begun. It returns false if the copy has been
-// dropped.
-func (s *standbyCopies) begin(reservation *backends.Reservation, u *run) bool {
+func (s *standbyCopies) endCopy() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	at := incarnationOf(reservation.Server)
-	c := s.byServer[at][reservation]
-	if c == nil {
-		return false
-	}
-	s.endStart(at)
-	c.run = u
-	return true
+	s.copying--
 }
 
-// endStart takes one copy off those that are starting; mu must be locked.
-func (s *standbyCopies) endStart(at incarnation) {
-	if s.starting[at]--; s.starting[at] <= 0 {
-		delete(s.starting, at)
+// add records a complete copy.
+func (s *standbyCopies) add(reservation *backends.Reservation, u *run) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at := incarnationOf(reservation.Server)
+	if s.byServer[at] == nil {
+		s.byServer[at] = make(map[*backends.Reservation]*run)
 	}
+	s.byServer[at][reservation] = u
 }
 
-// remove removes a copy, which then no longer gives way. It returns nil if it is not listed.
-func (s *standbyCopies) remove(reservation *backends.Reservation) *standbyCopy {
+// remove removes a copy, which then no longer gives way. It returns its run, nil if the copy is not
+// listed.
+func (s *standbyCopies) remove(reservation *backends.Reservation) *run {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	at := incarnationOf(reservation.Server)
-	c := s.byServer[at][reservation]
-	if c == nil {
+	u := s.byServer[at][reservation]
+	if u == nil {
 		return nil
 	}
-	if c.run == nil {
-		s.endStart(at)
-	}
 	delete(s.byServer[at], reservation)
 	if len(s.byServer[at]) == 0 {
 		delete(s.byServer, at)
 		delete(s.excessSince, at)
 	}
-	return c
+	return u
 }
 
-// busy returns the ids of the servers to which no further copy may be started now.
-func (s *standbyCopies) busy() (ids []string) {
+// at returns the copies at a server with their runs.
+func (s *standbyCopies) at(server incarnation) (reservations []*backends.Reservation, runs []*run) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for at, n := range s.starting {
-		if n >= standby.MaxStarting {
-			ids = append(ids, at.id)
-		}
+	for reservation, u := range s.byServer[server] {
+		reservations, runs = append(reservations, reservation), append(runs, u)
 	}
-	return ids
-}
-
-// at returns the copies at a server.
-func (s *standbyCopies) at(server incarnation) (out []standbyCopy) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, c := range s.byServer[server] {
-		out = append(out, *c)
-	}
-	return out
+	return reservations, runs
 }
 
 // servers returns the servers that keep copies.
@@ -195,10 +173,15 @@
 	}
 }
 
-// checkStandbys drops copies at servers where requests of other gateways want the memory.
+// checkStandbys drops copies at servers where requests of other gateways want the memory, and those
+// at servers that no longer take runs.
 func (r *Relay) checkStandbys() {
 	dropped := 0
 	for _, at := range r.standbys.servers() {
+		if n := r.dropLostStandbys(at); n > 0 {
+			dropped += n
+			continue
+		}
 		dropped += r.dropStandbysAt(at, false)
 	}
 	if dropped > 0 {
@@ -209,6 +192,20 @@
 	}
 }
 
+// dropLostStandbys drops the copies at a server that no longer takes runs. It returns their number.
+func (r *Relay) dropLostStandbys(at incarnation) (dropped int) {
+	reservations, _ := r.standbys.at(at)
+	if len(reservations) == 0 || r.Registry.CanKeepCopy(reservations[0].Server, r.Now()) {
+		return 0
+	}
+	for _, reservation := range reservations {
+		if r.dropStandby(reservation, StandbyLost) {
+			dropped++
+		}
+	}
+	return dropped
+}
+
 // giveWay drops copies of this gateway at a server on which it has just placed a request. The
 // caller must notify the peers afterwards: they learn of the request and of the freed memory from
 // the same message.
@@ -219,11 +216,11 @@
 // dropStandbysAt drops copies at a server while its memory in use is too high. first is set if this
 // gateway is to drop its copies before others. It returns the number of dropped copies.
 func (r *Relay) dropStandbysAt(at incarnation, first bool) (dropped int) {
-	copies := r.standbys.at(at)
-	if len(copies) == 0 {
+	reservations, runs := r.standbys.at(at)
+	if len(reservations) == 0 {
 		return 0
 	}
-	tokens, preceding := copies[0].reservation.StandbyExcess(standby.DropMemoryUse)
+	tokens, preceding := reservations[0].StandbyExcess(standby.DropMemoryUse)
 	excess := standby.Excess{Tokens: tokens, PrecedingTokens: preceding, For: r.standbys.excessDuration(at, tokens, r.Now())}
 	if tokens <= 0 {
 		return 0
@@ -231,15 +228,12 @@
 	if first {
 		excess.PrecedingTokens = 0
 	}
-	candidates := make([]standby.Copy, len(copies))
-	for i, c := range copies {
-		candidates[i].Tokens = c.reservation.CountedTokens()
-		if c.run != nil {
-			candidates[i].Events = c.run.countEvents()
-		}
+	candidates := make([]standby.Copy, len(reservations))
+	for i := range candidates {
+		candidates[i] = standby.Copy{Events: runs[i].countEvents(), Tokens: reservations[i].CountedTokens()}
 	}
 	for _, i := range standby.Drops(excess, candidates) {
-		if r.dropStandby(copies[i].reservation) {
+		if r.dropStandby(reservations[i], StandbyDropped) {
 			dropped++
 		}
 	}
@@ -249,15 +243,19 @@
 	return dropped
 }
 
-// dropStandby drops a copy, unless its run is over or resumes from it.
-func (r *Relay) dropStandby(reservation *backends.Reservation) bool {
-	c := r.standbys.remove(reservation)
-	if c == nil || c.run != nil && !c.run.forgetStandby(reservation) {
+// dropStandby drops a copy, unless its run is over or resumes from it. It does not block.
+func (r *Relay) dropStandby(reservation *backends.Reservation, why StandbyEvent) bool {
+	u := r.standbys.remove(reservation)
+	if u == nil {
+		return false
+	}
+	c := u.removeStandby(reservation)
+	if c == nil {
 		return false
 	}
-	r.Observer.StandbyCopy(StandbyDropped)
+	r.Observer.StandbyCopy(why)
 	reservation.Release(backends.ResultInconclusive, r.Now())
-	go r.dropCopy(standbyOf(reservation, c.handle))
+	go r.dropCopy(*c)
 	return true
 }
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -67,7 +67,7 @@
 func (s *session) forward(ctx context.Context, placed *placedResponse) string {
 	s.run = newRun(s.job)
 	s.run.setResponse(placed)
-	s.setStandby(s.run, placed)
+	s.run.setStandby(placed)
 	s.addRun(s.run)
 	defer func() { s.removeRun(s.run) }()
 	head := placed.response
@@ -141,8 +141,8 @@
 		s.run.recordEvent(s.job.progress, s.seq.lastEventID(), s.lastEventAt)
 		if s.job.Generation != nil && s.job.progress.events%memoryUpdateInterval == 0 {
 			placed.reservation.SetExpectedTokens(s.run.expectedMemory())
-			s.run.growStandby()
 		}
+		s.updateStandby(s.run)
 	}
 }
 
@@ -253,8 +253,7 @@
 				s.Observer.StandbyCopy(StandbyUsed)
 			}
 			for _, unused := range copies[i+1:] {
-				s.standbys.remove(unused.reservation)
-				go s.dropCopy(unused)
+				s.dropUnused(unused)
 			}
 			return next
 		}
@@ -265,3 +264,9 @@
 	}
 	return nil
 }
+
+// dropUnused frees a copy of a run that resumed from another one.
+func (s *session) dropUnused(c reservedCopy) {
+	s.standbys.remove(c.reservation)
+	go s.dropCopy(c)
+}
--- a/internal/standin/fleet/migration.go
+++ b/internal/standin/fleet/migration.go
@@ -48,8 +48,12 @@
 	fmt.Fprintf(w, `{"kvHandle":%q,"createdRevision":%d}`, handle, active.lastEvent.Load())
 }
 
-func (s *Server) handleDeleteCopy(w http.ResponseWriter, r *http.Request) {
+// handleDeleteCopy frees a copy that was made by a migration. For a standby copy it responds the
+// same, and the copy stays.
+func (s *Server) handleDeleteCopy(_ http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.copies, r.PathValue("handle"))
+	if handle := r.PathValue("handle"); !s.standbys[handle] {
+		delete(s.copies, handle)
+	}
 }
--- a/internal/standin/fleet/server.go
+++ b/internal/standin/fleet/server.go
@@ -50,7 +50,10 @@
 	runs       map[string]*run
 	// copies has the attempt's id of each copy of a run's KV cache, by the copy's handle:
 	// copies of migrations that started here and standby copies held here.
-	copies   map[string]string
+	copies map[string]string
+	// standbys are the handles of standby copies held here. They can't be deleted: an engine keeps
+	// a copy that it receives as the run grows until the run ends.
+	standbys map[string]bool
 	behavior Behavior
 	state    string
 	// coldUntil is when the server stops being cold.
@@ -128,7 +131,7 @@
 // start starts an incarnation of the server, which has no runs and no copies.
 func (s *Server) start(f *Fleet, l net.Listener) {
 	s.store, s.listener, s.serverAt, s.crash = f.Store, l, f.lastServerAt, f.Crash
-	s.runs, s.copies = make(map[string]*run), make(map[string]string)
+	s.runs, s.copies, s.standbys = make(map[string]*run), make(map[string]string), make(map[string]bool)
 	s.state, s.hung = "ready", make(chan struct{})
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /kingcupplank/report", s.handleReport)
@@ -362,7 +365,7 @@
 func (s *Server) addStandbyCopy(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.copies[id] = id
+	s.copies[id], s.standbys[id] = id, true
 }
 
 // consumeCopy removes the copy "address/handle" of the run with the given id from the server that
@@ -379,5 +382,6 @@
 		return false
 	}
 	delete(source.copies, handle)
+	delete(source.standbys, handle)
 	return true
 }
--- a/standby/standby.go
+++ b/standby/standby.go
@@ -1,6 +1,6 @@
 // Package standby decides which runs get a standby copy, where, and which copies are dropped when
-// their memory is wanted. A standby copy is a run's memory that a second engine receives as it
-// grows; if the run's engine crashes, the run continues there.
+// their memory is wanted. A standby copy is a copy of a run's memory at a second engine, which is
+// refreshed as the run grows; if the run's engine crashes, the run continues there.
 //
 // The package is for deployments that lose a whole failure domain at a time, whose engines are 40
 // to 90 % full and whose long responses may not run again. There copies take what runs and
@@ -32,9 +32,15 @@
 	// DropMemoryUse is the fraction of an engine's memory in use, with all copies, beyond which
 	// copies are dropped. The rest covers requests of other gateways that are not known yet.
 	DropMemoryUse = 0.95
-	// MaxStarting is the number of copies that one gateway starts towards one engine at a time.
-	// Each takes 0.16 s of the engine's link, behind which migrations wait.
-	MaxStarting = 2
+	// MaxCopying is the number of copies that one gateway makes or refreshes at a time. Each takes
+	// 0.16 s of two engines' links, behind which migrations wait.
+	MaxCopying = 2
+	// RetryInterval is the least time between two calls for the copy of one run. While memory is
+	// short, runs of 8 s look for room eight times at most.
+	RetryInterval = time.Second
+	// RefreshEvents is the number of events after which a copy is refreshed. With 4 tokens in an
+	// event, a resume computes some 260 tokens, which takes 20 ms.
+	RefreshEvents = 64
 	// PeerWait is how long a gateway waits for those that are to drop their copies before it: a
 	// report of another gateway is up to 300 ms old, but after a request is placed it is sent at
 	// once.
