--- a/internal/relay/standbycopies.go
+++ b/internal/relay/standbycopies.go
@@ -253,6 +253,9 @@
 	if c == nil {
 		return false
 	}
+	if why == StandbyDropped {
+		u.delayStandby(r.Now() + standby.RetryAfterDrop)
+	}
 	r.Observer.StandbyCopy(why)
 	reservation.Release(backends.ResultInconclusive, r.Now())
 	go r.dropCopy(*c)
--- a/internal/relay/standbymaking.go
+++ b/internal/relay/standbymaking.go
@@ -213,6 +213,13 @@
 	}
 }
 
+// delayStandby lets the run get no copy before a time.
+func (u *run) delayStandby(until time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.giving.nextAt = max(u.giving.nextAt, until)
+}
+
 func (u *run) standbyRefusedBy() string {
 	u.mu.Lock()
 	defer u.mu.Unlock()
--- a/placement/direct_test.go
+++ b/placement/direct_test.go
@@ -88,6 +88,18 @@
 	require.Equal(t, 1, CopyTarget().BestOf(2, r, servers, 1))
 }
 
+// A copy that is still being made can't be dropped: a request must not wait for it while copies at
+// another server can be dropped at once.
+func TestServersToWhichCopiesAreBeingMadeRankLower(t *testing.T) {
+	servers := []Server{
+		{Name: "being made", MemoryTotal: 100, MemoryForecast: 30, StandbyTokens: 65, CopyPending: 12},
+		{Name: "made", MemoryTotal: 100, MemoryForecast: 40, StandbyTokens: 55},
+	}
+	require.Equal(t, 1, Direct().BestOf(2, &Request{Tokens: 10}, servers, 1))
+	servers[0].CopyPending = 0
+	require.Equal(t, 0, Direct().BestOf(2, &Request{Tokens: 10}, servers, 1))
+}
+
 // Guards against a copy in the failure domain that it is to outlive.
 func TestOtherDomainsOnly(t *testing.T) {
 	servers := []Server{{Name: "a", FailureDomain: "z1"}, {Name: "b", FailureDomain: "z2"}}
--- a/placement/scorers.go
+++ b/placement/scorers.go
@@ -95,8 +95,12 @@
 	return -float64(s.CopyPending) / r.CopySpeed
 }
 
+// copyingFactor is how much more a standby copy counts that is still being made.
+const copyingFactor = 3
+
 // KeepsStandby prefers servers at which no standby copy has to be dropped for the request. The
-// copies protect runs of other servers, and their memory is free a moment later only.
+// copies protect runs of other servers, and their memory is free a moment later only. Copies that are
+// still being made are freed last, after 0.2 s.
 func KeepsStandby(r *Request, s *Server) float64 {
 	if s.StandbyTokens <= 0 || s.MemoryTotal == 0 {
 		return 0
@@ -104,6 +108,9 @@
 	if float64(s.MemoryForecast)+float64(s.StandbyTokens)+float64(r.Tokens) <= standby.DropMemoryUse*float64(s.MemoryTotal) {
 		return 0
 	}
+	if s.CopyPending > 0 {
+		return -copyingFactor
+	}
 	return -1
 }
 
--- a/standby/standby.go
+++ b/standby/standby.go
@@ -38,6 +38,9 @@
 	// RetryInterval is the least time between two calls for the copy of one run. While memory is
 	// short, runs of 8 s look for room eight times at most.
 	RetryInterval = time.Second
+	// RetryAfterDrop is the time for which a run gets no new copy after its copy was dropped: memory is
+	// short at most engines then, and the next copy would soon be dropped as well.
+	RetryAfterDrop = 2 * time.Second
 	// RefreshEvents is the number of events after which a copy is refreshed. With 4 tokens in an
 	// event, a resume computes some 260 tokens, which takes 20 ms.
 	RefreshEvents = 64
