Documents and tests of standby copies that are made by copying

Cause: the documents described copies through the standby address, and no test held the stand-in engine to what engines do with them, or a whole gateway to freeing the copy of a response that has ended.

--- a/internal/gateway/standby_test.go
+++ b/internal/gateway/standby_test.go
@@ -80,3 +80,26 @@
 	require.NoError(t, a.err)
 	require.Equal(t, eventsText(1, 60), a.body)
 }
+
+// Guards against copies that keep the memory of their engine after the response has ended.
+func TestCopyOfAFinishedAnswerIsFreed(t *testing.T) {
+	s := newSystem(t)
+	b := fleet.Behavior{Events: 20, EventInterval: 20 * time.Millisecond}
+	var engines []*fleet.Server
+	for _, domain := range []string{"zone-1", "zone-2"} {
+		e, err := s.fleet.Add(fleet.ModelService, domain, b)
+		require.NoError(t, err)
+		engines = append(engines, e)
+	}
+	copies := func() int { return engines[0].CopyCount() + engines[1].CopyCount() }
+	platform, endpoint := s.settings("vm-1")
+	platform.FaultTolerance.FailureDomains = 1
+	n := s.start(platform, endpoint)
+	done := make(chan response, 1)
+	go func() { done <- n.do(generation(fleet.PlanPath)) }()
+	n.eventually(func() bool { return copies() == 1 }, "a copy was made")
+	a := <-done
+	require.NoError(t, a.err)
+	require.Equal(t, eventsText(1, 20), a.body)
+	n.eventually(func() bool { return copies() == 0 }, "the copy was freed")
+}
--- a/internal/gatewaymetrics/metrics.go
+++ b/internal/gatewaymetrics/metrics.go
@@ -85,7 +85,7 @@
 		}),
 	}
 	r.standbyCopies = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "kingcup_gateway_standby_copies_total", Help: "Standby copies of runs by event: made, refused for lack of room, dropped, used, missing when needed.",
+		Name: "kingcup_gateway_standby_copies_total", Help: "Standby copies of runs by event: made, refreshed, refused for lack of room, failed, dropped, lost with their server, used, missing when needed.",
 	}, []string{"event"})
 	r.storeCalls = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "kingcup_gateway_store_calls_total", Help: "Calls to the store by table and result: a status, \"no answer\" or \"answer cut\".",
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -64,8 +64,9 @@
 	Priority int
 	// LastEventID is the id of the last event that was delivered, empty for none.
 	LastEventID string
-	// StandbyAddress is the address of the server that receives the run's standby copy, empty for
-	// none. The request's id is the handle of the copy there.
+	// StandbyAddress is the address of the server that receives the run's standby copy as it grows,
+	// empty for none. The request's id is the handle of the copy there, which is kept until the run
+	// ends: DropCopy does not free it.
 	StandbyAddress string
 	// ResumeFrom is the copy from which the run resumes, nil for a new run.
 	ResumeFrom *KVCopy
@@ -77,7 +78,7 @@
 // KVCopy identifies a copy of a run's KV cache at another server.
 type KVCopy struct {
 	// Source is the address of the server that assigned Handle and from which the copy can be
-	// dropped: the server that the run was on, or for a standby copy the server that keeps it.
+	// dropped: the server that the run was on, or for a copy by StandbyAddress the server that keeps it.
 	Source string
 	Handle string
 }
--- a/internal/standin/fleet/server.go
+++ b/internal/standin/fleet/server.go
@@ -238,6 +238,13 @@
 	return len(s.runs)
 }
 
+// CopyCount returns the number of copies that were made of this server's runs or are held here.
+func (s *Server) CopyCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.copies)
+}
+
 func (s *Server) handleRequest(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
