--- a/backends/registry.go
+++ b/backends/registry.go
@@ -11,9 +11,11 @@
 	"time"
 
 	"kingcupplank.example/kingcup/cells"
+	"kingcupplank.example/kingcup/concurrency"
 	"kingcupplank.example/kingcup/flow"
 	"kingcupplank.example/kingcup/pacing"
 	"kingcupplank.example/kingcup/placement"
+	"kingcupplank.example/kingcup/prefill"
 	"kingcupplank.example/kingcup/routing"
 )
 
@@ -72,10 +74,16 @@
 	remoteSums map[incarnation]Load
 	// remoteStatuses are what other processes have reported of servers, by process and server.
 	remoteStatuses map[string]map[string]ServerStatus
+	// answers are the times of the answers of all servers of a service, by service.
+	answers map[string]*concurrency.Answers
 	// lists caches the usable servers of each service. scratch is the reused buffer of views.
 	lists     map[string][]*server
 	scratch   []placement.Server
 	onLeaving func(Server, LeaveReason)
+	// planners assign the roles of the servers of each service, see prefill. dips counts the dips that
+	// the streams of this process have shown.
+	planners map[string]*prefill.Planner
+	dips     int
 	// cell is the index of this process's cell, cellCount the number of cells.
 	cell, cellCount int
 	// self is the name of this process, empty if unknown.
@@ -110,7 +118,7 @@
 	return &Registry{
 		domain: domain, traits: traits, onLeaving: onLeaving,
 		policy: placement.Direct(), copyPolicy: placement.CopyTarget(), servers: make(map[string]*server), departures: make(map[string]departure), remoteLoads: make(map[string]map[string]Load), remoteSums: make(map[incarnation]Load), remoteStatuses: make(map[string]map[string]ServerStatus),
-		lists: make(map[string][]*server),
+		lists: make(map[string][]*server), answers: make(map[string]*concurrency.Answers), planners: make(map[string]*prefill.Planner),
 	}
 }
 
@@ -289,6 +297,14 @@
 	// ExpectedTokens is the memory in tokens that the request is expected to need at its peak.
 	// PromptTokens is the number of prompt tokens that a server has to read before it answers.
 	ExpectedTokens, PromptTokens int
+	// HeldTokens is the part of ExpectedTokens that the request holds from its start, 0 for all.
+	HeldTokens int
+	// Horizon has the request checked against the memory that the server's runs will hold by the
+	// end of it, see placement.Request; 0 for their expected peak. TokensPerEvent and MeanPause
+	// give the growth of a run.
+	Horizon        time.Duration
+	TokensPerEvent int
+	MeanPause      time.Duration
 	// PromptSpeed is the rate at which servers read prompts, in tokens per second.
 	PromptSpeed float64
 	// MaxMemoryUse bounds the fraction of its memory that the server may have in use,
@@ -316,9 +332,17 @@
 	// Spill allows servers of other cells where the process's own cell has none with capacity.
 	// What processes of other cells send there is not known here.
 	Spill bool
+	// OwnLoadOnly ignores the loads that other processes have reported. They are older than a
+	// short request takes, and all processes would choose the server that seemed idle.
+	OwnLoadOnly bool
 	// MaxPause and PauseStretch bound the pauses of a long response, see placement.Request.
 	MaxPause     time.Duration
 	PauseStretch float64
+	// Kind is the kind of the generation, for services whose engines read prompts apart from
+	// streams. ForStream asks for a server to which a run is moved after its prompt; see
+	// placement.Request.
+	Kind      prefill.Kind
+	ForStream bool
 	// ForCopy asks for a server to copy a run's memory to. CopySpeed is the rate in tokens of
 	// memory per second that a server's link transfers.
 	ForCopy   bool
@@ -337,12 +361,14 @@
 func (r *Registry) Acquire(q Query, now time.Duration) *Reservation {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.planRoles(q, now)
 	views, list := r.views(q, now)
 	preferred := q.PreferredDomain
 	if preferred == "" {
 		preferred = r.domain
 	}
-	req := &placement.Request{FailureDomain: preferred, Tried: q.Tried, Tokens: q.ExpectedTokens, PromptSpeed: q.PromptSpeed, MaxMemoryUse: q.MaxMemoryUse, MaxPromptPending: q.MaxPromptPending, SameDomainOnly: q.SameDomainOnly, OtherDomainsOnly: q.OtherDomainsOnly, Regions: q.Regions, CopySpeed: q.CopySpeed, MaxPause: q.MaxPause, PauseStretch: q.PauseStretch}
+	req := &placement.Request{FailureDomain: preferred, Tried: q.Tried, Tokens: q.ExpectedTokens, PromptSpeed: q.PromptSpeed, MaxMemoryUse: q.MaxMemoryUse, MaxPromptPending: q.MaxPromptPending, SameDomainOnly: q.SameDomainOnly, OtherDomainsOnly: q.OtherDomainsOnly, Regions: q.Regions, CopySpeed: q.CopySpeed, MaxPause: q.MaxPause, PauseStretch: q.PauseStretch, ForStream: q.ForStream, Horizon: q.Horizon, TokensPerEvent: q.TokensPerEvent, MeanPause: q.MeanPause}
+	r.applyRoles(req, q)
 	divided := cells.IsDivided(len(views), r.cellCount)
 	if divided {
 		req.IsCandidate = func(k int) bool { return r.inOwnCell(list[k], len(list)) }
@@ -407,8 +433,12 @@
 	traits := r.traits(q.Service)
 	r.scratch = r.scratch[:0]
 	meanPause := meanPause(list, now)
+	planner := r.planners[q.Service]
 	for _, s := range list {
 		load, standby := r.load(s), 0
+		if q.OwnLoadOnly {
+			load = s.ownLoad
+		}
 		if !q.GivesWay {
 			load, standby = load.withoutStandby(), max(0, load.Standby)
 		}
@@ -417,8 +447,8 @@
 		paced := q.ForCopy && s.rateLimit.limited || !r.canSend(s, s.pacingLimit(traits, now), len(list), q.SharedTime, now)
 		r.scratch = append(r.scratch, placement.Server{
 			Name: s.ID, FailureDomain: s.FailureDomain, Region: r.domainRegions[s.FailureDomain], Leaving: s.Leaving, Cordoned: r.cordoned[s.FailureDomain], Connected: true,
-			Running: load.Running, Slots: s.Slots, UsualPause: comparablePause(s.usualPause(now), meanPause),
-			MemoryForecast: uint64(max(0, load.ExpectedTokens)), PromptPending: max(0, load.PromptTokens), CopyPending: max(0, load.CopyTokens), StandbyTokens: standby, MemoryTotal: uint64(traits.MemoryTokens),
+			Running: load.Running, Slots: s.Slots, UsualPause: comparablePause(s.usualPause(now), meanPause), Role: planner.Role(s.ID), InDip: s.inDip(now), Slowness: planner.Slowness(s.usualPause(now)),
+			MemoryForecast: uint64(max(0, load.ExpectedTokens)), MemoryHeld: uint64(max(0, load.Held())), PromptPending: max(0, load.PromptTokens), CopyPending: max(0, load.CopyTokens), StandbyTokens: standby, MemoryTotal: uint64(traits.MemoryTokens),
 			FailureRate: s.failureRate(now), Avoid: now < s.avoidUntil || s.missingUntil > 0 || r.avoidForLosses(s, now) || r.backsOffElsewhere(s), BackingOff: now < s.backoffUntil, Cold: now < s.coldUntil, Paced: paced, Down: r.isDown(s, now),
 		})
 	}
@@ -468,6 +498,20 @@
 	return ready, cordoned
 }
 
+// ReadyMemory returns the memory in tokens of the servers of a service that accept requests of this
+// process which must stay in some regions.
+func (r *Registry) ReadyMemory(service string, regions routing.Regions) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list, n := r.listed(service), 0
+	for _, s := range list {
+		if !s.Leaving && !r.cordoned[s.FailureDomain] && regions.Allows(r.domainRegions[s.FailureDomain]) && r.inOwnCell(s, len(list)) {
+			n++
+		}
+	}
+	return n * r.traits(service).MemoryTokens
+}
+
 // State reports whether a server is listed and whether it is leaving.
 func (r *Registry) State(of Server) (listed, leaving bool) {
 	r.mu.Lock()
--- a/backends/reservation.go
+++ b/backends/reservation.go
@@ -48,6 +48,9 @@
 // reserve counts a request at a server. mu must be held.
 func (r *Registry) reserve(target *server, q Query, serverCount int) *Reservation {
 	res := &Reservation{registry: r, target: target, Server: target.Server, ServerCount: serverCount, givesWay: q.GivesWay, Load: r.load(target), contribution: Load{Running: 1, ExpectedTokens: q.ExpectedTokens, PromptTokens: q.PromptTokens}}
+	if q.HeldTokens > 0 && !q.GivesWay {
+		res.contribution.Growth = max(0, q.ExpectedTokens-q.HeldTokens)
+	}
 	if q.ForCopy {
 		res.contribution.CopyTokens = q.ExpectedTokens
 	}
@@ -82,13 +85,16 @@
 	r.target.ownLoad = r.target.ownLoad.plus(change)
 }
 
-// SetExpectedTokens changes the memory in tokens that the request is expected to need.
-func (r *Reservation) SetExpectedTokens(tokens int) {
+// SetMemory changes the memory in tokens that the request is expected to need, and the part of it
+// that it holds now. All memory of a standby copy that gives way counts as held.
+func (r *Reservation) SetMemory(expected, held int) {
 	r.change(func(contribution Load) Load {
-		change := Load{ExpectedTokens: tokens - contribution.ExpectedTokens}
+		change := Load{ExpectedTokens: expected - contribution.ExpectedTokens}
 		if contribution.Standby > 0 {
 			change.Standby = change.ExpectedTokens
+			return change
 		}
+		change.Growth = max(0, expected-held) - contribution.Growth
 		return change
 	})
 }
@@ -139,6 +145,7 @@
 	case ResultLost:
 		target.recordLoss(now)
 	case ResultFull:
+		r.observeFull(target, now)
 		target.avoidUntil = max(target.avoidUntil, now+fullAvoidTime)
 	case ResultUnreachable:
 		target.recordAnswer(1, answerGain, now)
--- a/backends/standby.go
+++ b/backends/standby.go
@@ -16,7 +16,8 @@
 	}
 	runs := max(0, l.ExpectedTokens-l.Standby)
 	l.Running = int(math.Ceil(float64(l.Running) * (float64(runs) / float64(l.ExpectedTokens))))
-	l.ExpectedTokens, l.Standby = runs, 0
+	// All memory of copies counts as held, so that the growth is that of the runs.
+	l.ExpectedTokens, l.Growth, l.Standby = runs, min(l.Growth, runs), 0
 	return l
 }
 
--- a/backends/standby_test.go
+++ b/backends/standby_test.go
@@ -74,9 +74,10 @@
 	require.Equal(t, -650, excess())
 	r.SetRemoteLoads("vm-2", map[string]Load{"e-z1": {Running: 3, ExpectedTokens: 750, Standby: 200}})
 	require.Equal(t, 100, excess())
-	res.SetExpectedTokens(350)
+	res.SetMemory(350, 200)
 	require.Equal(t, 150, excess())
 	require.Equal(t, 350, r.Loads()["e-z1"].Standby)
+	require.Zero(t, r.Loads()["e-z1"].Growth, "a copy that gives way counts as held")
 	res.KeepStandby()
 	require.Zero(t, r.Loads()["e-z1"].Standby)
 	require.Equal(t, 150, excess())
@@ -111,12 +112,17 @@
 // Loads of peers may be out of range: no view of an engine is negative.
 func TestLoadWithoutStandbyIsNeverNegative(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		l := Load{Running: rapid.IntRange(0, 1<<40).Draw(t, "running"), ExpectedTokens: rapid.Int().Draw(t, "tokens"), Standby: rapid.Int().Draw(t, "standby")}
+		l := Load{Running: rapid.IntRange(0, 1<<40).Draw(t, "running"), ExpectedTokens: rapid.Int().Draw(t, "tokens"), Standby: rapid.Int().Draw(t, "standby"), Growth: rapid.Int().Draw(t, "growth")}
+		l.Growth = max(0, min(l.Growth, l.ExpectedTokens))
 		without := l.withoutStandby()
 		if l.ExpectedTokens >= 0 {
 			require.GreaterOrEqual(t, without.ExpectedTokens, 0)
 			require.LessOrEqual(t, without.ExpectedTokens, l.ExpectedTokens)
 		}
+		if l.ExpectedTokens >= 0 {
+			require.GreaterOrEqual(t, without.Held(), 0)
+			require.GreaterOrEqual(t, without.Growth, 0)
+		}
 		require.GreaterOrEqual(t, without.Running, 0)
 		require.LessOrEqual(t, without.Running, l.Running)
 	})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -147,7 +147,7 @@
 			return newGroup(self, st, reg, rep, platform.LinkMbps, opts.MaxPeerLinks, stats, log)
 		},
 		func(rep *routing.Replica, reg *backends.Registry, up *upstream.Client, now clock.Source, rec *gatewaymetrics.Recorder, gr *group, l *lateDeps) *relay.Relay {
-			r := relay.New(relayConfig(platform), relay.Deps{Replica: rep, Registry: reg, Upstream: up, Now: now, Log: log, Observer: rec, Peers: gr, Quarantine: gr.quarantine})
+			r := relay.New(relayConfig(platform), relay.Deps{Replica: rep, Registry: reg, Upstream: up, Now: now, Log: log, Observer: rec, Peers: gr, Quarantine: gr.quarantine, Limits: rec})
 			l.relay.Store(r)
 			onQuarantined := r.CancelQuarantined
 			gr.quarantine.onQuarantined.Store(&onQuarantined)
@@ -232,6 +232,7 @@
 	rec.RegisterGauge("kingcup_gateway_requests_held", "Requests that are not sent to servers, because servers end under them.", func() float64 { return float64(g.group.quarantine.countQuarantined()) })
 	rec.RegisterGauge("kingcup_gateway_domains_cordoned", "Failure domains whose servers get nothing.", g.group.countCordons)
 	rec.RegisterGauge("kingcup_gateway_servers_limited", "Servers that name a limit in their answers.", func() float64 { return float64(g.registry.CountRateLimited()) })
+	g.registerRoleGauges(rec)
 	rec.RegisterGauge("kingcup_gateway_servers_resting", "Servers that have asked this gateway for rest.", func() float64 { return float64(g.registry.CountBackingOff(clock.SinceBoot())) })
 	rec.RegisterGauge("kingcup_gateway_log_lines_dropped", "Log lines that were not written.", func() float64 { return float64(g.opts.DroppedLogLines()) })
 	if err := g.serveMetrics(platform, rec); err != nil {
--- a/internal/gatewaymetrics/metrics.go
+++ b/internal/gatewaymetrics/metrics.go
@@ -31,8 +31,15 @@
 	failedAttempts *prometheus.CounterVec
 	migrations     *prometheus.CounterVec
 	standbyCopies  *prometheus.CounterVec
+	// queueDecisions counts how generations left the queue for an engine. queueWait is the real wait of
+	// those that were started, queueEstimate the wait that was estimated on their arrival.
+	queueDecisions           *prometheus.CounterVec
+	queueWait, queueEstimate *prometheus.HistogramVec
 	// crashes counts the servers that crashed while requests ran on them.
 	crashes *prometheus.CounterVec
+	// prompts counts the prompts read while engines have roles, by the role of the engine, runs the
+	// long runs after their first event: moved to an engine that runs streams, or why not.
+	prompts, runs *prometheus.CounterVec
 	// unreadableEntries counts directory entries that don't describe a usable server.
 	unreadableEntries prometheus.Counter
 	// storeCalls counts the calls to the store, storeBytes the bytes received for them,
@@ -46,6 +53,7 @@
 	storeRestores *prometheus.CounterVec
 	// peerBytes counts the bytes sent to other gateways, by cause.
 	peerBytes *prometheus.CounterVec
+	limits    limitMetrics
 	// epoch is the zero of the times that the tracker gets.
 	epoch time.Time
 
@@ -103,10 +111,28 @@
 	r.peerBytes = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "kingcup_gateway_peer_sent_bytes_total", Help: "Bytes sent to other gateways by cause, without the frames of the links.",
 	}, []string{"cause"})
+	r.prompts = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "kingcup_gateway_prompts_placed_total", Help: "Prompts that began to be answered while engines have roles, by the role of the engine.",
+	}, []string{"role"})
+	r.runs = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "kingcup_gateway_runs_placed_total", Help: "Long runs after the first event while engines have roles: moved to an engine that runs streams, or why they stay.",
+	}, []string{"result"})
 	r.storeRestores = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "kingcup_gateway_store_restored_total", Help: "Times that the store has come back from a copy, by table.",
 	}, []string{"table"})
-	r.registry.MustRegister(r.storeCallReasons, r.peerBytes, r.storeRestores, r.standbyCopies)
+	r.queueDecisions = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "kingcup_gateway_queue_decisions_total", Help: "Generations that left the queue for an engine by service, kind (light or other) and decision.",
+	}, []string{"service", "kind", "decision"})
+	waits := []float64{.005, .02, .1, .2, .5, 1, 2, 4, 8, 16}
+	r.queueWait = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "kingcup_gateway_queue_wait_seconds", Help: "Time from the arrival of a generation until an engine was reserved for it.", Buckets: waits,
+	}, []string{"service", "kind"})
+	r.queueEstimate = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "kingcup_gateway_queue_estimate_seconds", Help: "The same time as it was estimated on arrival.", Buckets: waits,
+	}, []string{"service", "kind"})
+	r.registry.MustRegister(r.queueDecisions, r.queueWait, r.queueEstimate)
+	r.limits = newLimitMetrics(r.registry)
+	r.registry.MustRegister(r.prompts, r.runs, r.storeCallReasons, r.peerBytes, r.storeRestores, r.standbyCopies)
 	r.registry.MustRegister(r.requests, r.firstByte, r.eventPause, r.failedAttempts, r.migrations, r.crashes, r.unreadableEntries, r.storeCalls, r.storeBytes, r.storeTransfer)
 	return r
 }
@@ -141,12 +167,31 @@
 	r.standbyCopies.WithLabelValues(string(event)).Inc()
 }
 
+// PromptPlaced implements relay.Observer.
+func (r *Recorder) PromptPlaced(role string) { r.prompts.WithLabelValues(role).Inc() }
+
+// RunPlaced implements relay.Observer.
+func (r *Recorder) RunPlaced(result string) { r.runs.WithLabelValues(result).Inc() }
+
 // EventPause implements relay.Observer.
 func (r *Recorder) EventPause(team string, d time.Duration) {
 	r.eventPause.Observe(d.Seconds())
 	r.countObjective(team, burn.StallTime, d <= stallThreshold)
 }
 
+// QueueDecided implements relay.Observer.
+func (r *Recorder) QueueDecided(service string, light bool, d relay.QueueDecision, estimated, waited time.Duration) {
+	kind := "other"
+	if light {
+		kind = "light"
+	}
+	r.queueDecisions.WithLabelValues(service, kind, string(d)).Inc()
+	if d == relay.QueueStarted {
+		r.queueWait.WithLabelValues(service, kind).Observe(waited.Seconds())
+		r.queueEstimate.WithLabelValues(service, kind).Observe(estimated.Seconds())
+	}
+}
+
 // AttemptFailed implements relay.Observer.
 func (r *Recorder) AttemptFailed(service, result string) {
 	r.failedAttempts.WithLabelValues(service, result).Inc()
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"kingcupplank.example/kingcup/backends"
+	"kingcupplank.example/kingcup/concurrency"
 	"kingcupplank.example/kingcup/flow"
 	"kingcupplank.example/kingcup/pacing"
 	"kingcupplank.example/kingcup/routing"
@@ -39,6 +40,11 @@
 	// checkServers is the number of servers that a request of the route check may be sent to, 2
 	// if lower.
 	checkServers int
+	// maxPause is the bound on pauses of the route plan, linkMbps the link of the engines.
+	maxPause time.Duration
+	linkMbps float64
+	// noStandby is set if the engines keep no standby copies.
+	noStandby bool
 	// plain are the traits of the plain service.
 	plain backends.ServiceTraits
 }
@@ -54,6 +60,10 @@
 	turns         *flow.Turns
 	notifications int
 	usage         []flow.Usage
+	queues        []flow.Contender
+	// reportedDemand records the relay's calls; the test sets demand.
+	reportedDemand float64
+	demand         concurrency.PeerDemand
 }
 
 func (p *fakePeers) Count() int              { return p.count }
@@ -84,14 +94,42 @@
 	return p.turns
 }
 
+func (p *fakePeers) Queues(string) []flow.Contender {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.queues
+}
+
 func (p *fakePeers) ReportUsage(string, []flow.Usage) {}
 
+func (p *fakePeers) ReportLightUsage(string, []flow.Usage) {}
+
+func (p *fakePeers) LightUsage(string) []flow.Usage { return nil }
+
 func (p *fakePeers) Usage(string) []flow.Usage {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.usage
 }
 
+func (p *fakePeers) ReportDemand(_ string, perSecond float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reportedDemand = perSecond
+}
+
+func (p *fakePeers) Demand(string) concurrency.PeerDemand {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.demand
+}
+
+func (p *fakePeers) setDemand(d concurrency.PeerDemand) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.demand = d
+}
+
 func (p *fakePeers) SharedClock() pacing.SharedTime { return pacing.SharedTime{} }
 
 func (p *fakePeers) MigrationTurns(string) *flow.Turns { return p.Turns("", 0) }
@@ -146,9 +184,9 @@
 		keys = []string{teamKey}
 	}
 	split := func(s string) []routing.Weighted { return []routing.Weighted{{Service: s, Weight: 1}} }
-	engine := &routing.Engine{Slots: 48, MemoryTokens: 30000, TokensPerEvent: 4, SupportsMigration: true, SupportsStandby: true}
+	engine := &routing.Engine{Slots: 48, MemoryTokens: 30000, TokensPerEvent: 4, SupportsMigration: true, SupportsStandby: !f.noStandby, BytesPerToken: 1000, LinkMbps: f.linkMbps}
 	f.replica.Put(routing.Content{Version: version, KeysRequired: true, Teams: teams(keys), Routes: []*routing.Route{
-		{Name: "plan", Host: "h", Prefix: "/plan/", Kind: routing.Stream, Timeout: 39 * time.Second, TargetLatency: 1800 * time.Millisecond, EventTimeout: 7200 * time.Millisecond, MaxServers: 1, Split: split(modelService)},
+		{Name: "plan", Host: "h", Prefix: "/plan/", Kind: routing.Stream, Timeout: 39 * time.Second, TargetLatency: 1800 * time.Millisecond, MaxPause: f.maxPause, EventTimeout: 7200 * time.Millisecond, MaxServers: 1, Split: split(modelService)},
 		{Name: "check", Host: "h", Prefix: "/check/", Kind: routing.Stream, Timeout: 6 * time.Second, TargetLatency: 1500 * time.Millisecond, MaxServers: max(2, f.checkServers), Resumable: true, Split: split(modelService)},
 		{Name: "once", Host: "h", Prefix: "/once/", Kind: routing.AtMostOnce, TargetLatency: 150 * time.Millisecond, MaxServers: 2, Split: split(deskService)},
 		{Name: "safe", Host: "h", Prefix: "/safe/", Kind: routing.Idempotent, TargetLatency: 150 * time.Millisecond, MaxServers: 2, Split: split(deskService)},
@@ -248,6 +286,7 @@
 	dropped    []KVCopy
 	leaving    map[string]bool
 	down       map[string]bool
+	downChecks int
 	send       func(ctx context.Context, a *Attempt) (*Response, error)
 	copyRun    func(ctx context.Context, from backends.Server, id, to string, final bool) (string, error)
 }
@@ -282,6 +321,7 @@
 func (f *fakeUpstream) IsDown(_ context.Context, s backends.Server) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.downChecks++
 	return f.down[s.ID]
 }
 
@@ -330,6 +370,13 @@
 	return ids
 }
 
+// copyCalls returns the calls that copy runs, in order.
+func (f *fakeUpstream) copyCalls() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.copies)
+}
+
 func newResponse(status int, body string) *Response {
 	return &Response{Status: status, Length: int64(len(body)), Signed: true, Body: io.NopCloser(strings.NewReader(body))}
 }
@@ -371,5 +418,9 @@
 func (noObserver) EventPause(string, time.Duration)                      {}
 func (noObserver) AttemptFailed(string, string)                          {}
 func (noObserver) Migrated(string)                                       {}
-func (noObserver) ServerCrashed(string)                                  {}
-func (noObserver) StandbyCopy(StandbyEvent)                              {}
+func (noObserver) QueueDecided(string, bool, QueueDecision, time.Duration, time.Duration) {
+}
+func (noObserver) PromptPlaced(string)      {}
+func (noObserver) RunPlaced(string)         {}
+func (noObserver) ServerCrashed(string)     {}
+func (noObserver) StandbyCopy(StandbyEvent) {}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"kingcupplank.example/kingcup/backends"
+	"kingcupplank.example/kingcup/concurrency"
 	"kingcupplank.example/kingcup/flow"
 	"kingcupplank.example/kingcup/internal/clock"
 	"kingcupplank.example/kingcup/pace"
@@ -49,6 +50,14 @@
 	// Migrated is called for each copy of a run, and for each stream that resumed from a copy, was
 	// hedged or was lost.
 	Migrated(result string)
+	// QueueDecided is called for each generation that was queued for an engine, with the wait that was
+	// estimated on its arrival and the real one.
+	QueueDecided(service string, light bool, d QueueDecision, estimated, waited time.Duration)
+	// PromptPlaced is called for each prompt of a service whose engines read prompts apart from
+	// streams, with the role of its engine. RunPlaced is called for each of their long runs after its
+	// first event: it was moved, or stays for a cause.
+	PromptPlaced(role string)
+	RunPlaced(result string)
 	// ServerCrashed is called for each server that crashed while running requests.
 	ServerCrashed(service string)
 	// StandbyCopy is called for what happens to a standby copy, see the constants of
@@ -66,6 +75,8 @@
 	Observer   Observer
 	Peers      Peers
 	Quarantine Quarantine
+	// Limits receives the decisions of shared limits for metrics, nil for none.
+	Limits LimitObserver
 }
 
 // Quarantine decides which requests are quarantined, from the crashes that all gateways have
@@ -108,12 +119,22 @@
 	// returns what the peers have reported.
 	ReportUsage(service string, top []flow.Usage)
 	Usage(service string) []flow.Usage
+	// ReportLightUsage and LightUsage are the same for the part of the usage that is by light
+	// generations, see package admission.
+	ReportLightUsage(service string, top []flow.Usage)
+	LightUsage(service string) []flow.Usage
+	// Queues returns what the peers have reported of their queues for a service.
+	Queues(service string) []flow.Contender
 	// Turns returns which gateway may use the servers of a service, for a request of a rank. It
 	// is nil while no peer has an equally urgent request queued.
 	Turns(service string, rank int) *flow.Turns
 	// MigrationTurns returns which gateway may copy runs off the servers that leave a failure
 	// domain. It is nil while only this gateway has such runs.
 	MigrationTurns(domain string) *flow.Turns
+	// ReportDemand reports to the peers the rate at which requests for a service arrive here.
+	// Demand returns what the peers have reported.
+	ReportDemand(service string, perSecond float64)
+	Demand(service string) concurrency.PeerDemand
 	// SharedClock returns the time of the clock that all gateways share.
 	SharedClock() pacing.SharedTime
 }
@@ -130,6 +151,7 @@
 	runs         map[string]map[*run]struct{}
 	engineQueues map[string]*engineQueue
 	pacedQueues  map[string]*pacedQueue
+	sharedLimits map[string]*sharedLimit
 	// crashChecks are the checks of servers whose responses broke off recently.
 	crashChecks map[incarnation]*crashCheck
 	inProgress  int
@@ -144,6 +166,10 @@
 	forecasts   *outputForecasts
 	// standbys are the standby copies that give way.
 	standbys *standbyCopies
+	// started is when this process started.
+	started time.Duration
+	// roleLog bounds the log lines on the roles of engines.
+	roleLog roleLog
 	// shutdownAt is when this process will stop, zero if unknown. From refuseFrom on, requests
 	// that would outlast it are refused in any case.
 	shutdownAt, refuseFrom time.Time
@@ -157,6 +183,8 @@
 		runs:         make(map[string]map[*run]struct{}),
 		engineQueues: make(map[string]*engineQueue),
 		pacedQueues:  make(map[string]*pacedQueue),
+		sharedLimits: make(map[string]*sharedLimit),
+		started:      deps.Now(),
 		crashChecks:  make(map[incarnation]*crashCheck),
 		jobs:         make(map[*job]struct{}),
 		meanPause:    initialPause,
@@ -214,6 +242,8 @@
 	hadBrokenResponse bool
 	// progress is the progress of a stream.
 	progress progress
+	// queued is how a generation was queued for an engine.
+	queued queueWait
 	// forecasts estimates the lengths of generations.
 	forecasts *outputForecasts
 	log       logrus.FieldLogger
@@ -265,6 +295,7 @@
 	if g := j.Generation; g != nil {
 		f["prompt"], f["max_output"], f["hint"] = g.PromptTokens, g.MaxOutput, g.EstimatedOutput
 		f["events"], f["first_ms"], f["pause_ms"] = j.progress.events, j.progress.firstDelay.Milliseconds(), j.progress.longestPause.Milliseconds()
+		f["light"], f["est_wait_ms"], f["queue_ms"] = j.queued.light, j.queued.estimated.Milliseconds(), j.queued.waited.Milliseconds()
 	}
 	return f
 }
--- a/internal/relay/standbymaking.go
+++ b/internal/relay/standbymaking.go
@@ -79,7 +79,8 @@
 		u.endStandbyCopy()
 		return nil
 	case t.isRefresh:
-		t.reservation.SetExpectedTokens(u.job.expectedMemory(t.events))
+		tokens := u.job.expectedMemory(t.events)
+		t.reservation.SetMemory(tokens, tokens)
 		return t
 	}
 	t.reservation = r.reserveGivingWay(t, limits)
@@ -314,7 +315,9 @@
 		r.dropCopy(*c)
 		return true
 	}
-	c.reservation.SetExpectedTokens(m.run.expectedMemory())
+	// As for any target of a migration, all of the memory counts as held until the run is there.
+	tokens := m.run.expectedMemory()
+	c.reservation.SetMemory(tokens, tokens)
 	r.giveWay(c.reservation)
 	r.Peers.Notify()
 	m.target = *c
@@ -326,6 +329,15 @@
 	return true
 }
 
+// dropGivingWay drops the standby copy that gives way of a run that is moved: the move takes precedence,
+// and it is not known whether an engine keeps two copies of a run.
+func (m *migration) dropGivingWay(ctx context.Context) {
+	if c := m.run.takeGivingWay(ctx); c != nil {
+		m.relay.standbys.remove(c.reservation)
+		m.relay.dropCopy(*c)
+	}
+}
+
 // removeCopy removes the copy at a reservation from the run.
 func (u *run) removeCopy(reservation *backends.Reservation) {
 	u.mu.Lock()
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"time"
 
+	"kingcupplank.example/kingcup/prefill"
 	"kingcupplank.example/kingcup/routing"
 )
 
@@ -31,6 +32,8 @@
 	// Running, Queued, MemoryForecast and MemoryTotal are from the last load report.
 	Running, Queued             int
 	MemoryForecast, MemoryTotal uint64
+	// MemoryHeld is the part of MemoryForecast that the requests hold now.
+	MemoryHeld uint64
 	// SentSinceReport is the number of requests that this process has sent since that report.
 	SentSinceReport int
 	// PromptPending is the number of prompt tokens that the server reads before the prompt
@@ -43,6 +46,12 @@
 	// StandbyTokens is the memory of standby copies, in tokens, that MemoryForecast does not
 	// contain as they give way to requests.
 	StandbyTokens int
+	// Role is what the server is used for where prompts are read apart from streams. InDip marks a
+	// server whose streams have pauses far above the usual.
+	Role  prefill.Role
+	InDip bool
+	// Slowness is how many times longer than usual the server takes to read a prompt.
+	Slowness float64
 	// Slots is the number of requests that the server runs at once, 0 if unknown.
 	Slots int
 	// FailureRate is the share of failures among its recent responses.
@@ -71,6 +80,13 @@
 	Regions routing.Regions
 	// Tokens is the memory that the request is expected to need, in tokens.
 	Tokens int
+	// Horizon is the expected time for which a short request holds its memory. The memory that the
+	// server's requests will hold by then bounds the choice in place of their expected peak. 0
+	// stands for the peak. TokensPerEvent and MeanPause, the usual pause of the service's
+	// servers, give the growth of a request.
+	Horizon        time.Duration
+	TokensPerEvent int
+	MeanPause      time.Duration
 	// PromptSpeed is the number of prompt tokens per second that a server reads.
 	PromptSpeed float64
 	// MaxMemoryUse bounds the share of a server's memory in use including this request.
@@ -83,6 +99,12 @@
 	// longest pause of a response to the usual pause of its server.
 	MaxPause     time.Duration
 	PauseStretch float64
+	// Kind is the kind of the generation where prompts are read apart from streams. ForStream drops
+	// servers to which a run that has read its prompt elsewhere must not be moved.
+	Kind      prefill.Kind
+	ForStream bool
+	// PromptTokens is the number of prompt tokens of the request.
+	PromptTokens int
 	// CopySpeed is the number of memory tokens per second that a server's link transfers.
 	CopySpeed float64
 	// SameDomainOnly drops servers of other failure domains.
@@ -129,11 +151,12 @@
 // healthy ones, and a server that refused a moment ago behind both.
 func Direct() Policy {
 	return Policy{
-		Filters: []Filter{NotLeaving, NotDown, NotBackingOff, NotCordoned, InRegions, NotTried, InDomain, WithinBounds, NotPaced},
+		Filters: []Filter{NotLeaving, NotDown, NotBackingOff, NotCordoned, InRegions, NotTried, InDomain, WithinBounds, NotPaced, TakesStreams},
 		Scorers: []Scorer{
 			{Weight: 1.0, Score: FreeCapacity},
 			{Weight: 1.0, Score: PromptWait},
 			{Weight: 4, Score: KeepsPace},
+			{Weight: 1.0, Score: SuitsRole},
 			{Weight: 1.0, Score: Healthy},
 			{Weight: 2.0, Score: NotAvoided},
 			{Weight: 0.3, Score: Warm},
--- a/standby/simulation_test.go
+++ b/standby/simulation_test.go
@@ -275,7 +275,7 @@
 	case c != nil && events-c.events < standby.RefreshEvents:
 		return
 	case c != nil:
-		c.reservation.SetExpectedTokens(g.expected(s.now))
+		c.reservation.SetMemory(g.expected(s.now), g.expected(s.now))
 	default:
 		g.nextCopyAt = s.now + standby.RetryInterval
 		res := s.reserveCopy(g, g.started+g.duration-s.now)
@@ -397,7 +397,7 @@
 				g.copy.tokens = tokens
 			}
 			if s.now%(500*time.Millisecond) == 0 {
-				g.reservation.SetExpectedTokens(g.expected(s.now))
+				g.reservation.SetMemory(g.expected(s.now), tokens)
 			}
 		}
 	}
