Standby copies only where memory is spare, and dropped before engines are full

Change: a copy is made only while its engine's memory in use with the copy stays below 0.65 and the service's below 0.6, for runs with 2 s or more to go, and not while a request is queued here for lack of room or was in the last 2 s (standby.QueuePause). Refreshes go on. Copies are dropped above 0.8.

--- a/internal/relay/standbymaking.go
+++ b/internal/relay/standbymaking.go
@@ -73,7 +73,9 @@
 	remaining := time.Duration(u.remainingEvents()) * r.currentMeanPause()
 	// The runs of a leaving server are migrated, and a further copy would hold that up.
 	_, leaving := r.Registry.State(t.from)
-	limits, worth := standby.LimitsFor(remaining)
+	// A refresh takes little memory, and the copy is dropped if that is wanted.
+	queued := !t.isRefresh && r.engineQueue(u.job.service).saturatedSince(now-standby.QueuePause)
+	limits, worth := standby.LimitsFor(remaining, queued)
 	switch {
 	case leaving || !worth:
 		u.endStandbyCopy()
--- a/standby/standby.go
+++ b/standby/standby.go
@@ -3,9 +3,9 @@
 // refreshed as the run grows; if the run's engine crashes, the run continues there.
 //
 // The package is for deployments that lose a whole failure domain at a time, whose engines are 40
-// to 90 % full and whose long responses may not run again. There copies take what runs and
-// migrations leave, also while requests queue, and give way to them: their memory does not count
-// for a request, and it is freed once a request needs it.
+// to 90 % full and whose long responses may not run again. There copies take a part of what runs and
+// migrations leave while no request is queued, and give way to them: their memory does not count for
+// a request, and it is freed before engines are full.
 //
 // All functions are pure; times are durations.
 package standby
@@ -17,21 +17,23 @@
 )
 
 const (
-	// maxMemoryUse is the fraction of an engine's memory, and of that of all engines of a service,
-	// up to which copies are made, including them. A request of a tenth of the memory still fits
-	// below DropMemoryUse, so a new copy is not dropped for the next request.
-	maxMemoryUse = 0.85
-	// shortMemoryUse is the fraction of the service's memory in use from which on only runs of
-	// minShortTime and more get a copy. Room for a few more copies is left then, and a run that
-	// ends soon would lose little.
-	shortMemoryUse = 0.7
-	minShortTime   = 2 * time.Second
+	// maxMemoryUse is the fraction of an engine's memory up to which copies are made, including them.
+	// A request of a tenth of the memory still fits below DropMemoryUse, so a new copy is not dropped
+	// for the next request.
+	maxMemoryUse = 0.65
+	// maxServiceMemoryUse is the same for all engines of a service. In fuller services requests wait
+	// for copies to be dropped, and nearly all copies are gone by the time that engines crash.
+	maxServiceMemoryUse = 0.6
 	// minTime is the expected remaining time from which on a run gets a copy at all. Sending a
-	// prompt's memory takes 0.2 s on two links.
-	minTime = time.Second
+	// prompt's memory takes 0.2 s on two links, and a run that ends soon would lose little.
+	minTime = 2 * time.Second
+	// QueuePause is how long no request may have been queued here for lack of room before copies
+	// are made again: memory is wanted by requests then, and a copy would soon be dropped.
+	QueuePause = 2 * time.Second
 	// DropMemoryUse is the fraction of an engine's memory in use, with all copies, beyond which
-	// copies are dropped. The rest covers requests of other gateways that are not known yet.
-	DropMemoryUse = 0.95
+	// copies are dropped. The rest is free for the requests that come within the time that a drop
+	// takes, so that they need not wait for it.
+	DropMemoryUse = 0.8
 	// MaxCopying is the number of copies that one gateway makes or refreshes at a time. Each takes
 	// 0.16 s of two engines' links, behind which migrations wait.
 	MaxCopying = 2
@@ -57,14 +59,12 @@
 	MaxMemoryUse, MaxServiceMemoryUse float64
 }
 
-// LimitsFor returns the limits for a copy of a run that is expected to take remaining. It returns
-// false if the run is not worth a copy.
-func LimitsFor(remaining time.Duration) (Limits, bool) {
-	l := Limits{MaxMemoryUse: maxMemoryUse, MaxServiceMemoryUse: maxMemoryUse}
-	if remaining < minShortTime {
-		l.MaxServiceMemoryUse = shortMemoryUse
-	}
-	return l, remaining >= minTime
+// LimitsFor returns the limits for a copy of a run that is expected to take remaining. queued is
+// whether a request is queued for lack of room, or was within QueuePause. It returns false if no copy
+// is to be made.
+func LimitsFor(remaining time.Duration, queued bool) (Limits, bool) {
+	l := Limits{MaxMemoryUse: maxMemoryUse, MaxServiceMemoryUse: maxServiceMemoryUse}
+	return l, remaining >= minTime && !queued
 }
 
 // Place says in which failure domains an engine for a copy is looked for.
--- a/tools/without/gateway.go
+++ b/tools/without/gateway.go
@@ -136,6 +136,7 @@
 	{"migrations continue the standby copy", "internal/relay/migration.go", "m.copyToStandby(ctx) || m.copy(ctx)", "m.copy(ctx)", "./internal/relay", "TestMigrationContinuesTheStandby"},
 	{"standby copy dropped before a move", "internal/relay/roles.go", "m.dropGivingWay(ctx)", "", "./internal/relay", "TestMoveDropsTheStandbyFirst"},
 	{"standby copies in other failure domains first", "standby/standby.go", "[2]Place{OtherDomain, SameDomain}", "[2]Place{SameDomain, OtherDomain}", "./internal/relay", "TestResponsesOutliveTheirFailureDomain"},
+	{"no standby copies while requests queue", "internal/relay/standbymaking.go", "!t.isRefresh && r.engineQueue(u.job.service).saturatedSince(now-standby.QueuePause)", "false", "./internal/relay", "TestStandbysThatGiveWayAreMadeUnderTheirLimits"},
 	{"few standby copies made at a time", "internal/relay/standbycopies.go", "if s.copying >= standby.MaxCopying {", "if false {", "./internal/relay", "TestFewStandbysAreMadeAtATime"},
 	{"reports of standby copies that exceed the load", "internal/gateway/peers.go", "return int(min(l.GetStandby(), tokens))", "return int(l.GetStandby())", "./internal/gateway", "TestStandbyCopiesAreReportedToPeers"},
 	{"unresponsive servers behind a partition", "internal/relay/speed.go", "func() { reservation.MarkUnresponsive(r.Now()) }", "func() {}", "./internal/gateway", "TestServerBehindAPartitionCostsFewRequests"},
