--- a/internal/relay/standbycopies_test.go
+++ b/internal/relay/standbycopies_test.go
@@ -116,11 +116,11 @@
 		s.startAtHome()
 		require.Equal(t, "home", f.upstream.sent[i].Server.ID)
 		require.Empty(t, f.upstream.sent[i].StandbyAddress, "a copy of this kind can't be freed")
-		require.Len(t, f.upstream.copies, i, "no copy before the first event")
+		require.Len(t, f.upstream.copyCalls(), i, "no copy before the first event")
 		s.bodies[i].write(event(1))
 		time.Sleep(fakeCopyTime)
 		synctest.Wait()
-		require.Equal(t, fmt.Sprintf("r%d home>keeper:1 false", i), f.upstream.copies[i])
+		require.Equal(t, fmt.Sprintf("r%d home>keeper:1 false", i), f.upstream.copyCalls()[i])
 	}
 	for i, body := range s.bodies {
 		s.written = append(s.written, n-i)
@@ -219,10 +219,10 @@
 				f.relay.updateStandby(u)
 				synctest.Wait()
 				if tt.want == "" {
-					require.Empty(t, f.upstream.copies)
+					require.Empty(t, f.upstream.copyCalls())
 					return
 				}
-				require.Equal(t, []string{"r1 home>" + tt.want + " false"}, f.upstream.copies)
+				require.Equal(t, []string{"r1 home>" + tt.want + " false"}, f.upstream.copyCalls())
 				require.Equal(t, 1, o.count(StandbyMade))
 				f.relay.removeRun(u)
 				synctest.Wait()
@@ -473,7 +473,7 @@
 		s.addEngine("second", "zone-2")
 		s.peerLoad("vm-2", "second", backends.Load{Running: 4, ExpectedTokens: 13000})
 		s.upstream.copyRun = func(_ context.Context, _ backends.Server, _, to string, _ bool) (string, error) {
-			if len(s.upstream.copies) == 1 {
+			if len(s.upstream.copyCalls()) == 1 {
 				return "", ErrNoCapacity
 			}
 			return "h", nil
@@ -481,11 +481,11 @@
 		s.start()
 		s.written = []int{0}
 		s.run(900 * time.Millisecond)
-		require.Len(t, s.upstream.copies, 1)
+		require.Len(t, s.upstream.copyCalls(), 1)
 		require.Len(t, s.registry.Loads(), 1, "the reservation is released")
 		s.run(200 * time.Millisecond)
-		require.Len(t, s.upstream.copies, 2)
-		require.NotEqual(t, s.upstream.copies[0], s.upstream.copies[1])
+		require.Len(t, s.upstream.copyCalls(), 2)
+		require.NotEqual(t, s.upstream.copyCalls()[0], s.upstream.copyCalls()[1])
 		s.end()
 	})
 }
@@ -642,11 +642,11 @@
 			s.bodies[i].write(event(1))
 		}
 		synctest.Wait()
-		require.Len(t, s.upstream.copies, standby.MaxCopying)
+		require.Len(t, s.upstream.copyCalls(), standby.MaxCopying)
 		s.run(fakeCopyTime / 2)
-		require.Len(t, s.upstream.copies, standby.MaxCopying)
+		require.Len(t, s.upstream.copyCalls(), standby.MaxCopying)
 		s.run(fakeCopyTime)
-		require.Len(t, s.upstream.copies, standby.MaxCopying+1, "there is room for the next one")
+		require.Len(t, s.upstream.copyCalls(), standby.MaxCopying+1, "there is room for the next one")
 		s.run(fakeCopyTime)
 		s.end()
 	})
@@ -670,7 +670,7 @@
 		time.Sleep(time.Millisecond)
 		require.Equal(t, []KVCopy{copyOf(2)}, s.upstream.droppedCopies(), "at once")
 		time.Sleep(2 * fakeCopyTime)
-		require.Contains(t, s.upstream.copies, "short third>keeper:1 true")
+		require.Contains(t, s.upstream.copyCalls(), "short third>keeper:1 true")
 		require.Len(t, s.upstream.droppedCopies(), 1)
 		s.end()
 	})
@@ -684,12 +684,12 @@
 		s.startAtHome()
 		s.bodies[3].write(event(1))
 		synctest.Wait()
-		require.Len(t, s.upstream.copies, 4, "the last copy is being made")
+		require.Len(t, s.upstream.copyCalls(), 4, "the last copy is being made")
 		s.registry.MarkLeaving(s.newEntry("home", modelService))
 		time.Sleep(fakeCopyTime + 10*time.Millisecond)
 		synctest.Wait()
 		for i := range 4 {
-			require.Contains(t, s.upstream.copies, fmt.Sprintf("r%d home>keeper:1 true", i))
+			require.Contains(t, s.upstream.copyCalls(), fmt.Sprintf("r%d home>keeper:1 true", i))
 			s.bodies[i].breakOff()
 		}
 		synctest.Wait()
@@ -741,7 +741,7 @@
 		s.registry.MarkLeaving(s.newEntry("home", modelService))
 		time.Sleep(fakeCopyTime)
 		require.Equal(t, []KVCopy{copyOf(0)}, s.upstream.droppedCopies())
-		require.Contains(t, s.upstream.copies, "r0 home>second:1 true")
+		require.Contains(t, s.upstream.copyCalls(), "r0 home>second:1 true")
 		s.bodies[0].breakOff()
 		synctest.Wait()
 		require.Len(t, s.resumed, 1)
