--- a/backends/registry.go
+++ b/backends/registry.go
@@ -86,6 +86,8 @@
 	dips     int
 	// cell is the index of this process's cell, cellCount the number of cells.
 	cell, cellCount int
+	// self is the name of this process, empty if unknown.
+	self string
 	// cellShare and globalShare are this process's share of the rate that servers accept, among
 	// the processes of its cell and among all processes.
 	cellShare, globalShare *pacing.Share
@@ -345,6 +347,11 @@
 	// memory per second that a server's link transfers.
 	ForCopy   bool
 	CopySpeed float64
+	// GivesWay asks for a server for a standby copy that gives way to requests. Such a query
+	// counts the memory of all copies, any other only of those that do not give way.
+	GivesWay bool
+	// OtherDomainsOnly excludes the servers of PreferredDomain.
+	OtherDomainsOnly bool
 	// Draw is a random number that seeds the choice.
 	Draw uint64
 }
@@ -360,7 +367,7 @@
 	if preferred == "" {
 		preferred = r.domain
 	}
-	req := &placement.Request{FailureDomain: preferred, Tried: q.Tried, Tokens: q.ExpectedTokens, PromptSpeed: q.PromptSpeed, MaxMemoryUse: q.MaxMemoryUse, MaxPromptPending: q.MaxPromptPending, SameDomainOnly: q.SameDomainOnly, Regions: q.Regions, CopySpeed: q.CopySpeed, MaxPause: q.MaxPause, PauseStretch: q.PauseStretch, ForStream: q.ForStream, Horizon: q.Horizon, TokensPerEvent: q.TokensPerEvent, MeanPause: q.MeanPause}
+	req := &placement.Request{FailureDomain: preferred, Tried: q.Tried, Tokens: q.ExpectedTokens, PromptSpeed: q.PromptSpeed, MaxMemoryUse: q.MaxMemoryUse, MaxPromptPending: q.MaxPromptPending, SameDomainOnly: q.SameDomainOnly, OtherDomainsOnly: q.OtherDomainsOnly, Regions: q.Regions, CopySpeed: q.CopySpeed, MaxPause: q.MaxPause, PauseStretch: q.PauseStretch, ForStream: q.ForStream, Horizon: q.Horizon, TokensPerEvent: q.TokensPerEvent, MeanPause: q.MeanPause}
 	r.applyRoles(req, q)
 	divided := cells.IsDivided(len(views), r.cellCount)
 	if divided {
@@ -403,7 +410,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	changed := r.cell != p.OwnCell || r.cellCount != p.CellCount
-	r.cell, r.cellCount = p.OwnCell, p.CellCount
+	r.cell, r.cellCount, r.self = p.OwnCell, p.CellCount, p.Self
 	r.cellShare, r.globalShare = cellShare, globalShare
 	return changed
 }
@@ -428,17 +435,20 @@
 	meanPause := meanPause(list, now)
 	planner := r.planners[q.Service]
 	for _, s := range list {
-		load := r.load(s)
+		load, standby := r.load(s), 0
 		if q.OwnLoadOnly {
 			load = s.ownLoad
 		}
+		if !q.GivesWay {
+			load, standby = load.withoutStandby(), max(0, load.Standby)
+		}
 		// A run that is resumed from its copy can't wait for the rate limit, so rate-limited
 		// servers get no copies.
 		paced := q.ForCopy && s.rateLimit.limited || !r.canSend(s, s.pacingLimit(traits, now), len(list), q.SharedTime, now)
 		r.scratch = append(r.scratch, placement.Server{
 			Name: s.ID, FailureDomain: s.FailureDomain, Region: r.domainRegions[s.FailureDomain], Leaving: s.Leaving, Cordoned: r.cordoned[s.FailureDomain], Connected: true,
 			Running: load.Running, Slots: s.Slots, UsualPause: comparablePause(s.usualPause(now), meanPause), Role: planner.Role(s.ID), InDip: s.inDip(now), Slowness: planner.Slowness(s.usualPause(now)),
-			MemoryForecast: uint64(max(0, load.ExpectedTokens)), MemoryHeld: uint64(max(0, load.Held())), PromptPending: max(0, load.PromptTokens), CopyPending: max(0, load.CopyTokens), MemoryTotal: uint64(traits.MemoryTokens),
+			MemoryForecast: uint64(max(0, load.ExpectedTokens)), MemoryHeld: uint64(max(0, load.Held())), PromptPending: max(0, load.PromptTokens), CopyPending: max(0, load.CopyTokens), StandbyTokens: standby, MemoryTotal: uint64(traits.MemoryTokens),
 			FailureRate: s.failureRate(now), Avoid: now < s.avoidUntil || s.missingUntil > 0 || r.avoidForLosses(s, now) || r.backsOffElsewhere(s), BackingOff: now < s.backoffUntil, Cold: now < s.coldUntil, Paced: paced, Down: r.isDown(s, now),
 		})
 	}
--- a/backends/reservation.go
+++ b/backends/reservation.go
@@ -39,6 +39,7 @@
 
 	registry *Registry
 	target   *server
+	givesWay bool
 	// contribution is what the request adds to the server's load. It is guarded by registry.mu.
 	contribution Load
 	once         sync.Once
@@ -46,13 +47,16 @@
 
 // reserve counts a request at a server. mu must be held.
 func (r *Registry) reserve(target *server, q Query, serverCount int) *Reservation {
-	res := &Reservation{registry: r, target: target, Server: target.Server, ServerCount: serverCount, Load: r.load(target), contribution: Load{Running: 1, ExpectedTokens: q.ExpectedTokens, PromptTokens: q.PromptTokens}}
-	if q.HeldTokens > 0 {
+	res := &Reservation{registry: r, target: target, Server: target.Server, ServerCount: serverCount, givesWay: q.GivesWay, Load: r.load(target), contribution: Load{Running: 1, ExpectedTokens: q.ExpectedTokens, PromptTokens: q.PromptTokens}}
+	if q.HeldTokens > 0 && !q.GivesWay {
 		res.contribution.Growth = max(0, q.ExpectedTokens-q.HeldTokens)
 	}
 	if q.ForCopy {
 		res.contribution.CopyTokens = q.ExpectedTokens
 	}
+	if q.GivesWay {
+		res.contribution.Standby = q.ExpectedTokens
+	}
 	target.ownLoad = target.ownLoad.plus(res.contribution)
 	return res
 }
@@ -82,10 +86,16 @@
 }
 
 // SetMemory changes the memory in tokens that the request is expected to need, and the part of it
-// that it holds now.
+// that it holds now. All memory of a standby copy that gives way counts as held.
 func (r *Reservation) SetMemory(expected, held int) {
 	r.change(func(contribution Load) Load {
-		return Load{ExpectedTokens: expected - contribution.ExpectedTokens, Growth: max(0, expected-held) - contribution.Growth}
+		change := Load{ExpectedTokens: expected - contribution.ExpectedTokens}
+		if contribution.Standby > 0 {
+			change.Standby = change.ExpectedTokens
+			return change
+		}
+		change.Growth = max(0, expected-held) - contribution.Growth
+		return change
 	})
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"kingcupplank.example/kingcup/backends"
 	"kingcupplank.example/kingcup/cells"
@@ -73,13 +74,15 @@
 	invalidDemandLogged time.Duration
 
 	positions positionSchedule
+	// invalidLoads bounds the log lines about loads of peers that are out of range.
+	invalidLoads rate.Sometimes
 }
 
 func newGroup(self peers.Member, store tableStore, registry *backends.Registry, replica *routing.Replica, linkMbps float64, maxLinks int, stats *controlStats, log logrus.FieldLogger) *group {
 	g := &group{
 		self: self, store: store, registry: registry, linkMbps: linkMbps, stats: stats, log: log, followers: make(map[string]*follow.Follower),
 		queues: make(map[string]flow.Contender), teamUsage: make(map[string]usageSnapshot), lightUsage: make(map[string]usageSnapshot),
-		demands: make(map[string]demandSnapshot),
+		demands: make(map[string]demandSnapshot), invalidLoads: rate.Sometimes{Interval: invalidLoadsInterval},
 	}
 	g.encoders = map[string]*changeEncoder{directory.Table: {}, membersTable: {}}
 	g.role = newReaderRole(g)
@@ -116,7 +119,7 @@
 	for id, l := range g.registry.Loads() {
 		s.Loads = append(s.Loads, &peerv1.Load{
 			Server: id, Running: uint32(l.Running), Tokens: uint64(max(0, l.ExpectedTokens)),
-			Prompt: uint64(max(0, l.PromptTokens)), Copying: uint64(max(0, l.CopyTokens)), Born: l.StartTime,
+			Prompt: uint64(max(0, l.PromptTokens)), Copying: uint64(max(0, l.CopyTokens)), Born: l.StartTime, Standby: uint64(max(0, l.Standby)),
 			PauseUs: uint32(paces[id].Pause.Microseconds()), Held: uint64(max(0, l.Held())), Dip: paces[id].Dip,
 		})
 	}
@@ -165,6 +168,10 @@
 	return out
 }
 
+// invalidLoadsInterval is the interval between two log lines about invalid loads: a peer sends its
+// loads several times a second.
+const invalidLoadsInterval = 10 * time.Second
+
 // maxReportAge bounds the age of a rate limit in a peer's report.
 const maxReportAge = 24 * time.Hour
 
@@ -206,7 +213,7 @@
 		}
 		loads[l.GetServer()] = backends.Load{
 			Running: int(l.GetRunning()), ExpectedTokens: int(l.GetTokens()), PromptTokens: int(l.GetPrompt()), CopyTokens: int(l.GetCopying()), StartTime: l.GetBorn(),
-			Growth: growthFromMessage(l),
+			Standby: g.standbyTokens(peer, l), Growth: growthFromMessage(l),
 		}
 	}
 	g.registry.SetRemoteLoads(peer, loads)
@@ -217,6 +224,19 @@
 	g.noteConfigVersion(s)
 }
 
+// standbyTokens returns the memory of standby copies in a peer's report. More than the reported load
+// would hide the requests of other gateways.
+func (g *group) standbyTokens(peer string, l *peerv1.Load) int {
+	const maxTokens = 1 << 40
+	tokens := min(l.GetTokens(), maxTokens)
+	if l.GetStandby() > tokens {
+		g.invalidLoads.Do(func() {
+			g.log.WithFields(logrus.Fields{"peer": peer, "server": l.GetServer(), "tokens": l.GetTokens(), "standby": l.GetStandby()}).Warn("peer reported more standby copies than load")
+		})
+	}
+	return int(min(l.GetStandby(), tokens))
+}
+
 // growthFromMessage returns the part of a peer's load that its runs don't hold yet. It is 0 if the peer
 // does not say what they hold, or if that is more than they are expected to need.
 func growthFromMessage(l *peerv1.Load) int {
--- a/internal/gatewaymetrics/metrics.go
+++ b/internal/gatewaymetrics/metrics.go
@@ -30,6 +30,7 @@
 	eventPause     prometheus.Histogram
 	failedAttempts *prometheus.CounterVec
 	migrations     *prometheus.CounterVec
+	standbyCopies  *prometheus.CounterVec
 	// queueDecisions counts how generations left the queue for an engine. queueWait is the real wait of
 	// those that were started, queueEstimate the wait that was estimated on their arrival.
 	queueDecisions           *prometheus.CounterVec
@@ -91,6 +92,9 @@
 			Name: "kingcup_gateway_unreadable_entries_total", Help: "Entries of servers that could not be read.",
 		}),
 	}
+	r.standbyCopies = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "kingcup_gateway_standby_copies_total", Help: "Standby copies of runs by event: made, refreshed, refused for lack of room, failed, dropped, lost with their server, used, missing when needed.",
+	}, []string{"event"})
 	r.storeCalls = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "kingcup_gateway_store_calls_total", Help: "Calls to the store by table and result: a status, \"no answer\" or \"answer cut\".",
 	}, []string{"table", "result"})
@@ -128,7 +132,7 @@
 	}, []string{"service", "kind"})
 	r.registry.MustRegister(r.queueDecisions, r.queueWait, r.queueEstimate)
 	r.limits = newLimitMetrics(r.registry)
-	r.registry.MustRegister(r.prompts, r.runs, r.storeCallReasons, r.peerBytes, r.storeRestores)
+	r.registry.MustRegister(r.prompts, r.runs, r.storeCallReasons, r.peerBytes, r.storeRestores, r.standbyCopies)
 	r.registry.MustRegister(r.requests, r.firstByte, r.eventPause, r.failedAttempts, r.migrations, r.crashes, r.unreadableEntries, r.storeCalls, r.storeBytes, r.storeTransfer)
 	return r
 }
@@ -158,6 +162,11 @@
 // ServerCrashed implements relay.Observer.
 func (r *Recorder) ServerCrashed(service string) { r.crashes.WithLabelValues(service).Inc() }
 
+// StandbyCopy implements relay.Observer.
+func (r *Recorder) StandbyCopy(event relay.StandbyEvent) {
+	r.standbyCopies.WithLabelValues(string(event)).Inc()
+}
+
 // PromptPlaced implements relay.Observer.
 func (r *Recorder) PromptPlaced(role string) { r.prompts.WithLabelValues(role).Inc() }
 
--- a/internal/relay/enginequeue.go
+++ b/internal/relay/enginequeue.go
@@ -270,7 +270,11 @@
 	if overTime {
 		q.Horizon, q.TokensPerEvent, q.MeanPause = r.expectedRunTime(j), j.tokensPerEvent(), r.currentMeanPause()
 	}
-	return r.Registry.Acquire(q, r.Now())
+	reservation := r.Registry.Acquire(q, r.Now())
+	if reservation != nil {
+		r.giveWay(reservation)
+	}
+	return reservation
 }
 
 // rank returns the rank of a request, and whether an engine's memory is checked over time for it.
--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -143,6 +143,7 @@
 	}
 	s.job.log.WithFields(logrus.Fields{"server": s.run.serverID(), "to": standby.reservation.Server.ID}).Info("silent stream resumed from its standby copy")
 	s.Observer.Migrated("hedged")
+	s.Observer.StandbyCopy(StandbyUsed)
 	s.run.cancelResponse()
 	return next
 }
--- a/internal/relay/migration.go
+++ b/internal/relay/migration.go
@@ -36,6 +36,7 @@
 type reservedCopy struct {
 	KVCopy
 	reservation *backends.Reservation
+	isStandby   bool
 }
 
 // run is a stream at a server.
@@ -57,6 +58,7 @@
 	copies    []reservedCopy
 	// standby is the standby copy, nil without one.
 	standby *reservedCopy
+	giving  standbyState
 	done    bool
 	// stopped is set once the run is being stopped at its server by a final copy to an engine that
 	// runs streams: the response then breaks off although the server is well.
@@ -171,21 +173,14 @@
 	return true
 }
 
-// takeCopies waits for the migration in progress, removes all copies from the run and returns
+// takeCopies waits for the copying in progress, removes all copies from the run and returns
 // them. The standby copy is last, as copies of a migration are newer.
 func (u *run) takeCopies(ctx context.Context) []reservedCopy {
 	u.mu.Lock()
-	migrating := u.migrating
+	migrating, copying := u.migrating, u.giving.copying
 	u.mu.Unlock()
-	if migrating != nil {
-		t := time.NewTimer(maxMigrationWait)
-		defer t.Stop()
-		select {
-		case <-migrating:
-		case <-t.C:
-		case <-ctx.Done():
-		}
-	}
+	awaitClosed(ctx, migrating, maxMigrationWait)
+	awaitClosed(ctx, copying, maxMigrationWait)
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	out := u.copies
@@ -249,8 +244,7 @@
 	u.copies, u.standby = nil, nil
 	u.mu.Unlock()
 	if standby != nil {
-		// The engine frees the copy when the run ends.
-		standby.reservation.Release(backends.ResultInconclusive, r.Now())
+		r.discardStandby(*standby)
 	}
 	r.mu.Lock()
 	r.untrackRun(u, server)
@@ -303,7 +297,7 @@
 			continue
 		}
 		m := &migration{relay: r, run: u, from: s}
-		if m.copy(ctx) {
+		if m.copyToStandby(ctx) || m.copy(ctx) {
 			migrations = append(migrations, m)
 		} else {
 			u.endMigration()
@@ -378,6 +372,7 @@
 	unbounded.MaxMemoryUse = 0
 	for _, q := range []backends.Query{preferred, q, unbounded} {
 		if reservation := r.Registry.Acquire(q, r.Now()); reservation != nil {
+			r.giveWay(reservation)
 			r.Peers.Notify()
 			return reservation
 		}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -31,6 +31,9 @@
 	// further retries that all gateways share.
 	RetryRatio float64
 	RetryExtra int
+	// DomainFailures is how many failure domains may fail at the same time. From 1 on, standby
+	// copies give way, see the package standby.
+	DomainFailures int
 }
 
 // Observer receives events for metrics. Its methods must not block.
@@ -57,6 +60,9 @@
 	RunPlaced(result string)
 	// ServerCrashed is called for each server that crashed while running requests.
 	ServerCrashed(service string)
+	// StandbyCopy is called for what happens to a standby copy, see the constants of
+	// StandbyEvent.
+	StandbyCopy(event StandbyEvent)
 }
 
 // Deps are the dependencies of a Relay.
@@ -158,6 +164,8 @@
 	// promptSpeed is the moving average of the prompt tokens per second that an engine reads.
 	promptSpeed float64
 	forecasts   *outputForecasts
+	// standbys are the standby copies that give way.
+	standbys *standbyCopies
 	// started is when this process started.
 	started time.Duration
 	// roleLog bounds the log lines on the roles of engines.
@@ -182,6 +190,7 @@
 		meanPause:    initialPause,
 		promptSpeed:  initialPromptSpeed,
 		forecasts:    newOutputForecasts(),
+		standbys:     newStandbyCopies(),
 	}
 	if r.Quarantine == nil {
 		r.Quarantine = noQuarantine{}
--- a/internal/relay/roles.go
+++ b/internal/relay/roles.go
@@ -81,7 +81,9 @@
 	if cause == prefill.CauseNone && !s.mayMove(j.service, role) {
 		cause = prefill.CauseRetries
 	}
-	if cause == prefill.CauseNone {
+	// The run is marked before its next event is passed on, so that no standby copy is begun meanwhile.
+	if cause == prefill.CauseNone && s.run.beginMigration(placed.reservation.Server) {
+		s.run.countMove()
 		go s.moveToStreams(s.run, placed.reservation.Server)
 	}
 	return cause
@@ -108,16 +110,15 @@
 }
 
 // moveToStreams moves a run from the engine that has read its prompt to one that runs streams, by the
-// calls that move runs off leaving servers. The run goes on until its last copy.
+// calls that move runs off leaving servers. The run goes on until its last copy. beginMigration must have
+// been called.
 func (r *Relay) moveToStreams(u *run, from backends.Server) {
-	if !u.beginMigration(from) {
-		return
-	}
-	u.countMove()
 	start := r.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), prefill.MaxMoveTime)
 	defer cancel()
-	m := &migration{relay: r, run: u, from: from, tried: u.standbyServer()}
+	m := &migration{relay: r, run: u, from: from}
+	m.dropGivingWay(ctx)
+	m.tried = u.standbyServer()
 	m.reserve = m.reserveStreamTarget
 	cause := m.moveToStreams(ctx)
 	u.endMigration()
@@ -222,6 +223,7 @@
 		reservation = r.Registry.Acquire(q, r.Now())
 	}
 	if reservation != nil {
+		r.giveWay(reservation)
 		r.Peers.Notify()
 	}
 	return reservation
@@ -250,7 +252,7 @@
 	}
 	go func() {
 		for _, c := range s.run.takeCopies(context.Background()) {
-			s.dropCopy(c)
+			s.dropUnused(c)
 		}
 	}()
 }
--- a/internal/relay/roles_test.go
+++ b/internal/relay/roles_test.go
@@ -341,3 +341,39 @@
 		f.requireNoOwnLoad()
 	})
 }
+
+// Guards against a run that is moved after its first event while a second copy of it exists or is made:
+// its standby copy is freed first, and no other is made meanwhile.
+func TestMoveDropsTheStandbyFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRolesFixture(t)
+		f.noStandby = false
+		f.apply(3)
+		cfg := *f.relay.cfg.Load()
+		cfg.DomainFailures = 1
+		f.relay.cfg.Store(&cfg)
+		reads := f.newEntry(f.reads, modelService)
+		u := f.startRun(2000, reads)
+		standby := f.registry.Acquire(backends.Query{Service: modelService, Tried: []string{f.reads, "fast"}, ForCopy: true, GivesWay: true, ExpectedTokens: 3300}, f.now())
+		standby.FinishCopy()
+		c := reservedCopy{KVCopy: KVCopy{Source: reads.Address, Handle: "standby"}, reservation: standby, isStandby: true}
+		u.standby = &c
+		f.relay.standbys.add(standby, u)
+		calls := 0
+		f.upstream.copyRun = func(context.Context, backends.Server, string, string, bool) (string, error) {
+			calls++
+			require.Equal(t, []KVCopy{c.KVCopy}, f.upstream.droppedCopies())
+			require.Zero(t, f.registry.Loads()[f.streams].Standby)
+			f.relay.updateStandby(u)
+			synctest.Wait()
+			return "moved", nil
+		}
+		require.True(t, u.beginMigration(reads))
+		f.relay.moveToStreams(u, reads)
+		require.True(t, u.isStopped())
+		require.Equal(t, 3, calls, "the copies of the move only")
+		require.Empty(t, f.relay.standbys.servers())
+		f.relay.removeRun(u)
+		f.requireNoOwnLoad()
+	})
+}
--- a/internal/relay/standby.go
+++ b/internal/relay/standby.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"kingcupplank.example/kingcup/backends"
+	"kingcupplank.example/kingcup/routing"
 )
 
 const (
@@ -27,26 +28,47 @@
 	minStandbyRunTime = time.Second
 )
 
-// reserveStandby reserves memory for a standby copy of a generation on another server. It returns
-// nil if there is none to spare or the generation is not worth a copy.
+// reserveStandby reserves memory for a standby copy that a server receives as the run grows. It
+// returns nil if there is none to spare, the generation is not worth a copy, or copies give way: an
+// engine keeps a copy of this kind until its run ends, also when it is told to free it.
 //
 // An engine that crashes without warning loses its runs, and their callers lose responses that
 // may not run again. A run with a standby copy continues there within about 30 ms.
 func (r *Relay) reserveStandby(j *job, s backends.Server) *backends.Reservation {
-	engine := j.engine
-	if engine == nil || !engine.SupportsStandby || j.Generation == nil || j.route.Resumable {
+	if r.cfg.Load().DomainFailures > 0 || !j.canHaveStandby() {
 		return nil
 	}
-	if time.Duration(j.expectedEvents(0))*r.currentMeanPause() < minStandbyRunTime || r.engineQueue(j.service).saturatedSince(r.Now()-standbyPause) {
+	remaining := time.Duration(j.expectedEvents(0)) * r.currentMeanPause()
+	if remaining < minStandbyRunTime || r.engineQueue(j.service).saturatedSince(r.Now()-standbyPause) {
 		return nil
 	}
-	q := r.serverQuery(j)
-	q.ExpectedTokens, q.Tried = j.expectedMemory(0), append([]string{s.ID}, j.excluded...)
+	q := r.standbyQuery(j, s, 0)
 	q.MaxMemoryUse, q.MaxServiceMemoryUse = maxStandbyMemory, maxServiceStandbyMemory
-	q.ForCopy, q.CopySpeed = true, engine.CopySpeed()
-	q.MaxPause, q.PauseStretch = r.pauseBound(j, 0)
-	q.PreferredDomain, q.SameDomainOnly = s.FailureDomain, true
-	return r.Registry.Acquire(q, r.Now())
+	q.SameDomainOnly = true
+	reservation := r.Registry.Acquire(q, r.Now())
+	event := StandbyMade
+	if reservation == nil {
+		event = StandbyRefused
+	}
+	r.Observer.StandbyCopy(event)
+	return reservation
+}
+
+// canHaveStandby reports whether a request's stream would be lost with its engine, and a second
+// engine can keep a copy of it. A response that is not a stream cannot be resumed.
+func (j *job) canHaveStandby() bool {
+	return j.route.Kind == routing.Stream && j.engine != nil && j.engine.SupportsStandby && j.Generation != nil && !j.route.Resumable
+}
+
+// standbyQuery returns the query for a server for a standby copy of a run at s that has had
+// eventCount events.
+func (r *Relay) standbyQuery(j *job, s backends.Server, eventCount int) backends.Query {
+	q := r.serverQuery(j)
+	q.ExpectedTokens, q.Tried = j.expectedMemory(eventCount), append([]string{s.ID}, j.excluded...)
+	q.ForCopy, q.CopySpeed = true, j.engine.CopySpeed()
+	q.MaxPause, q.PauseStretch = r.pauseBound(j, eventCount)
+	q.PreferredDomain = s.FailureDomain
+	return q
 }
 
 // sendWithStandby makes one attempt, with a standby copy if there is memory for one.
@@ -58,7 +80,7 @@
 	placed, err := r.send(ctx, j, reservation, a)
 	if err != nil {
 		if standby != nil {
-			standby.Release(backends.ResultInconclusive, r.Now())
+			r.releaseStandby(standby)
 		}
 		return nil, err
 	}
@@ -70,22 +92,20 @@
 	return placed, nil
 }
 
-// setStandby records the standby copy with which the run was started.
+// setStandby records the standby copy with which a run was started.
 func (u *run) setStandby(placed *placedResponse) {
 	if placed.standby == nil {
 		return
 	}
+	c := reservedCopy{KVCopy: KVCopy{Source: placed.standby.Server.Address, Handle: u.job.ID}, reservation: placed.standby, isStandby: true}
 	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.standby = &reservedCopy{KVCopy: KVCopy{Source: placed.standby.Server.Address, Handle: u.job.ID}, reservation: placed.standby}
+	u.standby = &c
+	u.mu.Unlock()
 }
 
-// releaseStandby releases the reservation of the standby copy.
-func (p *placedResponse) releaseStandby(now time.Duration) {
-	if p.standby != nil {
-		p.standby.Release(backends.ResultInconclusive, now)
-		p.standby = nil
-	}
+// releaseStandby releases the reservation of a standby copy that the engine frees by itself.
+func (r *Relay) releaseStandby(reservation *backends.Reservation) {
+	reservation.Release(backends.ResultInconclusive, r.Now())
 }
 
 // copyFailureResult is the result for a server that did not resume a run from a copy. A
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -36,7 +36,9 @@
 		if err != nil {
 			r.handleBrokenResponse(ctx, j, placed.reservation.Server)
 		}
-		placed.releaseStandby(r.Now())
+		if placed.standby != nil {
+			r.releaseStandby(placed.standby)
+		}
 		placed.reservation.Release(backends.ResultFailed, r.Now())
 		j.excluded = append(j.excluded, placed.reservation.Server.ID)
 		if !j.canRetry() {
@@ -147,6 +149,7 @@
 			placed.reservation.SetMemory(s.run.memory())
 			s.reconsiderMove(placed)
 		}
+		s.updateStandby(s.run)
 	}
 }
 
@@ -226,6 +229,9 @@
 	if stoppedHere {
 		s.handleBrokenResponse(ctx, j, placed.reservation.Server)
 	}
+	if j.canHaveStandby() {
+		s.Observer.StandbyCopy(StandbyMissing)
+	}
 	placed.reservation.Release(backends.ResultFailed, s.Now())
 	if ctx.Err() != nil || !j.canRetry() {
 		log.WithError(cause).Warn("stream broke and cannot be resumed")
@@ -253,14 +259,18 @@
 	copies := s.run.takeCopies(ctx)
 	for i := 0; i < len(copies); i++ {
 		c := copies[i]
+		s.keepStandby(c)
 		if movesCountAsRetries || !s.run.isStopped() {
 			s.forceRetry(s.job.service)
 		}
 		next, err := s.send(ctx, s.job, c.reservation, &Attempt{LastEventID: s.seq.lastEventID(), ResumeFrom: &c.KVCopy})
 		if err == nil && next.isStream() {
 			s.switchTo(next, placed)
+			if c.isStandby {
+				s.Observer.StandbyCopy(StandbyUsed)
+			}
 			for _, unused := range copies[i+1:] {
-				go s.dropCopy(unused)
+				s.dropUnused(unused)
 			}
 			return next
 		}
@@ -274,3 +284,9 @@
 	}
 	return nil
 }
+
+// dropUnused frees a copy of a run that resumed from another one.
+func (s *session) dropUnused(c reservedCopy) {
+	s.standbys.remove(c.reservation)
+	go s.dropCopy(c)
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -43,6 +43,9 @@
 	CopyPending int
 	// UsualPause is the usual time between two events of a stream of the server, 0 if unknown.
 	UsualPause time.Duration
+	// StandbyTokens is the memory of standby copies, in tokens, that MemoryForecast does not
+	// contain as they give way to requests.
+	StandbyTokens int
 	// Role is what the server is used for where prompts are read apart from streams. InDip marks a
 	// server whose streams have pauses far above the usual.
 	Role  prefill.Role
@@ -106,6 +109,8 @@
 	CopySpeed float64
 	// SameDomainOnly drops servers of other failure domains.
 	SameDomainOnly bool
+	// OtherDomainsOnly drops servers of the request's own failure domain.
+	OtherDomainsOnly bool
 	// IsCandidate restricts the choice to some servers, by their index; nil allows all.
 	IsCandidate func(i int) bool
 	// IsOwnTurn reports whether this process may use a server in the current period (see
@@ -156,6 +161,7 @@
 			{Weight: 2.0, Score: NotAvoided},
 			{Weight: 0.3, Score: Warm},
 			{Weight: 0.03, Score: SameDomain},
+			{Weight: 0.1, Score: KeepsStandby},
 		},
 	}
 }
@@ -164,10 +170,11 @@
 // failure domains takes twice as long, and a leaving server leaves little time, so another
 // domain is chosen only if the domain of the run has no free capacity. Copies to one server go one
 // after the other, so a server that is already receiving copies ranks behind a server with
-// less free memory.
+// less free memory. A server refuses the copy of a run until standby copies there are dropped,
+// while a request waits for that, so standby copies weigh more here than for requests.
 func CopyTarget() Policy {
 	p := Direct()
-	p.Scorers = append(p.Scorers, Scorer{Weight: 0.6, Score: SameDomain}, Scorer{Weight: 1.5, Score: CopyWait})
+	p.Scorers = append(p.Scorers, Scorer{Weight: 0.6, Score: SameDomain}, Scorer{Weight: 1.0, Score: KeepsStandby}, Scorer{Weight: 1.5, Score: CopyWait})
 	return p
 }
 
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -4,7 +4,8 @@
 #
 # The race detector's runtime crashes in synctest bubbles (SIGSEGV in
 # runtime.(*timer).maybeRunChan, at random, more often with many timers), so the
-# packages whose tests run in virtual time are tested without it. What it watches
+# packages whose tests run in virtual time are tested without it, and so are those that
+# decide without a goroutine and play loads of minutes. What it watches
 # instead: every other package, with the whole system under load in real time
 # (internal/dev), gateways with their relay, links and feeds (internal/gateway),
 # and the real processes of the proofs, built with it.
@@ -22,7 +23,7 @@
   echo "known red, passed over:"; cat KNOWN-RED.txt
   skip="^($(cut -d: -f1 KNOWN-RED.txt | paste -sd'|'))\$"
 fi
-virtual='/internal/(proof|relay|follow|fleetmodel)$'
+virtual='/(admission|concurrency|prefill|standby|internal/(proof|relay|follow|fleetmodel))$'
 go test -race -timeout 10m -skip "$skip" $(go list ./... | grep -Ev "$virtual")
 go test -count=1 -timeout 10m -skip "$skip" $(go list ./... | grep -E "$virtual")
 # How long a grown configuration takes is asked without the detector, which makes it eight times
