Standby copies are called evictable, moves always take a retry

The constant that switched the budget for moves off had one value. No behaviour changes; relay, backends, placement and standby tests pass.

--- a/backends/load.go
+++ b/backends/load.go
@@ -17,7 +17,7 @@
 	// CopyTokens is the number of tokens of memory that are being copied to the server. A further
 	// copy waits for them on the server's link.
 	CopyTokens int
-	// Standby is the part of ExpectedTokens that standby copies take which give way to requests.
+	// Standby is the part of ExpectedTokens that standby copies take that are evictable.
 	Standby int
 	// StartTime identifies the incarnation of the server that has the load, see Server.
 	StartTime int64
--- a/backends/registry.go
+++ b/backends/registry.go
@@ -347,9 +347,9 @@
 	// memory per second that a server's link transfers.
 	ForCopy   bool
 	CopySpeed float64
-	// GivesWay asks for a server for a standby copy that gives way to requests. Such a query
-	// counts the memory of all copies, any other only of those that do not give way.
-	GivesWay bool
+	// Evictable asks for a server for an evictable standby copy. Such a query
+	// counts the memory of all copies, any other only of those that are not evictable.
+	Evictable bool
 	// OtherDomainsOnly excludes the servers of PreferredDomain.
 	OtherDomainsOnly bool
 	// Draw is a random number that seeds the choice.
@@ -439,7 +439,7 @@
 		if q.OwnLoadOnly {
 			load = s.ownLoad
 		}
-		if !q.GivesWay {
+		if !q.Evictable {
 			load, standby = load.withoutStandby(), max(0, load.Standby)
 		}
 		// A run that is resumed from its copy can't wait for the rate limit, so rate-limited
--- a/backends/reservation.go
+++ b/backends/reservation.go
@@ -37,9 +37,9 @@
 	Load
 	ServerCount int
 
-	registry *Registry
-	target   *server
-	givesWay bool
+	registry  *Registry
+	target    *server
+	evictable bool
 	// contribution is what the request adds to the server's load. It is guarded by registry.mu.
 	contribution Load
 	once         sync.Once
@@ -47,14 +47,14 @@
 
 // reserve counts a request at a server. mu must be held.
 func (r *Registry) reserve(target *server, q Query, serverCount int) *Reservation {
-	res := &Reservation{registry: r, target: target, Server: target.Server, ServerCount: serverCount, givesWay: q.GivesWay, Load: r.load(target), contribution: Load{Running: 1, ExpectedTokens: q.ExpectedTokens, PromptTokens: q.PromptTokens}}
-	if q.HeldTokens > 0 && !q.GivesWay {
+	res := &Reservation{registry: r, target: target, Server: target.Server, ServerCount: serverCount, evictable: q.Evictable, Load: r.load(target), contribution: Load{Running: 1, ExpectedTokens: q.ExpectedTokens, PromptTokens: q.PromptTokens}}
+	if q.HeldTokens > 0 && !q.Evictable {
 		res.contribution.Growth = max(0, q.ExpectedTokens-q.HeldTokens)
 	}
 	if q.ForCopy {
 		res.contribution.CopyTokens = q.ExpectedTokens
 	}
-	if q.GivesWay {
+	if q.Evictable {
 		res.contribution.Standby = q.ExpectedTokens
 	}
 	target.ownLoad = target.ownLoad.plus(res.contribution)
@@ -86,7 +86,7 @@
 }
 
 // SetMemory changes the memory in tokens that the request is expected to need, and the part of it
-// that it holds now. All memory of a standby copy that gives way counts as held.
+// that it holds now. All memory of an evictable standby copy counts as held.
 func (r *Reservation) SetMemory(expected, held int) {
 	r.change(func(contribution Load) Load {
 		change := Load{ExpectedTokens: expected - contribution.ExpectedTokens}
--- a/backends/standby.go
+++ b/backends/standby.go
@@ -7,7 +7,7 @@
 	"kingcupplank.example/kingcup/cells"
 )
 
-// withoutStandby returns the load without the standby copies that give way. The number of requests
+// withoutStandby returns the load without the evictable standby copies. The number of requests
 // is reduced in proportion, as a copy is as large as its run: a server that only keeps copies is
 // idle for a request.
 func (l Load) withoutStandby() Load {
@@ -21,8 +21,8 @@
 	return l
 }
 
-// GivesWay reports whether the reservation was made for a standby copy that gives way.
-func (r *Reservation) GivesWay() bool { return r.givesWay }
+// Evictable reports whether the reservation was made for an evictable standby copy.
+func (r *Reservation) Evictable() bool { return r.evictable }
 
 // CountedTokens returns the memory that the reservation counts at its server.
 func (r *Reservation) CountedTokens() int {
@@ -32,7 +32,7 @@
 }
 
 // KeepStandby counts the memory of a standby copy as a run's from now on: a run resumes from it,
-// and it no longer gives way.
+// and it is no longer evictable.
 func (r *Reservation) KeepStandby() {
 	r.change(func(contribution Load) Load { return Load{Standby: -contribution.Standby} })
 }
--- a/backends/standby_test.go
+++ b/backends/standby_test.go
@@ -18,15 +18,15 @@
 	return r
 }
 
-// Guards against requests and migrations that find no room because of copies which give way, and
+// Guards against requests and migrations that find no room because of evictable copies, and
 // against new copies that take the memory of others.
-func TestCopiesThatGiveWayTakeNoMemoryFromRequests(t *testing.T) {
+func TestEvictableCopiesTakeNoMemoryFromRequests(t *testing.T) {
 	r := newEngines("z1")
 	r.SetRemoteLoads("vm-2", map[string]Load{"e-z1": {Running: 4, ExpectedTokens: 900, Standby: 500}})
 	request := Query{Service: svc, ExpectedTokens: 500, MaxMemoryUse: 0.97}
 	migration, standby := request, request
 	migration.ForCopy = true
-	standby.ForCopy, standby.GivesWay = true, true
+	standby.ForCopy, standby.Evictable = true, true
 	require.Nil(t, r.Acquire(standby, 0))
 	for _, q := range []Query{request, migration} {
 		res := r.Acquire(q, 0)
@@ -54,19 +54,19 @@
 func TestCopyInAnotherFailureDomain(t *testing.T) {
 	r := newEngines("z1", "z2")
 	for range 20 {
-		res := r.Acquire(Query{Service: svc, ExpectedTokens: 1, ForCopy: true, GivesWay: true, PreferredDomain: "z1", OtherDomainsOnly: true}, 0)
+		res := r.Acquire(Query{Service: svc, ExpectedTokens: 1, ForCopy: true, Evictable: true, PreferredDomain: "z1", OtherDomainsOnly: true}, 0)
 		require.Equal(t, "z2", res.Server.FailureDomain)
 	}
 	r.MarkLeaving(Server{ID: "e-z2"})
-	require.Nil(t, r.Acquire(Query{Service: svc, ForCopy: true, GivesWay: true, PreferredDomain: "z1", OtherDomainsOnly: true}, 0))
+	require.Nil(t, r.Acquire(Query{Service: svc, ForCopy: true, Evictable: true, PreferredDomain: "z1", OtherDomainsOnly: true}, 0))
 }
 
 // The excess at an engine counts all copies; those of a gateway that has died are gone with its
-// state. A copy from which a run resumes no longer gives way.
+// state. A copy from which a run resumes is no longer evictable.
 func TestStandbyExcess(t *testing.T) {
 	r := newEngines("z1")
 	r.SetCell(cells.Place{Self: "vm-1", CellCount: 1})
-	res := r.Acquire(Query{Service: svc, ExpectedTokens: 300, ForCopy: true, GivesWay: true}, 0)
+	res := r.Acquire(Query{Service: svc, ExpectedTokens: 300, ForCopy: true, Evictable: true}, 0)
 	excess := func() int {
 		tokens, _ := res.StandbyExcess(0.95)
 		return tokens
@@ -77,7 +77,7 @@
 	res.SetMemory(350, 200)
 	require.Equal(t, 150, excess())
 	require.Equal(t, 350, r.Loads()["e-z1"].Standby)
-	require.Zero(t, r.Loads()["e-z1"].Growth, "a copy that gives way counts as held")
+	require.Zero(t, r.Loads()["e-z1"].Growth, "an evictable copy counts as held")
 	res.KeepStandby()
 	require.Zero(t, r.Loads()["e-z1"].Standby)
 	require.Equal(t, 150, excess())
@@ -95,7 +95,7 @@
 		for i, self := range names {
 			r := newEngines("z1")
 			r.SetCell(cells.Place{Self: self, CellCount: 1})
-			res := r.Acquire(Query{Service: svc, ExpectedTokens: 500, ForCopy: true, GivesWay: true}, 0)
+			res := r.Acquire(Query{Service: svc, ExpectedTokens: 500, ForCopy: true, Evictable: true}, 0)
 			for k, peer := range names {
 				if k != i {
 					r.SetRemoteLoads(peer, map[string]Load{"e-z1": {Running: 1, ExpectedTokens: 500, Standby: 500}})
--- a/internal/gateway/standby_test.go
+++ b/internal/gateway/standby_test.go
@@ -13,13 +13,13 @@
 	peerv1 "kingcupplank.example/kingcup/proto/kingcup/peer/v1"
 )
 
-// The settings say whether standby copies give way; without the object they do not.
+// The settings say whether standby copies are evictable; without the object they are not.
 func TestFaultToleranceReachesTheRelay(t *testing.T) {
 	require.Zero(t, relayConfig(&settings.Settings{}).DomainFailures)
 	require.Equal(t, 1, relayConfig(&settings.Settings{FaultTolerance: settings.FaultTolerance{FailureDomains: 1}}).DomainFailures)
 }
 
-// Peers must learn which part of a load gives way. Guards against a peer whose report is out of
+// Peers must learn which part of a load is evictable. Guards against a peer whose report is out of
 // range, or of a previous release without the field, taking an engine's load off.
 func TestStandbyCopiesAreReportedToPeers(t *testing.T) {
 	here, there := newQuietGroup(fakeStore(nil)), newQuietGroup(fakeStore(nil))
@@ -29,7 +29,7 @@
 		g.registry.SetCell(cells.Place{Self: "self", CellCount: 1})
 	}
 	run := here.registry.Acquire(backends.Query{Service: "model", ExpectedTokens: 3000}, 0)
-	standby := here.registry.Acquire(backends.Query{Service: "model", ExpectedTokens: 2000, ForCopy: true, GivesWay: true}, 0)
+	standby := here.registry.Acquire(backends.Query{Service: "model", ExpectedTokens: 2000, ForCopy: true, Evictable: true}, 0)
 	there.State("vm-1", here.ownState())
 	probe := there.registry.Acquire(backends.Query{Service: "model"}, 0)
 	require.Equal(t, 5000, probe.ExpectedTokens)
--- a/internal/relay/enginequeue.go
+++ b/internal/relay/enginequeue.go
@@ -272,7 +272,7 @@
 	}
 	reservation := r.Registry.Acquire(q, r.Now())
 	if reservation != nil {
-		r.giveWay(reservation)
+		r.evictStandbys(reservation)
 	}
 	return reservation
 }
--- a/internal/relay/migration.go
+++ b/internal/relay/migration.go
@@ -57,9 +57,9 @@
 	migrating chan struct{}
 	copies    []reservedCopy
 	// standby is the standby copy, nil without one.
-	standby *reservedCopy
-	giving  standbyState
-	done    bool
+	standby         *reservedCopy
+	standbyProgress standbyProgress
+	done            bool
 	// stopped is set once the run is being stopped at its server by a final copy to an engine that
 	// runs streams: the response then breaks off although the server is well.
 	stopped bool
@@ -177,7 +177,7 @@
 // them. The standby copy is last, as copies of a migration are newer.
 func (u *run) takeCopies(ctx context.Context) []reservedCopy {
 	u.mu.Lock()
-	migrating, copying := u.migrating, u.giving.copying
+	migrating, copying := u.migrating, u.standbyProgress.copying
 	u.mu.Unlock()
 	awaitClosed(ctx, migrating, maxMigrationWait)
 	awaitClosed(ctx, copying, maxMigrationWait)
@@ -372,7 +372,7 @@
 	unbounded.MaxMemoryUse = 0
 	for _, q := range []backends.Query{preferred, q, unbounded} {
 		if reservation := r.Registry.Acquire(q, r.Now()); reservation != nil {
-			r.giveWay(reservation)
+			r.evictStandbys(reservation)
 			r.Peers.Notify()
 			return reservation
 		}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -32,7 +32,7 @@
 	RetryRatio float64
 	RetryExtra int
 	// DomainFailures is how many failure domains may fail at the same time. From 1 on, standby
-	// copies give way, see the package standby.
+	// copies are evictable, see the package standby.
 	DomainFailures int
 }
 
@@ -164,7 +164,7 @@
 	// promptSpeed is the moving average of the prompt tokens per second that an engine reads.
 	promptSpeed float64
 	forecasts   *outputForecasts
-	// standbys are the standby copies that give way.
+	// standbys are the evictable standby copies.
 	standbys *standbyCopies
 	// started is when this process started.
 	started time.Duration
--- a/internal/relay/roles.go
+++ b/internal/relay/roles.go
@@ -20,9 +20,6 @@
 	abandonedCopyTime = 500 * time.Millisecond
 	// maxMoves is how often a move of a run is begun. Each copies its memory over two links.
 	maxMoves = 3
-	// movesCountAsRetries is whether a move takes a retry from the budget and is made only if there is
-	// one. The platform bounds repeated requests, and a run that resumes is sent a second time.
-	movesCountAsRetries = true
 	// resultMoved is the result of a run that was moved, resultStays the prefix of the others.
 	resultMoved, resultStays = "moved", "stays: "
 )
@@ -98,12 +95,9 @@
 	return time.Duration(float64(u.expectedMemory()) / speed * float64(time.Second))
 }
 
-// mayMove reports whether the retry budget of a service has room to move a run off an engine with a role:
-// a resumed run counts as a repeated request.
+// mayMove reports whether the retry budget of a service has room to move a run off an engine with a role.
+// A run that resumes is sent a second time, and the platform bounds repeated requests.
 func (r *Relay) mayMove(service string, role prefill.Role) bool {
-	if !movesCountAsRetries {
-		return true
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.retryBudget(service).Leaves(prefill.RetryReserve(role))
@@ -117,7 +111,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), prefill.MaxMoveTime)
 	defer cancel()
 	m := &migration{relay: r, run: u, from: from}
-	m.dropGivingWay(ctx)
+	m.dropEvictable(ctx)
 	m.tried = u.standbyServer()
 	m.reserve = m.reserveStreamTarget
 	cause := m.moveToStreams(ctx)
@@ -223,7 +217,7 @@
 		reservation = r.Registry.Acquire(q, r.Now())
 	}
 	if reservation != nil {
-		r.giveWay(reservation)
+		r.evictStandbys(reservation)
 		r.Peers.Notify()
 	}
 	return reservation
--- a/internal/relay/roles_test.go
+++ b/internal/relay/roles_test.go
@@ -354,7 +354,7 @@
 		f.relay.cfg.Store(&cfg)
 		reads := f.newEntry(f.reads, modelService)
 		u := f.startRun(2000, reads)
-		standby := f.registry.Acquire(backends.Query{Service: modelService, Tried: []string{f.reads, "fast"}, ForCopy: true, GivesWay: true, ExpectedTokens: 3300}, f.now())
+		standby := f.registry.Acquire(backends.Query{Service: modelService, Tried: []string{f.reads, "fast"}, ForCopy: true, Evictable: true, ExpectedTokens: 3300}, f.now())
 		standby.FinishCopy()
 		c := reservedCopy{KVCopy: KVCopy{Source: reads.Address, Handle: "standby"}, reservation: standby, isStandby: true}
 		u.standby = &c
--- a/internal/relay/standby.go
+++ b/internal/relay/standby.go
@@ -29,7 +29,7 @@
 )
 
 // reserveStandby reserves memory for a standby copy that a server receives as the run grows. It
-// returns nil if there is none to spare, the generation is not worth a copy, or copies give way: an
+// returns nil if there is none to spare, the generation is not worth a copy, or copies are evictable: an
 // engine keeps a copy of this kind until its run ends, also when it is told to free it.
 //
 // An engine that crashes without warning loses its runs, and their callers lose responses that
--- a/internal/relay/standbycopies.go
+++ b/internal/relay/standbycopies.go
@@ -41,7 +41,7 @@
 	StandbyMissing StandbyEvent = "missing"
 )
 
-// standbyCopies are the standby copies of this gateway that give way. It is safe for concurrent
+// standbyCopies are the evictable standby copies of this gateway. It is safe for concurrent
 // use; no other lock is taken while its mu is locked, and it may be locked while a run's mu is.
 type standbyCopies struct {
 	mu sync.Mutex
@@ -93,7 +93,7 @@
 	s.byServer[at][reservation] = u
 }
 
-// remove removes a copy, which then no longer gives way. It returns its run, nil if the copy is not
+// remove removes a copy, which is then not evictable any more. It returns its run, nil if the copy is not
 // listed.
 func (s *standbyCopies) remove(reservation *backends.Reservation) *run {
 	s.mu.Lock()
@@ -206,10 +206,10 @@
 	return dropped
 }
 
-// giveWay drops copies of this gateway at a server on which it has just placed a request. The
+// evictStandbys drops copies of this gateway at a server on which it has just placed a request. The
 // caller must notify the peers afterwards: they learn of the request and of the freed memory from
 // the same message.
-func (r *Relay) giveWay(reservation *backends.Reservation) {
+func (r *Relay) evictStandbys(reservation *backends.Reservation) {
 	r.dropStandbysAt(incarnationOf(reservation.Server), true)
 }
 
--- a/internal/relay/standbycopies_test.go
+++ b/internal/relay/standbycopies_test.go
@@ -175,7 +175,7 @@
 // Where a failure domain may be lost, copies are made up to 0.65 of the memory of the engine and 0.6 of
 // that of the service, and outside of the run's failure domain if there is room. Guards against copies that
 // take memory for which requests queue, or have queued just before, and against copies of short runs.
-func TestStandbysThatGiveWayAreMadeUnderTheirLimits(t *testing.T) {
+func TestEvictableStandbysAreMadeUnderTheirLimits(t *testing.T) {
 	for _, tt := range []struct {
 		name string
 		// other and same are the memory in use at the engines of another and of the run's failure
@@ -415,7 +415,7 @@
 
 // Guards against a second server that continues a run while the first still works on it: only a
 // server that receives the run as it grows may be asked while the stream is silent.
-func TestSilentStreamIsNotHedgedFromACopyThatGivesWay(t *testing.T) {
+func TestSilentStreamIsNotHedgedFromAnEvictableCopy(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := startStreams(t, 1)
 		time.Sleep(5 * time.Second)
--- a/internal/relay/standbymaking.go
+++ b/internal/relay/standbytransfer.go
@@ -18,8 +18,8 @@
 
 var errNoHandle = errors.New("copied without a handle")
 
-// standbyState is the state of a run's standby copy that gives way. It is guarded by the run's mu.
-type standbyState struct {
+// standbyProgress is the state of a run's evictable standby copy. It is guarded by the run's mu.
+type standbyProgress struct {
 	// copying is closed when the call in progress is over, nil without one.
 	copying chan struct{}
 	// nextAt is the earliest time of the next call.
@@ -85,7 +85,7 @@
 		t.reservation.SetMemory(tokens, tokens)
 		return t
 	}
-	t.reservation = r.reserveGivingWay(t, limits)
+	t.reservation = r.reserveEvictable(t, limits)
 	if t.reservation == nil {
 		r.Observer.StandbyCopy(StandbyRefused)
 		u.endStandbyCopy()
@@ -96,13 +96,13 @@
 	return t
 }
 
-// reserveGivingWay reserves memory for a standby copy that gives way to requests.
-func (r *Relay) reserveGivingWay(t *standbyTransfer, limits standby.Limits) *backends.Reservation {
+// reserveEvictable reserves memory for an evictable standby copy.
+func (r *Relay) reserveEvictable(t *standbyTransfer, limits standby.Limits) *backends.Reservation {
 	q := r.standbyQuery(t.run.job, t.from, t.events)
 	if refusedBy := t.run.standbyRefusedBy(); refusedBy != "" {
 		q.Tried = append(q.Tried, refusedBy)
 	}
-	q.MaxMemoryUse, q.MaxServiceMemoryUse, q.GivesWay = limits.MaxMemoryUse, limits.MaxServiceMemoryUse, true
+	q.MaxMemoryUse, q.MaxServiceMemoryUse, q.Evictable = limits.MaxMemoryUse, limits.MaxServiceMemoryUse, true
 	for _, place := range standby.Places() {
 		q.OtherDomainsOnly, q.SameDomainOnly = place == standby.OtherDomain, place == standby.SameDomain
 		if reservation := r.Registry.Acquire(q, r.Now()); reservation != nil {
@@ -158,7 +158,7 @@
 		return false
 	}
 	u.standby = &c
-	u.giving.copiedEvents, u.giving.refusedBy = t.events, ""
+	u.standbyProgress.copiedEvents, u.standbyProgress.refusedBy = t.events, ""
 	if !t.isRefresh {
 		r.standbys.add(c.reservation, u)
 	}
@@ -174,13 +174,13 @@
 
 // standbyDue is isStandbyDue with mu locked.
 func (u *run) standbyDue(now time.Duration) bool {
-	if u.done || u.migrating != nil || len(u.copies) > 0 || u.giving.copying != nil || u.eventCount == 0 || now < u.giving.nextAt {
+	if u.done || u.migrating != nil || len(u.copies) > 0 || u.standbyProgress.copying != nil || u.eventCount == 0 || now < u.standbyProgress.nextAt {
 		return false
 	}
 	if u.standby == nil {
 		return true
 	}
-	return u.standby.reservation.GivesWay() && u.eventCount-u.giving.copiedEvents >= standby.RefreshEvents
+	return u.standby.reservation.Evictable() && u.eventCount-u.standbyProgress.copiedEvents >= standby.RefreshEvents
 }
 
 // beginStandbyCopy marks the run as being copied to its standby server. It returns nil if no copy is
@@ -191,7 +191,7 @@
 	if !u.standbyDue(now) {
 		return nil
 	}
-	u.giving.copying, u.giving.nextAt = make(chan struct{}), now+standby.RetryInterval
+	u.standbyProgress.copying, u.standbyProgress.nextAt = make(chan struct{}), now+standby.RetryInterval
 	t := &standbyTransfer{run: u, from: u.server, events: u.eventCount}
 	if u.standby != nil {
 		t.reservation, t.isRefresh = u.standby.reservation, true
@@ -202,17 +202,17 @@
 func (u *run) endStandbyCopy() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	close(u.giving.copying)
-	u.giving.copying = nil
+	close(u.standbyProgress.copying)
+	u.standbyProgress.copying = nil
 }
 
 // standbyFailed records a failed call. A server without capacity is not asked for the next copy.
 func (u *run) standbyFailed(server string, err error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.giving.refusedBy = ""
+	u.standbyProgress.refusedBy = ""
 	if errors.Is(err, ErrNoCapacity) {
-		u.giving.refusedBy = server
+		u.standbyProgress.refusedBy = server
 	}
 }
 
@@ -220,13 +220,13 @@
 func (u *run) delayStandby(until time.Duration) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.giving.nextAt = max(u.giving.nextAt, until)
+	u.standbyProgress.nextAt = max(u.standbyProgress.nextAt, until)
 }
 
 func (u *run) standbyRefusedBy() string {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.giving.refusedBy
+	return u.standbyProgress.refusedBy
 }
 
 // removeStandby removes a standby copy from its run and returns it, nil if the run has none or
@@ -242,17 +242,17 @@
 	return c
 }
 
-// takeGivingWay waits for the call in progress, removes the standby copy that gives way from the run
+// takeEvictable waits for the call in progress, removes the evictable standby copy from the run
 // and returns it, nil if there is none.
-func (u *run) takeGivingWay(ctx context.Context) *reservedCopy {
+func (u *run) takeEvictable(ctx context.Context) *reservedCopy {
 	u.mu.Lock()
-	copying := u.giving.copying
+	copying := u.standbyProgress.copying
 	u.mu.Unlock()
 	awaitClosed(ctx, copying, standbyCopyTimeout)
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	c := u.standby
-	if c == nil || !c.reservation.GivesWay() {
+	if c == nil || !c.reservation.Evictable() {
 		return nil
 	}
 	u.standby = nil
@@ -276,7 +276,7 @@
 
 // keepStandby counts a standby copy as memory of a run that resumes from it.
 func (r *Relay) keepStandby(c reservedCopy) {
-	if c.isStandby && c.reservation.GivesWay() {
+	if c.isStandby && c.reservation.Evictable() {
 		r.standbys.remove(c.reservation)
 		c.reservation.KeepStandby()
 	}
@@ -284,7 +284,7 @@
 
 // discardStandby frees a standby copy of a run that is over or continues elsewhere.
 func (r *Relay) discardStandby(c reservedCopy) {
-	if !c.reservation.GivesWay() {
+	if !c.reservation.Evictable() {
 		// The engine frees the copy when the run ends.
 		r.releaseStandby(c.reservation)
 		return
@@ -301,7 +301,7 @@
 // it when its own server stops.
 func (m *migration) copyToStandby(ctx context.Context) bool {
 	r := m.relay
-	c := m.run.takeGivingWay(ctx)
+	c := m.run.takeEvictable(ctx)
 	if c == nil {
 		return false
 	}
@@ -320,7 +320,7 @@
 	// As for any target of a migration, all of the memory counts as held until the run is there.
 	tokens := m.run.expectedMemory()
 	c.reservation.SetMemory(tokens, tokens)
-	r.giveWay(c.reservation)
+	r.evictStandbys(c.reservation)
 	r.Peers.Notify()
 	m.target = *c
 	if _, err := m.transfer(ctx, false); err != nil && r.Upstream.IsDown(ctx, to) {
@@ -331,10 +331,10 @@
 	return true
 }
 
-// dropGivingWay drops the standby copy that gives way of a run that is moved: the move takes precedence,
+// dropEvictable drops the evictable standby copy of a run that is moved: the move takes precedence,
 // and it is not known whether an engine keeps two copies of a run.
-func (m *migration) dropGivingWay(ctx context.Context) {
-	if c := m.run.takeGivingWay(ctx); c != nil {
+func (m *migration) dropEvictable(ctx context.Context) {
+	if c := m.run.takeEvictable(ctx); c != nil {
 		m.relay.standbys.remove(c.reservation)
 		m.relay.dropCopy(*c)
 	}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -260,9 +260,7 @@
 	for i := 0; i < len(copies); i++ {
 		c := copies[i]
 		s.keepStandby(c)
-		if movesCountAsRetries || !s.run.isStopped() {
-			s.forceRetry(s.job.service)
-		}
+		s.forceRetry(s.job.service)
 		next, err := s.send(ctx, s.job, c.reservation, &Attempt{LastEventID: s.seq.lastEventID(), ResumeFrom: &c.KVCopy})
 		if err == nil && next.isStream() {
 			s.switchTo(next, placed)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -44,7 +44,7 @@
 	// UsualPause is the usual time between two events of a stream of the server, 0 if unknown.
 	UsualPause time.Duration
 	// StandbyTokens is the memory of standby copies, in tokens, that MemoryForecast does not
-	// contain as they give way to requests.
+	// contain as they are evictable.
 	StandbyTokens int
 	// Role is what the server is used for where prompts are read apart from streams. InDip marks a
 	// server whose streams have pauses far above the usual.
--- a/standby/load_test.go
+++ b/standby/load_test.go
@@ -13,9 +13,9 @@
 // variant is a way to make and to drop copies.
 type variant struct {
 	// limits gets the time since a request last found no engine.
-	limits   func(remaining, sinceQueued time.Duration) (standby.Limits, bool)
-	places   []standby.Place
-	givesWay bool
+	limits    func(remaining, sinceQueued time.Duration) (standby.Limits, bool)
+	places    []standby.Place
+	evictable bool
 	// grows makes copies when a request is placed, which an engine receives as the run grows.
 	grows bool
 	// unordered makes all gateways drop copies at once.
@@ -23,19 +23,19 @@
 }
 
 var (
-	places   = standby.Places()
-	givesWay = variant{limits: giveWayLimits, places: places[:], givesWay: true}
+	places    = standby.Places()
+	evictable = variant{limits: evictableLimits, places: places[:], evictable: true}
 	// sameDomain makes copies in the run's own failure domain only.
-	sameDomain = variant{limits: giveWayLimits, places: places[1:], givesWay: true}
+	sameDomain = variant{limits: evictableLimits, places: places[1:], evictable: true}
 	// unordered drops copies of all gateways for one request.
-	unordered = variant{limits: giveWayLimits, places: places[:], givesWay: true, unordered: true}
-	// fixed makes copies that do not give way, in fuller engines.
+	unordered = variant{limits: evictableLimits, places: places[:], evictable: true, unordered: true}
+	// fixed makes copies that are not evictable, in fuller engines.
 	fixed = variant{limits: wideLimits, places: places[:]}
-	// halfFull are the limits without the setting: copies do not give way.
+	// halfFull are the limits without the setting: copies are not evictable.
 	halfFull = variant{limits: halfFullLimits, places: places[1:], grows: true}
 )
 
-func giveWayLimits(remaining, sinceQueued time.Duration) (standby.Limits, bool) {
+func evictableLimits(remaining, sinceQueued time.Duration) (standby.Limits, bool) {
 	return standby.LimitsFor(remaining, sinceQueued < standby.QueuePause)
 }
 
@@ -120,9 +120,9 @@
 // waits for a copy at any use.
 func TestRunsAreCoveredAgainstLossOfAFifthOfTheEngines(t *testing.T) {
 	for _, memoryUse := range []float64{0.2, 0.3, 0.4, 0.5, 0.6, 0.7, 0.8, 0.9} {
-		before, after := newSimulation(halfFull, memoryUse).run(), newSimulation(givesWay, memoryUse).run()
+		before, after := newSimulation(halfFull, memoryUse).run(), newSimulation(evictable, memoryUse).run()
 		before.log(t, memoryUse, "half full")
-		after.log(t, memoryUse, "give way")
+		after.log(t, memoryUse, "evictable")
 		limits, _ := standby.LimitsFor(longDuration, false)
 		if 2*memoryUse <= limits.MaxServiceMemoryUse {
 			require.Less(t, before.covered, mostRuns)
@@ -146,8 +146,8 @@
 // being dropped for one request, and against requests that wait for seconds for copies to end.
 func TestOtherDomainsAndOrderedDropsCoverMoreRuns(t *testing.T) {
 	for use, maxTime := range map[float64]time.Duration{0.5: 250 * time.Millisecond, 0.6: 500 * time.Millisecond} {
-		chosen := newSimulation(givesWay, use).run()
-		chosen.log(t, use, "give way")
+		chosen := newSimulation(evictable, use).run()
+		chosen.log(t, use, "evictable")
 		same := newSimulation(sameDomain, use).run()
 		same.log(t, use, "same domain")
 		all := newSimulation(unordered, use).run()
@@ -159,7 +159,7 @@
 		require.Zero(t, same.coveredDomain)
 		require.Greater(t, chosen.covered, all.covered)
 		require.Less(t, chosen.dropped, all.dropped)
-		require.Greater(t, kept.blocked, 3*chosen.blocked, "requests wait for copies that do not give way")
+		require.Greater(t, kept.blocked, 3*chosen.blocked, "requests wait for copies that are not evictable")
 		require.Greater(t, kept.blockedTime, 2*maxTime, "for the end of their runs")
 	}
 }
--- a/standby/simulation_test.go
+++ b/standby/simulation_test.go
@@ -256,7 +256,7 @@
 	for _, place := range s.places {
 		res := s.regs[g.gateway].Acquire(backends.Query{
 			Service: "model", ExpectedTokens: g.expected(s.now), Tried: []string{g.reservation.Server.ID}, ForCopy: true, CopySpeed: 18_000,
-			MaxMemoryUse: limits.MaxMemoryUse, MaxServiceMemoryUse: limits.MaxServiceMemoryUse, GivesWay: s.givesWay,
+			MaxMemoryUse: limits.MaxMemoryUse, MaxServiceMemoryUse: limits.MaxServiceMemoryUse, Evictable: s.evictable,
 			PreferredDomain: g.reservation.Server.FailureDomain, SameDomainOnly: place == standby.SameDomain, OtherDomainsOnly: place == standby.OtherDomain, Draw: s.draws.Uint64(),
 		}, s.now)
 		if res != nil {
@@ -328,7 +328,7 @@
 }
 
 func (s *simulation) drop(i int, server string, first bool) bool {
-	if !s.givesWay {
+	if !s.evictable {
 		return false
 	}
 	var owners []*generation
--- a/standby/standby.go
+++ b/standby/standby.go
@@ -4,7 +4,7 @@
 //
 // The package is for deployments that lose a whole failure domain at a time, whose engines are 40
 // to 90 % full and whose long responses may not run again. There copies take a part of what runs and
-// migrations leave while no request is queued, and give way to them: their memory does not count for
+// migrations leave while no request is queued, and are evicted for them: their memory does not count for
 // a request, and it is freed before engines are full.
 //
 // All functions are pure; times are durations.
