Soak: draw the load of a run from its seed

The soak did not reach roles and moves of runs, the order of admission, the shared concurrency limit, nor copies for the loss of a failure domain: its engines were alike, its generations of one kind, its plain service larger than the gateways needed.

Seeds now draw engines of unequal pace with dips and prompts, short and long generations that share little memory, a plain service with fewer slots than gateways and surges of requests, and faultTolerance.zones. Seeds of earlier failures keep the usual load and faults. Gateways are checked for recovery at the same time instead of one after the other.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -249,8 +249,11 @@
 	if srv == nil {
 		return "no server to reject requests", nil
 	}
-	srv.SetBehavior(fleet.Behavior{RejectAll: true})
-	return "reject all requests at " + srv.ID, func() { srv.SetBehavior(fleet.Behavior{}) }
+	b := s.load.desk()
+	rejecting := b
+	rejecting.RejectAll = true
+	srv.SetBehavior(rejecting)
+	return "reject all requests at " + srv.ID, func() { srv.SetBehavior(b) }
 }
 
 // restoreStore makes a backup of the store. When undone, the store is unavailable for a moment
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -20,6 +20,8 @@
 	Body     string
 	// Events are the received events of a stream, in order.
 	Events []string
+	// expectedEvents is the number of events of a complete stream.
+	expectedEvents int
 }
 
 // History records what callers sent and received.
@@ -115,7 +117,7 @@
 			return append(violations, fmt.Sprintf("event %d is %q", i+1, e))
 		}
 	}
-	if isComplete && len(a.Events) != streamEvents {
+	if isComplete && len(a.Events) != a.expectedEvents {
 		violations = append(violations, fmt.Sprintf("ended as complete after %d events", len(a.Events)))
 	}
 	return violations
--- /dev/null
+++ b/internal/soak/load.go
@@ -0,0 +1,142 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"kingcupplank.example/kingcup/internal/standin/fleet"
+	"kingcupplank.example/kingcup/internal/wait"
+)
+
+// load is what a seed draws beside its faults. The zero value is the usual load.
+type load struct {
+	// unequalEngines says that engines differ in pace, have dips, and pause streams for prompts.
+	unequalEngines bool
+	// shortGenerations says that streams on fleet.CheckPath are short, have a stricter latency
+	// target than long ones, and share little engine memory with them.
+	shortGenerations bool
+	// smallService says that the plain service has fewer slots than there are gateways and is
+	// asked for more than it can answer now and then.
+	smallService bool
+	// lostZones is the number of failure domains whose loss the settings file names.
+	lostZones int
+}
+
+const (
+	// minLoadFaultKinds is the number of kinds of faults from which on loads are drawn. Seeds of
+	// earlier failures have the usual load.
+	minLoadFaultKinds = 27
+
+	// usualStep is the event interval of an engine of mean pace. With it, a slow engine exceeds
+	// maxPause while it reads a prompt in a dip, and a fast one does not.
+	usualStep                = 40 * time.Millisecond
+	usualPromptTime          = 60 * time.Millisecond
+	fastPace, slowPace       = 0.55, 1.2
+	fastEvery                = 4
+	dipFactor                = 2.5
+	dipDuration, dipInterval = 600 * time.Millisecond, 4 * time.Second
+	maxPause                 = 200 * time.Millisecond
+	shortEvents              = 4
+	longTarget               = 3500 * time.Millisecond
+	engineMemory             = 1500
+	// unequalMemory is so little that long runs are moved off the fast engine, which reads most
+	// prompts.
+	unequalMemory               = 2500
+	extraCallers                = 8
+	deskSlots, deskAnswerTime   = 1, 30 * time.Millisecond
+	surgeCallers                = 12
+	surgeDuration, surgeSpacing = time.Second, 1500 * time.Millisecond
+)
+
+// drawLoad draws the load of a seed.
+func drawLoad(seed uint64, faultKinds int) load {
+	if faultKinds < minLoadFaultKinds {
+		return load{}
+	}
+	rng := rand.New(rand.NewPCG(seed, 2))
+	half := func() bool { return rng.IntN(2) == 0 }
+	return load{unequalEngines: half(), shortGenerations: half(), smallService: half(), lostZones: rng.IntN(2)}
+}
+
+func (l load) String() string {
+	return fmt.Sprintf("unequal engines: %v, short generations: %v, small service: %v, lost zones: %d", l.unequalEngines, l.shortGenerations, l.smallService, l.lostZones)
+}
+
+// config returns what the configuration says about the load.
+func (l load) config() (c fleet.Load) {
+	if l.unequalEngines {
+		c.MaxPauseMs, c.EngineMemory = int(maxPause.Milliseconds()), unequalMemory
+	}
+	if l.shortGenerations {
+		c.PlanTargetMs, c.EngineMemory = int(longTarget.Milliseconds()), engineMemory
+	}
+	return c
+}
+
+// engine returns the behavior of the i-th model engine.
+func (l load) engine(i int) fleet.Behavior {
+	b := fleet.Behavior{Events: streamEvents, EventInterval: eventInterval, CopyTime: copyTime, CrashOn: crashingBody, CrashDelay: crashDelay}
+	if l.unequalEngines {
+		pace := slowPace
+		if i%fastEvery == 0 {
+			pace = fastPace
+		}
+		b.EventInterval, b.PromptTime = time.Duration(pace*float64(usualStep)), time.Duration(pace*float64(usualPromptTime))
+		b.Dips = fleet.Dips{Interval: dipInterval, Duration: dipDuration, Offset: time.Duration(i%fastEvery+1) * dipInterval / (fastEvery + 1), Factor: dipFactor}
+	}
+	if l.shortGenerations {
+		b.ShortEvents = shortEvents
+	}
+	return b
+}
+
+// desk returns the behavior of a server of the plain service.
+func (l load) desk() fleet.Behavior {
+	if l.smallService {
+		return fleet.Behavior{Slots: deskSlots, Delay: deskAnswerTime}
+	}
+	return fleet.Behavior{}
+}
+
+// events returns the number of events of a complete stream on a path.
+func (l load) events(path string) int {
+	if l.shortGenerations && path == fleet.CheckPath {
+		return shortEvents
+	}
+	return streamEvents
+}
+
+func (l load) callers() int {
+	if l.shortGenerations || l.unequalEngines {
+		return callerCount + extraCallers
+	}
+	return callerCount
+}
+
+// extraGateways is the number of gateways that make up for the slots of the plain service.
+func (l load) extraGateways() int {
+	if l.smallService {
+		return 1
+	}
+	return 0
+}
+
+// surges asks the plain service for more than it can answer, now and then until ctx ends.
+func (s *Soak) surges(ctx context.Context, wg *sync.WaitGroup) {
+	for wait.For(ctx, surgeSpacing) {
+		surge, cancel := context.WithTimeout(ctx, surgeDuration)
+		for i := range surgeCallers {
+			g, path := s.gateways[i%len(s.gateways)], servedPaths[i/len(s.gateways)%2]
+			wg.Go(func() {
+				for wait.For(surge, 10*time.Millisecond) {
+					s.attempt(g, path)
+				}
+			})
+		}
+		wait.For(surge, surgeDuration)
+		cancel()
+	}
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -51,6 +52,7 @@
 	Options
 	fleet    *fleet.Fleet
 	history  *History
+	load     load
 	gateways []*gateway
 
 	// configMu serializes writes of the configuration. It is locked before mu.
@@ -71,6 +73,8 @@
 	faultLog   []string
 	// serverCount is the number of servers added with a domain from nextDomain.
 	serverCount int
+	// engineCount is the number of model engines added, except those that replaced a crashed one.
+	engineCount int
 }
 
 // gateway is a gateway's process and the proxy between it and the store.
@@ -86,6 +90,8 @@
 
 // Result is the outcome of a run.
 type Result struct {
+	// Load describes the load of the run.
+	Load string
 	// FaultLog describes the injected faults, Violations the violated guarantees.
 	FaultLog, Violations []string
 	// Attempts is the number of callers' requests, Served that of completely served ones.
@@ -96,7 +102,7 @@
 func Run(ctx context.Context, o Options) (*Result, error) {
 	s := &Soak{
 		Options: o, fleet: fleet.New(), history: newHistory(), rng: rand.New(rand.NewPCG(o.Seed, 1)),
-		stopped: make(map[*fleet.Server]bool), callersKey: fleet.Key, validKey: fleet.Key,
+		stopped: make(map[*fleet.Server]bool), callersKey: fleet.Key, validKey: fleet.Key, load: drawLoad(o.Seed, o.FaultKinds),
 	}
 	defer s.close()
 	if err := s.start(); err != nil {
@@ -106,7 +112,7 @@
 		return nil, err
 	}
 	s.run(ctx)
-	res := &Result{FaultLog: s.faultLog}
+	res := &Result{Load: s.load.String(), FaultLog: s.faultLog}
 	if err := s.waitUntilServing(ctx, "after the last fault"); err != nil {
 		res.Violations = append(res.Violations, err.Error())
 	}
@@ -128,6 +134,7 @@
 
 func (s *Soak) start() error {
 	s.fleet.AddProxy, s.fleet.OnCrash, s.fleet.OnReplacement = s.addProxy, s.onServerCrash, s.onServerReplacement
+	s.fleet.SetLoad(s.load.config())
 	for range 3 {
 		if _, err := s.addServer(fleet.ModelService); err != nil {
 			return err
@@ -136,7 +143,12 @@
 			return err
 		}
 	}
-	for i := range s.Gateways {
+	if s.load.unequalEngines {
+		if _, err := s.addServer(fleet.ModelService); err != nil {
+			return err
+		}
+	}
+	for i := range s.Gateways + s.load.extraGateways() {
 		if err := s.addGateway(i); err != nil {
 			return err
 		}
@@ -180,9 +192,12 @@
 }
 
 func (s *Soak) addServerIn(service, domain string) (*fleet.Server, error) {
-	b := fleet.Behavior{}
+	b := s.load.desk()
 	if service == fleet.ModelService {
-		b = fleet.Behavior{Events: streamEvents, EventInterval: eventInterval, CopyTime: copyTime, CrashOn: crashingBody, CrashDelay: crashDelay}
+		s.mu.Lock()
+		b = s.load.engine(s.engineCount)
+		s.engineCount++
+		s.mu.Unlock()
 	}
 	srv, err := s.fleet.Add(service, domain, b)
 	if err != nil {
@@ -221,6 +236,7 @@
 		g.settings.LinkMbps = slowLinkMbps
 		endpoint.SetLink(standin.NewLink(slowLinkMbps))
 	}
+	g.settings.LostZones = s.load.lostZones
 	g.settings.RevokeMs = int(revokeTimeout.Milliseconds())
 	if err := g.settings.WriteFile(g.settingsPath); err != nil {
 		return err
@@ -286,11 +302,14 @@
 	ctx, cancel := context.WithTimeout(ctx, s.Duration)
 	defer cancel()
 	var wg sync.WaitGroup
-	for i := range callerCount {
+	for i := range s.load.callers() {
 		rng := rand.New(rand.NewPCG(s.Seed, uint64(i)+100))
 		wg.Go(func() { s.caller(ctx, rng) })
 	}
 	wg.Go(func() { s.injectFaults(ctx, &wg) })
+	if s.load.smallService {
+		wg.Go(func() { s.surges(ctx, &wg) })
+	}
 	wg.Wait()
 }
 
@@ -313,7 +332,7 @@
 	s.mu.Lock()
 	key := s.callersKey
 	s.mu.Unlock()
-	a := Attempt{Request: fleet.CallerRequest{ID: fleet.NextID(), Key: key}, Path: path, SentAt: time.Now()}
+	a := Attempt{Request: fleet.CallerRequest{ID: fleet.NextID(), Key: key}, Path: path, SentAt: time.Now(), expectedEvents: s.load.events(path)}
 	var err error
 	if a.isStream() {
 		a.Status, err = fleet.StreamWith(ctx, g.settings.Callers, path, a.Request, func(e string) { a.Events = append(a.Events, e) })
@@ -340,16 +359,24 @@
 		pathsToServe = append(pathsToServe, s.newestPath)
 	}
 	s.mu.Unlock()
-	for _, g := range s.gateways {
-		for _, path := range pathsToServe {
-			for {
-				a := s.attempt(g, path)
-				if a.Status == 200 && a.Complete {
-					break
-				}
-				if time.Now().After(deadline) || !wait.For(ctx, 50*time.Millisecond) {
-					return fmt.Errorf("%s does not serve %s %s: status %d", g.settings.Name, path, when, a.Status)
-				}
+	errs := make([]error, len(s.gateways))
+	var wg sync.WaitGroup
+	for i, g := range s.gateways {
+		wg.Go(func() { errs[i] = s.waitUntilServingAt(ctx, g, pathsToServe, deadline, when) })
+	}
+	wg.Wait()
+	return errors.Join(errs...)
+}
+
+func (s *Soak) waitUntilServingAt(ctx context.Context, g *gateway, paths []string, deadline time.Time, when string) error {
+	for _, path := range paths {
+		for {
+			a := s.attempt(g, path)
+			if a.Status == 200 && a.Complete {
+				break
+			}
+			if time.Now().After(deadline) || !wait.For(ctx, 50*time.Millisecond) {
+				return fmt.Errorf("%s does not serve %s %s: status %d", g.settings.Name, path, when, a.Status)
 			}
 		}
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -62,7 +62,7 @@
 	dir := t.TempDir()
 	res, err := Run(t.Context(), Options{Seed: seed, FaultKinds: kinds, Duration: *duration, Gateways: *gatewayCount, Binary: path, Dir: dir})
 	require.NoError(t, err)
-	t.Logf("seed %d: %d faults, %d of %d requests served", seed, len(res.FaultLog), res.Served, res.Attempts)
+	t.Logf("seed %d: %s, %d faults, %d of %d requests served", seed, res.Load, len(res.FaultLog), res.Served, res.Attempts)
 	if len(res.Violations) == 0 {
 		require.Positive(t, res.Served)
 		return
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"net"
@@ -56,6 +57,25 @@
 	// regions in which requests of the desk service may run, nil for all.
 	coldPerS    float64
 	deskRegions []string
+	load        Load
+}
+
+// Load is what a configuration says about the load. Zero fields mean the standard values.
+type Load struct {
+	// PlanTargetMs is the latency target of streams on PlanPath, MaxPauseMs the bound on pauses
+	// of streams, both in milliseconds.
+	PlanTargetMs, MaxPauseMs int
+	// EngineMemory is the memory of a model engine in tokens.
+	EngineMemory int
+}
+
+// SetLoad writes a configuration with the given load.
+func (f *Fleet) SetLoad(l Load) {
+	f.mu.Lock()
+	f.load = l
+	key := f.teamKey
+	f.mu.Unlock()
+	f.Configure(key)
 }
 
 // New returns a platform with the standard configuration and without servers.
@@ -201,17 +221,17 @@
 	f.configVersion += 3
 	f.teamKey = key
 	version, timeout, extraPrefixes := f.configVersion, f.deskTimeoutMs, slices.Concat(f.addedPrefixes, extraPrefixes)
-	coldPerS, regions := f.coldPerS, f.deskRegions
+	coldPerS, regions, load := f.coldPerS, f.deskRegions, f.load
 	f.mu.Unlock()
 	route := func(name, prefix, kind, service string, timeoutMs, targetMs, attempts int) map[string]any {
 		return map[string]any{
 			"name": name, "host": Host, "prefix": prefix, "type": kind, "service": service, "timeoutMs": timeoutMs,
 			"targetLatencyMs": targetMs, "maxAttempts": attempts, "priority": 1, "public": name == "open",
-			"streamResume": name == "check", "itlTargetMs": 180, "allowedRegions": allowedRegions(service, regions),
+			"streamResume": name == "check", "itlTargetMs": cmp.Or(load.MaxPauseMs, 180), "allowedRegions": allowedRegions(service, regions),
 		}
 	}
 	routes := []map[string]any{
-		route("plan", "/plan/", "streaming", ModelService, 39000, 1800, 1),
+		route("plan", "/plan/", "streaming", ModelService, 39000, cmp.Or(load.PlanTargetMs, 1800), 1),
 		route("check", "/check/", "streaming", ModelService, 6000, 1500, 2),
 		route("once", "/once/", "unsafe", DeskService, timeout, 150, 2),
 		route("safe", "/safe/", "safe", DeskService, timeout, 150, 2),
@@ -224,7 +244,7 @@
 		"version": version, "routes": routes,
 		"services": []map[string]any{
 			{"name": ModelService, "maxConnections": 100, "coldStartS": coldDuration.Seconds(), "coldPerS": coldPerS, "inferenceEngine": map[string]any{
-				"slots": 8, "kvCapacityTokens": 30000, "kvTokenBytes": 1000, "bandwidthMbps": 1000,
+				"slots": 8, "kvCapacityTokens": cmp.Or(load.EngineMemory, 30000), "kvTokenBytes": 1000, "bandwidthMbps": 1000,
 				"migrations": true, "replicas": true, "increment": 4, "kvTtlS": 5,
 			}},
 			{"name": DeskService, "maxConnections": 100, "coldStartS": coldDuration.Seconds(), "coldPerS": coldPerS},
--- a/internal/standin/fleet/server.go
+++ b/internal/standin/fleet/server.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"maps"
@@ -36,6 +37,7 @@
 	StartTime int64
 
 	store    *Store
+	started  time.Time
 	http     *http.Server
 	listener net.Listener
 	// serverAt returns the server that had an address last, nil if there was none.
@@ -56,6 +58,9 @@
 	// coldUntil is when the server stops being cold.
 	coldUntil time.Time
 
+	// reading is held while a prompt is read.
+	reading sync.RWMutex
+
 	stopped atomic.Bool
 	// entryRemoved says whether the server's entry was removed.
 	entryRemoved atomic.Bool
@@ -83,15 +88,40 @@
 	// body contains this text; see Fleet.Crash.
 	CrashOn    string
 	CrashDelay time.Duration
+	// Slots, if set, is the number of slots in the server's entry. With more requests in progress,
+	// Delay grows in proportion.
+	Slots int
+	// ShortEvents, if set, is the number of events of a stream on CheckPath in place of Events.
+	ShortEvents int
+	// PromptTime is the time to the first event of a new stream. The other streams of the server
+	// pause meanwhile.
+	PromptTime time.Duration
+	// Dips are times in which the server is slower.
+	Dips Dips
 	// Raw, if set, handles the request on the hijacked connection instead.
 	Raw func(c net.Conn, r *http.Request)
 }
 
+// Dips are the times in which a server is Factor times slower: Duration in every Interval, the
+// first one Offset after the server's start. There are none if Interval is 0.
+type Dips struct {
+	Interval, Duration, Offset time.Duration
+	Factor                     float64
+}
+
+// stretch returns d as it takes at a time after the server's start.
+func (p Dips) stretch(d, sinceStart time.Duration) time.Duration {
+	if p.Interval <= 0 || sinceStart < p.Offset || (sinceStart-p.Offset)%p.Interval >= p.Duration {
+		return d
+	}
+	return time.Duration(float64(d) * p.Factor)
+}
+
 // neverFinishing returns the behavior for a request on which the server crashes before the
 // response is complete.
 func (b Behavior) neverFinishing() Behavior {
 	if b.Events > 0 {
-		b.Events = math.MaxInt
+		b.Events, b.ShortEvents = math.MaxInt, 0
 	} else {
 		b.Delay = time.Hour
 	}
@@ -129,7 +159,7 @@
 func (s *Server) start(f *Fleet, l net.Listener) {
 	s.store, s.listener, s.serverAt, s.crash = f.Store, l, f.lastServerAt, f.Crash
 	s.runs, s.copies = make(map[string]*run), make(map[string]string)
-	s.state, s.hung = "ready", make(chan struct{})
+	s.state, s.hung, s.started = "ready", make(chan struct{}), time.Now()
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /kingcupplank/report", s.handleReport)
 	mux.HandleFunc("POST /kingcupplank/kv-move", s.handleMigration)
@@ -142,12 +172,15 @@
 	s.writeEntry()
 }
 
+// defaultSlots is the number of slots of a server whose Behavior sets none.
+const defaultSlots = 8
+
 func (s *Server) writeEntry() {
 	s.mu.Lock()
-	state, coldRemaining := s.state, max(0, time.Until(s.coldUntil))
+	state, slots, coldRemaining := s.state, cmp.Or(s.behavior.Slots, defaultSlots), max(0, time.Until(s.coldUntil))
 	s.mu.Unlock()
 	s.store.Put("servers", s.ID, map[string]any{
-		"service": s.Service, "address": s.Address, "zone": s.FailureDomain, "version": "v1", "slots": 8,
+		"service": s.Service, "address": s.Address, "zone": s.FailureDomain, "version": "v1", "slots": slots,
 		"state": state, "coldRemainingMs": coldRemaining.Milliseconds(), "sequence": 1, "born": s.StartTime,
 	})
 }
@@ -292,10 +325,13 @@
 }
 
 func (s *Server) respond(w http.ResponseWriter, r *http.Request, b Behavior, lastReceived int) {
-	s.inProgress.Add(1)
+	delay, inProgress := b.Delay, s.inProgress.Add(1)
 	defer s.inProgress.Add(-1)
+	if b.Slots > 0 {
+		delay = b.Delay * time.Duration(max(1, inProgress)) / time.Duration(min(int(max(1, inProgress)), b.Slots))
+	}
 	select {
-	case <-time.After(b.Delay):
+	case <-time.After(delay):
 	case <-r.Context().Done():
 		return
 	}
@@ -330,6 +366,12 @@
 	}()
 	w.Header().Set("Content-Type", "text/event-stream")
 	controller := http.NewResponseController(w)
+	if b.ShortEvents > 0 && r.URL.Path == CheckPath {
+		b.Events = b.ShortEvents
+	}
+	if lastReceived == 0 {
+		s.readPrompt(r, b)
+	}
 	for n := lastReceived + 1; n <= b.Events; n++ {
 		fmt.Fprintf(w, "id: %d\ndata: tok%d\n\n", n, n)
 		if controller.Flush() != nil {
@@ -347,8 +389,31 @@
 			return
 		case <-r.Context().Done():
 			return
-		case <-time.After(b.EventInterval):
+		case <-time.After(b.Dips.stretch(b.EventInterval, time.Since(s.started))):
 		}
+		s.awaitPrompts(b)
+	}
+}
+
+// readPrompt takes the time to read a prompt, one after the other.
+func (s *Server) readPrompt(r *http.Request, b Behavior) {
+	if b.PromptTime <= 0 {
+		return
+	}
+	s.reading.Lock()
+	defer s.reading.Unlock()
+	select {
+	case <-time.After(b.Dips.stretch(b.PromptTime, time.Since(s.started))):
+	case <-s.hung:
+	case <-r.Context().Done():
+	}
+}
+
+// awaitPrompts returns once the prompt that is being read now, if any, has been read.
+func (s *Server) awaitPrompts(b Behavior) {
+	if b.PromptTime > 0 {
+		s.reading.RLock()
+		defer s.reading.RUnlock()
 	}
 }
 
--- a/internal/standin/fleet/settings.go
+++ b/internal/standin/fleet/settings.go
@@ -20,6 +20,8 @@
 	RevokeMs int
 	// LinkMbps is the VM's bandwidth in Mbit/s.
 	LinkMbps float64
+	// LostZones is the number of failure domains whose loss must be tolerated.
+	LostZones int
 }
 
 // NewVMSettings returns settings with unique addresses for a gateway.
@@ -52,6 +54,7 @@
 			"retryBudgetRatio": 0.2, "retryWindowS": 10, "retryMinExtra": 50,
 		},
 		"platform": map[string]string{"address": s.Store}, "heartbeatIntervalMs": 1200, "a new field": true,
+		"faultTolerance": map[string]any{"zones": s.LostZones},
 	})
 	if err != nil {
 		return err
