--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -32,25 +32,31 @@
 
 	// usualStep is the event interval of an engine of mean pace. With it, a slow engine exceeds
 	// maxPause while it reads a prompt in a dip, and a fast one does not.
-	usualStep                = 40 * time.Millisecond
-	usualPromptTime          = 60 * time.Millisecond
-	fastPace, slowPace       = 0.55, 1.2
-	fastEvery                = 4
-	dipFactor                = 2.5
-	dipDuration, dipInterval = 600 * time.Millisecond, 4 * time.Second
-	maxPause                 = 200 * time.Millisecond
-	shortEvents              = 4
-	longTarget               = 3500 * time.Millisecond
-	engineMemory             = 1500
-	// unequalMemory is so little that long runs are moved off the fast engine, which reads most
-	// prompts.
-	unequalMemory               = 2500
+	usualStep                   = 40 * time.Millisecond
+	usualPromptTime             = 60 * time.Millisecond
+	fastPace, slowPace          = 0.55, 1.2
+	fastEvery                   = 4
+	dipFactor                   = 2.5
+	dipDuration, dipInterval    = 600 * time.Millisecond, 4 * time.Second
+	maxPause                    = 200 * time.Millisecond
+	shortEvents                 = 4
+	longTarget                  = 3500 * time.Millisecond
 	extraCallers                = 8
 	deskSlots, deskAnswerTime   = 1, 30 * time.Millisecond
 	surgeCallers                = 12
 	surgeDuration, surgeSpacing = time.Second, 1500 * time.Millisecond
 )
 
+// Memory of an engine in tokens. A run is placed with 100 to 500 tokens.
+const (
+	// unequalMemory is so little that long runs are moved off the fast engine, which reads most
+	// prompts.
+	unequalMemory = 2500
+	// littleMemory is so little that generations are queued and refused. sharedMemory leaves room
+	// for moves beside short generations.
+	littleMemory, sharedMemory = 900, 1500
+)
+
 // drawLoad draws the load of a seed.
 func drawLoad(seed uint64, faultKinds int) load {
 	if faultKinds < minLoadFaultKinds {
@@ -71,7 +77,10 @@
 		c.MaxPauseMs, c.EngineMemory = int(maxPause.Milliseconds()), unequalMemory
 	}
 	if l.shortGenerations {
-		c.PlanTargetMs, c.EngineMemory = int(longTarget.Milliseconds()), engineMemory
+		c.PlanTargetMs, c.EngineMemory = int(longTarget.Milliseconds()), littleMemory
+	}
+	if l.unequalEngines && l.shortGenerations {
+		c.EngineMemory = sharedMemory
 	}
 	return c
 }
