--- a/standby/standby.go
+++ b/standby/standby.go
@@ -2,10 +2,10 @@
 // their memory is wanted. A standby copy is a copy of a run's memory at a second engine, which is
 // refreshed as the run grows; if the run's engine crashes, the run continues there.
 //
-// The package is for deployments that lose a whole failure domain at a time, whose engines are 40
-// to 90 % full and whose long responses may not run again. There copies take a part of what runs and
-// migrations leave while no request is queued, and are evicted for them: their memory does not count for
-// a request, and it is freed before engines are full.
+// The package is for deployments that may lose a whole failure domain at a time, whose engines have
+// memory to spare between surges and whose long responses may not run again. There copies take a part of
+// what runs and migrations leave while no request is queued, and are evicted for them: their memory does
+// not count for a request, and it is freed before engines are full.
 //
 // All functions are pure; times are durations.
 package standby
