Software versions of servers in logs and metrics

What callers saw: streams with events of two software versions. The logs could not tell whether the target of a copy was chosen without its version, whether a caller's resume was, or whether a version was taken wrongly: no line had one. Evidence: the tests of relay, backends and platform pass.

--- a/backends/server.go
+++ b/backends/server.go
@@ -21,6 +21,9 @@
 	Service       string
 	Address       string
 	FailureDomain string
+	// SoftwareVersion is the version of the server's software, empty if unknown. There is no order
+	// between versions.
+	SoftwareVersion string
 	// Slots is how many requests the server runs at once.
 	Slots int
 	// Leaving is set once the server has announced that it will end.
@@ -38,6 +41,12 @@
 	return s.ID == o.ID && (s.StartTime == o.StartTime || s.StartTime == 0 || o.StartTime == 0)
 }
 
+// HasSameSoftware reports whether both servers run the same version of their software. An unknown
+// version is the same as no other.
+func (s Server) HasSameSoftware(o Server) bool {
+	return s.SoftwareVersion != "" && s.SoftwareVersion == o.SoftwareVersion
+}
+
 // server is a backend server with what this process knows of it. It is guarded by Registry.mu.
 type server struct {
 	Server
--- a/internal/gatewaymetrics/metrics.go
+++ b/internal/gatewaymetrics/metrics.go
@@ -40,6 +40,8 @@
 	// prompts counts the prompts read while engines have roles, by the role of the engine, runs the
 	// long runs after their first event: moved to an engine that runs streams, or why not.
 	prompts, runs *prometheus.CounterVec
+	// resumptions counts the streams that were resumed at another server or by their callers.
+	resumptions *prometheus.CounterVec
 	// unreadableEntries counts directory entries that don't describe a usable server.
 	unreadableEntries prometheus.Counter
 	// storeCalls counts the calls to the store, storeBytes the bytes received for them,
@@ -92,6 +94,9 @@
 			Name: "kingcup_gateway_unreadable_entries_total", Help: "Entries of servers that could not be read.",
 		}),
 	}
+	r.resumptions = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "kingcup_gateway_streams_resumed_total", Help: "Streams that were resumed at another server after their first event, or by their callers, by the software version: the one that began the stream, another one, or unknown.",
+	}, []string{"result"})
 	r.standbyCopies = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "kingcup_gateway_standby_copies_total", Help: "Standby copies of runs by event: made, refreshed, refused for lack of room, failed, dropped, lost with their server, used, missing when needed.",
 	}, []string{"event"})
@@ -132,7 +137,7 @@
 	}, []string{"service", "kind"})
 	r.registry.MustRegister(r.queueDecisions, r.queueWait, r.queueEstimate)
 	r.limits = newLimitMetrics(r.registry)
-	r.registry.MustRegister(r.prompts, r.runs, r.storeCallReasons, r.peerBytes, r.storeRestores, r.standbyCopies)
+	r.registry.MustRegister(r.resumptions, r.prompts, r.runs, r.storeCallReasons, r.peerBytes, r.storeRestores, r.standbyCopies)
 	r.registry.MustRegister(r.requests, r.firstByte, r.eventPause, r.failedAttempts, r.migrations, r.crashes, r.unreadableEntries, r.storeCalls, r.storeBytes, r.storeTransfer)
 	return r
 }
@@ -167,6 +172,11 @@
 	r.standbyCopies.WithLabelValues(string(event)).Inc()
 }
 
+// StreamResumed implements relay.Observer.
+func (r *Recorder) StreamResumed(result relay.Resumption) {
+	r.resumptions.WithLabelValues(string(result)).Inc()
+}
+
 // PromptPlaced implements relay.Observer.
 func (r *Recorder) PromptPlaced(role string) { r.prompts.WithLabelValues(role).Inc() }
 
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -97,7 +97,7 @@
 func (r *Relay) finishAttempt(j *job, result attemptResult) (*placedResponse, error) {
 	reservation := result.reservation
 	entry := j.log.WithFields(logrus.Fields{
-		"server": reservation.Server.ID, "try": result.number, "running": reservation.Running, "tokens": reservation.ExpectedTokens,
+		"server": reservation.Server.ID, "software": reservation.Server.SoftwareVersion, "try": result.number, "running": reservation.Running, "tokens": reservation.ExpectedTokens,
 		"prompt": reservation.PromptTokens, "of": reservation.ServerCount,
 		"waited_ms": (result.SentAt - j.arrived).Milliseconds(), "answer_ms": (result.at - result.SentAt).Milliseconds(),
 	})
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -424,3 +424,4 @@
 func (noObserver) RunPlaced(string)         {}
 func (noObserver) ServerCrashed(string)     {}
 func (noObserver) StandbyCopy(StandbyEvent) {}
+func (noObserver) StreamResumed(Resumption) {}
--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -141,7 +141,7 @@
 		standby.reservation.Release(copyFailureResult(err), s.Now())
 		return nil
 	}
-	s.job.log.WithFields(logrus.Fields{"server": s.run.serverID(), "to": standby.reservation.Server.ID}).Info("silent stream resumed from its standby copy")
+	s.job.log.WithFields(logrus.Fields{"server": s.run.serverID(), "to": standby.reservation.Server.ID, "to_software": standby.reservation.Server.SoftwareVersion}).Info("silent stream resumed from its standby copy")
 	s.Observer.Migrated("hedged")
 	s.Observer.StandbyCopy(StandbyUsed)
 	s.run.cancelResponse()
--- a/internal/relay/migration.go
+++ b/internal/relay/migration.go
@@ -135,6 +135,13 @@
 	return !u.done && u.server.SameIncarnation(s)
 }
 
+// currentServer returns the run's server.
+func (u *run) currentServer() backends.Server {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.server
+}
+
 // serverID returns the id of the run's server.
 func (u *run) serverID() string {
 	u.mu.Lock()
@@ -217,6 +224,9 @@
 
 // relocateRun records that the run continues at another server.
 func (r *Relay) relocateRun(u *run, placed *placedResponse) {
+	if u.countEvents() > 0 {
+		r.Observer.StreamResumed(resumption(u.currentServer(), placed.reservation.Server))
+	}
 	r.mu.Lock()
 	from := u.serverID()
 	u.setResponse(placed)
@@ -405,7 +415,7 @@
 	to := m.target.reservation.Server
 	handle, err := m.relay.Upstream.CopyRun(ctx, m.from, m.run.job.ID, to.Address, final)
 	took = time.Since(start)
-	entry := m.run.job.log.WithFields(logrus.Fields{"server": m.from.ID, "to": to.ID, "final": final, "took_ms": took.Milliseconds()})
+	entry := m.run.job.log.WithFields(logrus.Fields{"server": m.from.ID, "software": m.from.SoftwareVersion, "to": to.ID, "to_software": to.SoftwareVersion, "final": final, "took_ms": took.Milliseconds()})
 	if err != nil {
 		entry.WithError(err).Info("run not copied")
 		m.relay.Observer.Migrated("failed")
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -63,6 +63,9 @@
 	// StandbyCopy is called for what happens to a standby copy, see the constants of
 	// StandbyEvent.
 	StandbyCopy(event StandbyEvent)
+	// StreamResumed is called for each stream that goes on at another server after its first event,
+	// or that its caller resumes.
+	StreamResumed(result Resumption)
 }
 
 // Deps are the dependencies of a Relay.
--- a/internal/relay/standbytransfer.go
+++ b/internal/relay/standbytransfer.go
@@ -123,7 +123,7 @@
 		err = errNoHandle
 	}
 	t.reservation.FinishCopy()
-	entry := t.run.job.log.WithFields(logrus.Fields{"server": t.from.ID, "to": to.ID, "refresh": t.isRefresh, "took_ms": time.Since(start).Milliseconds()})
+	entry := t.run.job.log.WithFields(logrus.Fields{"server": t.from.ID, "software": t.from.SoftwareVersion, "to": to.ID, "to_software": to.SoftwareVersion, "refresh": t.isRefresh, "took_ms": time.Since(start).Milliseconds()})
 	if err != nil {
 		entry.WithError(err).Info("standby copy not made")
 		r.Observer.StandbyCopy(StandbyFailed)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -55,6 +55,9 @@
 	if refusal != nil {
 		return r.sendRefusal(ctx, j, *refusal, out)
 	}
+	if j.LastEventID != "" {
+		r.Observer.StreamResumed(ResumedOriginUnknown)
+	}
 	s := &session{Relay: r, job: j, out: out, seq: sequenceAfter(j.LastEventID)}
 	return s.forward(ctx, placed)
 }
@@ -210,7 +213,7 @@
 // is possible.
 func (s *session) resume(ctx context.Context, placed *placedResponse, cause error) *placedResponse {
 	j := s.job
-	log := j.log.WithField("server", placed.reservation.Server.ID).WithField("after", s.seq.lastEventID()).WithField("content", j.quarantineID().String())
+	log := j.log.WithField("server", placed.reservation.Server.ID).WithField("software", placed.reservation.Server.SoftwareVersion).WithField("after", s.seq.lastEventID()).WithField("content", j.quarantineID().String())
 	stoppedHere := s.run.isStopped()
 	if !stoppedHere {
 		s.handleBrokenResponse(ctx, j, placed.reservation.Server)
@@ -222,7 +225,7 @@
 		return nil
 	}
 	if next := s.resumeFromCopy(ctx, placed); next != nil {
-		log.WithField("to", next.reservation.Server.ID).WithField("cause", cause.Error()).Info("stream resumed from a copy")
+		log.WithFields(resumedAt(next)).WithField("cause", cause.Error()).Info("stream resumed from a copy")
 		s.Observer.Migrated("resumed")
 		return next
 	}
@@ -249,11 +252,16 @@
 		}
 		return nil
 	}
-	log.WithField("to", next.reservation.Server.ID).WithField("cause", cause.Error()).Info("stream resumed by a new run")
+	log.WithFields(resumedAt(next)).WithField("cause", cause.Error()).Info("stream resumed by a new run")
 	s.relocateRun(s.run, next)
 	return next
 }
 
+// resumedAt returns the log fields of the server at which a stream goes on.
+func resumedAt(next *placedResponse) logrus.Fields {
+	return logrus.Fields{"to": next.reservation.Server.ID, "to_software": next.reservation.Server.SoftwareVersion}
+}
+
 // resumeFromCopy continues the run from a copy of its KV cache, if there is one.
 func (s *session) resumeFromCopy(ctx context.Context, placed *placedResponse) *placedResponse {
 	copies := s.run.takeCopies(ctx)
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -46,6 +46,9 @@
 	// LastEventID is the id of the last event that the caller has received of a stream, empty if
 	// none.
 	LastEventID string
+	// Resumes is the id of the caller's attempt that received the first event of the stream which
+	// this request resumes, empty if none.
+	Resumes string
 	// Generation is nil for plain requests.
 	Generation *Generation
 }
