Failing tests: streams go on at another software version

What callers saw: a stream that one software version of a backend server began goes on at another one. TestStreamWithoutEventsMayBeginAtAnySoftwareVersion passes and guards against a fix that is too wide. The fixture's servers and the stand-in's have a version.

--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -204,7 +204,7 @@
 }
 
 func (f *fixture) newEntry(id, service string) backends.Server {
-	return backends.Server{ID: id, Service: service, Address: id + ":1", FailureDomain: "zone-1", Slots: 6}
+	return backends.Server{ID: id, Service: service, Address: id + ":1", FailureDomain: "zone-1", SoftwareVersion: "v1", Slots: 6}
 }
 
 func (f *fixture) newIncarnation(id string, startTime int64) backends.Server {
@@ -219,6 +219,14 @@
 	return s
 }
 
+// addVersion adds a model engine with a version of its software.
+func (f *fixture) addVersion(id, version string) backends.Server {
+	s := f.newEntry(id, modelService)
+	s.SoftwareVersion = version
+	f.registry.Put(s, f.now())
+	return s
+}
+
 func (f *fixture) addLeavingServer(id, service string) {
 	s := f.newEntry(id, service)
 	s.Leaving = true
--- /dev/null
+++ b/internal/relay/version_test.go
@@ -0,0 +1,178 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"kingcupplank.example/kingcup/backends"
+)
+
+// fillServer reports a load at a server that makes every other one more attractive.
+func (f *fixture) fillServer(id string) {
+	f.registry.SetRemoteLoads("vm-2", map[string]backends.Load{id: {Running: 3, ExpectedTokens: 5000}})
+}
+
+// Guards against a run that is copied to, and goes on at, an engine of another software version.
+func TestRunMigratesOnlyToItsSoftwareVersion(t *testing.T) {
+	for _, hasTarget := range []bool{true, false} {
+		t.Run(fmt.Sprint("target ", hasTarget), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t, Config{})
+				f.noStandby = true
+				f.apply(2)
+				leaving := f.addVersion("a", "v1")
+				old := newFakeBody()
+				f.setCopyRun(old, 20*time.Millisecond)
+				f.upstream.send = func(_ context.Context, a *Attempt) (*Response, error) {
+					if a.ResumeFrom != nil {
+						return answer(4, 6)(a)
+					}
+					return old.response(), nil
+				}
+				go func() {
+					old.write(events(1, 3))
+					f.addVersion("b", "v2")
+					if hasTarget {
+						f.addVersion("c", "v1")
+						f.fillServer("c")
+					}
+					leaving.Leaving = true
+					f.registry.Put(leaving, f.now())
+					if !hasTarget {
+						time.Sleep(time.Second)
+						old.write(events(4, 6))
+						old.writer.Close()
+					}
+				}()
+				f.serve(request("/plan/x")).requireWhole(t, events(1, 6))
+				want := []string{"a"}
+				if hasTarget {
+					want = append(want, "c")
+				}
+				require.Equal(t, want, f.upstream.servers())
+				require.Equal(t, hasTarget, len(f.upstream.copyCalls()) > 0)
+			})
+		})
+	}
+}
+
+// Guards against a standby copy at an engine of another software version.
+func TestStandbyCopyIsAtTheRunsSoftwareVersion(t *testing.T) {
+	for _, cfg := range []Config{{}, {DomainFailures: 1}} {
+		for _, other := range []string{"v1", "v2"} {
+			t.Run(fmt.Sprint(cfg.DomainFailures, other), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newFixture(t, cfg)
+					f.addVersion("a", "v1")
+					f.upstream.copyRun = func(context.Context, backends.Server, string, string, bool) (string, error) { return "h1", nil }
+					f.upstream.send = func(_ context.Context, a *Attempt) (*Response, error) {
+						body := newFakeBody()
+						go func() {
+							writePaced(body, 1, 30, 40*time.Millisecond)
+							body.writer.Close()
+						}()
+						return body.response(), nil
+					}
+					if cfg.DomainFailures == 0 {
+						f.addVersion("b", other)
+						f.fillServer("b")
+					} else {
+						time.AfterFunc(10*time.Millisecond, func() { f.addVersion("b", other) })
+					}
+					f.serve(request("/plan/x")).requireWhole(t, events(1, 30))
+					copied := f.upstream.sent[0].StandbyAddress != "" || len(f.upstream.copyCalls()) > 0
+					require.Equal(t, other == "v1", copied)
+				})
+			})
+		}
+	}
+}
+
+// Guards against a run that is moved to an engine of another software version after its prompt.
+func TestRunIsMovedOnlyToItsSoftwareVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRolesFixture(t)
+		target := f.newEntry(f.streams, modelService)
+		target.SoftwareVersion = "v2"
+		f.registry.Put(target, f.now())
+		f.load(3000)
+		f.setCopyRun(f.body, 20*time.Millisecond)
+		f.resume[f.streams] = answer(3, 4)
+		done := f.start()
+		time.Sleep(300 * time.Millisecond)
+		f.body.write(events(3, 4))
+		f.body.writer.Close()
+		(<-done).requireWhole(t, events(1, 4))
+		require.Empty(t, f.upstream.copyCalls())
+	})
+}
+
+// breakAfter answers with a stream that breaks behind an event, and each request to resume it with the rest.
+func (f *fixture) breakAfter(last, all int, beforeBreak func()) {
+	f.upstream.send = func(_ context.Context, a *Attempt) (*Response, error) {
+		if a.LastEventID != "" {
+			return answer(int(sequenceAfter(a.LastEventID).lastID)+1, all)(a)
+		}
+		body := newFakeBody()
+		go func() {
+			body.write(events(1, last))
+			beforeBreak()
+			body.breakOff()
+		}()
+		return body.response(), nil
+	}
+}
+
+// Guards against a stream that a new run continues at another software version.
+func TestNewRunContinuesAtTheStreamsSoftwareVersion(t *testing.T) {
+	for _, hasServer := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(t, Config{})
+			f.addVersion("a", "v1")
+			f.breakAfter(2, 4, func() {
+				f.addVersion("b", "v2")
+				if hasServer {
+					f.addVersion("c", "v1")
+					f.fillServer("c")
+				}
+			})
+			begun := f.now()
+			c := f.serve(request("/check/x"))
+			if hasServer {
+				c.requireWhole(t, events(1, 4))
+				require.Equal(t, []string{"a", "c"}, f.upstream.servers())
+				return
+			}
+			require.True(t, c.aborted, "the stream must not look complete")
+			require.Equal(t, events(1, 2), c.body.String(), "events that are ready are delivered")
+			require.Equal(t, []string{"a"}, f.upstream.servers())
+			require.Less(t, f.now()-begun, time.Second, "waiting does not help")
+		})
+	}
+}
+
+// Guards against a run before its first event that is kept from the servers of other software versions.
+func TestStreamWithoutEventsMayBeginAtAnySoftwareVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, Config{})
+		f.addVersion("a", "v1")
+		f.upstream.send = func(_ context.Context, a *Attempt) (*Response, error) {
+			if a.Server.ID == "b" {
+				return answer(1, 4)(a)
+			}
+			body := newFakeBody()
+			go func() {
+				f.addVersion("b", "v2")
+				body.breakOff()
+			}()
+			return body.response(), nil
+		}
+		f.serve(request("/check/x")).requireWhole(t, events(1, 4))
+		require.Equal(t, []string{"a", "b"}, f.upstream.servers())
+	})
+}
--- a/internal/standin/fleet/server.go
+++ b/internal/standin/fleet/server.go
@@ -74,6 +74,8 @@
 
 // Behavior is how a server responds.
 type Behavior struct {
+	// SoftwareVersion is the version of the server's software, DefaultSoftwareVersion if empty.
+	SoftwareVersion string
 	// Delay is the time before the header of a response.
 	Delay time.Duration
 	// Status, if 300 or above, is the status of every response in place of 200.
@@ -175,15 +177,28 @@
 	s.writeEntry()
 }
 
+// DefaultSoftwareVersion is the software version of a server whose Behavior names none.
+const DefaultSoftwareVersion = "v1"
+
+func (b Behavior) softwareVersion() string { return cmp.Or(b.SoftwareVersion, DefaultSoftwareVersion) }
+
+// SoftwareVersion returns the version of the server's software.
+func (s *Server) SoftwareVersion() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.behavior.softwareVersion()
+}
+
 // defaultSlots is the number of slots of a server whose Behavior sets none.
 const defaultSlots = 8
 
 func (s *Server) writeEntry() {
 	s.mu.Lock()
 	state, slots, coldRemaining := s.state, cmp.Or(s.behavior.Slots, defaultSlots), max(0, time.Until(s.coldUntil))
+	version := s.behavior.softwareVersion()
 	s.mu.Unlock()
 	s.store.Put("servers", s.ID, map[string]any{
-		"service": s.Service, "address": s.Address, "zone": s.FailureDomain, "version": "v1", "slots": slots,
+		"service": s.Service, "address": s.Address, "zone": s.FailureDomain, "version": version, "slots": slots,
 		"state": state, "coldRemainingMs": coldRemaining.Milliseconds(), "sequence": 1, "born": s.StartTime,
 	})
 }
