Copies of runs stay at the run's software version

What callers saw: a run on a leaving engine of v1 went on at an engine of v2: one answer with events of both. Cause: an entry's version was required, then dropped, so that targets of migrations, moves and standby copies were chosen by room alone. Change: a placement may require a version; every copy requires that of the run's server. It is looked at again before each copy call and each resume (TestTargetWithNewSoftwareIsNotUsed fails without). An unknown version matches none. A run without a target goes on where it is.

--- a/backends/query.go
+++ b/backends/query.go
@@ -43,6 +43,9 @@
 	SameDomainOnly  bool
 	// Regions are the regions in which the request may run.
 	Regions routing.Regions
+	// RequiredSoftware is the only version of the servers' software that may be chosen, nil for all.
+	// An unknown version is none that may be chosen.
+	RequiredSoftware *string
 	// SharedTime is the current time on the clock that all processes share. It decides which
 	// process may send to a server with a bounded rate.
 	SharedTime pacing.SharedTime
@@ -89,7 +92,8 @@
 	}
 	req := &placement.Request{
 		FailureDomain: preferred, SameDomainOnly: q.SameDomainOnly, OtherDomainsOnly: q.OtherDomainsOnly, Regions: q.Regions, Tried: q.Tried,
-		Tokens: q.ExpectedTokens, MaxMemoryUse: q.MaxMemoryUse, Horizon: q.Horizon, TokensPerEvent: q.TokensPerEvent, MeanPause: q.MeanPause,
+		RequiredSoftware: q.RequiredSoftware,
+		Tokens:           q.ExpectedTokens, MaxMemoryUse: q.MaxMemoryUse, Horizon: q.Horizon, TokensPerEvent: q.TokensPerEvent, MeanPause: q.MeanPause,
 		PromptSpeed: q.PromptSpeed, MaxPromptPending: q.MaxPromptPending,
 		MaxPause: q.MaxPause, PauseStretch: q.PauseStretch, ForStream: q.ForStream, CopySpeed: q.CopySpeed,
 	}
@@ -160,7 +164,8 @@
 		paced := q.ForCopy && s.rateLimit.limited || !r.canSend(s, s.pacingLimit(traits, now), len(list), q.SharedTime, now)
 		r.scratch = append(r.scratch, placement.Server{
 			Name: s.ID, FailureDomain: s.FailureDomain, Region: r.domainRegions[s.FailureDomain], Connected: true,
-			Leaving: s.Leaving, Cordoned: r.cordoned[s.FailureDomain], Down: r.isDown(s, now), BackingOff: now < s.backoffUntil,
+			SoftwareVersion: s.SoftwareVersion,
+			Leaving:         s.Leaving, Cordoned: r.cordoned[s.FailureDomain], Down: r.isDown(s, now), BackingOff: now < s.backoffUntil,
 			Cold: now < s.coldUntil, Paced: paced, FailureRate: s.failureRate(now),
 			Avoid:   now < s.avoidUntil || s.missingUntil > 0 || r.avoidForLosses(s, now) || r.backsOffElsewhere(s),
 			Running: load.Running, Slots: s.Slots, PromptPending: max(0, load.PromptTokens), CopyPending: max(0, load.CopyTokens),
--- a/backends/registry.go
+++ b/backends/registry.go
@@ -370,6 +370,15 @@
 	return !s.gone, s.Leaving || s.gone
 }
 
+// RunsSoftware reports whether a server is known to run a version of its software. It is false for an
+// unknown version, and for an incarnation that has ended.
+func (r *Registry) RunsSoftware(of Server, version string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.current(of)
+	return s != nil && version != "" && s.SoftwareVersion == version
+}
+
 // HasRestarted reports whether a later incarnation of the server is known.
 func (r *Registry) HasRestarted(s Server) bool {
 	r.mu.Lock()
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -72,6 +72,9 @@
 	if r.Registry.IsIneligible(reservation.Server, j.regions) {
 		return &NotRunError{Reason: NotRunIneligible, Detail: reservation.Server.FailureDomain}
 	}
+	if a.RequiredSoftware != nil && !r.Registry.RunsSoftware(reservation.Server, *a.RequiredSoftware) {
+		return &NotRunError{Reason: NotRunIneligible, Detail: reservation.Server.ID + " runs other software"}
+	}
 	if _, leaving := r.Registry.State(reservation.Server); leaving && a.ResumeFrom == nil {
 		return &NotRunError{Reason: NotRunIneligible, Detail: reservation.Server.ID + " is leaving"}
 	}
--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -129,9 +129,12 @@
 		return nil
 	}
 	s.forceRetry(s.job.service)
+	software := s.run.currentServer().SoftwareVersion
 	ctx, cancel := context.WithCancel(ctx)
 	timer := time.AfterFunc(maxMigrationWait, cancel)
-	next, err := s.send(ctx, s.job, standby.reservation, &Attempt{LastEventID: s.run.lastDeliveredID(), ResumeFrom: &standby.KVCopy})
+	next, err := s.send(ctx, s.job, standby.reservation, &Attempt{
+		LastEventID: s.run.lastDeliveredID(), ResumeFrom: &standby.KVCopy, RequiredSoftware: &software,
+	})
 	inTime := timer.Stop() && err == nil
 	if !inTime || !next.isStream() {
 		if err == nil {
--- a/internal/relay/migration.go
+++ b/internal/relay/migration.go
@@ -375,7 +375,7 @@
 	q.ExpectedTokens, q.Tried, q.MaxMemoryUse = m.run.expectedMemory(), m.tried, maxCopyTargetMemory
 	q.ForCopy, q.Spill, q.CopySpeed = true, true, m.run.job.engine.CopySpeed()
 	q.MaxPause, q.PauseStretch = r.pauseBound(m.run.job, m.run.countEvents())
-	q.PreferredDomain = m.from.FailureDomain
+	q.PreferredDomain, q.RequiredSoftware = m.from.FailureDomain, &m.from.SoftwareVersion
 	preferred := q
 	preferred.Turns, preferred.SameDomainOnly = r.Peers.MigrationTurns(m.from.FailureDomain), true
 	unbounded := q
@@ -409,11 +409,23 @@
 	}
 }
 
+// errOtherSoftware means that the target of a copy runs other software than the run's server.
+var errOtherSoftware = errors.New("the target runs other software")
+
+// copyRun copies the memory of a run, see Upstream.CopyRun. The target may have restarted with other
+// software since it was chosen.
+func (r *Relay) copyRun(ctx context.Context, from backends.Server, id string, to backends.Server, final bool) (handle string, err error) {
+	if !r.Registry.RunsSoftware(to, from.SoftwareVersion) {
+		return "", errOtherSoftware
+	}
+	return r.Upstream.CopyRun(ctx, from, id, to.Address, final)
+}
+
 // transfer makes one copy call and records the returned handle.
 func (m *migration) transfer(ctx context.Context, final bool) (took time.Duration, err error) {
 	start := time.Now()
 	to := m.target.reservation.Server
-	handle, err := m.relay.Upstream.CopyRun(ctx, m.from, m.run.job.ID, to.Address, final)
+	handle, err := m.relay.copyRun(ctx, m.from, m.run.job.ID, to, final)
 	took = time.Since(start)
 	entry := m.run.job.log.WithFields(logrus.Fields{"server": m.from.ID, "software": m.from.SoftwareVersion, "to": to.ID, "to_software": to.SoftwareVersion, "final": final, "took_ms": took.Milliseconds()})
 	if err != nil {
--- a/internal/relay/standby.go
+++ b/internal/relay/standby.go
@@ -67,7 +67,7 @@
 	q.ExpectedTokens, q.Tried = j.expectedMemory(eventCount), append([]string{s.ID}, j.excluded...)
 	q.ForCopy, q.CopySpeed = true, j.engine.CopySpeed()
 	q.MaxPause, q.PauseStretch = r.pauseBound(j, eventCount)
-	q.PreferredDomain = s.FailureDomain
+	q.PreferredDomain, q.RequiredSoftware = s.FailureDomain, &s.SoftwareVersion
 	return q
 }
 
--- a/internal/relay/standbytransfer.go
+++ b/internal/relay/standbytransfer.go
@@ -118,7 +118,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), standbyCopyTimeout)
 	defer cancel()
 	start, to := time.Now(), t.reservation.Server
-	handle, err := r.Upstream.CopyRun(ctx, t.from, t.run.job.ID, to.Address, false)
+	handle, err := r.copyRun(ctx, t.from, t.run.job.ID, to, false)
 	if err == nil && handle == "" {
 		err = errNoHandle
 	}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -269,7 +269,9 @@
 		c := copies[i]
 		s.keepStandby(c)
 		s.forceRetry(s.job.service)
-		next, err := s.send(ctx, s.job, c.reservation, &Attempt{LastEventID: s.seq.lastEventID(), ResumeFrom: &c.KVCopy})
+		next, err := s.send(ctx, s.job, c.reservation, &Attempt{
+			LastEventID: s.seq.lastEventID(), ResumeFrom: &c.KVCopy, RequiredSoftware: &placed.reservation.Server.SoftwareVersion,
+		})
 		if err == nil && next.isStream() {
 			s.switchTo(next, placed)
 			if c.isStandby {
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -73,6 +73,9 @@
 	StandbyAddress string
 	// ResumeFrom is the copy from which the run resumes, nil for a new run.
 	ResumeFrom *KVCopy
+	// RequiredSoftware is the only version of its software with which the server may run the attempt,
+	// nil for any: events and memory of two versions don't fit together.
+	RequiredSoftware *string
 	// Recheck is called once there is a connection for the attempt, just before it is sent. If it
 	// returns an error, the attempt is not sent. Errors: *NotRunError.
 	Recheck func() error
@@ -123,7 +126,7 @@
 	NotRunDown NotRunReason = "ended"
 	// NotRunIneligible: the request must not be sent to the server now. Its failure domain is
 	// cordoned or outside the request's regions, or the server is leaving, backing off or at its
-	// rate limit.
+	// rate limit, or runs another version of its software than the stream requires.
 	NotRunIneligible NotRunReason = "barred"
 )
 
--- a/internal/relay/version_test.go
+++ b/internal/relay/version_test.go
@@ -176,3 +176,27 @@
 		require.Equal(t, []string{"a", "b"}, f.upstream.servers())
 	})
 }
+
+// Guards against memory that is copied to, or resumed at, a target that has restarted with other software
+// since it was chosen.
+func TestTargetWithNewSoftwareIsNotUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, Config{DomainFailures: 1})
+		f.addVersion("a", "v1")
+		f.upstream.copyRun = func(context.Context, backends.Server, string, string, bool) (string, error) { return "h1", nil }
+		f.upstream.send = func(_ context.Context, a *Attempt) (*Response, error) {
+			require.Nil(t, a.ResumeFrom, "resumed at %s", a.Server.ID)
+			body := newFakeBody()
+			go func() {
+				writePaced(body, 1, 30, 40*time.Millisecond)
+				f.addVersion("b", "v2")
+				time.Sleep(10 * time.Millisecond)
+				body.breakOff()
+			}()
+			return body.response(), nil
+		}
+		time.AfterFunc(10*time.Millisecond, func() { f.addVersion("b", "v1") })
+		require.True(t, f.serve(request("/plan/x")).aborted)
+		require.Equal(t, []string{"r1 a>b:1 false"}, f.upstream.copyCalls())
+	})
+}
--- a/placement/filters.go
+++ b/placement/filters.go
@@ -20,6 +20,12 @@
 // InRegions drops servers outside the regions in which the request may run.
 func InRegions(r *Request, s *Server) bool { return r.Regions.Allows(s.Region) }
 
+// RunsRequiredSoftware drops servers that don't run the version of their software that the request
+// requires.
+func RunsRequiredSoftware(r *Request, s *Server) bool {
+	return r.RequiredSoftware == nil || s.SoftwareVersion != "" && s.SoftwareVersion == *r.RequiredSoftware
+}
+
 // NotBackingOff drops servers that have asked this process to send nothing for some time.
 func NotBackingOff(_ *Request, s *Server) bool { return !s.BackingOff }
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -23,7 +23,9 @@
 	Region   string
 	Models   []string
 	Adapters []string
-	Leaving  bool
+	// SoftwareVersion is the version of the server's software, empty if unknown.
+	SoftwareVersion string
+	Leaving         bool
 	// Cordoned marks a server of a failure domain whose servers get nothing new.
 	Cordoned  bool
 	Connected bool
@@ -78,6 +80,9 @@
 	Tried []string
 	// Regions are the regions in which the request may run.
 	Regions routing.Regions
+	// RequiredSoftware is the only version of the servers' software that may be chosen, nil for all. An
+	// unknown version is none that may be chosen.
+	RequiredSoftware *string
 	// Tokens is the memory that the request is expected to need, in tokens.
 	Tokens int
 	// Horizon is the expected time for which a short request holds its memory. The memory that the
@@ -151,7 +156,7 @@
 // healthy ones, and a server that refused a moment ago behind both.
 func Direct() Policy {
 	return Policy{
-		Filters: []Filter{NotLeaving, NotDown, NotBackingOff, NotCordoned, InRegions, NotTried, InDomain, WithinBounds, NotPaced, TakesStreams},
+		Filters: []Filter{NotLeaving, NotDown, NotBackingOff, NotCordoned, InRegions, RunsRequiredSoftware, NotTried, InDomain, WithinBounds, NotPaced, TakesStreams},
 		Scorers: []Scorer{
 			{Weight: 1.0, Score: FreeCapacity},
 			{Weight: 1.0, Score: PromptWait},
