A new run continues a stream at its software version only

What callers saw: a stream that broke behind its second event went on at an engine of another software version. Cause: a new run behind the last event was placed like a new request. Change: the first event binds the request to the version that sent it, for every further attempt. A bound request is not queued behind requests that may run anywhere, nor before them. With no server of its version it is refused or aborted at once. Before its first event it may go anywhere.

--- a/backends/registry.go
+++ b/backends/registry.go
@@ -345,6 +345,20 @@
 	return ready, cordoned
 }
 
+// CountReadyWithSoftware counts the servers of a service that accept requests which must stay in some
+// regions and run a version of their software, without those that were tried.
+func (r *Registry) CountReadyWithSoftware(service, version string, regions routing.Regions, tried []string, now time.Duration) (n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range r.listed(service) {
+		if version != "" && s.SoftwareVersion == version && !s.Leaving && !r.cordoned[s.FailureDomain] && !r.isDown(s, now) &&
+			regions.Allows(r.domainRegions[s.FailureDomain]) && !slices.Contains(tried, s.ID) {
+			n++
+		}
+	}
+	return n
+}
+
 // ReadyMemory returns the memory in tokens of the servers of a service that accept requests of this
 // process which must stay in some regions.
 func (r *Registry) ReadyMemory(service string, regions routing.Regions) int {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -44,6 +44,9 @@
 // startAttempt checks that the server is still eligible, completes the attempt and counts it. The
 // caller sends it then. Errors: *NotRunError.
 func (r *Relay) startAttempt(ctx context.Context, j *job, reservation *backends.Reservation, a *Attempt) (*attempt, error) {
+	if a.RequiredSoftware == nil {
+		a.RequiredSoftware = j.software.Load()
+	}
 	a.Recheck = func() error { return r.recheck(j, reservation, a) }
 	if err := a.Recheck(); err != nil {
 		return nil, err
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -144,6 +144,9 @@
 // acquire reserves a server, waiting for a limited time for one with capacity.
 func (r *Relay) acquire(ctx context.Context, j *job) (*backends.Reservation, *Refusal) {
 	if j.engine != nil && j.Generation != nil {
+		if j.software.Load() != nil {
+			return r.acquireSameSoftware(ctx, j)
+		}
 		return r.acquireEngine(ctx, j)
 	}
 	return r.acquirePlain(ctx, j)
@@ -169,6 +172,9 @@
 		if refusal := r.refuseIfCordoned(j); refusal != nil {
 			return nil, refusal
 		}
+		if refusal := r.refuseIfSoftwareGone(j); refusal != nil {
+			return nil, refusal
+		}
 		interval, waitUntil := fullRetryInterval, j.arrived+j.maxWait()
 		if servers := r.availability(j); servers.HasBoundedRate || servers.HasBackingOff {
 			if j.hasResponse {
@@ -228,7 +234,7 @@
 
 // serverQuery returns the query for a server.
 func (r *Relay) serverQuery(j *job) backends.Query {
-	return backends.Query{Service: j.service, Tried: j.excluded, Regions: j.regions, SharedTime: r.Peers.SharedClock(), Draw: rand.Uint64()}
+	return backends.Query{Service: j.service, Tried: j.excluded, Regions: j.regions, RequiredSoftware: j.software.Load(), SharedTime: r.Peers.SharedClock(), Draw: rand.Uint64()}
 }
 
 // refuseIfCordoned returns a refusal if all servers of a request are in cordoned failure domains,
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -243,6 +243,9 @@
 	hasResponse bool
 	// hadBrokenResponse is set if the response of a server broke off.
 	hadBrokenResponse bool
+	// software is the software version that has sent the first event of the stream, nil before it.
+	// The stream may only go on at servers of that version.
+	software atomic.Pointer[string]
 	// progress is the progress of a stream.
 	progress progress
 	// queued is how a generation was queued for an engine.
--- /dev/null
+++ b/internal/relay/software.go
@@ -0,0 +1,57 @@
+package relay
+
+import (
+	"context"
+
+	"kingcupplank.example/kingcup/backends"
+	"kingcupplank.example/kingcup/internal/wait"
+)
+
+// bindSoftware records which software version sends the first event of the stream.
+func (s *session) bindSoftware() {
+	if s.job.software.Load() == nil {
+		version := s.run.currentServer().SoftwareVersion
+		s.job.software.Store(&version)
+	}
+}
+
+// acquireSameSoftware reserves an engine for a stream that has begun, of the version that began it. The
+// request is not queued: at the head of the queue it would wait for one version while engines of
+// others have room for the requests behind it.
+func (r *Relay) acquireSameSoftware(ctx context.Context, j *job) (*backends.Reservation, *Refusal) {
+	eq, demand, w := r.engineQueue(j.service), r.engineDemand(j), r.engineWaiter(j)
+	waitUntil := r.Now() + j.maxWait()
+	for {
+		q := r.engineQuery(j, 0)
+		q.Turns, q.Spill = nil, true
+		if reservation := r.Registry.Acquire(q, r.Now()); reservation != nil {
+			r.evictStandbys(reservation)
+			r.recordStart(j, eq, w, demand)
+			r.Peers.Notify()
+			return reservation, nil
+		}
+		if refusal := r.refuseIfSoftwareGone(j); refusal != nil {
+			return nil, refusal
+		}
+		if r.Now()+queuePollInterval > waitUntil || j.timeLeft() < queuePollInterval {
+			return nil, r.refuse(j, ReasonNoCapacity)
+		}
+		if !wait.For(ctx, queuePollInterval) {
+			return nil, r.refuse(j, ReasonDeadline)
+		}
+	}
+}
+
+// refuseIfSoftwareGone returns a refusal if no server runs the software version that the request
+// requires, and nil otherwise. An earlier return of the caller would be in vain.
+func (r *Relay) refuseIfSoftwareGone(j *job) *Refusal {
+	software := j.software.Load()
+	if software == nil || r.Registry.CountReadyWithSoftware(j.service, *software, j.regions, j.excluded, r.Now()) > 0 {
+		return nil
+	}
+	f := r.refuse(j, ReasonSoftwareGone)
+	if !f.MayHaveRun {
+		f.RetryAfter = j.timeLeft()
+	}
+	return f
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -131,6 +131,7 @@
 		isFirst := !s.started
 		if isFirst {
 			s.started = true
+			s.bindSoftware()
 			s.job.progress.firstDelay = s.Now() - s.job.arrived
 			s.Observer.FirstByte(s.job.team, s.job.service, s.job.route.Kind, s.job.progress.firstDelay)
 			if s.out.Begin(head) != nil {
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -181,13 +181,15 @@
 
 // Reasons of refusals.
 const (
-	ReasonNoConfig        Reason = "no configuration yet"
-	ReasonNoRoute         Reason = "no such route"
-	ReasonBadKey          Reason = "no or unknown key"
-	ReasonStaleConfig     Reason = "configuration not confirmed"
-	ReasonNoServer        Reason = "no server takes requests"
-	ReasonNoCapacity      Reason = "servers have no room"
-	ReasonCordoned        Reason = "all servers are in cordoned failure domains"
+	ReasonNoConfig    Reason = "no configuration yet"
+	ReasonNoRoute     Reason = "no such route"
+	ReasonBadKey      Reason = "no or unknown key"
+	ReasonStaleConfig Reason = "configuration not confirmed"
+	ReasonNoServer    Reason = "no server takes requests"
+	ReasonNoCapacity  Reason = "servers have no room"
+	ReasonCordoned    Reason = "all servers are in cordoned failure domains"
+	// ReasonSoftwareGone: no server runs the software version that began the stream.
+	ReasonSoftwareGone    Reason = "no server of the stream's software version"
 	ReasonPromptTooLarge  Reason = "larger than a server's memory"
 	ReasonDeadline        Reason = "time is up"
 	ReasonServerLost      Reason = "server lost"
