A new software version under an old id is a new incarnation

What callers saw: nothing yet. A server that comes back with other software under its id, where entries have no start time, counted as the same incarnation: its old runs, copies and streams would have gone on there. Cause: the version was no part of what identifies a server's life. Evidence: TestNewSoftwareVersionIsANewIncarnation and TestStreamOfAServerWithNewSoftwareGoesOnNowhereElse fail with the version left out of SameIncarnation. Change: a version that differs is another incarnation; an unknown one matches any, as an unknown start time does. Streams that may have reached either incarnation go on nowhere else. Result: the tests of relay and backends pass.

--- a/backends/restart_test.go
+++ b/backends/restart_test.go
@@ -125,3 +125,26 @@
 		require.Equal(t, newest, reservation.Server.StartTime)
 	})
 }
+
+// Guards against copies and streams of an incarnation whose server has restarted under its id with other
+// software, where entries have no start time.
+func TestNewSoftwareVersionIsANewIncarnation(t *testing.T) {
+	r, calls := newRegistry()
+	old := startedAt("a", 0)
+	old.SoftwareVersion = "v1"
+	r.Put(old, 0)
+	require.True(t, r.RunsSoftware(old, "v1"))
+	current := old
+	current.SoftwareVersion = "v2"
+	r.Put(current, 0)
+	require.Equal(t, []leaveCall{{"a", LeaveRestarted}}, *calls)
+	require.True(t, r.HasRestarted(old))
+	require.False(t, r.RunsSoftware(old, "v1"))
+	require.True(t, r.RunsSoftware(current, "v2"))
+	require.Equal(t, 1, r.CountReadyWithSoftware(svc, "v2", nil, nil, 0))
+	require.Zero(t, r.CountReadyWithSoftware(svc, "v1", nil, nil, 0))
+	require.Zero(t, r.CountReadyWithSoftware(svc, "v2", nil, []string{"a"}, 0))
+	current.SoftwareVersion = ""
+	r.Put(current, 0)
+	require.Zero(t, r.CountReadyWithSoftware(svc, "", nil, nil, 0), "an unknown version is no version")
+}
--- a/backends/server.go
+++ b/backends/server.go
@@ -36,9 +36,10 @@
 }
 
 // SameIncarnation reports whether both describe the same incarnation of a server. An unknown
-// StartTime matches any other.
+// StartTime or SoftwareVersion matches any other.
 func (s Server) SameIncarnation(o Server) bool {
-	return s.ID == o.ID && (s.StartTime == o.StartTime || s.StartTime == 0 || o.StartTime == 0)
+	return s.ID == o.ID && (s.StartTime == o.StartTime || s.StartTime == 0 || o.StartTime == 0) &&
+		(s.SoftwareVersion == o.SoftwareVersion || s.SoftwareVersion == "" || o.SoftwareVersion == "")
 }
 
 // HasSameSoftware reports whether both servers run the same version of their software. An unknown
--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -129,11 +129,11 @@
 		return nil
 	}
 	s.forceRetry(s.job.service)
-	software := s.run.currentServer().SoftwareVersion
+	software := s.job.requiredSoftware(s.run.currentServer())
 	ctx, cancel := context.WithCancel(ctx)
 	timer := time.AfterFunc(maxMigrationWait, cancel)
 	next, err := s.send(ctx, s.job, standby.reservation, &Attempt{
-		LastEventID: s.run.lastDeliveredID(), ResumeFrom: &standby.KVCopy, RequiredSoftware: &software,
+		LastEventID: s.run.lastDeliveredID(), ResumeFrom: &standby.KVCopy, RequiredSoftware: software,
 	})
 	inTime := timer.Stop() && err == nil
 	if !inTime || !next.isStream() {
--- a/internal/relay/restart.go
+++ b/internal/relay/restart.go
@@ -40,6 +40,11 @@
 	if len(runs) == 0 {
 		return
 	}
+	if !r.Registry.RunsSoftware(backends.Server{ID: s.ID}, s.SoftwareVersion) {
+		for _, u := range runs {
+			u.job.forgetSoftware()
+		}
+	}
 	time.AfterFunc(restartCheckDelay, func() {
 		for _, u := range runs {
 			if u.cancelIfSilent(s, r.Now()-maxRestartSilence) {
--- a/internal/relay/software.go
+++ b/internal/relay/software.go
@@ -15,6 +15,22 @@
 	}
 }
 
+// requiredSoftware returns the software version at which the run at a server may be resumed from a copy.
+func (j *job) requiredSoftware(at backends.Server) *string {
+	if software := j.software.Load(); software != nil {
+		return software
+	}
+	return &at.SoftwareVersion
+}
+
+// forgetSoftware makes the software version of a stream unknown, so that it goes on nowhere else: its server
+// has restarted, and it is not known in which incarnation the stream began.
+func (j *job) forgetSoftware() {
+	if j.software.Load() != nil {
+		j.software.Store(new(string))
+	}
+}
+
 // acquireSameSoftware reserves an engine for a stream that has begun, of the version that began it. The
 // request is not queued: at the head of the queue it would wait for one version while engines of
 // others have room for the requests behind it.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -271,7 +271,7 @@
 		s.keepStandby(c)
 		s.forceRetry(s.job.service)
 		next, err := s.send(ctx, s.job, c.reservation, &Attempt{
-			LastEventID: s.seq.lastEventID(), ResumeFrom: &c.KVCopy, RequiredSoftware: &placed.reservation.Server.SoftwareVersion,
+			LastEventID: s.seq.lastEventID(), ResumeFrom: &c.KVCopy, RequiredSoftware: s.job.requiredSoftware(placed.reservation.Server),
 		})
 		if err == nil && next.isStream() {
 			s.switchTo(next, placed)
--- a/internal/relay/version_test.go
+++ b/internal/relay/version_test.go
@@ -200,3 +200,19 @@
 		require.Equal(t, []string{"r1 a>b:1 false"}, f.upstream.copyCalls())
 	})
 }
+
+// Guards against a stream that goes on by the version that its server had before it restarted under its id:
+// the request may have reached the new incarnation before its entry was known.
+func TestStreamOfAServerWithNewSoftwareGoesOnNowhereElse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, Config{})
+		f.addVersion("a", "v1")
+		f.breakAfter(3, 6, func() {
+			f.addVersion("b", "v1")
+			f.addVersion("c", "v2")
+			f.addVersion("a", "v2")
+		})
+		require.True(t, f.serve(request("/check/x")).aborted)
+		require.Equal(t, []string{"a"}, f.upstream.servers())
+	})
+}
