Streams that callers take up go on at the version that began them

What callers saw: a caller that took its stream up got the rest from servers of any software version, at the gateway where it began as at others. Cause: nothing that a gateway kept or told others said which version began a stream, and Resumes was not read. Change: while servers of several versions are listed, the origin of each resumable stream is recorded at three gateways that a hash of its id chooses, with a spare one for each that does not answer; the gateway to which the caller returns asks them. While a gateway has seen one version only for longer than a stream lasts, and its directory is up to date, nothing is recorded or asked. A stream of unknown origin, or of a version without a server, is refused at once with 503, which is true, and the rest of the caller's time as Retry-After. Origins: a route that leads to several services records the service too.

--- a/backends/registry.go
+++ b/backends/registry.go
@@ -85,6 +85,12 @@
 	dips     int
 	// cell is the index of this process's cell, cellCount the number of cells.
 	cell, cellCount int
+	// softwareViews are what is known of the servers' software, by service. directorySince is when this
+	// process first had the directory, if hasDirectory is set; confirmedAt is up to when it has all
+	// changes of it.
+	softwareViews               map[string]*softwareView
+	hasDirectory                bool
+	directorySince, confirmedAt time.Duration
 	// self is the name of this process, empty if unknown.
 	self string
 	// cellShare and globalShare are this process's share of the rate that servers accept, among
@@ -118,6 +124,7 @@
 		domain: domain, traits: traits, onLeaving: onLeaving,
 		policy: placement.Direct(), copyPolicy: placement.CopyTarget(), servers: make(map[string]*server), departures: make(map[string]departure), remoteLoads: make(map[string]map[string]Load), remoteSums: make(map[incarnation]Load), remoteStatuses: make(map[string]map[string]ServerStatus),
 		lists: make(map[string][]*server), answers: make(map[string]*concurrency.Answers), planners: make(map[string]*prefill.Planner),
+		softwareViews: make(map[string]*softwareView),
 	}
 }
 
@@ -144,6 +151,9 @@
 
 // replaceAll replaces the directory. mu must be held.
 func (r *Registry) replaceAll(list []Server, outage, now time.Duration) (events []leaveEvent) {
+	if !r.hasDirectory {
+		r.hasDirectory, r.directorySince = true, now
+	}
 	listed := make(map[string]bool, len(list))
 	for _, s := range list {
 		listed[s.ID] = true
@@ -185,6 +195,7 @@
 			return events
 		}
 		events = append(events, leaveEvent{old.Server, LeaveRestarted})
+		r.recordDelisted(old.Server, now)
 		old = nil
 	}
 	if old == nil {
@@ -229,6 +240,7 @@
 	}
 	s.gone = true
 	r.recordDeparture(s, now)
+	r.recordDelisted(s.Server, now)
 	r.dropLists()
 	if !s.Leaving {
 		events = append(events, leaveEvent{s.Server, LeaveEntryVanished})
@@ -263,13 +275,14 @@
 }
 
 // MarkReplaced records that another server answers at a server's address.
-func (r *Registry) MarkReplaced(gone Server) {
+func (r *Registry) MarkReplaced(gone Server, now time.Duration) {
 	r.mu.Lock()
 	s := r.current(gone)
 	changed := s != nil && !s.gone
 	var events []leaveEvent
 	if changed {
 		s.gone, s.replaced = true, true
+		r.recordDelisted(s.Server, now)
 		r.dropLists()
 		events = append(events, leaveEvent{s.Server, LeaveReplaced})
 	}
@@ -320,7 +333,10 @@
 }
 
 // dropLists drops the cached lists after a change of the directory. mu must be held.
-func (r *Registry) dropLists() { clear(r.lists) }
+func (r *Registry) dropLists() {
+	clear(r.lists)
+	r.dropSoftwareViews()
+}
 
 // CountReady counts the servers of a service that accept requests.
 func (r *Registry) CountReady(service string) int {
--- a/backends/restart_test.go
+++ b/backends/restart_test.go
@@ -55,7 +55,7 @@
 	r.Put(late, 0)
 	r.ReplaceAll([]Server{late}, 0, 0)
 	r.MarkLeaving(old)
-	r.MarkReplaced(old)
+	r.MarkReplaced(old, 0)
 	require.Nil(t, r.ReserveAt(old, 100))
 	require.Equal(t, []leaveCall{{"a", LeaveRestarted}}, *calls)
 	require.True(t, r.HasRestarted(old))
@@ -78,7 +78,7 @@
 	require.Equal(t, "a", r.pick(t, 0))
 
 	running = r.Acquire(Query{Service: svc}, 0)
-	r.MarkReplaced(entry("a"))
+	r.MarkReplaced(entry("a"), 0)
 	r.Put(entry("a"), 0)
 	require.Zero(t, r.CountReady(svc), "another server is at its address")
 	running.Release(ResultOK, 0)
--- /dev/null
+++ b/backends/software_test.go
@@ -0,0 +1,70 @@
+package backends
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func withSoftware(id, version string) Server {
+	s := startedAt(id, 0)
+	s.SoftwareVersion = version
+	return s
+}
+
+// Guards against a stream that goes on at the only version that a process knows, while others may have
+// begun it at one that this process has not heard of, or has seen go.
+func TestOnlyVersionNeedsACompleteView(t *testing.T) {
+	const within = 6 * time.Second
+	r, _ := newRegistry()
+	only := func(now time.Duration) string {
+		version, ok := r.OnlyVersion(svc, within, now)
+		require.Equal(t, ok, version != "")
+		return version
+	}
+	require.Empty(t, only(time.Minute), "no directory")
+	r.ReplaceAll([]Server{withSoftware("a", "v1")}, 0, time.Second)
+	r.ConfirmDirectory(time.Second)
+	require.Empty(t, only(time.Second), "a version may have gone just before the start")
+	r.ConfirmDirectory(7 * time.Second)
+	require.Equal(t, "v1", only(7*time.Second))
+	require.Equal(t, "v1", only(7*time.Second+maxDirectoryAge))
+	require.Empty(t, only(8*time.Second+maxDirectoryAge), "a version may have come since")
+
+	r.Put(withSoftware("b", "v2"), 10*time.Second)
+	r.ConfirmDirectory(10 * time.Second)
+	require.True(t, r.HasSeveralVersions(svc, within, 10*time.Second))
+	require.Empty(t, only(10*time.Second))
+	r.Remove("b", 0, 12*time.Second)
+	r.ConfirmDirectory(18 * time.Second)
+	require.True(t, r.HasSeveralVersions(svc, within, 17*time.Second), "its streams may still be taken up")
+	require.False(t, r.HasSeveralVersions(svc, within, 18*time.Second))
+	require.Equal(t, "v1", only(18*time.Second))
+
+	r.Put(withSoftware("a", ""), 20*time.Second)
+	r.ConfirmDirectory(40 * time.Second)
+	require.True(t, r.HasSeveralVersions(svc, within, 40*time.Second), "an unknown version differs from any")
+	require.Empty(t, only(40*time.Second))
+}
+
+// Guards against a version that counts as gone while other servers still run it.
+func TestVersionStaysWhileAServerRunsIt(t *testing.T) {
+	r, _ := newRegistry()
+	r.ReplaceAll([]Server{withSoftware("a", "v1"), withSoftware("b", "v1")}, 0, 0)
+	r.Remove("a", 0, time.Second)
+	require.False(t, r.HasSeveralVersions(svc, time.Minute, 2*time.Second))
+	require.Equal(t, 1, r.VersionCount(svc))
+	r.MarkReplaced(withSoftware("b", "v1"), 3*time.Second)
+	r.Put(withSoftware("c", "v2"), 3*time.Second)
+	require.True(t, r.HasSeveralVersions(svc, time.Minute, 4*time.Second))
+}
+
+func BenchmarkHasSeveralVersions(b *testing.B) {
+	r, _ := newRegistry()
+	r.ReplaceAll([]Server{withSoftware("a", "v1"), withSoftware("b", "v1")}, 0, 0)
+	b.ReportAllocs()
+	for b.Loop() {
+		r.HasSeveralVersions(svc, time.Minute, time.Second)
+	}
+}
--- /dev/null
+++ b/internal/gateway/origins.go
@@ -0,0 +1,212 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
+
+	"kingcupplank.example/kingcup/internal/clock"
+	"kingcupplank.example/kingcup/internal/relay"
+	"kingcupplank.example/kingcup/origin"
+	peerv1 "kingcupplank.example/kingcup/proto/kingcup/peer/v1"
+)
+
+const (
+	// originKeepers is the number of gateways that keep the origin of a stream, chosen by its id: any
+	// gateway to which its caller returns knows whom to ask. spareKeepers are asked besides, as one of
+	// the others may have been down, or the gateways may not have known the same members.
+	originKeepers, spareKeepers = 3, 2
+	// originTimeout bounds one attempt to send an origin, lookupTimeout a lookup. Callers accept a
+	// longer pause before the next event of a stream that broke.
+	originTimeout, lookupTimeout = 300 * time.Millisecond, 250 * time.Millisecond
+	// maxOriginCalls bounds the origins that are being sent, and the lookups.
+	maxOriginCalls = 64
+)
+
+// errOriginID rejects an id of a stream that has the wrong length.
+var errOriginID = errors.New("the id of the stream has the wrong length")
+
+// sharedOrigins keeps the origins of streams together with the other gateways. It implements relay.Origins and
+// is safe for concurrent use; no other lock is taken while mu is locked.
+type sharedOrigins struct {
+	group *group
+
+	mu   sync.Mutex
+	book *origin.Book
+
+	// sending and looking bound the calls in progress.
+	sending, looking chan struct{}
+	// failures bounds the log lines about origins that could not be sent.
+	failures rate.Sometimes
+}
+
+var _ relay.Origins = (*sharedOrigins)(nil)
+
+func newSharedOrigins(g *group) *sharedOrigins {
+	return &sharedOrigins{
+		group: g, book: origin.NewBook(), sending: make(chan struct{}, maxOriginCalls), looking: make(chan struct{}, maxOriginCalls),
+		failures: rate.Sometimes{First: 20, Interval: time.Second},
+	}
+}
+
+// Record implements relay.Origins.
+func (s *sharedOrigins) Record(id origin.ID, o origin.Origin, lifetime time.Duration) {
+	s.record(id, o, lifetime)
+	select {
+	case s.sending <- struct{}{}:
+	default:
+		s.logUnsent("too many origins are being sent")
+		return
+	}
+	go func() {
+		defer func() { <-s.sending }()
+		s.send(id, o, lifetime)
+	}()
+}
+
+func (s *sharedOrigins) record(id origin.ID, o origin.Origin, lifetime time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.book.Record(id, o, lifetime, clock.SinceBoot())
+}
+
+func (s *sharedOrigins) logUnsent(cause string) {
+	s.failures.Do(func() {
+		s.group.log.WithField("cause", cause).Warn("origin of a stream was not sent to the gateways that keep it")
+	})
+}
+
+// send sends an origin to its keepers, and to a spare one for each that does not answer.
+func (s *sharedOrigins) send(id origin.ID, o origin.Origin, lifetime time.Duration) {
+	request := &peerv1.Fetch{Record: []*peerv1.Origin{originMessage(id, o, lifetime)}}
+	keepers := s.group.links.Keepers(string(id[:]), originKeepers+spareKeepers)
+	first, spare := keepers[:min(originKeepers, len(keepers))], keepers[min(originKeepers, len(keepers)):]
+	var wg sync.WaitGroup
+	failed := make(chan struct{}, len(first))
+	for _, keeper := range first {
+		wg.Go(func() {
+			if s.sendTo(keeper, request) != nil {
+				failed <- struct{}{}
+			}
+		})
+	}
+	wg.Wait()
+	missing := len(failed)
+	for _, keeper := range spare {
+		if missing > 0 && s.sendTo(keeper, request) == nil {
+			missing--
+		}
+	}
+	if missing == len(first) {
+		s.logUnsent("no keeper answers")
+	}
+}
+
+func (s *sharedOrigins) sendTo(keeper string, request *peerv1.Fetch) error {
+	if keeper == s.group.self.Name {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), originTimeout)
+	defer cancel()
+	_, err := s.group.links.Exchange(ctx, keeper, request)
+	return err
+}
+
+// Lookup implements relay.Origins. It asks all keepers at once; the first that knows the origin decides.
+func (s *sharedOrigins) Lookup(ctx context.Context, q relay.OriginQuery) relay.OriginAnswer {
+	if o, known := s.lookup(q.ID); known {
+		return relay.OriginAnswer{Origin: o, Known: true, From: "own record"}
+	}
+	select {
+	case s.looking <- struct{}{}:
+		defer func() { <-s.looking }()
+	default:
+		return relay.OriginAnswer{From: "nobody, too many lookups"}
+	}
+	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
+	defer cancel()
+	request := &peerv1.Fetch{Lookup: &peerv1.Lookup{Id: q.ID[:], Service: q.Service, LifetimeMs: q.Lifetime.Milliseconds()}}
+	keepers := s.group.links.Keepers(string(q.ID[:]), originKeepers+spareKeepers)
+	answers := make(chan relay.OriginAnswer, len(keepers))
+	for _, keeper := range keepers {
+		go func() { answers <- s.ask(ctx, keeper, request) }()
+	}
+	best := relay.OriginAnswer{From: "nobody"}
+	for range keepers {
+		switch a := <-answers; {
+		case a.Known:
+			s.record(q.ID, a.Origin, q.Lifetime)
+			return a
+		case a.OnlyVersion != "":
+			best = a
+		}
+	}
+	return best
+}
+
+// ask asks one keeper for an origin.
+func (s *sharedOrigins) ask(ctx context.Context, keeper string, request *peerv1.Fetch) relay.OriginAnswer {
+	if keeper == s.group.self.Name {
+		return relay.OriginAnswer{}
+	}
+	head, err := s.group.links.Exchange(ctx, keeper, request)
+	if err != nil {
+		return relay.OriginAnswer{}
+	}
+	a := head.GetLookup()
+	o := origin.Origin{Service: a.GetOrigin().GetService(), SoftwareVersion: a.GetOrigin().GetSoftwareVersion()}
+	return relay.OriginAnswer{Origin: o, Known: o.SoftwareVersion != "", OnlyVersion: a.GetOnlyVersion(), From: keeper}
+}
+
+func (s *sharedOrigins) lookup(id origin.ID) (origin.Origin, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.book.Lookup(id, clock.SinceBoot())
+}
+
+// serve answers a peer that sends origins or asks for one.
+func (s *sharedOrigins) serve(req *peerv1.Fetch) (*peerv1.Change, error) {
+	for _, m := range req.GetRecord() {
+		id, err := originID(m.GetId())
+		if err != nil {
+			return nil, err
+		}
+		lifetime := time.Duration(min(max(0, m.GetLifetimeMs()), origin.MaxLifetime.Milliseconds())) * time.Millisecond
+		s.record(id, origin.Origin{Service: m.GetService(), SoftwareVersion: m.GetSoftwareVersion()}, lifetime)
+	}
+	if req.GetLookup() == nil {
+		return &peerv1.Change{}, nil
+	}
+	id, err := originID(req.GetLookup().GetId())
+	if err != nil {
+		return nil, err
+	}
+	answer := &peerv1.LookupAnswer{}
+	if o, known := s.lookup(id); known {
+		answer.Origin = originMessage(id, o, 0)
+	} else {
+		lifetime := time.Duration(min(max(0, req.GetLookup().GetLifetimeMs()), origin.MaxLifetime.Milliseconds())) * time.Millisecond
+		answer.OnlyVersion, _ = s.group.registry.OnlyVersion(req.GetLookup().GetService(), lifetime, clock.SinceBoot())
+	}
+	return &peerv1.Change{Lookup: answer}, nil
+}
+
+func originMessage(id origin.ID, o origin.Origin, lifetime time.Duration) *peerv1.Origin {
+	return &peerv1.Origin{Id: id[:], Service: o.Service, SoftwareVersion: o.SoftwareVersion, LifetimeMs: lifetime.Milliseconds()}
+}
+
+func originID(b []byte) (id origin.ID, err error) {
+	if len(b) != len(id) {
+		return id, errOriginID
+	}
+	copy(id[:], b)
+	return id, nil
+}
+
+// isOriginRequest reports whether a request of a peer is about origins of streams.
+func isOriginRequest(req *peerv1.Fetch) bool {
+	return len(req.GetRecord()) > 0 || req.GetLookup() != nil
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -55,6 +55,7 @@
 	role          *readerRole
 	registrar     *registrar
 	quarantine    *sharedQuarantine
+	origins       *sharedOrigins
 	// followers, by table, receive the pages that peers read. encoders, by table, encode
 	// the responses to peers' fetches for the tables whose rows are kept.
 	followers map[string]*follow.Follower
@@ -88,6 +89,7 @@
 	g.role = newReaderRole(g)
 	g.registrar = newRegistrar(g)
 	g.quarantine = newSharedQuarantine(g)
+	g.origins = newSharedOrigins(g)
 	g.setFetchHandler(g.serveFetch)
 	g.cordons = cordon.New(g.applyCordons)
 	g.config = &configSharing{group: g, replica: replica, sink: operator.NewSink(replica, g.cordons, clock.SinceBoot, wait.YieldCPU, log)}
--- a/internal/gateway/resumption_test.go
+++ b/internal/gateway/resumption_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -11,6 +12,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"kingcupplank.example/kingcup/internal/clock"
+	"kingcupplank.example/kingcup/internal/peers"
 	"kingcupplank.example/kingcup/internal/standin/fleet"
 )
 
@@ -27,12 +30,15 @@
 	return fleet.Behavior{Events: 500, EventInterval: 20 * time.Millisecond, SoftwareVersion: version}
 }
 
+// callerTimeoutMs is the time that callers of streams wait.
+const callerTimeoutMs = "5000"
+
 // begin starts a resumable stream and closes the connection behind the third event.
 func (n *testGateway) begin(id string) brokenStream {
 	n.t.Helper()
 	c := n.dial()
 	defer c.Close()
-	c.send(generation(fleet.CheckPath).with("X-Kingcupplank-Attempt-Id", id))
+	c.send(generation(fleet.CheckPath).with("X-Kingcupplank-Attempt-Id", id).with("X-Kingcupplank-Deadline-Ms", callerTimeoutMs))
 	c.SetReadDeadline(time.Now().Add(5 * time.Second))
 	var header strings.Builder
 	lastEvent := 0
@@ -48,16 +54,15 @@
 	return brokenStream{id: id, lastEvent: lastEvent}
 }
 
-// resume takes a stream up and returns the status and the id of the new attempt.
+// resume takes a stream up by a new attempt, whose connection is closed behind the header of its response.
 func (n *testGateway) resume(b brokenStream, attempt string) (status int) {
 	n.t.Helper()
 	c := n.dial()
 	defer c.Close()
-	c.send(generation(fleet.CheckPath).with("X-Kingcupplank-Attempt-Id", attempt).with("Resumes", b.id).with("Last-Event-Id", strconv.Itoa(b.lastEvent)))
+	c.send(generation(fleet.CheckPath).with("X-Kingcupplank-Deadline-Ms", callerTimeoutMs).with("X-Kingcupplank-Attempt-Id", attempt).with("Resumes", b.id).with("Last-Event-Id", strconv.Itoa(b.lastEvent)))
 	c.SetReadDeadline(time.Now().Add(5 * time.Second))
 	resp, err := http.ReadResponse(c.in, nil)
 	require.NoError(n.t, err, attempt)
-	resp.Body.Close()
 	return resp.StatusCode
 }
 
@@ -133,9 +138,123 @@
 	first, others := s.gateway("vm-1"), []*testGateway{s.gateway("vm-2"), s.gateway("vm-3")}
 	first.eventually(func() bool { return len(first.group.links.LiveStates()) == 2 }, "linked")
 	streams := s.beginMany(first, "stream", 12)
-	time.Sleep(50 * time.Millisecond)
+	for _, n := range others {
+		n.eventually(func() bool { return n.originCount() == len(streams) }, "origins have arrived")
+	}
 	first.Close()
 	for _, n := range others {
 		require.Equal(t, len(streams), s.resumeMany(n, "at-"+n.group.self.Name, streams))
 	}
 }
+
+// originCount returns the number of streams whose origin a gateway knows.
+func (n *testGateway) originCount() int {
+	n.group.origins.mu.Lock()
+	defer n.group.origins.mu.Unlock()
+	return n.group.origins.book.Len()
+}
+
+// Guards against bytes between gateways, and against refusals, while there is one version only, also at a
+// gateway that has just started.
+func TestOneSoftwareVersionCostsNothing(t *testing.T) {
+	s := newSystem(t)
+	s.server(fleet.ModelService, streamBehavior("v1"))
+	s.server(fleet.ModelService, streamBehavior("v1"))
+	first, second := s.gateway("vm-1"), s.gateway("vm-2")
+	// The route's timeout is 6 s.
+	require.Eventually(t, func() bool {
+		_, ok := second.registry.OnlyVersion(fleet.ModelService, 6*time.Second, clock.SinceBoot())
+		return ok
+	}, 8*time.Second, 20*time.Millisecond)
+	b := first.begin("stream")
+	require.Equal(t, http.StatusOK, second.resume(b, "resumed"))
+	for _, n := range []*testGateway{first, second} {
+		require.Zero(t, n.originCount())
+		require.Zero(t, n.group.stats.peerBytes[peers.CauseOrigin])
+	}
+	started := s.gateway("vm-3")
+	started.eventually(func() bool { return len(started.group.links.LiveStates()) == 2 }, "linked")
+	require.Equal(t, http.StatusOK, started.resume(b, "resumed at a new gateway"))
+}
+
+// Guards against streams of the time before a second version appeared, while they still run.
+func TestStreamsThatBeganBeforeTheSecondVersionAreRecorded(t *testing.T) {
+	s := newSystem(t)
+	s.server(fleet.ModelService, streamBehavior("v1"))
+	s.server(fleet.ModelService, streamBehavior("v1"))
+	first, second := s.gateway("vm-1"), s.gateway("vm-2")
+	first.eventually(func() bool { return len(first.group.links.LiveStates()) == 1 }, "linked")
+	c := first.dial()
+	c.send(generation(fleet.CheckPath).with("X-Kingcupplank-Attempt-Id", "stream"))
+	first.eventually(func() bool { return s.versionOf("stream") != "" }, "the stream runs")
+	s.server(fleet.ModelService, streamBehavior("v2"))
+	second.eventually(func() bool { return second.originCount() == 1 }, "the origin has arrived")
+	c.Close()
+	require.Equal(t, 1, s.resumeMany(second, "second", []brokenStream{{id: "stream", lastEvent: 3, version: "v1"}}))
+}
+
+// Guards against a stream of unknown origin that goes on at any version, and against a caller that is held
+// although its stream can't go on: after all gateways were killed, and once the last server of its version
+// has gone.
+func TestStreamsThatCannotGoOnAreRefusedAtOnce(t *testing.T) {
+	s := newSystem(t)
+	first := s.server(fleet.ModelService, streamBehavior("v1"))
+	s.server(fleet.ModelService, streamBehavior("v2"))
+	n := s.gateway("vm-1")
+	streams := s.beginMany(n, "stream", 8)
+	first.StartDraining(true)
+	n.eventually(func() bool { return n.registry.CountReady(fleet.ModelService) == 1 }, "leaving")
+	refused := func(b brokenStream, attempt string) {
+		begun := time.Now()
+		require.Equal(t, http.StatusServiceUnavailable, n.resume(b, attempt))
+		require.Less(t, time.Since(begun), time.Second)
+		require.Empty(t, s.versionOf(attempt))
+	}
+	began := make(map[string]int)
+	for i, b := range streams {
+		if began[b.version]++; b.version == "v1" {
+			refused(b, fmt.Sprint("gone-", i))
+		}
+	}
+	require.Len(t, began, 2, "streams began at both versions")
+	refused(brokenStream{id: "made up", lastEvent: 3}, "unknown")
+	n.Close()
+	n = s.gateway("vm-2")
+	for i, b := range streams {
+		refused(b, fmt.Sprint("restarted-", i))
+	}
+}
+
+// Guards against a share of streams that is lost with a part of the gateways, and against gateways without a
+// link to the keepers.
+func TestStreamsGoOnAfterAFifthOfTheGatewaysCrashed(t *testing.T) {
+	s := newSystem(t)
+	s.peerLinks = 3
+	for _, version := range []string{"v1", "v1", "v1", "v2", "v2", "v2"} {
+		s.server(fleet.ModelService, streamBehavior(version))
+	}
+	gateways := make([]*testGateway, 10)
+	for i := range gateways {
+		gateways[i] = s.gateway(fmt.Sprint("vm-", i))
+	}
+	for _, n := range gateways {
+		n.eventually(func() bool { return n.group.links.KnownCount() == len(gateways) && n.group.links.LinkCount() >= 3 }, "all are known")
+	}
+	const each = 6
+	streams := slices.Concat(s.beginMany(gateways[0], "first", each), s.beginMany(gateways[1], "second", each))
+	kept := func() (n int) {
+		for _, g := range gateways {
+			n += g.originCount()
+		}
+		return n
+	}
+	gateways[0].eventually(func() bool { return kept() >= originKeepers*len(streams) }, "origins have arrived")
+	gateways[0].Close()
+	gateways[1].Close()
+	resumed := 0
+	for i, b := range streams {
+		n := gateways[2+i%(len(gateways)-2)]
+		resumed += s.resumeMany(n, fmt.Sprint("stream-", i), []brokenStream{b})
+	}
+	require.GreaterOrEqual(t, resumed, len(streams)*9/10)
+}
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -227,6 +227,10 @@
 // serveFetch answers a fetch from this gateway's copies of the tables. A fetch without a
 // table is for the configuration.
 func (g *group) serveFetch(req *peerv1.Fetch) (*peerv1.Change, [][]byte, error) {
+	if isOriginRequest(req) {
+		head, err := g.origins.serve(req)
+		return head, nil, err
+	}
 	if req.GetTable() == "" {
 		return g.config.serveFetch(req)
 	}
--- a/internal/peers/fetch.go
+++ b/internal/peers/fetch.go
@@ -55,14 +55,10 @@
 	defer stream.Close()
 	stop := context.AfterFunc(ctx, func() { stream.Close() })
 	defer stop()
-	stream.SetDeadline(time.Now().Add(answerTimeout))
-	if err := mux.WriteFrame(stream, request); err != nil {
-		return errors.Wrap(err, "send request to peer")
-	}
 	frames := mux.NewFrameReader(stream)
-	head := &peerv1.Change{}
-	if err := frames.Read(head); err != nil {
-		return errors.Wrap(err, "read answer of peer")
+	head, err := ask(stream, request, frames)
+	if err != nil {
+		return err
 	}
 	if head.GetParts() > maxParts {
 		return errAnswerSize
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -101,6 +101,8 @@
 	CauseState  Cause = "states"
 	CausePage   Cause = "pages"
 	CauseAnswer Cause = "answers"
+	// CauseOrigin is for the origins of streams that callers take up.
+	CauseOrigin Cause = "origins"
 	// CauseSuspects is for requests under which servers have crashed.
 	CauseSuspects Cause = "suspects"
 )
@@ -127,8 +129,10 @@
 	live           map[string]*peerState
 	// inbound contains the links that peers have dialed, by name.
 	inbound map[string]*yamux.Session
-	ctx     context.Context
-	wg      sync.WaitGroup
+	// contacts are the sessions with gateways that this one has no link with, by name.
+	contacts map[string]*contact
+	ctx      context.Context
+	wg       sync.WaitGroup
 
 	state   stateFrame
 	linkLog limitedLog
@@ -162,7 +166,8 @@
 	return &Manager{
 		self: self, Deps: deps, known: make(map[string]Member), links: make(map[string]*memberLink),
 		live: make(map[string]*peerState), inbound: make(map[string]*yamux.Session),
-		linkLog: newLimitedLog(),
+		contacts: make(map[string]*contact),
+		linkLog:  newLimitedLog(),
 	}
 }
 
@@ -453,6 +458,7 @@
 			return
 		case <-t.C:
 		}
+		m.closeIdleContacts()
 		var silent []string
 		m.mu.Lock()
 		for name, p := range m.live {
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -89,7 +89,7 @@
 		reservation.Release(resultForReason(notRun.Reason), r.Now())
 		r.discountAttempt(j, notRun.Reason)
 		if notRun.Reason == NotRunReplaced {
-			r.Registry.MarkReplaced(reservation.Server)
+			r.Registry.MarkReplaced(reservation.Server, r.Now())
 		}
 		if ctx.Err() != nil || j.timeLeft() < minTimeLeft {
 			return r.refuse(j, ReasonDeadline)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -13,6 +13,7 @@
 	"kingcupplank.example/kingcup/concurrency"
 	"kingcupplank.example/kingcup/flow"
 	"kingcupplank.example/kingcup/internal/clock"
+	"kingcupplank.example/kingcup/origin"
 	"kingcupplank.example/kingcup/pace"
 	"kingcupplank.example/kingcup/pacing"
 	"kingcupplank.example/kingcup/quarantine"
@@ -78,6 +79,8 @@
 	Observer   Observer
 	Peers      Peers
 	Quarantine Quarantine
+	// Origins knows where the streams began that callers take up, nil for none.
+	Origins Origins
 	// Limits receives the decisions of shared limits for metrics, nil for none.
 	Limits LimitObserver
 }
@@ -104,6 +107,36 @@
 	Answered(id quarantine.ID)
 }
 
+// Origins knows which software versions began the streams that callers may take up again, at this gateway or
+// at another.
+type Origins interface {
+	// Record records the origin of a stream for its lifetime, and sends it to the gateways that keep it. It
+	// does not block.
+	Record(id origin.ID, o origin.Origin, lifetime time.Duration)
+	// Lookup returns the origin of a stream, and from whom it was learned. q.Service is the service of the
+	// request that takes the stream up.
+	Lookup(ctx context.Context, q OriginQuery) OriginAnswer
+}
+
+// OriginQuery asks for the origin of a stream.
+type OriginQuery struct {
+	ID      origin.ID
+	Service string
+	// Lifetime is the longest time for which the stream has lasted.
+	Lifetime time.Duration
+}
+
+// OriginAnswer answers an OriginQuery.
+type OriginAnswer struct {
+	Origin origin.Origin
+	Known  bool
+	// OnlyVersion is the version of all servers of the service that another gateway has seen for the
+	// lifetime of the stream, empty if none has seen them for as long or there were several.
+	OnlyVersion string
+	// From is the source of the answer, for the log.
+	From string
+}
+
 // Peers gives access to the other gateways.
 type Peers interface {
 	// Count returns the number of gateways, including this one; 0 if unknown.
@@ -198,6 +231,9 @@
 	if r.Quarantine == nil {
 		r.Quarantine = noQuarantine{}
 	}
+	if r.Origins == nil {
+		r.Origins = noOrigins{}
+	}
 	r.Configure(cfg)
 	return r
 }
@@ -219,6 +255,7 @@
 // job is a request in flight.
 type job struct {
 	*Request
+	config   *routing.Config
 	route    *routing.Route
 	service  string
 	engine   *routing.Engine
@@ -246,6 +283,8 @@
 	// software is the software version that has sent the first event of the stream, nil before it.
 	// The stream may only go on at servers of that version.
 	software atomic.Pointer[string]
+	// originRecorded is set once the origin of the stream has been recorded for its caller's return.
+	originRecorded atomic.Bool
 	// progress is the progress of a stream.
 	progress progress
 	// queued is how a generation was queued for an engine.
@@ -359,7 +398,7 @@
 		}
 		return nil, &Refusal{Reason: ReasonNoRoute}
 	}
-	j := &job{Request: req, route: route, arrived: now, configVersion: cfg.Version, priority: route.Priority, regions: route.Regions, forecasts: r.forecasts}
+	j := &job{Request: req, config: cfg, route: route, arrived: now, configVersion: cfg.Version, priority: route.Priority, regions: route.Regions, forecasts: r.forecasts}
 	if cfg.NeedsKey(route) {
 		if refusal := r.authorize(j, cfg, configAge); refusal != nil {
 			return nil, refusal
--- a/internal/relay/restart.go
+++ b/internal/relay/restart.go
@@ -42,7 +42,7 @@
 	}
 	if !r.Registry.RunsSoftware(backends.Server{ID: s.ID}, s.SoftwareVersion) {
 		for _, u := range runs {
-			u.job.forgetSoftware()
+			r.forgetSoftware(u.job)
 		}
 	}
 	time.AfterFunc(restartCheckDelay, func() {
--- a/internal/relay/resumption.go
+++ b/internal/relay/resumption.go
@@ -1,6 +1,16 @@
 package relay
 
-import "kingcupplank.example/kingcup/backends"
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"kingcupplank.example/kingcup/backends"
+	"kingcupplank.example/kingcup/origin"
+	"kingcupplank.example/kingcup/routing"
+)
 
 // Resumption says how the software version of the server at which a stream is resumed relates to
 // the version that began the stream.
@@ -12,8 +22,10 @@
 	ResumedSameVersion Resumption = "same version"
 	// ResumedOtherVersion: the versions differ, or one of them is unknown.
 	ResumedOtherVersion Resumption = "other version"
-	// ResumedOriginUnknown: it is not known here which version began the stream.
-	ResumedOriginUnknown Resumption = "origin unknown"
+	// RefusedOriginUnknown: a caller was refused, as it is not known which version began its stream.
+	RefusedOriginUnknown Resumption = "refused, origin unknown"
+	// RefusedVersionGone: a caller was refused, as no server of the version takes requests.
+	RefusedVersionGone Resumption = "refused, version gone"
 )
 
 // resumption returns the Resumption of a stream that goes on from one server to another.
@@ -23,3 +35,109 @@
 	}
 	return ResumedOtherVersion
 }
+
+// originID returns the id under which the origin of a stream is recorded, also across the attempts with
+// which its caller takes it up.
+func (j *job) originID() origin.ID {
+	if j.LastEventID != "" && j.Resumes != "" {
+		return origin.NewID(j.team, j.Resumes)
+	}
+	return origin.NewID(j.team, j.ID)
+}
+
+// streamLifetime bounds the time from the first event of a stream to the last attempt to take it up.
+func (j *job) streamLifetime() time.Duration {
+	return min(origin.MaxLifetime, max(j.Timeout, effectiveTimeout(0, j.route.Timeout)))
+}
+
+// recordOrigin records which servers began the stream, if its caller may take it up at a gateway that could
+// not tell. It is called before each event is forwarded: a second version may appear at any time.
+func (s *session) recordOrigin() {
+	j := s.job
+	if !j.route.Resumable || j.originRecorded.Load() {
+		return
+	}
+	lifetime := j.streamLifetime()
+	if len(j.route.Split) == 1 && !s.Registry.HasSeveralVersions(j.service, lifetime, s.Now()) {
+		return
+	}
+	j.originRecorded.Store(true)
+	s.Origins.Record(j.originID(), origin.Origin{Service: j.service, SoftwareVersion: *j.software.Load()}, lifetime)
+}
+
+// bindResumedStream restricts a stream that its caller takes up to servers of the service and the software
+// version that began it. It returns a refusal if these are not known or no longer there.
+//
+// A stream that goes on at another version is wrong in a way that its caller can't see, so a stream of
+// unknown origin is refused.
+func (r *Relay) bindResumedStream(ctx context.Context, j *job) *Refusal {
+	if j.LastEventID == "" {
+		return nil
+	}
+	begin := r.Now()
+	a := r.findOrigin(ctx, j)
+	log := j.log.WithFields(logrus.Fields{"resumes": j.Resumes, "after": j.LastEventID, "learned_from": a.From, "took_ms": (r.Now() - begin).Milliseconds()})
+	if !a.Known {
+		log.Info("stream is not resumed, its origin is unknown")
+		r.Observer.StreamResumed(RefusedOriginUnknown)
+		return r.refuseResumption(j, ReasonOriginUnknown)
+	}
+	log.WithFields(logrus.Fields{"software": a.Origin.SoftwareVersion, "began_on": a.Origin.Service}).Info("caller resumes a stream")
+	if !j.moveToService(a.Origin.Service) {
+		r.Observer.StreamResumed(RefusedVersionGone)
+		return r.refuseResumption(j, ReasonSoftwareGone)
+	}
+	j.software.Store(&a.Origin.SoftwareVersion)
+	if refusal := r.refuseIfSoftwareGone(j); refusal != nil {
+		r.Observer.StreamResumed(RefusedVersionGone)
+		return refusal
+	}
+	r.Observer.StreamResumed(ResumedSameVersion)
+	return nil
+}
+
+// findOrigin returns where the stream began that a caller takes up. Nobody is asked while this gateway has seen
+// servers of one version only for longer than the stream can have lasted.
+func (r *Relay) findOrigin(ctx context.Context, j *job) OriginAnswer {
+	lifetime := j.streamLifetime()
+	if len(j.route.Split) == 1 {
+		if version, ok := r.Registry.OnlyVersion(j.service, lifetime, r.Now()); ok {
+			return OriginAnswer{Origin: origin.Origin{Service: j.service, SoftwareVersion: version}, Known: true, From: "only version"}
+		}
+	}
+	if j.Resumes == "" {
+		return OriginAnswer{}
+	}
+	a := r.Origins.Lookup(ctx, OriginQuery{ID: j.originID(), Service: j.service, Lifetime: lifetime})
+	if !a.Known && a.OnlyVersion != "" && len(j.route.Split) == 1 && !r.Registry.HasSeveralVersions(j.service, lifetime, r.Now()) {
+		a.Origin, a.Known = origin.Origin{Service: j.service, SoftwareVersion: a.OnlyVersion}, true
+	}
+	return a
+}
+
+// refuseResumption returns the refusal of a stream that can't be taken up. Coming back earlier would be in vain.
+func (r *Relay) refuseResumption(j *job, reason Reason) *Refusal {
+	return &Refusal{Reason: reason, RetryAfter: j.timeLeft()}
+}
+
+// moveToService changes the service of a request to the one that began its stream. It returns false if the
+// route does not lead there any more.
+func (j *job) moveToService(service string) bool {
+	if service == j.service {
+		return true
+	}
+	if !slices.ContainsFunc(j.route.Split, func(w routing.Weighted) bool { return w.Service == service && w.Weight > 0 }) {
+		return false
+	}
+	j.service, j.engine = service, nil
+	if s := j.config.Service(service); s != nil {
+		j.engine = s.Engine
+	}
+	return true
+}
+
+// noOrigins knows the origin of no stream.
+type noOrigins struct{}
+
+func (noOrigins) Record(origin.ID, origin.Origin, time.Duration)   {}
+func (noOrigins) Lookup(context.Context, OriginQuery) OriginAnswer { return OriginAnswer{} }
--- a/internal/relay/software.go
+++ b/internal/relay/software.go
@@ -5,6 +5,7 @@
 
 	"kingcupplank.example/kingcup/backends"
 	"kingcupplank.example/kingcup/internal/wait"
+	"kingcupplank.example/kingcup/origin"
 )
 
 // bindSoftware records which software version sends the first event of the stream.
@@ -25,9 +26,13 @@
 
 // forgetSoftware makes the software version of a stream unknown, so that it goes on nowhere else: its server
 // has restarted, and it is not known in which incarnation the stream began.
-func (j *job) forgetSoftware() {
-	if j.software.Load() != nil {
-		j.software.Store(new(string))
+func (r *Relay) forgetSoftware(j *job) {
+	if j.software.Load() == nil {
+		return
+	}
+	j.software.Store(new(string))
+	if j.originRecorded.Load() {
+		r.Origins.Record(j.originID(), origin.Origin{Service: j.service}, j.streamLifetime())
 	}
 }
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -30,6 +30,9 @@
 
 // stream answers a request whose response is a stream of events.
 func (r *Relay) stream(ctx context.Context, j *job, out Responder) string {
+	if refusal := r.bindResumedStream(ctx, j); refusal != nil {
+		return r.sendRefusal(ctx, j, *refusal, out)
+	}
 	placed, refusal := r.place(ctx, j, j.LastEventID)
 	for refusal == nil && !placed.isStream() {
 		response, err := bufferResponse(placed.response)
@@ -55,9 +58,6 @@
 	if refusal != nil {
 		return r.sendRefusal(ctx, j, *refusal, out)
 	}
-	if j.LastEventID != "" {
-		r.Observer.StreamResumed(ResumedOriginUnknown)
-	}
 	s := &session{Relay: r, job: j, out: out, seq: sequenceAfter(j.LastEventID)}
 	return s.forward(ctx, placed)
 }
@@ -132,6 +132,7 @@
 		if isFirst {
 			s.started = true
 			s.bindSoftware()
+			s.recordOrigin()
 			s.job.progress.firstDelay = s.Now() - s.job.arrived
 			s.Observer.FirstByte(s.job.team, s.job.service, s.job.route.Kind, s.job.progress.firstDelay)
 			if s.out.Begin(head) != nil {
@@ -140,6 +141,7 @@
 		} else {
 			s.recordEventPause(placed, s.Now()-s.lastEventAt)
 		}
+		s.recordOrigin()
 		s.lastEventAt, placed.hadEvent = s.Now(), true
 		s.job.progress.events++
 		if s.out.Write(event) != nil {
