Soak: versions of model servers, releases, callers that take streams up

Servers of a run have two versions side by side with probability one half, a release replaces the oldest one by one, and callers take up light streams that break behind an event, up to three times, at gateways drawn at random. Events name their server's version, and every stream must have one.

--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -128,7 +128,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
 	defer cancel()
-	request := &peerv1.Fetch{Lookup: &peerv1.Lookup{Id: q.ID[:], Service: q.Service, LifetimeMs: q.Lifetime.Milliseconds()}}
+	request := &peerv1.Fetch{Lookup: &peerv1.Lookup{Id: q.ID[:], Service: q.Service, SpanMs: q.Span.Milliseconds()}}
 	keepers := s.group.links.Keepers(string(q.ID[:]), originKeepers+spareKeepers)
 	answers := make(chan relay.OriginAnswer, len(keepers))
 	for _, keeper := range keepers {
@@ -174,8 +174,7 @@
 		if err != nil {
 			return nil, err
 		}
-		lifetime := time.Duration(min(max(0, m.GetLifetimeMs()), origin.MaxLifetime.Milliseconds())) * time.Millisecond
-		s.record(id, origin.Origin{Service: m.GetService(), SoftwareVersion: m.GetSoftwareVersion()}, lifetime)
+		s.record(id, origin.Origin{Service: m.GetService(), SoftwareVersion: m.GetSoftwareVersion()}, boundedMillis(m.GetLifetimeMs()))
 	}
 	if req.GetLookup() == nil {
 		return &peerv1.Change{}, nil
@@ -188,12 +187,17 @@
 	if o, known := s.lookup(id); known {
 		answer.Origin = originMessage(id, o, 0)
 	} else {
-		lifetime := time.Duration(min(max(0, req.GetLookup().GetLifetimeMs()), origin.MaxLifetime.Milliseconds())) * time.Millisecond
-		answer.OnlyVersion, _ = s.group.registry.OnlyVersion(req.GetLookup().GetService(), lifetime, clock.SinceBoot())
+		span := boundedMillis(req.GetLookup().GetSpanMs())
+		answer.OnlyVersion, _ = s.group.registry.OnlyVersion(req.GetLookup().GetService(), span, clock.SinceBoot())
 	}
 	return &peerv1.Change{Lookup: answer}, nil
 }
 
+// boundedMillis converts a time that a peer names, which is bounded by origin.MaxLifetime.
+func boundedMillis(ms int64) time.Duration {
+	return time.Duration(min(max(0, ms), origin.MaxLifetime.Milliseconds())) * time.Millisecond
+}
+
 func originMessage(id origin.ID, o origin.Origin, lifetime time.Duration) *peerv1.Origin {
 	return &peerv1.Origin{Id: id[:], Service: o.Service, SoftwareVersion: o.SoftwareVersion, LifetimeMs: lifetime.Milliseconds()}
 }
--- a/internal/gateway/resumption_test.go
+++ b/internal/gateway/resumption_test.go
@@ -161,11 +161,11 @@
 	s.server(fleet.ModelService, streamBehavior("v1"))
 	s.server(fleet.ModelService, streamBehavior("v1"))
 	first, second := s.gateway("vm-1"), s.gateway("vm-2")
-	// The route's timeout is 6 s.
+	// The route's timeout is 6 s, and callers return within 2 s.
 	require.Eventually(t, func() bool {
-		_, ok := second.registry.OnlyVersion(fleet.ModelService, 6*time.Second, clock.SinceBoot())
+		_, ok := second.registry.OnlyVersion(fleet.ModelService, 8*time.Second, clock.SinceBoot())
 		return ok
-	}, 8*time.Second, 20*time.Millisecond)
+	}, 12*time.Second, 20*time.Millisecond)
 	b := first.begin("stream")
 	require.Equal(t, http.StatusOK, second.resume(b, "resumed"))
 	for _, n := range []*testGateway{first, second} {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -122,16 +122,17 @@
 type OriginQuery struct {
 	ID      origin.ID
 	Service string
-	// Lifetime is the longest time for which the stream has lasted.
-	Lifetime time.Duration
+	// Span is the time within which the stream's version was listed, Lifetime that for which the
+	// answer is kept.
+	Span, Lifetime time.Duration
 }
 
 // OriginAnswer answers an OriginQuery.
 type OriginAnswer struct {
 	Origin origin.Origin
 	Known  bool
-	// OnlyVersion is the version of all servers of the service that another gateway has seen for the
-	// lifetime of the stream, empty if none has seen them for as long or there were several.
+	// OnlyVersion is the version of all servers of the service that another gateway has seen within the
+	// Span, empty if none has seen them for as long or there were several.
 	OnlyVersion string
 	// From is the source of the answer, for the log.
 	From string
--- a/internal/relay/resumption.go
+++ b/internal/relay/resumption.go
@@ -45,6 +45,15 @@
 	return origin.NewID(j.team, j.ID)
 }
 
+// maxReturnTime bounds the time after which a caller takes up a stream that has broken off.
+const maxReturnTime = 2 * time.Second
+
+// versionSpan is the time for which a version matters after its last server has been delisted: servers
+// finish the streams that they have, and callers take up those that break.
+func (j *job) versionSpan() time.Duration {
+	return effectiveTimeout(0, j.route.Timeout) + maxReturnTime
+}
+
 // streamLifetime bounds the time from the first event of a stream to the last attempt to take it up.
 func (j *job) streamLifetime() time.Duration {
 	return min(origin.MaxLifetime, max(j.Timeout, effectiveTimeout(0, j.route.Timeout)))
@@ -57,12 +66,11 @@
 	if !j.route.Resumable || j.originRecorded.Load() {
 		return
 	}
-	lifetime := j.streamLifetime()
-	if len(j.route.Split) == 1 && !s.Registry.HasSeveralVersions(j.service, lifetime, s.Now()) {
+	if len(j.route.Split) == 1 && !s.Registry.HasSeveralVersions(j.service, j.versionSpan(), s.Now()) {
 		return
 	}
 	j.originRecorded.Store(true)
-	s.Origins.Record(j.originID(), origin.Origin{Service: j.service, SoftwareVersion: *j.software.Load()}, lifetime)
+	s.Origins.Record(j.originID(), origin.Origin{Service: j.service, SoftwareVersion: *j.software.Load()}, j.streamLifetime())
 }
 
 // bindResumedStream restricts a stream that its caller takes up to servers of the service and the software
@@ -97,19 +105,18 @@
 }
 
 // findOrigin returns where the stream began that a caller takes up. Nobody is asked while this gateway has seen
-// servers of one version only for longer than the stream can have lasted.
+// servers of one version only for longer than another one could matter.
 func (r *Relay) findOrigin(ctx context.Context, j *job) OriginAnswer {
-	lifetime := j.streamLifetime()
 	if len(j.route.Split) == 1 {
-		if version, ok := r.Registry.OnlyVersion(j.service, lifetime, r.Now()); ok {
+		if version, ok := r.Registry.OnlyVersion(j.service, j.versionSpan(), r.Now()); ok {
 			return OriginAnswer{Origin: origin.Origin{Service: j.service, SoftwareVersion: version}, Known: true, From: "only version"}
 		}
 	}
 	if j.Resumes == "" {
 		return OriginAnswer{}
 	}
-	a := r.Origins.Lookup(ctx, OriginQuery{ID: j.originID(), Service: j.service, Lifetime: lifetime})
-	if !a.Known && a.OnlyVersion != "" && len(j.route.Split) == 1 && !r.Registry.HasSeveralVersions(j.service, lifetime, r.Now()) {
+	a := r.Origins.Lookup(ctx, OriginQuery{ID: j.originID(), Service: j.service, Span: j.versionSpan(), Lifetime: j.streamLifetime()})
+	if !a.Known && a.OnlyVersion != "" && len(j.route.Split) == 1 && !r.Registry.HasSeveralVersions(j.service, j.versionSpan(), r.Now()) {
 		a.Origin, a.Known = origin.Origin{Service: j.service, SoftwareVersion: a.OnlyVersion}, true
 	}
 	return a
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -18,8 +18,11 @@
 	// Complete says whether the response was received to its end.
 	Complete bool
 	Body     string
-	// Events are the received events of a stream, in order.
+	// Events are the received events of a stream, in order, over all attempts of its caller.
 	Events []string
+	// takenUp is the number of attempts with which the caller took the stream up, resumed that of those
+	// that received events.
+	takenUp, resumed int
 	// expectedEvents is the number of events of a complete stream.
 	expectedEvents int
 }
@@ -122,9 +125,13 @@
 // checkEvents requires the events to be in order without gaps, and all of them to be there if the
 // response is complete.
 func (a *Attempt) checkEvents(isComplete bool) (violations []string) {
+	version := ""
+	if len(a.Events) > 0 {
+		version = versionOf(a.Events[0])
+	}
 	for i, e := range a.Events {
-		if want := fmt.Sprintf("id: %d\ndata: tok%d\n\n", i+1, i+1); e != want {
-			return append(violations, fmt.Sprintf("event %d is %q", i+1, e))
+		if want := fleet.EventText(i+1, version); e != want {
+			return append(violations, fmt.Sprintf("event %d is %q, want %q", i+1, e, want))
 		}
 	}
 	if isComplete && len(a.Events) != a.expectedEvents {
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -23,12 +23,17 @@
 	smallService bool
 	// lostZones is the number of failure domains whose loss the settings file names.
 	lostZones int
+	// severalVersions says that model servers run several versions of their software.
+	severalVersions bool
 }
 
 const (
 	// minLoadFaultKinds is the number of kinds of faults from which on loads are drawn. Seeds of
 	// earlier failures have the usual load.
 	minLoadFaultKinds = 27
+	// minVersionFaultKinds is the number from which on they may have several software versions, and
+	// callers take streams up.
+	minVersionFaultKinds = 28
 
 	// usualStep is the event interval of an engine of mean pace. With it, a slow engine exceeds
 	// maxPause while it reads a prompt in a dip, and a fast one does not.
@@ -64,11 +69,13 @@
 	}
 	rng := rand.New(rand.NewPCG(seed, 2))
 	half := func() bool { return rng.IntN(2) == 0 }
-	return load{unequalEngines: half(), shortGenerations: half(), smallService: half(), lostZones: rng.IntN(2)}
+	l := load{unequalEngines: half(), shortGenerations: half(), smallService: half(), lostZones: rng.IntN(2)}
+	l.severalVersions = faultKinds >= minVersionFaultKinds && half()
+	return l
 }
 
 func (l load) String() string {
-	return fmt.Sprintf("unequal engines: %v, short generations: %v, small service: %v, lost zones: %d", l.unequalEngines, l.shortGenerations, l.smallService, l.lostZones)
+	return fmt.Sprintf("unequal engines: %v, short generations: %v, small service: %v, lost zones: %d, several versions: %v", l.unequalEngines, l.shortGenerations, l.smallService, l.lostZones, l.severalVersions)
 }
 
 // config returns what the configuration says about the load.
--- a/internal/soak/load_test.go
+++ b/internal/soak/load_test.go
@@ -20,5 +20,5 @@
 		require.Equal(t, l, drawLoad(seed, len(faultKinds)))
 		loads[l] = true
 	}
-	require.Len(t, loads, 1<<4)
+	require.Len(t, loads, 1<<5)
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -73,6 +73,8 @@
 	faultLog   []string
 	// serverCount is the number of servers added with a domain from nextDomain.
 	serverCount int
+	// versions are the software versions of model servers that are started.
+	versions softwareVersions
 	// engineCount is the number of model engines added, except those that replaced a crashed one.
 	engineCount int
 }
@@ -96,6 +98,8 @@
 	FaultLog, Violations []string
 	// Attempts is the number of callers' requests, Served that of completely served ones.
 	Attempts, Served int
+	// TakenUp is the number of attempts to take a stream up, Resumed that of those that received events.
+	TakenUp, Resumed int
 }
 
 // Run runs the faults and callers of a seed and checks the guarantees.
@@ -103,6 +107,7 @@
 	s := &Soak{
 		Options: o, fleet: fleet.New(), history: newHistory(), rng: rand.New(rand.NewPCG(o.Seed, 1)),
 		stopped: make(map[*fleet.Server]bool), callersKey: fleet.Key, validKey: fleet.Key, load: drawLoad(o.Seed, o.FaultKinds),
+		versions: softwareVersions{several: drawLoad(o.Seed, o.FaultKinds).severalVersions},
 	}
 	defer s.close()
 	if err := s.start(); err != nil {
@@ -125,6 +130,8 @@
 	res.Violations = append(res.Violations, checkQuarantine(servers, s.crashingBodies)...)
 	for _, a := range s.history.attempts {
 		res.Attempts++
+		res.TakenUp += a.takenUp
+		res.Resumed += a.resumed
 		if a.Status == 200 && a.Complete {
 			res.Served++
 		}
@@ -196,6 +203,7 @@
 	if service == fleet.ModelService {
 		s.mu.Lock()
 		b = s.load.engine(s.engineCount)
+		b.SoftwareVersion = s.versions.next(s.engineCount)
 		s.engineCount++
 		s.mu.Unlock()
 	}
@@ -336,6 +344,9 @@
 	var err error
 	if a.isStream() {
 		a.Status, err = fleet.StreamWith(ctx, g.settings.Callers, path, a.Request, func(e string) { a.Events = append(a.Events, e) })
+		if err != nil && path == fleet.CheckPath && s.FaultKinds >= minVersionFaultKinds {
+			err = s.takeUp(ctx, &a, err)
+		}
 	} else {
 		a.Status, a.Body, err = fleet.CallWith(ctx, g.settings.Callers, path, a.Request)
 	}
--- a/internal/standin/fleet/caller.go
+++ b/internal/standin/fleet/caller.go
@@ -29,6 +29,10 @@
 	ID, Key string
 	// Body is the request body; empty means a default body.
 	Body string
+	// Resumes is the id of the attempt that received the first event of the stream which the request
+	// takes up behind LastEvent, empty for a new stream.
+	Resumes   string
+	LastEvent int
 }
 
 // defaultBody is sent where the content of a request does not matter.
@@ -46,6 +50,10 @@
 	r.Header.Set("X-Api-Key", spec.Key)
 	r.Header.Set("X-Kingcupplank-Attempt-Id", spec.ID)
 	r.Header.Set("X-Kingcupplank-Deadline-Ms", "20000")
+	if spec.Resumes != "" {
+		r.Header.Set("Resumes", spec.Resumes)
+		r.Header.Set("Last-Event-Id", strconv.Itoa(spec.LastEvent))
+	}
 	return r, nil
 }
 
--- a/internal/standin/fleet/server.go
+++ b/internal/standin/fleet/server.go
@@ -74,7 +74,8 @@
 
 // Behavior is how a server responds.
 type Behavior struct {
-	// SoftwareVersion is the version of the server's software, DefaultSoftwareVersion if empty.
+	// SoftwareVersion is the version of the server's software, DefaultSoftwareVersion if empty. If set,
+	// each event names it.
 	SoftwareVersion string
 	// Delay is the time before the header of a response.
 	Delay time.Duration
@@ -398,7 +399,7 @@
 		s.readPrompt(r, b)
 	}
 	for n := lastReceived + 1; n <= b.Events; n++ {
-		fmt.Fprintf(w, "id: %d\ndata: tok%d\n\n", n, n)
+		io.WriteString(w, EventText(n, b.SoftwareVersion))
 		if controller.Flush() != nil {
 			return
 		}
@@ -420,6 +421,15 @@
 	}
 }
 
+// EventText returns the n-th event of a stream, counted from 1, of an engine whose Behavior has a software
+// version.
+func EventText(n int, softwareVersion string) string {
+	if softwareVersion != "" {
+		softwareVersion = " " + softwareVersion
+	}
+	return fmt.Sprintf("id: %d\ndata: tok%d%s\n\n", n, n, softwareVersion)
+}
+
 // readPrompt takes the time to read a prompt, one after the other.
 func (s *Server) readPrompt(r *http.Request, b Behavior) {
 	if b.PromptTime <= 0 {
