Long streams don't begin at a version that is being replaced

What callers saw: a long stream that begins at the last servers of a version is lost with them since it goes on at no other version; before, it went on at one and was wrong. Cause: the choice of a server knew nothing of releases. Change: package rollout tells a version that is being replaced by servers that join and leave within 10 s (half of it has left, servers of another version have joined; no order between versions). Long generations that may not run again prefer servers of other versions up to 0.8 of their memory, and go anywhere otherwise. kingcup_gateway_software_versions shows versions side by side.

--- a/backends/load.go
+++ b/backends/load.go
@@ -178,7 +178,9 @@
 		}
 		leavingChanged := status.Leaving && !s.gone && !s.selfReported
 		if status.Leaving {
+			due := len(events)
 			events = s.markLeaving(events, LeavePeerReported)
+			r.recordLeaving(events[due:], now)
 		}
 		if rateLimitChanged := s.rateLimit.merge(status.RateLimit, now); rateLimitChanged || leavingChanged {
 			changes = append(changes, StatusChange{Server: s.Server, RateLimitChanged: rateLimitChanged})
--- a/backends/query.go
+++ b/backends/query.go
@@ -46,6 +46,9 @@
 	// RequiredSoftware is the only version of the servers' software that may be chosen, nil for all.
 	// An unknown version is none that may be chosen.
 	RequiredSoftware *string
+	// Lasting prefers servers whose software version is not being replaced, where one has room: the
+	// request can go on at no other version.
+	Lasting bool
 	// SharedTime is the current time on the clock that all processes share. It decides which
 	// process may send to a server with a bounded rate.
 	SharedTime pacing.SharedTime
@@ -117,10 +120,25 @@
 	if q.ForCopy {
 		policy = r.copyPolicy
 	}
-	i := policy.BestOf(drawCount, req, views, q.Draw)
-	if i < 0 && divided && q.Spill {
-		req.IsCandidate = nil
-		i = policy.BestOf(drawCount, req, views, q.Draw)
+	best := func() int {
+		i := policy.BestOf(drawCount, req, views, q.Draw)
+		if i < 0 && divided && q.Spill {
+			candidates := req.IsCandidate
+			req.IsCandidate = nil
+			i = policy.BestOf(drawCount, req, views, q.Draw)
+			req.IsCandidate = candidates
+		}
+		return i
+	}
+	i := -1
+	if retiring := r.retiringIfLasting(q, now); len(retiring) > 0 {
+		bound := req.MaxMemoryUse
+		req.AvoidSoftware, req.MaxMemoryUse = retiring, maxLastingMemoryUse
+		i = best()
+		req.AvoidSoftware, req.MaxMemoryUse = nil, bound
+	}
+	if i < 0 {
+		i = best()
 	}
 	if i < 0 {
 		return nil
@@ -132,6 +150,18 @@
 	return r.reserve(s, q, len(list))
 }
 
+// maxLastingMemoryUse is the part of its memory up to which a server is preferred because its version is not
+// being replaced. Requests that are placed at fuller servers wait longer than they gain.
+const maxLastingMemoryUse = 0.8
+
+// retiringIfLasting returns the versions that a request with Lasting set avoids.
+func (r *Registry) retiringIfLasting(q Query, now time.Duration) []string {
+	if !q.Lasting {
+		return nil
+	}
+	return r.retiringVersions(q.Service, now)
+}
+
 // drawsPerProcess is how many servers each process draws when all choose at the same time, as
 // a multiple of the number of servers per process.
 const drawsPerProcess = 5
--- a/backends/registry.go
+++ b/backends/registry.go
@@ -204,8 +204,12 @@
 		// A stale entry must not bring back a server that was leaving when it went.
 		d, departed := r.departures[s.ID]
 		s.Leaving = s.Leaving || departed && d.Leaving && d.SameIncarnation(s)
+		r.recordJoined(s, now)
 	}
-	return old.update(events, s, now)
+	due := len(events)
+	events = old.update(events, s, now)
+	r.recordLeaving(events[due:], now)
+	return events
 }
 
 // current returns the record of the incarnation that s describes, nil if there is none.
@@ -244,6 +248,7 @@
 	r.dropLists()
 	if !s.Leaving {
 		events = append(events, leaveEvent{s.Server, LeaveEntryVanished})
+		r.recordLeaving(events[len(events)-1:], now)
 	}
 	if s.ownLoad.Running == 0 {
 		r.forget(s)
--- a/backends/signals.go
+++ b/backends/signals.go
@@ -179,6 +179,7 @@
 	if signals.Leaving {
 		changes.Leaving = !s.selfReported
 		events = s.markLeaving(nil, LeaveSelfReported)
+		r.recordLeaving(events, now)
 	}
 	if signals.Backoff > 0 {
 		changes.BackoffStarted = now >= s.backoffUntil
--- a/backends/software.go
+++ b/backends/software.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"kingcupplank.example/kingcup/rollout"
 )
 
 // maxDirectoryAge is the age from which the copy of the directory may lack servers that other processes
@@ -15,6 +17,8 @@
 	listed []string
 	// delistedAt is when the last server of a version went that is not listed any more.
 	delistedAt map[string]time.Duration
+	// rollout tells which versions are being replaced.
+	rollout rollout.Tracker
 }
 
 // ConfirmDirectory records that the directory contains all changes up to a time.
@@ -57,11 +61,19 @@
 	return v.listed[0], true
 }
 
-// VersionCount returns the number of versions of the software of a service's listed servers.
-func (r *Registry) VersionCount(service string) int {
+// VersionCount returns the largest number of versions of their software that the listed servers of a service
+// run.
+func (r *Registry) VersionCount() (most int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.software(service).listed)
+	services := make(map[string]bool)
+	for _, s := range r.servers {
+		services[s.Service] = true
+	}
+	for service := range services {
+		most = max(most, len(r.software(service).listed))
+	}
+	return most
 }
 
 // softwareView returns the view of a service, in which listed may be missing. mu must be held.
@@ -102,6 +114,44 @@
 	}
 }
 
+// recordJoined records that a server has joined, unless it is one of those of the first directory. mu must
+// be held.
+func (r *Registry) recordJoined(s Server, now time.Duration) {
+	if r.hasDirectory && now > r.directorySince && !s.Leaving {
+		r.softwareView(s.Service).rollout.Joined(s.SoftwareVersion, now)
+	}
+}
+
+// recordLeaving records that servers have begun to leave. mu must be held.
+func (r *Registry) recordLeaving(events []leaveEvent, now time.Duration) {
+	for _, e := range events {
+		if e.reason != LeaveRestarted && e.reason != LeaveReplaced {
+			r.softwareView(e.server.Service).rollout.Left(e.server.SoftwareVersion, now)
+		}
+	}
+}
+
+// retiringVersions returns the versions of a service's servers that are being replaced, nil if there is only
+// one version. mu must be held.
+func (r *Registry) retiringVersions(service string, now time.Duration) (out []string) {
+	v := r.software(service)
+	if len(v.listed) < 2 {
+		return nil
+	}
+	for _, version := range v.listed {
+		ready := 0
+		for _, s := range r.listed(service) {
+			if s.SoftwareVersion == version && !s.Leaving {
+				ready++
+			}
+		}
+		if v.rollout.IsRetiring(version, ready, now) {
+			out = append(out, version)
+		}
+	}
+	return out
+}
+
 // maxVersionMemory bounds the time for which a version is remembered after its last server has gone. It is
 // longer than any stream lasts.
 const maxVersionMemory = 10 * time.Minute
--- a/backends/software_test.go
+++ b/backends/software_test.go
@@ -54,7 +54,7 @@
 	r.ReplaceAll([]Server{withSoftware("a", "v1"), withSoftware("b", "v1")}, 0, 0)
 	r.Remove("a", 0, time.Second)
 	require.False(t, r.HasSeveralVersions(svc, time.Minute, 2*time.Second))
-	require.Equal(t, 1, r.VersionCount(svc))
+	require.Equal(t, 1, r.VersionCount())
 	r.MarkReplaced(withSoftware("b", "v1"), 3*time.Second)
 	r.Put(withSoftware("c", "v2"), 3*time.Second)
 	require.True(t, r.HasSeveralVersions(svc, time.Minute, 4*time.Second))
@@ -68,3 +68,35 @@
 		r.HasSeveralVersions(svc, time.Minute, time.Second)
 	}
 }
+
+// Guards against long streams that begin at a version whose last servers are about to leave, while servers of
+// another version have room, and against streams that are refused for that.
+func TestLastingRequestsAvoidRetiringVersions(t *testing.T) {
+	r, _ := newRegistry()
+	var old []Server
+	for _, id := range []string{"a", "b", "c", "d"} {
+		old = append(old, withSoftware(id, "v1"))
+	}
+	r.ReplaceAll(old, 0, 0)
+	choose := func(lasting bool) map[string]int {
+		chosen := make(map[string]int)
+		for draw := range uint64(40) {
+			reservation := r.Acquire(Query{Service: svc, Lasting: lasting, MaxMemoryUse: 0.97, ExpectedTokens: 1000, Draw: draw}, 5*time.Second)
+			require.NotNil(t, reservation)
+			chosen[reservation.Server.SoftwareVersion]++
+			reservation.Release(ResultInconclusive, 5*time.Second)
+		}
+		return chosen
+	}
+	for i, id := range []string{"e", "f"} {
+		r.Put(withSoftware(id, "v2"), time.Duration(i+1)*time.Second)
+		leaving := old[i]
+		leaving.Leaving = true
+		r.Put(leaving, time.Duration(i+1)*time.Second)
+	}
+	require.Equal(t, map[string]int{"v2": 40}, choose(true))
+	require.Len(t, choose(false), 2)
+	memory := 30000
+	r.SetRemoteLoads("vm-2", map[string]Load{"e": {Running: 9, ExpectedTokens: memory}, "f": {Running: 9, ExpectedTokens: memory}})
+	require.Equal(t, map[string]int{"v1": 40}, choose(true))
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -232,6 +232,7 @@
 	rec.RegisterGauge("kingcup_gateway_requests_held", "Requests that are not sent to servers, because servers end under them.", func() float64 { return float64(g.group.quarantine.countQuarantined()) })
 	rec.RegisterGauge("kingcup_gateway_domains_cordoned", "Failure domains whose servers get nothing.", g.group.countCordons)
 	rec.RegisterGauge("kingcup_gateway_servers_limited", "Servers that name a limit in their answers.", func() float64 { return float64(g.registry.CountRateLimited()) })
+	rec.RegisterGauge("kingcup_gateway_software_versions", "Software versions of one service's servers side by side, the largest number of any service.", func() float64 { return float64(g.registry.VersionCount()) })
 	g.registerRoleGauges(rec)
 	rec.RegisterGauge("kingcup_gateway_servers_resting", "Servers that have asked this gateway for rest.", func() float64 { return float64(g.registry.CountBackingOff(clock.SinceBoot())) })
 	rec.RegisterGauge("kingcup_gateway_log_lines_dropped", "Log lines that were not written.", func() float64 { return float64(g.opts.DroppedLogLines()) })
--- a/internal/relay/enginequeue.go
+++ b/internal/relay/enginequeue.go
@@ -11,6 +11,7 @@
 	"kingcupplank.example/kingcup/backends"
 	"kingcupplank.example/kingcup/flow"
 	"kingcupplank.example/kingcup/prefill"
+	"kingcupplank.example/kingcup/routing"
 )
 
 const (
@@ -297,6 +298,7 @@
 	q.HeldTokens = j.promptTokens()
 	q.MaxMemoryUse, q.MaxPromptPending = maxMemoryFraction, int(speed*maxPromptWait.Seconds())
 	q.MaxPause, q.PauseStretch = r.pauseBound(j, 0)
+	q.Lasting = j.route.Kind == routing.Stream && !j.route.Resumable && j.expectedEvents(0) >= minBoundEvents
 	if q.Kind = r.promptKind(j); q.Kind == prefill.KindLong {
 		q.CopySpeed = j.engine.CopySpeed()
 	}
--- a/placement/filters.go
+++ b/placement/filters.go
@@ -21,8 +21,11 @@
 func InRegions(r *Request, s *Server) bool { return r.Regions.Allows(s.Region) }
 
 // RunsRequiredSoftware drops servers that don't run the version of their software that the request
-// requires.
+// requires, or run one that it avoids.
 func RunsRequiredSoftware(r *Request, s *Server) bool {
+	if slices.Contains(r.AvoidSoftware, s.SoftwareVersion) {
+		return false
+	}
 	return r.RequiredSoftware == nil || s.SoftwareVersion != "" && s.SoftwareVersion == *r.RequiredSoftware
 }
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -83,6 +83,8 @@
 	// RequiredSoftware is the only version of the servers' software that may be chosen, nil for all. An
 	// unknown version is none that may be chosen.
 	RequiredSoftware *string
+	// AvoidSoftware are versions of the servers' software that may not be chosen.
+	AvoidSoftware []string
 	// Tokens is the memory that the request is expected to need, in tokens.
 	Tokens int
 	// Horizon is the expected time for which a short request holds its memory. The memory that the
