Names of the origins of streams, safeguards of software versions

Owners of an origin, sessions on demand, tables of origins, streams that are resumed: the usual terms in place of our own. An origin is recorded once for each event, not twice for the first one.

--- a/backends/query.go
+++ b/backends/query.go
@@ -47,7 +47,7 @@
 	// An unknown version is none that may be chosen.
 	RequiredSoftware *string
 	// Lasting prefers servers whose software version is not being replaced, where one has room: the
-	// request can go on at no other version.
+	// request can be resumed at no other version.
 	Lasting bool
 	// SharedTime is the current time on the clock that all processes share. It decides which
 	// process may send to a server with a bounded rate.
--- a/backends/software_test.go
+++ b/backends/software_test.go
@@ -13,7 +13,7 @@
 	return s
 }
 
-// Guards against a stream that goes on at the only version that a process knows, while others may have
+// Guards against a stream that is resumed at the only version that a process knows, while others may have
 // begun it at one that this process has not heard of, or has seen go.
 func TestOnlyVersionNeedsACompleteView(t *testing.T) {
 	const within = 6 * time.Second
@@ -38,7 +38,7 @@
 	require.Empty(t, only(10*time.Second))
 	r.Remove("b", 0, 12*time.Second)
 	r.ConfirmDirectory(18 * time.Second)
-	require.True(t, r.HasSeveralVersions(svc, within, 17*time.Second), "its streams may still be taken up")
+	require.True(t, r.HasSeveralVersions(svc, within, 17*time.Second), "its streams may still be resumed")
 	require.False(t, r.HasSeveralVersions(svc, within, 18*time.Second))
 	require.Equal(t, "v1", only(18*time.Second))
 
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -15,10 +15,10 @@
 )
 
 const (
-	// originKeepers is the number of gateways that keep the origin of a stream, chosen by its id: any
-	// gateway to which its caller returns knows whom to ask. spareKeepers are asked besides, as one of
+	// originOwners is the number of gateways that own the origin of a stream, chosen by its id: any
+	// gateway to which its caller returns knows whom to ask. spareOwners are asked besides, as one of
 	// the others may have been down, or the gateways may not have known the same members.
-	originKeepers, spareKeepers = 3, 2
+	originOwners, spareOwners = 3, 2
 	// originTimeout bounds one attempt to send an origin, lookupTimeout a lookup. Callers accept a
 	// longer pause before the next event of a stream that broke.
 	originTimeout, lookupTimeout = 300 * time.Millisecond, 250 * time.Millisecond
@@ -34,8 +34,8 @@
 type sharedOrigins struct {
 	group *group
 
-	mu   sync.Mutex
-	book *origin.Book
+	mu    sync.Mutex
+	table *origin.Table
 
 	// sending and looking bound the calls in progress.
 	sending, looking chan struct{}
@@ -47,7 +47,7 @@
 
 func newSharedOrigins(g *group) *sharedOrigins {
 	return &sharedOrigins{
-		group: g, book: origin.NewBook(), sending: make(chan struct{}, maxOriginCalls), looking: make(chan struct{}, maxOriginCalls),
+		group: g, table: origin.NewTable(), sending: make(chan struct{}, maxOriginCalls), looking: make(chan struct{}, maxOriginCalls),
 		failures: rate.Sometimes{First: 20, Interval: time.Second},
 	}
 }
@@ -70,52 +70,52 @@
 func (s *sharedOrigins) record(id origin.ID, o origin.Origin, lifetime time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.book.Record(id, o, lifetime, clock.SinceBoot())
+	s.table.Record(id, o, lifetime, clock.SinceBoot())
 }
 
 func (s *sharedOrigins) logUnsent(cause string) {
 	s.failures.Do(func() {
-		s.group.log.WithField("cause", cause).Warn("origin of a stream was not sent to the gateways that keep it")
+		s.group.log.WithField("cause", cause).Warn("origin of a stream was not sent to the gateways that own it")
 	})
 }
 
-// send sends an origin to its keepers, and to a spare one for each that does not answer.
+// send sends an origin to its owners, and to a spare one for each that does not answer.
 func (s *sharedOrigins) send(id origin.ID, o origin.Origin, lifetime time.Duration) {
 	request := &peerv1.Fetch{Record: []*peerv1.Origin{originMessage(id, o, lifetime)}}
-	keepers := s.group.links.Keepers(string(id[:]), originKeepers+spareKeepers)
-	first, spare := keepers[:min(originKeepers, len(keepers))], keepers[min(originKeepers, len(keepers)):]
+	owners := s.group.links.Owners(string(id[:]), originOwners+spareOwners)
+	first, spare := owners[:min(originOwners, len(owners))], owners[min(originOwners, len(owners)):]
 	var wg sync.WaitGroup
 	failed := make(chan struct{}, len(first))
-	for _, keeper := range first {
+	for _, owner := range first {
 		wg.Go(func() {
-			if s.sendTo(keeper, request) != nil {
+			if s.sendTo(owner, request) != nil {
 				failed <- struct{}{}
 			}
 		})
 	}
 	wg.Wait()
 	missing := len(failed)
-	for _, keeper := range spare {
-		if missing > 0 && s.sendTo(keeper, request) == nil {
+	for _, owner := range spare {
+		if missing > 0 && s.sendTo(owner, request) == nil {
 			missing--
 		}
 	}
 	if missing == len(first) {
-		s.logUnsent("no keeper answers")
+		s.logUnsent("no owner answers")
 	}
 }
 
-func (s *sharedOrigins) sendTo(keeper string, request *peerv1.Fetch) error {
-	if keeper == s.group.self.Name {
+func (s *sharedOrigins) sendTo(owner string, request *peerv1.Fetch) error {
+	if owner == s.group.self.Name {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), originTimeout)
 	defer cancel()
-	_, err := s.group.links.Exchange(ctx, keeper, request)
+	_, err := s.group.links.Exchange(ctx, owner, request)
 	return err
 }
 
-// Lookup implements relay.Origins. It asks all keepers at once; the first that knows the origin decides.
+// Lookup implements relay.Origins. It asks all owners at once; the first that knows the origin decides.
 func (s *sharedOrigins) Lookup(ctx context.Context, q relay.OriginQuery) relay.OriginAnswer {
 	if o, known := s.lookup(q.ID); known {
 		return relay.OriginAnswer{Origin: o, Known: true, From: "own record"}
@@ -129,13 +129,13 @@
 	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
 	defer cancel()
 	request := &peerv1.Fetch{Lookup: &peerv1.Lookup{Id: q.ID[:], Service: q.Service, SpanMs: q.Span.Milliseconds()}}
-	keepers := s.group.links.Keepers(string(q.ID[:]), originKeepers+spareKeepers)
-	answers := make(chan relay.OriginAnswer, len(keepers))
-	for _, keeper := range keepers {
-		go func() { answers <- s.ask(ctx, keeper, request) }()
+	owners := s.group.links.Owners(string(q.ID[:]), originOwners+spareOwners)
+	answers := make(chan relay.OriginAnswer, len(owners))
+	for _, owner := range owners {
+		go func() { answers <- s.ask(ctx, owner, request) }()
 	}
 	best := relay.OriginAnswer{From: "nobody"}
-	for range keepers {
+	for range owners {
 		switch a := <-answers; {
 		case a.Known:
 			s.record(q.ID, a.Origin, q.Lifetime)
@@ -147,24 +147,24 @@
 	return best
 }
 
-// ask asks one keeper for an origin.
-func (s *sharedOrigins) ask(ctx context.Context, keeper string, request *peerv1.Fetch) relay.OriginAnswer {
-	if keeper == s.group.self.Name {
+// ask asks one owner for an origin.
+func (s *sharedOrigins) ask(ctx context.Context, owner string, request *peerv1.Fetch) relay.OriginAnswer {
+	if owner == s.group.self.Name {
 		return relay.OriginAnswer{}
 	}
-	head, err := s.group.links.Exchange(ctx, keeper, request)
+	head, err := s.group.links.Exchange(ctx, owner, request)
 	if err != nil {
 		return relay.OriginAnswer{}
 	}
 	a := head.GetLookup()
 	o := origin.Origin{Service: a.GetOrigin().GetService(), SoftwareVersion: a.GetOrigin().GetSoftwareVersion()}
-	return relay.OriginAnswer{Origin: o, Known: o.SoftwareVersion != "", OnlyVersion: a.GetOnlyVersion(), From: keeper}
+	return relay.OriginAnswer{Origin: o, Known: o.SoftwareVersion != "", OnlyVersion: a.GetOnlyVersion(), From: owner}
 }
 
 func (s *sharedOrigins) lookup(id origin.ID) (origin.Origin, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.book.Lookup(id, clock.SinceBoot())
+	return s.table.Lookup(id, clock.SinceBoot())
 }
 
 // serve answers a peer that sends origins or asks for one.
--- a/internal/gateway/resumption_test.go
+++ b/internal/gateway/resumption_test.go
@@ -54,7 +54,7 @@
 	return brokenStream{id: id, lastEvent: lastEvent}
 }
 
-// resume takes a stream up by a new attempt, whose connection is closed behind the header of its response.
+// resume resumes a stream by a new attempt, whose connection is closed behind the header of its response.
 func (n *testGateway) resume(b brokenStream, attempt string) (status int) {
 	n.t.Helper()
 	c := n.dial()
@@ -92,8 +92,8 @@
 	return out
 }
 
-// resumeMany takes up streams at a gateway. It returns how many of them went on, and requires that
-// none did so at another software version.
+// resumeMany resumes streams at a gateway. It returns how many of them were resumed, and requires that
+// none was resumed at another software version.
 func (s *system) resumeMany(n *testGateway, name string, streams []brokenStream) (resumed int) {
 	s.t.Helper()
 	for i, b := range streams {
@@ -110,7 +110,7 @@
 	return resumed
 }
 
-// Guards against a caller whose stream goes on at another software version, at the gateway where the
+// Guards against a caller whose stream is resumed at another software version, at the gateway where the
 // stream began, at another one, and several times in a row.
 func TestCallersResumeAtTheSoftwareVersionThatBeganTheirStreams(t *testing.T) {
 	s := newSystem(t)
@@ -128,7 +128,7 @@
 	}
 }
 
-// Guards against streams that are lost, or go on at another software version, with the gateway that
+// Guards against streams that are lost, or resumed at another software version, with the gateway that
 // began them.
 func TestCallersResumeAfterTheirGatewayHasCrashed(t *testing.T) {
 	s := newSystem(t)
@@ -151,7 +151,7 @@
 func (n *testGateway) originCount() int {
 	n.group.origins.mu.Lock()
 	defer n.group.origins.mu.Unlock()
-	return n.group.origins.book.Len()
+	return n.group.origins.table.Len()
 }
 
 // Guards against bytes between gateways, and against refusals, while there is one version only, also at a
@@ -193,8 +193,8 @@
 	require.Equal(t, 1, s.resumeMany(second, "second", []brokenStream{{id: "stream", lastEvent: 3, version: "v1"}}))
 }
 
-// Guards against a stream of unknown origin that goes on at any version, and against a caller that is held
-// although its stream can't go on: after all gateways were killed, and once the last server of its version
+// Guards against a stream of unknown origin that is resumed at any version, and against a caller that waits
+// although its stream can't be resumed: after all gateways were killed, and once the last server of its version
 // has gone.
 func TestStreamsThatCannotGoOnAreRefusedAtOnce(t *testing.T) {
 	s := newSystem(t)
@@ -226,7 +226,7 @@
 }
 
 // Guards against a share of streams that is lost with a part of the gateways, and against gateways without a
-// link to the keepers.
+// link to the owners of the origins.
 func TestStreamsGoOnAfterAFifthOfTheGatewaysCrashed(t *testing.T) {
 	s := newSystem(t)
 	s.peerLinks = 3
@@ -248,7 +248,7 @@
 		}
 		return n
 	}
-	gateways[0].eventually(func() bool { return kept() >= originKeepers*len(streams) }, "origins have arrived")
+	gateways[0].eventually(func() bool { return kept() >= originOwners*len(streams) }, "origins have arrived")
 	gateways[0].Close()
 	gateways[1].Close()
 	resumed := 0
--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -16,29 +16,29 @@
 )
 
 const (
-	// contactIdleTime is the time after which an unused contact is closed.
-	contactIdleTime = 10 * time.Second
-	// maxContacts bounds the contacts of a gateway. Without a free one, gateways without a link can't
+	// sessionIdleTime is the time after which an unused session is closed.
+	sessionIdleTime = 10 * time.Second
+	// maxOnDemandSessions bounds these sessions. Without a free one, gateways without a link can't
 	// be asked.
-	maxContacts = 64
+	maxOnDemandSessions = 64
 )
 
 // Errors of Exchange, besides ErrNoLink.
 var (
 	errUnknownPeer     = errors.New("the peer is not known")
-	errTooManyContacts = errors.New("too many contacts with gateways without a link")
+	errTooManySessions = errors.New("too many sessions with gateways without a link")
 )
 
-// contact is a session with a gateway that this one has no link with. It carries requests only.
-type contact struct {
+// onDemandSession is a session with a gateway that this one has no link with. It carries requests only.
+type onDemandSession struct {
 	session *yamux.Session
 	usedAt  time.Time
 	stop    func() bool
 }
 
-// Keepers returns the names of the gateways that keep what belongs to a key, at most n, in the order in which
+// Owners returns the names of the gateways that own a key, at most n, in the order in which
 // they are to be asked. Gateways that know the same members agree on them. This gateway may be among them.
-func (m *Manager) Keepers(key string, n int) []string {
+func (m *Manager) Owners(key string, n int) []string {
 	type scored struct {
 		name  string
 		score uint64
@@ -94,30 +94,30 @@
 	return head, nil
 }
 
-// sessionTo returns the link or a contact with a gateway, and makes a contact if there is neither.
+// sessionTo returns the link to a gateway, or a session on demand.
 func (m *Manager) sessionTo(ctx context.Context, peer string) (*yamux.Session, error) {
 	if s := m.session(peer); s != nil {
 		return s, nil
 	}
 	m.mu.Lock()
-	if c := m.contacts[peer]; c != nil && !c.session.IsClosed() {
+	if c := m.onDemand[peer]; c != nil && !c.session.IsClosed() {
 		c.usedAt = time.Now()
 		m.mu.Unlock()
 		return c.session, nil
 	}
 	member, known := m.known[peer]
-	count, runCtx := len(m.contacts), m.ctx
+	count, runCtx := len(m.onDemand), m.ctx
 	m.mu.Unlock()
 	switch {
 	case !known || runCtx == nil:
 		return nil, errUnknownPeer
-	case count >= maxContacts:
-		return nil, errTooManyContacts
+	case count >= maxOnDemandSessions:
+		return nil, errTooManySessions
 	}
-	return m.makeContact(ctx, runCtx, member)
+	return m.openSession(ctx, runCtx, member)
 }
 
-func (m *Manager) makeContact(ctx, runCtx context.Context, member Member) (*yamux.Session, error) {
+func (m *Manager) openSession(ctx, runCtx context.Context, member Member) (*yamux.Session, error) {
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	conn, err := m.Dial(dialCtx, member.Address)
@@ -134,29 +134,29 @@
 		session.Close()
 		return nil, errors.Wrap(err, "open stream to peer")
 	}
-	made := &contact{session: session, usedAt: time.Now(), stop: context.AfterFunc(runCtx, func() { session.Close() })}
+	made := &onDemandSession{session: session, usedAt: time.Now(), stop: context.AfterFunc(runCtx, func() { session.Close() })}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if other := m.contacts[member.Name]; other != nil {
+	if other := m.onDemand[member.Name]; other != nil {
 		other.close()
 	}
-	m.contacts[member.Name] = made
+	m.onDemand[member.Name] = made
 	return session, nil
 }
 
-func (c *contact) close() {
+func (c *onDemandSession) close() {
 	c.stop()
 	c.session.Close()
 }
 
-// closeIdleContacts closes the contacts that are broken or have not been used for contactIdleTime.
-func (m *Manager) closeIdleContacts() {
+// closeIdleSessions closes the sessions on demand that are broken or have not been used for sessionIdleTime.
+func (m *Manager) closeIdleSessions() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for name, c := range m.contacts {
-		if c.session.IsClosed() || time.Since(c.usedAt) >= contactIdleTime {
+	for name, c := range m.onDemand {
+		if c.session.IsClosed() || time.Since(c.usedAt) >= sessionIdleTime {
 			c.close()
-			delete(m.contacts, name)
+			delete(m.onDemand, name)
 		}
 	}
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -101,7 +101,7 @@
 	CauseState  Cause = "states"
 	CausePage   Cause = "pages"
 	CauseAnswer Cause = "answers"
-	// CauseOrigin is for the origins of streams that callers take up.
+	// CauseOrigin is for the origins of streams that callers may resume.
 	CauseOrigin Cause = "origins"
 	// CauseSuspects is for requests under which servers have crashed.
 	CauseSuspects Cause = "suspects"
@@ -129,8 +129,8 @@
 	live           map[string]*peerState
 	// inbound contains the links that peers have dialed, by name.
 	inbound map[string]*yamux.Session
-	// contacts are the sessions with gateways that this one has no link with, by name.
-	contacts map[string]*contact
+	// onDemand are the sessions with gateways that this one has no link with, by name.
+	onDemand map[string]*onDemandSession
 	ctx      context.Context
 	wg       sync.WaitGroup
 
@@ -166,7 +166,7 @@
 	return &Manager{
 		self: self, Deps: deps, known: make(map[string]Member), links: make(map[string]*memberLink),
 		live: make(map[string]*peerState), inbound: make(map[string]*yamux.Session),
-		contacts: make(map[string]*contact),
+		onDemand: make(map[string]*onDemandSession),
 		linkLog:  newLimitedLog(),
 	}
 }
@@ -458,7 +458,7 @@
 			return
 		case <-t.C:
 		}
-		m.closeIdleContacts()
+		m.closeIdleSessions()
 		var silent []string
 		m.mu.Lock()
 		for name, p := range m.live {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -64,7 +64,7 @@
 	// StandbyCopy is called for what happens to a standby copy, see the constants of
 	// StandbyEvent.
 	StandbyCopy(event StandbyEvent)
-	// StreamResumed is called for each stream that goes on at another server after its first event,
+	// StreamResumed is called for each stream that is resumed at another server after its first event,
 	// or that its caller resumes.
 	StreamResumed(result Resumption)
 }
@@ -79,7 +79,7 @@
 	Observer   Observer
 	Peers      Peers
 	Quarantine Quarantine
-	// Origins knows where the streams began that callers take up, nil for none.
+	// Origins knows where the streams began that callers resume, nil for none.
 	Origins Origins
 	// Limits receives the decisions of shared limits for metrics, nil for none.
 	Limits LimitObserver
@@ -107,14 +107,14 @@
 	Answered(id quarantine.ID)
 }
 
-// Origins knows which software versions began the streams that callers may take up again, at this gateway or
+// Origins knows which software versions began the streams that callers may resume, at this gateway or
 // at another.
 type Origins interface {
-	// Record records the origin of a stream for its lifetime, and sends it to the gateways that keep it. It
+	// Record records the origin of a stream for its lifetime, and sends it to the gateways that own it. It
 	// does not block.
 	Record(id origin.ID, o origin.Origin, lifetime time.Duration)
 	// Lookup returns the origin of a stream, and from whom it was learned. q.Service is the service of the
-	// request that takes the stream up.
+	// request that resumes the stream.
 	Lookup(ctx context.Context, q OriginQuery) OriginAnswer
 }
 
@@ -282,7 +282,7 @@
 	// hadBrokenResponse is set if the response of a server broke off.
 	hadBrokenResponse bool
 	// software is the software version that has sent the first event of the stream, nil before it.
-	// The stream may only go on at servers of that version.
+	// The stream may only be resumed at servers of that version.
 	software atomic.Pointer[string]
 	// originRecorded is set once the origin of the stream has been recorded for its caller's return.
 	originRecorded atomic.Bool
--- a/internal/relay/resumption.go
+++ b/internal/relay/resumption.go
@@ -28,7 +28,7 @@
 	RefusedVersionGone Resumption = "refused, version gone"
 )
 
-// resumption returns the Resumption of a stream that goes on from one server to another.
+// resumption returns the Resumption of a stream that is resumed at another server.
 func resumption(from, to backends.Server) Resumption {
 	if from.HasSameSoftware(to) {
 		return ResumedSameVersion
@@ -37,7 +37,7 @@
 }
 
 // originID returns the id under which the origin of a stream is recorded, also across the attempts with
-// which its caller takes it up.
+// which its caller resumes it.
 func (j *job) originID() origin.ID {
 	if j.LastEventID != "" && j.Resumes != "" {
 		return origin.NewID(j.team, j.Resumes)
@@ -45,21 +45,21 @@
 	return origin.NewID(j.team, j.ID)
 }
 
-// maxReturnTime bounds the time after which a caller takes up a stream that has broken off.
+// maxReturnTime bounds the time after which a caller resumes a stream that has broken off.
 const maxReturnTime = 2 * time.Second
 
 // versionSpan is the time for which a version matters after its last server has been delisted: servers
-// finish the streams that they have, and callers take up those that break.
+// finish the streams that they have, and callers resume those that break.
 func (j *job) versionSpan() time.Duration {
 	return effectiveTimeout(0, j.route.Timeout) + maxReturnTime
 }
 
-// streamLifetime bounds the time from the first event of a stream to the last attempt to take it up.
+// streamLifetime bounds the time from the first event of a stream to the last attempt to resume it.
 func (j *job) streamLifetime() time.Duration {
 	return min(origin.MaxLifetime, max(j.Timeout, effectiveTimeout(0, j.route.Timeout)))
 }
 
-// recordOrigin records which servers began the stream, if its caller may take it up at a gateway that could
+// recordOrigin records which servers began the stream, if its caller may resume it at a gateway that could
 // not tell. It is called before each event is forwarded: a second version may appear at any time.
 func (s *session) recordOrigin() {
 	j := s.job
@@ -73,10 +73,10 @@
 	s.Origins.Record(j.originID(), origin.Origin{Service: j.service, SoftwareVersion: *j.software.Load()}, j.streamLifetime())
 }
 
-// bindResumedStream restricts a stream that its caller takes up to servers of the service and the software
+// bindResumedStream restricts a stream that its caller resumes to servers of the service and the software
 // version that began it. It returns a refusal if these are not known or no longer there.
 //
-// A stream that goes on at another version is wrong in a way that its caller can't see, so a stream of
+// A stream that is resumed at another version is wrong in a way that its caller can't see, so a stream of
 // unknown origin is refused.
 func (r *Relay) bindResumedStream(ctx context.Context, j *job) *Refusal {
 	if j.LastEventID == "" {
@@ -104,7 +104,7 @@
 	return nil
 }
 
-// findOrigin returns where the stream began that a caller takes up. Nobody is asked while this gateway has seen
+// findOrigin returns where the stream began that a caller resumes. Nobody is asked while this gateway has seen
 // servers of one version only for longer than another one could matter.
 func (r *Relay) findOrigin(ctx context.Context, j *job) OriginAnswer {
 	if len(j.route.Split) == 1 {
@@ -122,7 +122,7 @@
 	return a
 }
 
-// refuseResumption returns the refusal of a stream that can't be taken up. Coming back earlier would be in vain.
+// refuseResumption returns the refusal of a stream that can't be resumed. Coming back earlier would be in vain.
 func (r *Relay) refuseResumption(j *job, reason Reason) *Refusal {
 	return &Refusal{Reason: reason, RetryAfter: j.timeLeft()}
 }
--- a/internal/relay/software.go
+++ b/internal/relay/software.go
@@ -24,7 +24,7 @@
 	return &at.SoftwareVersion
 }
 
-// forgetSoftware makes the software version of a stream unknown, so that it goes on nowhere else: its server
+// forgetSoftware makes the software version of a stream unknown, so that it is resumed nowhere: its server
 // has restarted, and it is not known in which incarnation the stream began.
 func (r *Relay) forgetSoftware(j *job) {
 	if j.software.Load() == nil {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -132,7 +132,6 @@
 		if isFirst {
 			s.started = true
 			s.bindSoftware()
-			s.recordOrigin()
 			s.job.progress.firstDelay = s.Now() - s.job.arrived
 			s.Observer.FirstByte(s.job.team, s.job.service, s.job.route.Kind, s.job.progress.firstDelay)
 			if s.out.Begin(head) != nil {
@@ -260,7 +259,7 @@
 	return next
 }
 
-// resumedAt returns the log fields of the server at which a stream goes on.
+// resumedAt returns the log fields of the server at which a stream is resumed.
 func resumedAt(next *placedResponse) logrus.Fields {
 	return logrus.Fields{"to": next.reservation.Server.ID, "to_software": next.reservation.Server.SoftwareVersion}
 }
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -189,7 +189,7 @@
 	ReasonNoCapacity  Reason = "servers have no room"
 	ReasonCordoned    Reason = "all servers are in cordoned failure domains"
 	// ReasonOriginUnknown: it is not known which software version began the stream that the caller
-	// takes up.
+	// resumes.
 	ReasonOriginUnknown Reason = "origin of the stream is unknown"
 	// ReasonSoftwareGone: no server runs the software version that began the stream.
 	ReasonSoftwareGone    Reason = "no server of the stream's software version"
--- a/internal/relay/version_test.go
+++ b/internal/relay/version_test.go
@@ -17,7 +17,7 @@
 	f.registry.SetRemoteLoads("vm-2", map[string]backends.Load{id: {Running: 3, ExpectedTokens: 5000}})
 }
 
-// Guards against a run that is copied to, and goes on at, an engine of another software version.
+// Guards against a run that is copied to, and resumed at, an engine of another software version.
 func TestRunMigratesOnlyToItsSoftwareVersion(t *testing.T) {
 	for _, hasTarget := range []bool{true, false} {
 		t.Run(fmt.Sprint("target ", hasTarget), func(t *testing.T) {
@@ -201,7 +201,7 @@
 	})
 }
 
-// Guards against a stream that goes on by the version that its server had before it restarted under its id:
+// Guards against a stream that is resumed by the version that its server had before it restarted under its id:
 // the request may have reached the new incarnation before its entry was known.
 func TestStreamOfAServerWithNewSoftwareGoesOnNowhereElse(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -20,9 +20,9 @@
 	Body     string
 	// Events are the received events of a stream, in order, over all attempts of its caller.
 	Events []string
-	// takenUp is the number of attempts with which the caller took the stream up, resumed that of those
+	// resumeAttempts is the number of attempts to resume the stream, resumed that of those
 	// that received events.
-	takenUp, resumed int
+	resumeAttempts, resumed int
 	// expectedEvents is the number of events of a complete stream.
 	expectedEvents int
 }
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -32,7 +32,7 @@
 	// earlier failures have the usual load.
 	minLoadFaultKinds = 27
 	// minVersionFaultKinds is the number from which on they may have several software versions, and
-	// callers take streams up.
+	// callers resume streams.
 	minVersionFaultKinds = 28
 
 	// usualStep is the event interval of an engine of mean pace. With it, a slow engine exceeds
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -98,8 +98,8 @@
 	FaultLog, Violations []string
 	// Attempts is the number of callers' requests, Served that of completely served ones.
 	Attempts, Served int
-	// TakenUp is the number of attempts to take a stream up, Resumed that of those that received events.
-	TakenUp, Resumed int
+	// ResumeAttempts is the number of attempts to resume a stream, Resumed that of those that received events.
+	ResumeAttempts, Resumed int
 }
 
 // Run runs the faults and callers of a seed and checks the guarantees.
@@ -130,7 +130,7 @@
 	res.Violations = append(res.Violations, checkQuarantine(servers, s.crashingBodies)...)
 	for _, a := range s.history.attempts {
 		res.Attempts++
-		res.TakenUp += a.takenUp
+		res.ResumeAttempts += a.resumeAttempts
 		res.Resumed += a.resumed
 		if a.Status == 200 && a.Complete {
 			res.Served++
@@ -345,7 +345,7 @@
 	if a.isStream() {
 		a.Status, err = fleet.StreamWith(ctx, g.settings.Callers, path, a.Request, func(e string) { a.Events = append(a.Events, e) })
 		if err != nil && path == fleet.CheckPath && s.FaultKinds >= minVersionFaultKinds {
-			err = s.takeUp(ctx, &a, err)
+			err = s.resumeStream(ctx, &a, err)
 		}
 	} else {
 		a.Status, a.Body, err = fleet.CallWith(ctx, g.settings.Callers, path, a.Request)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -63,7 +63,7 @@
 	dir := t.TempDir()
 	res, err := Run(t.Context(), Options{Seed: seed, FaultKinds: kinds, Duration: *duration, Gateways: *gatewayCount, Binary: path, Dir: dir})
 	require.NoError(t, err)
-	t.Logf("seed %d: %s, %d faults, %d of %d requests served, %d of %d streams taken up went on", seed, res.Load, len(res.FaultLog), res.Served, res.Attempts, res.Resumed, res.TakenUp)
+	t.Logf("seed %d: %s, %d faults, %d of %d requests served, %d of %d resume attempts succeeded", seed, res.Load, len(res.FaultLog), res.Served, res.Attempts, res.Resumed, res.ResumeAttempts)
 	if len(res.Violations) == 0 {
 		require.Positive(t, res.Served)
 		return
@@ -82,7 +82,7 @@
 // Runs gateways as separate processes and injects faults while callers send requests. Requests
 // that must not be repeated run at most once, a response "not run" is true, every complete
 // response belongs to its request, streams are in order, without gaps and of one software version, also where
-// their callers take them up, a removed key stops
+// their callers resume them, a removed key stops
 // working, and all requests are served again after the last fault.
 func TestSoak(t *testing.T) {
 	for i := range *seedCount {
--- a/internal/soak/versions.go
+++ b/internal/soak/versions.go
@@ -67,18 +67,18 @@
 	}
 }
 
-// maxTakeUps is how often a caller takes a stream up.
-const maxTakeUps = 3
+// maxResumeAttempts is how often a caller tries to resume a stream.
+const maxResumeAttempts = 3
 
-// takeUp takes a stream up that broke behind an event, at gateways drawn at random, several times if need be.
-func (s *Soak) takeUp(ctx context.Context, a *Attempt, err error) error {
-	for range maxTakeUps {
+// resumeStream resumes a stream that broke behind an event, at gateways drawn at random, several times if need be.
+func (s *Soak) resumeStream(ctx context.Context, a *Attempt, err error) error {
+	for range maxResumeAttempts {
 		received := len(a.Events)
 		if err == nil || a.Status != http.StatusOK || received == 0 || ctx.Err() != nil {
 			return err
 		}
 		g := s.drawGateway()
-		a.takenUp++
+		a.resumeAttempts++
 		retry := fleet.CallerRequest{ID: fleet.NextID(), Key: a.Request.Key, Resumes: a.Request.ID, LastEvent: received}
 		var status int
 		status, err = fleet.StreamWith(ctx, g.settings.Callers, a.Path, retry, func(e string) { a.Events = append(a.Events, e) })
--- a/internal/standin/fleet/caller.go
+++ b/internal/standin/fleet/caller.go
@@ -30,7 +30,7 @@
 	// Body is the request body; empty means a default body.
 	Body string
 	// Resumes is the id of the attempt that received the first event of the stream which the request
-	// takes up behind LastEvent, empty for a new stream.
+	// resumes behind LastEvent, empty for a new stream.
 	Resumes   string
 	LastEvent int
 }
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -1,6 +1,6 @@
 // Package origin records which software version of a service's servers began each stream. What two
-// versions send doesn't fit together, so a stream that its caller takes up again must go on at the
-// version that began it, at whichever process the caller returns to.
+// versions send doesn't fit together, so a stream that its caller resumes must continue at the version
+// that began it, at whichever process the caller returns to.
 //
 // The package does no I/O; times are points on one monotonic clock and are passed in.
 package origin
@@ -30,7 +30,7 @@
 }
 
 const (
-	// MaxEntries bounds the streams in a Book. The oldest ones are dropped first.
+	// MaxEntries bounds the streams in a Table. The oldest ones are dropped first.
 	MaxEntries = 1 << 15
 	// MaxLifetime bounds the time for which an origin is kept, whatever a peer names.
 	MaxLifetime = 10 * time.Minute
@@ -44,59 +44,59 @@
 	expiresAt      time.Duration
 }
 
-// Book records origins. The order in which they are recorded, and how often, doesn't matter: two
+// Table records origins. The order in which they are recorded, and how often, doesn't matter: two
 // different origins of a stream contradict each other. It is not safe for concurrent use.
-type Book struct {
+type Table struct {
 	entries map[ID]entry
-	// order has the ids by the time at which they were recorded first or renewed last.
+	// order has the ids in the order in which they were first recorded.
 	order []ID
 }
 
-// NewBook returns an empty book.
-func NewBook() *Book { return &Book{entries: make(map[ID]entry)} }
+// NewTable returns an empty table.
+func NewTable() *Table { return &Table{entries: make(map[ID]entry)} }
 
 // Record records the origin of a stream for a lifetime, or renews it.
-func (b *Book) Record(id ID, o Origin, lifetime, now time.Duration) {
-	b.expire(now)
+func (t *Table) Record(id ID, o Origin, lifetime, now time.Duration) {
+	t.expire(now)
 	expiresAt := now + min(max(0, lifetime), MaxLifetime)
-	e, known := b.entries[id]
+	e, known := t.entries[id]
 	if !known {
-		if len(b.entries) >= MaxEntries {
-			b.dropOldest()
+		if len(t.entries) >= MaxEntries {
+			t.dropOldest()
 		}
-		b.entries[id] = entry{origin: o, isContradicted: o.SoftwareVersion == "", expiresAt: expiresAt}
-		b.order = append(b.order, id)
+		t.entries[id] = entry{origin: o, isContradicted: o.SoftwareVersion == "", expiresAt: expiresAt}
+		t.order = append(t.order, id)
 		return
 	}
 	e.isContradicted = e.isContradicted || e.origin != o
 	e.expiresAt = max(e.expiresAt, expiresAt)
-	b.entries[id] = e
+	t.entries[id] = e
 }
 
 // Lookup returns the origin of a stream, and false if it is unknown or contradicted.
-func (b *Book) Lookup(id ID, now time.Duration) (Origin, bool) {
-	e, known := b.entries[id]
+func (t *Table) Lookup(id ID, now time.Duration) (Origin, bool) {
+	e, known := t.entries[id]
 	if !known || e.isContradicted || now >= e.expiresAt {
 		return Origin{}, false
 	}
 	return e.origin, true
 }
 
-// Len returns the number of streams in the book.
-func (b *Book) Len() int { return len(b.entries) }
+// Len returns the number of streams in the table.
+func (t *Table) Len() int { return len(t.entries) }
 
 // expire drops the streams at the front of the order whose lifetime is over.
-func (b *Book) expire(now time.Duration) {
-	for len(b.order) > 0 {
-		id := b.order[0]
-		if e := b.entries[id]; now < e.expiresAt {
+func (t *Table) expire(now time.Duration) {
+	for len(t.order) > 0 {
+		id := t.order[0]
+		if e := t.entries[id]; now < e.expiresAt {
 			return
 		}
-		b.dropOldest()
+		t.dropOldest()
 	}
 }
 
-func (b *Book) dropOldest() {
-	delete(b.entries, b.order[0])
-	b.order = b.order[1:]
+func (t *Table) dropOldest() {
+	delete(t.entries, t.order[0])
+	t.order = t.order[1:]
 }
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -17,19 +17,19 @@
 
 // Guards against a second version of a stream, whatever order, loss and repetition there is in what
 // processes hear of it.
-func TestBooksNeverNameTwoVersionsOfAStream(t *testing.T) {
+func TestTablesNeverNameTwoVersionsOfAStream(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		books := []*Book{NewBook(), NewBook(), NewBook()}
+		tables := []*Table{NewTable(), NewTable(), NewTable()}
 		truth := make(map[ID]Origin)
 		for i := range 4 {
 			o := Origin{Service: "model", SoftwareVersion: rapid.SampledFrom([]string{"v1", "v1.1", "v2"}).Draw(t, "version")}
 			truth[NewID("team", fmt.Sprint(i))] = o
 		}
-		contradicted := make(map[*Book]map[ID]bool)
+		contradicted := make(map[*Table]map[ID]bool)
 		now := time.Duration(0)
 		for range rapid.IntRange(0, 40).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond
-			b := rapid.SampledFrom(books).Draw(t, "book")
+			b := rapid.SampledFrom(tables).Draw(t, "table")
 			id := NewID("team", fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "stream")))
 			o := truth[id]
 			if rapid.IntRange(0, 9).Draw(t, "wrong") == 0 {
@@ -48,7 +48,7 @@
 			}
 		}
 		// Whoever has heard of both names neither.
-		for _, b := range books {
+		for _, b := range tables {
 			for id, o := range truth {
 				b.Record(id, o, time.Hour, now)
 				got, known := b.Lookup(id, now)
@@ -63,7 +63,7 @@
 
 // Guards against streams that are forgotten while they last, and against streams that are kept for good.
 func TestOriginsExpire(t *testing.T) {
-	b, id := NewBook(), NewID("team", "a")
+	b, id := NewTable(), NewID("team", "a")
 	b.Record(id, v1, 6*time.Second, 0)
 	b.Record(id, v1, 6*time.Second, 4*time.Second)
 	got, known := b.Lookup(id, 9*time.Second)
@@ -79,8 +79,8 @@
 }
 
 // Guards against callers that fill a process's memory with streams.
-func TestBookIsBounded(t *testing.T) {
-	b := NewBook()
+func TestTableIsBounded(t *testing.T) {
+	b := NewTable()
 	for i := range MaxEntries + 1000 {
 		b.Record(NewID("team", fmt.Sprint(i)), v1, time.Minute, time.Duration(i))
 	}
@@ -94,17 +94,17 @@
 func TestOriginsAreKeptApart(t *testing.T) {
 	require.NotEqual(t, NewID("a", "b"), NewID("", "ab"))
 	require.NotEqual(t, NewID("a", "x"), NewID("b", "x"))
-	b, id := NewBook(), NewID("team", "a")
+	b, id := NewTable(), NewID("team", "a")
 	b.Record(id, Origin{Service: "model"}, time.Minute, 0)
 	_, known := b.Lookup(id, 0)
 	require.False(t, known)
 }
 
-// FuzzBook records what a peer may send.
-func FuzzBook(f *testing.F) {
+// FuzzTable records what a peer may send.
+func FuzzTable(f *testing.F) {
 	f.Add([]byte("attempt"), "model", "v1", int64(time.Second))
 	f.Fuzz(func(t *testing.T, attempt []byte, service, version string, lifetime int64) {
-		b := NewBook()
+		b := NewTable()
 		var id ID
 		copy(id[:], attempt)
 		o := Origin{Service: service, SoftwareVersion: version}
@@ -121,12 +121,12 @@
 }
 
 func BenchmarkRecordAndLookup(b *testing.B) {
-	book := NewBook()
+	table := NewTable()
 	b.ReportAllocs()
 	for i := range b.N {
 		var id ID
 		binary.BigEndian.PutUint64(id[:], uint64(i))
-		book.Record(id, v1, time.Second, time.Duration(i)*time.Microsecond)
-		book.Lookup(id, time.Duration(i)*time.Microsecond)
+		table.Record(id, v1, time.Second, time.Duration(i)*time.Microsecond)
+		table.Lookup(id, time.Duration(i)*time.Microsecond)
 	}
 }
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -1,6 +1,6 @@
 // Package rollout tells which software versions of a service are being replaced, from the servers that join
 // and leave: there is no order between versions, and nobody announces a release. A long stream that begins at
-// a version whose last servers are about to leave is lost with them, as it can go on at no other version.
+// a version whose last servers are about to leave is lost with them, as it can be resumed at no other version.
 //
 // The package does no I/O; times are points on one monotonic clock and are passed in.
 package rollout
