--- a/internal/relay/roles.go
+++ b/internal/relay/roles.go
@@ -209,7 +209,7 @@
 	q.ExpectedTokens, q.Tried = m.run.expectedMemory(), m.tried
 	q.ForCopy, q.ForStream, q.CopySpeed = true, true, j.engine.CopySpeed()
 	q.MaxPause, q.PauseStretch = r.pauseBound(j, m.run.countEvents())
-	q.PreferredDomain, q.RequiredSoftware = m.from.FailureDomain, &m.from.SoftwareVersion
+	q.PreferredDomain = m.from.FailureDomain
 	q.MaxMemoryUse, q.SameDomainOnly = maxCopyTargetMemory, true
 	reservation := r.Registry.Acquire(q, r.Now())
 	if reservation == nil {
--- a/internal/relay/version_test.go
+++ b/internal/relay/version_test.go
@@ -239,3 +239,31 @@
 		require.Equal(t, []string{"a", "b"}, f.upstream.servers())
 	})
 }
+
+// Guards against a run that is lost before its first event because it is copied to other software only.
+func TestRunWithoutEventsMigratesOnlyToItsSoftwareVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, Config{})
+		f.noStandby = true
+		f.apply(2)
+		leaving := f.addVersion("a", "v1")
+		old := newFakeBody()
+		f.setCopyRun(old, 20*time.Millisecond)
+		f.upstream.send = func(_ context.Context, a *Attempt) (*Response, error) {
+			if a.ResumeFrom != nil {
+				return answer(1, 3)(a)
+			}
+			go func() {
+				time.Sleep(10 * time.Millisecond)
+				f.addVersion("b", "v2")
+				f.addVersion("c", "v1")
+				f.fillServer("c")
+				leaving.Leaving = true
+				f.registry.Put(leaving, f.now())
+			}()
+			return old.response(), nil
+		}
+		f.serve(request("/plan/x")).requireWhole(t, events(1, 3))
+		require.Equal(t, []string{"a", "c"}, f.upstream.servers())
+	})
+}
