--- a/internal/gateway/resumption_test.go
+++ b/internal/gateway/resumption_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"runtime"
 	"slices"
 	"strconv"
 	"strings"
@@ -15,6 +16,7 @@
 	"kingcupplank.example/kingcup/internal/clock"
 	"kingcupplank.example/kingcup/internal/peers"
 	"kingcupplank.example/kingcup/internal/standin/fleet"
+	"kingcupplank.example/kingcup/origin"
 )
 
 // brokenStream is a stream that its caller has not received to its end.
@@ -256,5 +258,32 @@
 		n := gateways[2+i%(len(gateways)-2)]
 		resumed += s.resumeMany(n, fmt.Sprint("stream-", i), []brokenStream{b})
 	}
+	t.Logf("%d of %d streams were resumed", resumed, len(streams))
 	require.GreaterOrEqual(t, resumed, len(streams)*9/10)
 }
+
+// BenchmarkOriginReachesItsOwners measures the time from the record of an origin until both other gateways have it,
+// and the bytes that are sent for it, without the frames of the links.
+func BenchmarkOriginReachesItsOwners(b *testing.B) {
+	s := newSystem(b)
+	s.server(fleet.ModelService, streamBehavior("v1"))
+	first, second, third := s.gateway("vm-1"), s.gateway("vm-2"), s.gateway("vm-3")
+	first.eventually(func() bool { return len(first.group.links.LiveStates()) == 2 }, "linked")
+	longest := time.Duration(0)
+	b.ResetTimer()
+	for i := range b.N {
+		begun := time.Now()
+		id := origin.NewID(fleet.Team, fmt.Sprint(i))
+		first.group.origins.Record(id, origin.Origin{Service: fleet.ModelService, SoftwareVersion: "v1"}, time.Minute)
+		for _, n := range []*testGateway{second, third} {
+			for _, known := n.group.origins.lookup(id); !known; _, known = n.group.origins.lookup(id) {
+				runtime.Gosched()
+			}
+		}
+		longest = max(longest, time.Since(begun))
+	}
+	first.group.stats.mu.Lock()
+	defer first.group.stats.mu.Unlock()
+	b.ReportMetric(float64(first.group.stats.peerBytes[peers.CauseOrigin])/float64(b.N), "bytes/stream")
+	b.ReportMetric(float64(longest.Microseconds())/1000, "longest-ms")
+}
