Contradicted origins stay unknown, what peers send of origins is bounded

Found by reading: a gateway that knows of a contradiction took a peer's answer all the same; two requests at once closed each other's session with a gateway without a link; names of services and versions in a peer's message had no bound, and neither had the services of which versions are remembered.

--- a/backends/registry.go
+++ b/backends/registry.go
@@ -275,6 +275,7 @@
 		}
 	}
 	r.expireDepartures(now)
+	r.expireSoftwareViews(now)
 	r.mu.Unlock()
 	r.notifyLeaving(events)
 }
--- a/backends/software.go
+++ b/backends/software.go
@@ -1,6 +1,7 @@
 package backends
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -156,6 +157,19 @@
 // longer than any stream lasts.
 const maxVersionMemory = 10 * time.Minute
 
+// expireSoftwareViews forgets the services that have had no servers for long. mu must be held.
+func (r *Registry) expireSoftwareViews(now time.Duration) {
+	for service, v := range r.softwareViews {
+		if len(r.listed(service)) > 0 {
+			continue
+		}
+		isRecent := func(at time.Duration) bool { return now-at < maxVersionMemory }
+		if !slices.ContainsFunc(slices.Collect(maps.Values(v.delistedAt)), isRecent) {
+			delete(r.softwareViews, service)
+		}
+	}
+}
+
 // dropSoftwareViews has the listed versions computed again after a change of the directory. mu must be held.
 func (r *Registry) dropSoftwareViews() {
 	for _, v := range r.softwareViews {
--- a/backends/software_test.go
+++ b/backends/software_test.go
@@ -48,6 +48,17 @@
 	require.Empty(t, only(40*time.Second))
 }
 
+// Guards against memory that grows with the services of a long life.
+func TestServicesWithoutServersAreForgotten(t *testing.T) {
+	r, _ := newRegistry()
+	r.ReplaceAll([]Server{withSoftware("a", "v1")}, 0, 0)
+	r.Remove("a", 0, time.Second)
+	r.Expire(2 * time.Second)
+	require.True(t, r.HasSeveralVersions(svc, time.Minute, 2*time.Second), "streams of its version may still be resumed")
+	r.Expire(time.Second + maxVersionMemory)
+	require.Empty(t, r.softwareViews)
+}
+
 // Guards against a version that counts as gone while other servers still run it.
 func TestVersionStaysWhileAServerRunsIt(t *testing.T) {
 	r, _ := newRegistry()
--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -19,6 +19,8 @@
 	"kingcupplank.example/kingcup/internal/follow"
 	"kingcupplank.example/kingcup/internal/fuzzseed"
 	"kingcupplank.example/kingcup/internal/peers"
+	"kingcupplank.example/kingcup/internal/relay"
+	"kingcupplank.example/kingcup/origin"
 	"kingcupplank.example/kingcup/platform/directory"
 	"kingcupplank.example/kingcup/platform/operator"
 	peerv1 "kingcupplank.example/kingcup/proto/kingcup/peer/v1"
@@ -163,3 +165,50 @@
 func (m fakeFeed) Snapshot(context.Context, time.Duration) (follow.Page, error) {
 	return follow.Page{Rows: m}, nil
 }
+
+// FuzzOriginRequest checks that no request of a peer about origins crashes the gateway, and that none makes it
+// keep what is not an origin.
+func FuzzOriginRequest(f *testing.F) {
+	corpus := fuzzseed.New(f)
+	id := make([]byte, len(origin.ID{}))
+	for _, request := range []*peerv1.Fetch{
+		{Record: []*peerv1.Origin{{Id: id, Service: "m", SoftwareVersion: "v1", LifetimeMs: 6000}}},
+		{Record: []*peerv1.Origin{{Id: id[1:], Service: "m"}, {}}, Lookup: &peerv1.Lookup{}},
+		{Record: []*peerv1.Origin{{Id: id, LifetimeMs: -1 << 63}, {Id: id, LifetimeMs: 1<<63 - 1}}},
+		{Lookup: &peerv1.Lookup{Id: id, Service: "m", SpanMs: 1<<63 - 1}},
+	} {
+		data, err := proto.Marshal(request)
+		require.NoError(f, err)
+		corpus.Add(data)
+	}
+	corpus.AddMutations()
+	f.Fuzz(func(t *testing.T, data []byte) {
+		request := &peerv1.Fetch{}
+		if proto.Unmarshal(data, request) != nil || !isOriginRequest(request) {
+			return
+		}
+		g := newQuietGroup(fakeStore(nil))
+		head, parts, err := g.serveFetch(request)
+		require.Empty(t, parts)
+		if err != nil {
+			return
+		}
+		require.LessOrEqual(t, g.origins.table.Len(), len(request.GetRecord()))
+		require.Equal(t, request.GetLookup() != nil, head.GetLookup() != nil)
+	})
+}
+
+// Guards against an origin that a peer names although it was contradicted here.
+func TestContradictedOriginIsNotTakenFromAPeer(t *testing.T) {
+	s := newSystem(t)
+	first, second := s.gateway("vm-1"), s.gateway("vm-2")
+	first.eventually(func() bool {
+		return len(first.group.links.LiveStates()) == 1 && len(second.group.links.LiveStates()) == 1
+	}, "linked")
+	id := origin.NewID("team", "stream")
+	second.group.origins.record(id, origin.Origin{Service: "m", SoftwareVersion: "v1"}, time.Minute)
+	query := relay.OriginQuery{ID: id, Service: "m", Lifetime: time.Minute}
+	require.True(t, first.group.origins.Lookup(t.Context(), query).Known)
+	first.group.origins.record(id, origin.Origin{Service: "m"}, time.Minute)
+	require.False(t, first.group.origins.Lookup(t.Context(), query).Known)
+}
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -26,8 +26,14 @@
 	maxOriginCalls = 64
 )
 
-// errOriginID rejects an id of a stream that has the wrong length.
-var errOriginID = errors.New("the id of the stream has the wrong length")
+// maxOriginText bounds the names of services and versions that a peer sends, in bytes.
+const maxOriginText = 256
+
+// Errors of requests of peers.
+var (
+	errOriginID   = errors.New("the id of the stream has the wrong length")
+	errOriginText = errors.New("the service or the version is too long")
+)
 
 // sharedOrigins keeps the origins of streams together with the other gateways. It implements relay.Origins and
 // is safe for concurrent use; no other lock is taken while mu is locked.
@@ -139,6 +145,9 @@
 		switch a := <-answers; {
 		case a.Known:
 			s.record(q.ID, a.Origin, q.Lifetime)
+			if _, known := s.lookup(q.ID); !known {
+				return relay.OriginAnswer{From: "own record, contradicted by " + a.From}
+			}
 			return a
 		case a.OnlyVersion != "":
 			best = a
@@ -174,6 +183,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if len(m.GetService()) > maxOriginText || len(m.GetSoftwareVersion()) > maxOriginText {
+			return nil, errOriginText
+		}
 		s.record(id, origin.Origin{Service: m.GetService(), SoftwareVersion: m.GetSoftwareVersion()}, boundedMillis(m.GetLifetimeMs()))
 	}
 	if req.GetLookup() == nil {
--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -138,6 +138,11 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if other := m.onDemand[member.Name]; other != nil {
+		if !other.session.IsClosed() {
+			// Another request has opened one meanwhile.
+			made.close()
+			return other.session, nil
+		}
 		other.close()
 	}
 	m.onDemand[member.Name] = made
