--- a/internal/relay/version_test.go
+++ b/internal/relay/version_test.go
@@ -10,6 +10,8 @@
 	"github.com/stretchr/testify/require"
 
 	"kingcupplank.example/kingcup/backends"
+	"kingcupplank.example/kingcup/origin"
+	"kingcupplank.example/kingcup/routing"
 )
 
 // fillServer reports a load at a server that makes every other one more attractive.
@@ -267,3 +269,47 @@
 		require.Equal(t, []string{"a", "c"}, f.upstream.servers())
 	})
 }
+
+// fakeOrigins knows the origin of one stream.
+type fakeOrigins struct {
+	answer  OriginAnswer
+	queried []OriginQuery
+}
+
+func (*fakeOrigins) Record(origin.ID, origin.Origin, time.Duration) {}
+
+func (o *fakeOrigins) Lookup(_ context.Context, q OriginQuery) OriginAnswer {
+	o.queried = append(o.queried, q)
+	return o.answer
+}
+
+// Guards against a resumed stream that is sent to the other service of its route.
+func TestResumedStreamReturnsToItsService(t *testing.T) {
+	for _, began := range []string{modelService, "second", "elsewhere"} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(t, Config{})
+			origins := &fakeOrigins{answer: OriginAnswer{Origin: origin.Origin{Service: began, SoftwareVersion: "v1"}, Known: true}}
+			f.relay.Origins = origins
+			f.replica.Put(routing.Content{Version: 2, Routes: []*routing.Route{
+				{Name: "check", Host: "h", Prefix: "/check/", Kind: routing.Stream, Public: true, Timeout: 6 * time.Second, MaxServers: 2, Resumable: true, Split: []routing.Weighted{{Service: modelService, Weight: 1}, {Service: "second", Weight: 1}}},
+			}, Services: []*routing.Service{{Name: modelService}, {Name: "second"}}}, func() {})
+			f.replica.Confirm(f.now())
+			f.addServer("a", modelService)
+			f.addServer("b", "second")
+			f.upstream.send = func(_ context.Context, a *Attempt) (*Response, error) { return answer(3, 4)(a) }
+			for i := range 8 {
+				r := request("/check/x")
+				r.LastEventID, r.Resumes = "2", "first"
+				c := f.serve(r)
+				require.Equal(t, origin.NewID("", "first"), origins.queried[i].ID)
+				if began == "elsewhere" {
+					require.Equal(t, ReasonSoftwareGone, c.refusal.Reason)
+					require.False(t, c.refusal.MayHaveRun)
+					continue
+				}
+				c.requireWhole(t, events(3, 4))
+				require.Equal(t, began, f.upstream.sent[i].Server.Service)
+			}
+		})
+	}
+}
