Gateways that can't tell yet record the origins of streams

Cause: origins were recorded only once several versions were known, and looked up unless one version was certain; in between, after each start and behind a directory that is out of date, neither held. Evidence: TestCallersResumeAtGatewaysThatHaveJustStarted fails with the condition as it was. Change: an origin is recorded unless one version is certain: both sides ask the same question. Result: the tests of backends and relay and those on resumption pass.

--- a/backends/software.go
+++ b/backends/software.go
@@ -34,7 +34,10 @@
 func (r *Registry) HasSeveralVersions(service string, within, now time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	v := r.software(service)
+	return r.software(service).hasSeveralVersions(within, now)
+}
+
+func (v *softwareView) hasSeveralVersions(within, now time.Duration) bool {
 	if len(v.listed) > 1 || slices.Contains(v.listed, "") {
 		return true
 	}
@@ -50,13 +53,10 @@
 // span up to now. It returns false if there were several versions or none, or if this process may have
 // missed some: its copy of the directory is younger than the span, or out of date.
 func (r *Registry) OnlyVersion(service string, within, now time.Duration) (string, bool) {
-	if r.HasSeveralVersions(service, within, now) {
-		return "", false
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	v := r.software(service)
-	if len(v.listed) != 1 || !r.hasDirectory || now-r.directorySince < within || now-r.confirmedAt > maxDirectoryAge {
+	if v.hasSeveralVersions(within, now) || len(v.listed) != 1 || !r.hasDirectory || now-r.directorySince < within || now-r.confirmedAt > maxDirectoryAge {
 		return "", false
 	}
 	return v.listed[0], true
--- a/internal/gateway/resumption_test.go
+++ b/internal/gateway/resumption_test.go
@@ -179,6 +179,19 @@
 	require.Equal(t, http.StatusOK, started.resume(b, "resumed at a new gateway"))
 }
 
+// Guards against streams that are lost although there is one version only: gateways that have just started can't
+// tell.
+func TestCallersResumeAtGatewaysThatHaveJustStarted(t *testing.T) {
+	s := newSystem(t)
+	s.server(fleet.ModelService, streamBehavior("v1"))
+	s.server(fleet.ModelService, streamBehavior("v1"))
+	first, second := s.gateway("vm-1"), s.gateway("vm-2")
+	first.eventually(func() bool { return len(first.group.links.LiveStates()) == 1 }, "linked")
+	streams := s.beginMany(first, "stream", 4)
+	second.eventually(func() bool { return second.originCount() == len(streams) }, "origins have arrived")
+	require.Equal(t, len(streams), s.resumeMany(second, "second", streams))
+}
+
 // Guards against streams of the time before a second version appeared, while they still run.
 func TestStreamsThatBeganBeforeTheSecondVersionAreRecorded(t *testing.T) {
 	s := newSystem(t)
--- a/internal/relay/resumption.go
+++ b/internal/relay/resumption.go
@@ -59,15 +59,18 @@
 	return min(origin.MaxLifetime, max(j.Timeout, effectiveTimeout(0, j.route.Timeout)))
 }
 
-// recordOrigin records which servers began the stream, if its caller may resume it at a gateway that could
-// not tell. It is called before each event is forwarded: a second version may appear at any time.
+// recordOrigin records which servers began the stream, unless all gateways can tell: this one has seen one version
+// only for longer than another one could matter. It is called before each event is forwarded, as a second
+// version may appear at any time.
 func (s *session) recordOrigin() {
 	j := s.job
 	if !j.route.Resumable || j.originRecorded.Load() {
 		return
 	}
-	if len(j.route.Split) == 1 && !s.Registry.HasSeveralVersions(j.service, j.versionSpan(), s.Now()) {
-		return
+	if len(j.route.Split) == 1 {
+		if _, ok := s.Registry.OnlyVersion(j.service, j.versionSpan(), s.Now()); ok {
+			return
+		}
 	}
 	j.originRecorded.Store(true)
 	s.Origins.Record(j.originID(), origin.Origin{Service: j.service, SoftwareVersion: *j.software.Load()}, j.streamLifetime())
