Versions of unreadable entries still count, resumed streams wait as long as their callers

Found by reading. A gateway for which another writer's entry hid the only server of a version took the other version for the only one; the same where an entry changed its service or lost its version. A stream that is resumed waited for 0.75 s for room at its version where its caller waits for seconds, while new streams are queued for longer. Change: versions are those of all servers that have not gone, and a changed entry delists its old version; a resumed stream waits up to 0.9 of the caller's silence and half of the time left. Tests: TestChangedEntriesDelistNoVersionAtOnce; those of backends, relay and on resumption pass.

--- a/backends/registry.go
+++ b/backends/registry.go
@@ -197,6 +197,8 @@
 		events = append(events, leaveEvent{old.Server, LeaveRestarted})
 		r.recordDelisted(old.Server, now)
 		old = nil
+	case old != nil && (old.Service != s.Service || old.SoftwareVersion != s.SoftwareVersion):
+		r.recordDelisted(old.Server, now)
 	}
 	if old == nil {
 		old = &server{hash: cells.Hash(s.ID)}
--- a/backends/software.go
+++ b/backends/software.go
@@ -14,7 +14,8 @@
 
 // softwareView is what is known of the software of a service's servers.
 type softwareView struct {
-	// listed are the versions of the listed servers; an unknown version is empty.
+	// listed are the versions of the listed servers; an unknown version is empty. They include those of
+	// servers whose entry can't be read at present: other processes may have read it.
 	listed []string
 	// delistedAt is when the last server of a version went that is not listed any more.
 	delistedAt map[string]time.Duration
@@ -92,8 +93,8 @@
 	v := r.softwareView(service)
 	if v.listed == nil {
 		v.listed = make([]string, 0, 1)
-		for _, s := range r.listed(service) {
-			if !slices.Contains(v.listed, s.SoftwareVersion) {
+		for _, s := range r.servers {
+			if s.Service == service && !s.gone && !slices.Contains(v.listed, s.SoftwareVersion) {
 				v.listed = append(v.listed, s.SoftwareVersion)
 			}
 		}
@@ -160,7 +161,7 @@
 // expireSoftwareViews forgets the services that have had no servers for long. mu must be held.
 func (r *Registry) expireSoftwareViews(now time.Duration) {
 	for service, v := range r.softwareViews {
-		if len(r.listed(service)) > 0 {
+		if len(r.software(service).listed) > 0 {
 			continue
 		}
 		isRecent := func(at time.Duration) bool { return now-at < maxVersionMemory }
--- a/backends/software_test.go
+++ b/backends/software_test.go
@@ -48,6 +48,26 @@
 	require.Empty(t, only(40*time.Second))
 }
 
+// Guards against a version that counts as gone while another writer spoils its server's entry, or once its
+// server names another service or no version.
+func TestChangedEntriesDelistNoVersionAtOnce(t *testing.T) {
+	for name, change := range map[string]func(s *Server){
+		"unreadable":    func(s *Server) { *s = Server{ID: s.ID, Unreadable: true} },
+		"other service": func(s *Server) { s.Service = "other" },
+		"no version":    func(s *Server) { s.SoftwareVersion = "" },
+	} {
+		r, _ := newRegistry()
+		r.ReplaceAll([]Server{withSoftware("a", "v1"), withSoftware("b", "v2")}, 0, 0)
+		s := withSoftware("b", "v2")
+		change(&s)
+		r.Put(s, time.Minute)
+		r.ConfirmDirectory(time.Minute)
+		require.True(t, r.HasSeveralVersions(svc, 6*time.Second, time.Minute), name)
+		_, only := r.OnlyVersion(svc, 6*time.Second, time.Minute)
+		require.False(t, only, name)
+	}
+}
+
 // Guards against memory that grows with the services of a long life.
 func TestServicesWithoutServersAreForgotten(t *testing.T) {
 	r, _ := newRegistry()
--- a/internal/relay/software.go
+++ b/internal/relay/software.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"kingcupplank.example/kingcup/backends"
 	"kingcupplank.example/kingcup/internal/wait"
@@ -41,7 +42,7 @@
 // others have room for the requests behind it.
 func (r *Relay) acquireSameSoftware(ctx context.Context, j *job) (*backends.Reservation, *Refusal) {
 	eq, demand, w := r.engineQueue(j.service), r.engineDemand(j), r.engineWaiter(j)
-	waitUntil := r.Now() + j.maxWait()
+	waitUntil := r.Now() + j.maxResumeWait()
 	for {
 		q := r.engineQuery(j, 0)
 		q.Turns, q.Spill = nil, true
@@ -63,6 +64,13 @@
 	}
 }
 
+// maxResumeWait returns how long a stream that has begun may wait for a server of its version: as long as its
+// caller waits for the next event, but no longer than half of the time that is left.
+func (j *job) maxResumeWait() time.Duration {
+	silence := time.Duration(eventTimeoutShare * float64(j.route.EventTimeout))
+	return max(j.maxWait(), min(silence, j.timeLeft()/2))
+}
+
 // refuseIfSoftwareGone returns a refusal if no server runs the software version that the request
 // requires, and nil otherwise. An earlier return of the caller would be in vain.
 func (r *Relay) refuseIfSoftwareGone(j *job) *Refusal {
