Soak: one process for each gateway, none after its run

Cause: two faults that stop the same gateway both start it again; the first of the two processes then belongs to nobody, and outlives the run. Killing the test by hand leaves all of them.

--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -88,6 +88,8 @@
 	mu           sync.Mutex
 	cmd          *exec.Cmd
 	exited       chan struct{}
+	// isClosed is set at the end of the run; a fault may still be about to start the process again.
+	isClosed bool
 }
 
 // Result is the outcome of a run.
@@ -263,6 +265,9 @@
 func (g *gateway) start(binary string) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.isClosed || g.isRunning() {
+		return nil
+	}
 	cmd := exec.Command(binary, "-metrics-port", "0", "-leave", "300ms")
 	cmd.Env = append(os.Environ(), fleet.SettingsVariable+"="+g.settingsPath, "GORACE=halt_on_error=1")
 	cmd.Stdout, cmd.Stderr = g.logFile, g.logFile
@@ -278,6 +283,33 @@
 	return nil
 }
 
+// isRunning reports whether the process runs: of two faults that stopped it, the other has started it again. mu
+// must be held.
+func (g *gateway) isRunning() bool {
+	if g.exited == nil {
+		return false
+	}
+	select {
+	case <-g.exited:
+		return false
+	default:
+		return true
+	}
+}
+
+// close kills the process for good. A process that outlived its run would reach the gateways of later ones, at
+// addresses that are used again.
+func (g *gateway) close() {
+	g.mu.Lock()
+	g.isClosed = true
+	exited := g.exited
+	g.mu.Unlock()
+	g.signal(syscall.SIGCONT)
+	g.signal(syscall.SIGKILL)
+	<-exited
+	g.logFile.Close()
+}
+
 func (g *gateway) signal(sig syscall.Signal) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -396,10 +428,7 @@
 
 func (s *Soak) close() {
 	for _, g := range s.gateways {
-		g.signal(syscall.SIGCONT)
-		g.signal(syscall.SIGKILL)
-		<-g.exited
-		g.logFile.Close()
+		g.close()
 	}
 	s.fleet.Close()
 	s.mu.Lock()
