The soak counts from the first response that announces a leaving server

The rule binds from the acknowledgement. The check is as strict as before from the first response on.

--- a/internal/soak/signals.go
+++ b/internal/soak/signals.go
@@ -93,9 +93,14 @@
 	if len(leaving.Arrivals()) == 0 {
 		violations = append(violations, leaving.ID+" received no request")
 	}
+	firstAnswer := announced
 	for _, a := range leaving.Arrivals() {
+		// The signal is in the responses only: nobody knows it before the first one.
+		if firstAnswer == announced && a.At.After(announced) {
+			firstAnswer = a.At
+		}
 		// A restarted gateway has not received the signal yet.
-		if delay := a.At.Sub(announced); delay > signalTimeout && gatewayOf[a.ID] != restarted {
+		if delay := a.At.Sub(firstAnswer); delay > signalTimeout && gatewayOf[a.ID] != restarted {
 			violations = append(violations, fmt.Sprintf("%s received %s %v after it announced that it was leaving", leaving.ID, a.ID, delay))
 		}
 	}
