--- a/internal/gateway/resumption_test.go
+++ b/internal/gateway/resumption_test.go
@@ -156,6 +156,13 @@
 	return n.group.origins.table.Len()
 }
 
+// originBytes returns the number of bytes that a gateway has sent for origins.
+func (n *testGateway) originBytes() int {
+	n.group.stats.mu.Lock()
+	defer n.group.stats.mu.Unlock()
+	return n.group.stats.peerBytes[peers.CauseOrigin]
+}
+
 // Guards against bytes between gateways, and against refusals, while there is one version only, also at a
 // gateway that has just started.
 func TestOneSoftwareVersionCostsNothing(t *testing.T) {
@@ -172,7 +179,7 @@
 	require.Equal(t, http.StatusOK, second.resume(b, "resumed"))
 	for _, n := range []*testGateway{first, second} {
 		require.Zero(t, n.originCount())
-		require.Zero(t, n.group.stats.peerBytes[peers.CauseOrigin])
+		require.Zero(t, n.originBytes())
 	}
 	started := s.gateway("vm-3")
 	started.eventually(func() bool { return len(started.group.links.LiveStates()) == 2 }, "linked")
@@ -295,8 +302,6 @@
 		}
 		longest = max(longest, time.Since(begun))
 	}
-	first.group.stats.mu.Lock()
-	defer first.group.stats.mu.Unlock()
-	b.ReportMetric(float64(first.group.stats.peerBytes[peers.CauseOrigin])/float64(b.N), "bytes/stream")
+	b.ReportMetric(float64(first.originBytes())/float64(b.N), "bytes/stream")
 	b.ReportMetric(float64(longest.Microseconds())/1000, "longest-ms")
 }
