--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -161,10 +161,10 @@
 		ID: old.ID, Service: old.Service, Address: old.Address, FailureDomain: old.FailureDomain, behavior: old.behavior,
 		StartTime: max(time.Now().UnixMilli(), old.StartTime+1),
 	}
+	s.start(f, l)
 	f.mu.Lock()
 	f.servers = append(f.servers, s)
 	f.mu.Unlock()
-	s.start(f, l)
 	return s, nil
 }
 
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -21,7 +21,8 @@
 skip='^$'
 if [ -f KNOWN-RED.txt ]; then
   echo "known red, passed over:"; cat KNOWN-RED.txt
-  skip="^($(cut -d: -f1 KNOWN-RED.txt | paste -sd'|'))\$"
+  # A subtest is named by its path: each part of it is matched as a whole.
+  skip=$(cut -d: -f1 KNOWN-RED.txt | sed 's#/#$/^#g; s#.*#^&$#' | paste -sd'|')
 fi
 virtual='/(admission|concurrency|prefill|standby|internal/(proof|relay|follow|fleetmodel))$'
 go test -race -timeout 10m -skip "$skip" $(go list ./... | grep -Ev "$virtual")
