Log lines of crashed servers name the shared prompt parts of each request

An operator who saw servers crash one after the other under requests of one team could not tell what these had in common: the line 'server crashed under requests' names a hash of the whole content, which differs for each of them.

No decision changes.

--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -29,6 +31,8 @@
 	lateCrashCheckDelay = 2 * time.Second
 	// maxLoggedRequests bounds the requests listed in a log line.
 	maxLoggedRequests = 16
+	// maxLoggedParts bounds the prompt parts that a log line names of a request.
+	maxLoggedParts = 8
 )
 
 // crashCheck determines whether a server has crashed under the requests whose responses broke off
@@ -47,6 +51,8 @@
 type brokenRequest struct {
 	id        quarantine.ID
 	requestID string
+	// parts are the shared parts of the request's prompt.
+	parts []uint64
 	// events is the number of events that the caller had received, attempt the number of the
 	// attempt within the request.
 	events, attempt int
@@ -77,7 +83,7 @@
 	}
 	j.hadBrokenResponse, j.isTrial = true, false
 	id := j.quarantineID()
-	checked := r.startCrashCheck(s, brokenRequest{id: id, requestID: j.ID, events: j.progress.events, attempt: j.attempts})
+	checked := r.startCrashCheck(s, brokenRequest{id: id, requestID: j.ID, parts: j.PromptParts, events: j.progress.events, attempt: j.attempts})
 	if !r.Quarantine.NearThreshold(id) {
 		return
 	}
@@ -186,11 +192,23 @@
 // requestLogFields returns log fields that describe the requests that ran on a server.
 func requestLogFields(requests []brokenRequest) (out []map[string]any) {
 	for _, b := range requests[:min(len(requests), maxLoggedRequests)] {
-		out = append(out, map[string]any{"request": b.requestID, "content": b.id.String(), "events": b.events, "try": b.attempt})
+		out = append(out, map[string]any{"request": b.requestID, "content": b.id.String(), "parts": partLogField(b.parts), "events": b.events, "try": b.attempt})
 	}
 	return out
 }
 
+// partLogField names parts of prompts as callers do, in hexadecimal.
+func partLogField(parts []uint64) string {
+	var out strings.Builder
+	for i, p := range parts[:min(len(parts), maxLoggedParts)] {
+		if i > 0 {
+			out.WriteByte(',')
+		}
+		out.WriteString(strconv.FormatUint(p, 16))
+	}
+	return out.String()
+}
+
 // errQuarantined is the cause for canceling a request in flight that has been quarantined.
 var errQuarantined = errors.New("request is quarantined")
 
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -38,7 +38,9 @@
 		beforeBreak()
 		body.breakOff()
 	}()
-	f.serve(request("/plan/a"))
+	r := request("/plan/a")
+	r.PromptParts = []uint64{0x5c, 0x91}
+	f.serve(r)
 	time.Sleep(2 * lateCrashCheckDelay)
 }
 
@@ -56,6 +58,7 @@
 		requests := lines[0].Data["ran"].([]map[string]any)
 		require.Equal(t, "r1", requests[0]["request"])
 		require.Equal(t, 3, requests[0]["events"])
+		require.Equal(t, "5c,91", requests[0]["parts"])
 	})
 }
 
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -51,6 +51,8 @@
 	Resumes string
 	// Generation is nil for plain requests.
 	Generation *Generation
+	// PromptParts are the IDs of the parts of the prompt that other requests may share, in order.
+	PromptParts []uint64
 }
 
 // Attempt is a request as it is sent to one server.
