--- a/internal/standin/fleet/caller.go
+++ b/internal/standin/fleet/caller.go
@@ -33,8 +33,16 @@
 	// resumes behind LastEvent, empty for a new stream.
 	Resumes   string
 	LastEvent int
+	// Parts are the parts of a generation's prompt, the request's own part last.
+	Parts []string
 }
 
+// promptPrefix is the header that lists the parts of a prompt, promptPartTokens the size of each.
+const (
+	promptPrefix     = "X-Kingcupplank-Prompt-Prefix"
+	promptPartTokens = ":30"
+)
+
 // defaultBody is sent where the content of a request does not matter.
 const defaultBody = "body"
 
@@ -95,6 +103,9 @@
 	}
 	r.Header.Set("X-Kingcupplank-Model-Id", "m")
 	r.Header.Set("X-Kingcupplank-Token-Usage", "100,400")
+	if len(spec.Parts) > 0 {
+		r.Header.Set(promptPrefix, strings.Join(spec.Parts, promptPartTokens+",")+promptPartTokens)
+	}
 	resp, err := client.Do(r)
 	if err != nil {
 		return 0, err
--- a/internal/standin/fleet/server.go
+++ b/internal/standin/fleet/server.go
@@ -94,6 +94,8 @@
 	// body contains this text; see Fleet.Crash.
 	CrashOn    string
 	CrashDelay time.Duration
+	// CrashOnPart, if set, does the same on a request whose prompt has this part before its last.
+	CrashOnPart string
 	// Slots, if set, is the number of slots in the server's entry. With more requests in progress,
 	// Delay grows in proportion.
 	Slots int
@@ -123,6 +125,12 @@
 	return time.Duration(float64(d) * p.Factor)
 }
 
+// CrashesOn reports whether the server crashes on a request with a header and a body.
+func (b Behavior) CrashesOn(h http.Header, body string) bool {
+	return b.CrashOn != "" && strings.Contains(body, b.CrashOn) ||
+		b.CrashOnPart != "" && strings.Contains(","+h.Get(promptPrefix), ","+b.CrashOnPart+promptPartTokens+",")
+}
+
 // neverFinishing returns the behavior for a request on which the server crashes before the
 // response is complete.
 func (b Behavior) neverFinishing() Behavior {
@@ -337,7 +345,7 @@
 		}
 		return
 	}
-	if b.CrashOn != "" && strings.Contains(string(body), b.CrashOn) {
+	if b.CrashesOn(r.Header, string(body)) {
 		time.AfterFunc(b.Delay+b.CrashDelay, func() { s.crash(s) })
 		b = b.neverFinishing()
 	}
