Prompt parts under which servers crash are quarantined at all gateways

Cause: the quarantine knew a request only by its whole content, so that each new one started without evidence. What ends the servers is a part that the requests share.

Change: a crash counts against the whole content and each shared part of the prompt, by team; one crash of each of three teams counts against the part for all teams. Suspects are judged by one rule, from the best explanation to the worst: those that no server has ever answered first, then by the number of crashes; a suspect is quarantined if enough of its crashes remain that no better one explains. A part needs four crashes that are apart, eight if it has been answered before, more if it has a small share of the crashes of its time. Parts that a server has been answering for a second are not reported. Verdicts are rows of the store and are written again while their evidence grows, as gateways that start decide from the rows alone. An answer that ends with its connection clears nothing.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -149,7 +149,7 @@
 		func(rep *routing.Replica, reg *backends.Registry, up *upstream.Client, now clock.Source, rec *gatewaymetrics.Recorder, gr *group, l *lateDeps) *relay.Relay {
 			r := relay.New(relayConfig(platform), relay.Deps{Replica: rep, Registry: reg, Upstream: up, Now: now, Log: log, Observer: rec, Peers: gr, Quarantine: gr.quarantine, Origins: gr.origins, Limits: rec})
 			l.relay.Store(r)
-			onQuarantined := r.CancelQuarantined
+			onQuarantined := r.HandleQuarantined
 			gr.quarantine.onQuarantined.Store(&onQuarantined)
 			return r
 		},
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -58,11 +58,15 @@
 	group         *group
 	log           logrus.FieldLogger
 	recordLimiter *rate.Limiter
-	// onQuarantined is called for each request that becomes quarantined; it may be nil.
+	// onQuarantined is called for each suspect that becomes quarantined; it may be nil.
 	onQuarantined atomic.Pointer[func(quarantine.ID)]
 	// hasRecords says that the tracker is not empty.
 	hasRecords atomic.Bool
 
+	answersMu sync.Mutex
+	// answers are the prompt parts that servers answered here.
+	answers quarantine.AnswerLog
+
 	mu      sync.Mutex
 	tracker *quarantine.Tracker
 	// rows are the rows in the store, by request. saveAt is when a row is due to be
@@ -86,39 +90,43 @@
 func (s *sharedQuarantine) HasRecords() bool { return s.hasRecords.Load() }
 
 // Quarantined implements relay.Quarantine.
-func (s *sharedQuarantine) Quarantined(id quarantine.ID) (time.Duration, bool) {
+func (s *sharedQuarantine) Quarantined(suspects []quarantine.ID) (quarantine.Verdict, bool) {
 	now, known := s.group.role.storeTime()
 	if !known {
-		return 0, false
+		return quarantine.Verdict{}, false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.tracker.Quarantined(id, now)
+	return s.tracker.RequestQuarantined(suspects, now)
 }
 
 // TrialDue implements relay.Quarantine.
-func (s *sharedQuarantine) TrialDue(id quarantine.ID) bool {
+func (s *sharedQuarantine) TrialDue(suspects []quarantine.ID) bool {
 	now, known := s.group.role.storeTime()
 	if !known {
 		return false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.tracker.TrialDue(id, now)
+	return s.tracker.RequestTrialDue(suspects, now)
 }
 
 // StartTrial implements relay.Quarantine.
-func (s *sharedQuarantine) StartTrial(id quarantine.ID) (tried bool) {
+func (s *sharedQuarantine) StartTrial(suspects []quarantine.ID) (tried bool) {
 	now, known := s.group.role.storeTime()
 	if !known {
 		return false
 	}
+	var tested []string
 	s.update("tried", 0, func(t *quarantine.Tracker) (u quarantine.Update) {
-		u, tried = t.StartTrial(id, now)
+		u, tried = t.StartRequestTrial(suspects, now)
+		for _, r := range u.Changed {
+			tested = append(tested, r.String())
+		}
 		return u
 	})
 	if tried {
-		s.log.WithFields(logrus.Fields{"content": id.String(), "team": id.Team}).Info("trying a quarantined request whose quarantine decision is ambiguous")
+		s.log.WithFields(logrus.Fields{"content": suspects[0].String(), "tested": tested, "team": suspects[0].Team}).Info("trying a quarantined request whose quarantine decision is ambiguous")
 	}
 	return tried
 }
@@ -131,20 +139,32 @@
 }
 
 // NearThreshold implements relay.Quarantine.
-func (s *sharedQuarantine) NearThreshold(id quarantine.ID) bool {
+func (s *sharedQuarantine) NearThreshold(suspects []quarantine.ID) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.tracker.NearThreshold(id)
+	return s.tracker.RequestNearThreshold(suspects)
 }
 
 // Crashed implements relay.Quarantine.
-func (s *sharedQuarantine) Crashed(server backends.Server, ran []quarantine.ID) {
+func (s *sharedQuarantine) Crashed(server backends.Server, suspects []quarantine.ID) {
 	now, known := s.group.role.storeTime()
 	if !known {
 		s.log.WithField("server", server.ID).Warn("crash of a server is not recorded, because the store's clock is not known yet")
 		return
 	}
-	s.update("seen here", 0, func(t *quarantine.Tracker) quarantine.Update { return t.Crashed(incarnationHash(server), now, ran) })
+	s.update("seen here", 0, s.merge(quarantine.CrashRecords(incarnationHash(server), now, suspects)))
+}
+
+// merge returns a change that merges records, and what is known here of answers to their suspects.
+func (s *sharedQuarantine) merge(records []quarantine.Record) func(*quarantine.Tracker) quarantine.Update {
+	s.answersMu.Lock()
+	defer s.answersMu.Unlock()
+	for _, r := range records {
+		if answered, ok := s.answers.Complete(r); ok {
+			records = append(records, answered)
+		}
+	}
+	return func(t *quarantine.Tracker) quarantine.Update { return t.Merge(records) }
 }
 
 // incarnationHash identifies an incarnation of a server. It is the same at all gateways.
@@ -153,13 +173,20 @@
 }
 
 // Answered implements relay.Quarantine.
-func (s *sharedQuarantine) Answered(id quarantine.ID) { s.clearRequest(id, "answered") }
-
-// clearRequest clears a request of the crashes so far, because a server has answered it or
-// an operator has released it.
-func (s *sharedQuarantine) clearRequest(id quarantine.ID, reason string) {
-	if now, known := s.group.role.storeTime(); known {
-		s.update(reason, 0, func(t *quarantine.Tracker) quarantine.Update { return t.Clear(id, now) })
+func (s *sharedQuarantine) Answered(suspects []quarantine.ID) {
+	now, known := s.group.role.storeTime()
+	if !known {
+		return
+	}
+	s.answersMu.Lock()
+	for _, id := range suspects {
+		if id.Kind == quarantine.PromptPart {
+			s.answers.Record(id, now)
+		}
+	}
+	s.answersMu.Unlock()
+	if s.hasRecords.Load() {
+		s.update("answered", 0, func(t *quarantine.Tracker) quarantine.Update { return t.ClearRequest(suspects, now) })
 	}
 }
 
@@ -169,7 +196,7 @@
 	for _, p := range suspects {
 		records = append(records, recordFromMessage(p))
 	}
-	s.update("told by "+peer, s.saveDelay(), func(t *quarantine.Tracker) quarantine.Update { return t.Merge(records) })
+	s.update("told by "+peer, s.saveDelay(), s.merge(records))
 }
 
 // saveDelay returns a random delay before writing a row that other gateways may write as
@@ -189,7 +216,7 @@
 		s.scheduleSave(id, delay)
 	}
 	for _, r := range u.Changed {
-		if len(r.Trials) > 0 {
+		if s.isRowOutdated(r.ID) {
 			s.scheduleSave(r.ID, delay)
 		}
 	}
@@ -255,7 +282,7 @@
 }
 
 func recordMessage(r quarantine.Record) *peerv1.Suspect {
-	p := &peerv1.Suspect{Team: r.Team, Content: r.Content, AbsolvedMs: r.ClearedAt.Milliseconds(), TrialsMs: toMillis(r.Trials)}
+	p := &peerv1.Suspect{Team: r.Team, PromptPart: r.Kind == quarantine.PromptPart, Content: r.Content, AbsolvedMs: r.ClearedAt.Milliseconds(), TrialsMs: toMillis(r.Trials)}
 	for _, e := range r.Crashes {
 		p.Ends = append(p.Ends, &peerv1.End{Server: e.Incarnation, AtMs: e.At.Milliseconds()})
 	}
@@ -263,13 +290,20 @@
 }
 
 func recordFromMessage(p *peerv1.Suspect) quarantine.Record {
-	r := quarantine.Record{ID: quarantine.ID{Team: p.GetTeam(), Content: p.GetContent()}, ClearedAt: time.Duration(p.GetAbsolvedMs()) * time.Millisecond, Trials: fromMillis(p.GetTrialsMs())}
+	r := quarantine.Record{ID: quarantine.ID{Team: p.GetTeam(), Kind: kindOf(p.GetPromptPart()), Content: p.GetContent()}, ClearedAt: time.Duration(p.GetAbsolvedMs()) * time.Millisecond, Trials: fromMillis(p.GetTrialsMs())}
 	for _, e := range p.GetEnds() {
 		r.Crashes = append(r.Crashes, quarantine.Crash{Incarnation: e.GetServer(), At: time.Duration(e.GetAtMs()) * time.Millisecond})
 	}
 	return r
 }
 
+func kindOf(promptPart bool) quarantine.Kind {
+	if promptPart {
+		return quarantine.PromptPart
+	}
+	return quarantine.WholeContent
+}
+
 func toMillis(times []time.Duration) (out []int64) {
 	for _, t := range times {
 		out = append(out, t.Milliseconds())
@@ -330,31 +364,28 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for _, r := range q.tracker.List(1) {
-		if left, quarantined := q.tracker.Quarantined(r.ID, now); quarantined {
-			out = append(out, admin.QuarantinedRequest{Content: r.String(), Team: r.Team, Crashes: describeCrashes(r), RemainingSeconds: int(left.Seconds())})
+	for _, id := range q.tracker.QuarantinedIDs() {
+		if left, quarantined := q.tracker.Quarantined(id, now); quarantined {
+			out = append(out, admin.QuarantinedRequest{Content: id.String(), Team: id.Team, Crashes: describeCrashes(q.tracker.Record(id)), RemainingSeconds: int(left.Seconds())})
 		}
 	}
+	slices.SortFunc(out, func(x, y admin.QuarantinedRequest) int { return cmp.Compare(x.Content, y.Content) })
 	return out
 }
 
 // Lift implements admin.Quarantine.
-func (q adminQuarantine) Lift(content string) bool {
-	id, found := q.find(content)
-	if found {
-		q.clearRequest(id, "lifted by an operator")
+func (q adminQuarantine) Lift(content string) (found bool) {
+	now, known := q.group.role.storeTime()
+	if !known {
+		return false
 	}
-	return found
-}
-
-// find returns the ID of a tracked request by the name that logs give it.
-func (q adminQuarantine) find(content string) (quarantine.ID, bool) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	for _, r := range q.tracker.List(1) {
-		if r.String() == content {
-			return r.ID, true
+	q.update("lifted by an operator", 0, func(t *quarantine.Tracker) (u quarantine.Update) {
+		for _, id := range append(t.QuarantinedIDs(), t.IDs()...) {
+			if !found && id.String() == content {
+				u, found = t.Lift(id, now)
+			}
 		}
-	}
-	return quarantine.ID{}, false
+		return u
+	})
+	return found
 }
--- a/internal/gateway/suspectrows.go
+++ b/internal/gateway/suspectrows.go
@@ -33,6 +33,7 @@
 type recordData struct {
 	Team      string      `json:"team"`
 	Content   uint64      `json:"content"`
+	Part      bool        `json:"prompt_part,omitempty"`
 	Crashes   []crashData `json:"ends"`
 	ClearedMs int64       `json:"absolved_ms,omitempty"`
 	TrialsMs  []int64     `json:"trials_ms,omitempty"`
@@ -44,7 +45,7 @@
 }
 
 func encodeRecord(r quarantine.Record) ([]byte, error) {
-	d := recordData{Team: r.Team, Content: r.Content, ClearedMs: r.ClearedAt.Milliseconds(), TrialsMs: toMillis(r.Trials)}
+	d := recordData{Team: r.Team, Content: r.Content, Part: r.Kind == quarantine.PromptPart, ClearedMs: r.ClearedAt.Milliseconds(), TrialsMs: toMillis(r.Trials)}
 	for _, e := range r.Crashes {
 		d.Crashes = append(d.Crashes, crashData{e.Incarnation, e.At.Milliseconds()})
 	}
@@ -61,7 +62,7 @@
 	if err := json.Unmarshal(row.Value, &d); err != nil {
 		return quarantine.Record{}, err
 	}
-	r := quarantine.Record{ID: quarantine.ID{Team: d.Team, Content: d.Content}, ClearedAt: time.Duration(d.ClearedMs) * time.Millisecond, Trials: fromMillis(d.TrialsMs)}
+	r := quarantine.Record{ID: quarantine.ID{Team: d.Team, Kind: kindOf(d.Part), Content: d.Content}, ClearedAt: time.Duration(d.ClearedMs) * time.Millisecond, Trials: fromMillis(d.TrialsMs)}
 	for _, e := range d.Crashes {
 		r.Crashes = append(r.Crashes, quarantine.Crash{Incarnation: e.Incarnation, At: time.Duration(e.AtMs) * time.Millisecond})
 	}
@@ -110,7 +111,7 @@
 	}
 	maps.Copy(s.rows, known)
 	s.mu.Unlock()
-	s.update("row of the store", s.saveDelay(), func(t *quarantine.Tracker) quarantine.Update { return t.Merge(records) })
+	s.update("row of the store", s.saveDelay(), s.merge(records))
 	if isComplete {
 		s.scheduleMissingRows()
 	}
@@ -148,19 +149,16 @@
 	}
 }
 
-// isRowOutdated reports whether the store's row of a request lacks the quarantine decision,
-// or a trial, or a crash under a trial. Without the trials, gateways that start would try
-// the request again and again. The caller holds mu.
+// isRowOutdated reports whether the store's row of a quarantined suspect lacks something of its record,
+// or its row another release than the one known here. Gateways that start decide from the rows alone, and
+// would otherwise decide differently or repeat trials. The caller holds mu.
 func (s *sharedQuarantine) isRowOutdated(id quarantine.ID) bool {
 	row, exists := s.rows[id]
 	r := s.tracker.Record(id)
-	switch {
-	case !s.tracker.ReachesThreshold(r):
+	if !s.tracker.IsQuarantined(id) {
 		return exists && r.ClearedAt > row.record.ClearedAt
-	case !exists || !s.tracker.ReachesThreshold(row.record):
-		return true
 	}
-	return len(r.Trials) > 0 && (len(r.Trials) > len(row.record.Trials) || len(r.Crashes) > len(row.record.Crashes))
+	return id.Kind != quarantine.SharedPromptPart && (!exists || !row.record.Covers(r))
 }
 
 // saveDueRows writes the rows that are due and still outdated in the store. It stops at the
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -49,7 +50,7 @@
 
 // brokenRequest is a request whose response broke off.
 type brokenRequest struct {
-	id        quarantine.ID
+	suspects  []quarantine.ID
 	requestID string
 	// parts are the shared parts of the request's prompt.
 	parts []uint64
@@ -66,9 +67,26 @@
 
 func incarnationOf(s backends.Server) incarnation { return incarnation{s.ID, s.StartTime} }
 
-// quarantineID identifies the content of a request, the same for all its attempts.
-func (j *job) quarantineID() quarantine.ID {
-	return quarantine.NewID(j.team, j.Method, j.Host, j.Target, j.Body)
+// suspects returns what may be to blame if servers crash under the request: its whole content, first,
+// and the parts of its prompt. They are the same for all its attempts.
+func (j *job) suspects() []quarantine.ID {
+	j.suspectsOnce.Do(func() {
+		content := quarantine.NewID(j.team, j.Method, j.Host, j.Target, j.Body)
+		j.suspectIDs = append(append(make([]quarantine.ID, 0, 1+len(j.PromptParts)), content), j.promptParts()...)
+	})
+	return j.suspectIDs
+}
+
+// content identifies the whole content of a request.
+func (j *job) content() quarantine.ID { return j.suspects()[0] }
+
+// promptParts returns the suspects that are parts of the request's prompt.
+func (j *job) promptParts() []quarantine.ID {
+	ids := make([]quarantine.ID, 0, len(j.PromptParts))
+	for _, part := range j.PromptParts {
+		ids = append(ids, quarantine.NewPartID(j.team, part))
+	}
+	return ids
 }
 
 // handleBrokenResponse starts a check of a server whose response to a request broke off. If the
@@ -82,9 +100,8 @@
 		return
 	}
 	j.hadBrokenResponse, j.isTrial = true, false
-	id := j.quarantineID()
-	checked := r.startCrashCheck(s, brokenRequest{id: id, requestID: j.ID, parts: j.PromptParts, events: j.progress.events, attempt: j.attempts})
-	if !r.Quarantine.NearThreshold(id) {
+	checked := r.startCrashCheck(s, brokenRequest{suspects: j.suspects(), requestID: j.ID, parts: j.PromptParts, events: j.progress.events, attempt: j.attempts})
+	if !r.Quarantine.NearThreshold(j.suspects()) {
 		return
 	}
 	t := time.NewTimer(maxCrashCheckWait)
@@ -182,17 +199,22 @@
 	r.Log.WithFields(logrus.Fields{
 		"server": check.server.ID, "born": check.server.StartTime, "service": check.server.Service, "requests": len(requests), "ran": requestLogFields(requests),
 	}).Warn("server crashed under requests")
-	ids := make([]quarantine.ID, 0, len(requests))
+	answering := r.answeringParts(&check.server)
+	var suspects []quarantine.ID
 	for _, b := range requests {
-		ids = append(ids, b.id)
+		for _, id := range b.suspects {
+			if !answering[id] {
+				suspects = append(suspects, id)
+			}
+		}
 	}
-	r.Quarantine.Crashed(check.server, ids)
+	r.Quarantine.Crashed(check.server, suspects)
 }
 
 // requestLogFields returns log fields that describe the requests that ran on a server.
 func requestLogFields(requests []brokenRequest) (out []map[string]any) {
 	for _, b := range requests[:min(len(requests), maxLoggedRequests)] {
-		out = append(out, map[string]any{"request": b.requestID, "content": b.id.String(), "parts": partLogField(b.parts), "events": b.events, "try": b.attempt})
+		out = append(out, map[string]any{"request": b.requestID, "content": b.suspects[0].String(), "parts": partLogField(b.parts), "events": b.events, "try": b.attempt})
 	}
 	return out
 }
@@ -212,66 +234,115 @@
 // errQuarantined is the cause for canceling a request in flight that has been quarantined.
 var errQuarantined = errors.New("request is quarantined")
 
-// CancelQuarantined cancels the attempts of a newly quarantined request to which no server has
-// begun to respond: they would crash their servers. An attempt with a response continues, as its
-// outcome shows whether the quarantine is right.
-func (r *Relay) CancelQuarantined(id quarantine.ID) {
+// minAnsweringTime is how long a server must have been answering a request with a prompt part for the
+// part to be harmless. A crashing part crashes servers as they begin to answer.
+const minAnsweringTime = time.Second
+
+// answeringParts returns the prompt parts of the streams that servers have been sending for
+// minAnsweringTime. Streams of the server crashed, if not nil, don't count.
+func (r *Relay) answeringParts(crashed *backends.Server) map[quarantine.ID]bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	parts := make(map[quarantine.ID]bool)
+	for _, runs := range r.runs {
+		for u := range runs {
+			if len(u.job.PromptParts) == 0 || crashed != nil && u.isAt(*crashed) || !u.isAnsweringSince(r.Now()-minAnsweringTime) {
+				continue
+			}
+			for _, id := range u.job.promptParts() {
+				parts[id] = true
+			}
+		}
+	}
+	return parts
+}
+
+// HandleQuarantined handles a suspect that has been quarantined. If a server has been answering a request
+// with this prompt part for some time, the part is harmless, which other gateways may not know.
+// Otherwise the attempts to which no server has begun to respond are canceled: they would crash their
+// servers. An attempt with a response continues, as its outcome shows whether the quarantine is right.
+func (r *Relay) HandleQuarantined(id quarantine.ID) {
+	if id.Kind == quarantine.PromptPart && r.answeringParts(nil)[id] {
+		r.Quarantine.Answered([]quarantine.ID{id})
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for j := range r.jobs {
-		if !j.responseBegun.Load() && j.quarantineID() == id {
+		if !j.responseBegun.Load() && j.hasSuspect(id) {
 			j.cancel(errQuarantined)
 		}
 	}
 }
 
+func (j *job) hasSuspect(id quarantine.ID) bool {
+	switch id.Kind {
+	case quarantine.SharedPromptPart:
+		return slices.Contains(j.PromptParts, id.Content)
+	case quarantine.PromptPart:
+		return j.team == id.Team && slices.Contains(j.PromptParts, id.Content)
+	}
+	return j.team == id.Team && j.content() == id
+}
+
 // quarantined reports whether a request is quarantined. Without any records its content is not
 // hashed.
-func (r *Relay) quarantined(j *job) (retryAfter time.Duration, quarantined bool) {
+func (r *Relay) quarantined(j *job) (v quarantine.Verdict, quarantined bool) {
 	if !r.Quarantine.HasRecords() {
-		return 0, false
+		return v, false
 	}
-	return r.Quarantine.Quarantined(j.quarantineID())
+	return r.Quarantine.Quarantined(j.suspects())
 }
 
 // refusedByQuarantine reports whether a request is quarantined and no trial of it is due. The trial
 // itself starts only when a server is available: otherwise it would count as a trial without a
 // result.
-func (r *Relay) refusedByQuarantine(j *job) (retryAfter time.Duration, refuse bool) {
-	retryAfter, quarantined := r.quarantined(j)
-	return retryAfter, quarantined && !(j.attempts == 0 && r.Quarantine.TrialDue(j.quarantineID()))
+func (r *Relay) refusedByQuarantine(j *job) (v quarantine.Verdict, refuse bool) {
+	v, quarantined := r.quarantined(j)
+	return v, quarantined && !(j.attempts == 0 && r.Quarantine.TrialDue(j.suspects()))
 }
 
 // mustNotSend reports whether a request must not be sent to a server now because it is
 // quarantined. It may start a trial of the request, and must be called only by the request's own
 // goroutine.
-func (r *Relay) mustNotSend(j *job) (retryAfter time.Duration, quarantined bool) {
+func (r *Relay) mustNotSend(j *job) (v quarantine.Verdict, quarantined bool) {
 	if j.isTrial {
-		return 0, false
+		return v, false
 	}
-	retryAfter, quarantined = r.quarantined(j)
-	if quarantined && j.attempts == 0 && r.Quarantine.StartTrial(j.quarantineID()) {
+	v, quarantined = r.quarantined(j)
+	if quarantined && j.attempts == 0 && r.Quarantine.StartTrial(j.suspects()) {
 		j.isTrial = true
-		return 0, false
+		return v, false
 	}
-	return retryAfter, quarantined
+	return v, quarantined
 }
 
 // recordAnswered records that a server has answered a request completely, which shows that the
 // request does not crash servers. A response put together from several servers does not show
-// that, as all but the last of them may have crashed.
-func (r *Relay) recordAnswered(j *job) {
-	if r.Quarantine.HasRecords() && !j.hadBrokenResponse && j.LastEventID == "" {
-		r.Quarantine.Answered(j.quarantineID())
+// that, as all but the last of them may have crashed, nor does one whose end may be that of the server.
+// Parts of prompts are harmless if the server has written an answer; without any records they alone are
+// recorded, as no content is hashed then.
+func (r *Relay) recordAnswered(j *job, response *Response) {
+	if j.hadBrokenResponse || j.LastEventID != "" || response.EndsWithConnection {
+		return
+	}
+	isAnswer, hasRecords := response.Status < 300, r.Quarantine.HasRecords()
+	switch {
+	case isAnswer && hasRecords:
+		r.Quarantine.Answered(j.suspects())
+	case isAnswer && len(j.PromptParts) > 0:
+		r.Quarantine.Answered(j.promptParts())
+	case hasRecords:
+		r.Quarantine.Answered(j.suspects()[:1])
 	}
 }
 
 // quarantineRefusal returns the refusal of a quarantined request. If it has not run, its caller
-// may retry after retryAfter, not earlier.
-func (j *job) quarantineRefusal(retryAfter time.Duration) *Refusal {
-	f := &Refusal{Reason: ReasonQuarantined, MayHaveRun: j.maybeRun > 0, Content: j.quarantineID().String()}
+// may retry after the verdict's time, not earlier.
+func (j *job) quarantineRefusal(v quarantine.Verdict) *Refusal {
+	f := &Refusal{Reason: ReasonQuarantined, MayHaveRun: j.maybeRun > 0, Content: v.ID.String()}
 	if !f.MayHaveRun {
-		f.RetryAfter = retryAfter
+		f.RetryAfter = v.RetryAfter
 	}
 	return f
 }
@@ -279,10 +350,12 @@
 // noQuarantine never quarantines a request.
 type noQuarantine struct{}
 
-func (noQuarantine) HasRecords() bool                                { return false }
-func (noQuarantine) Quarantined(quarantine.ID) (time.Duration, bool) { return 0, false }
-func (noQuarantine) TrialDue(quarantine.ID) bool                     { return false }
-func (noQuarantine) StartTrial(quarantine.ID) bool                   { return false }
-func (noQuarantine) NearThreshold(quarantine.ID) bool                { return false }
-func (noQuarantine) Crashed(backends.Server, []quarantine.ID)        {}
-func (noQuarantine) Answered(quarantine.ID)                          {}
+func (noQuarantine) HasRecords() bool { return false }
+func (noQuarantine) Quarantined([]quarantine.ID) (quarantine.Verdict, bool) {
+	return quarantine.Verdict{}, false
+}
+func (noQuarantine) TrialDue([]quarantine.ID) bool            { return false }
+func (noQuarantine) StartTrial([]quarantine.ID) bool          { return false }
+func (noQuarantine) NearThreshold([]quarantine.ID) bool       { return false }
+func (noQuarantine) Crashed(backends.Server, []quarantine.ID) {}
+func (noQuarantine) Answered([]quarantine.ID)                 {}
--- a/internal/relay/migration.go
+++ b/internal/relay/migration.go
@@ -48,6 +48,8 @@
 	// eventCount is the number of events forwarded, lastEventAt the time of the last.
 	eventCount  int
 	lastEventAt time.Duration
+	// answeringFrom is the time of the first event of the present server, 0 before it.
+	answeringFrom time.Duration
 	// lastEventID is the id of the last event, longestPause the longest time between two events.
 	lastEventID  string
 	longestPause time.Duration
@@ -78,13 +80,23 @@
 func (u *run) recordEvent(p progress, id string, now time.Duration) {
 	u.mu.Lock()
 	u.eventCount, u.longestPause, u.lastEventID, u.lastEventAt = p.events, p.longestPause, id, now
+	if u.answeringFrom == 0 {
+		u.answeringFrom = now
+	}
 	u.mu.Unlock()
 }
 
+// isAnsweringSince reports whether the run's present server sent its first event before a time.
+func (u *run) isAnsweringSince(at time.Duration) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return !u.done && u.answeringFrom > 0 && u.answeringFrom <= at
+}
+
 // setResponse sets the response that is read from now on.
 func (u *run) setResponse(placed *placedResponse) {
 	u.mu.Lock()
-	u.server, u.cancel, u.stopped = placed.reservation.Server, placed.cancel, false
+	u.server, u.cancel, u.stopped, u.answeringFrom = placed.reservation.Server, placed.cancel, false, 0
 	u.mu.Unlock()
 }
 
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -60,9 +60,9 @@
 		if refusal != nil {
 			return nil, refusal
 		}
-		if retryAfter, quarantined := r.mustNotSend(j); quarantined {
+		if v, quarantined := r.mustNotSend(j); quarantined {
 			reservation.Release(backends.ResultInconclusive, r.Now())
-			return nil, j.quarantineRefusal(retryAfter)
+			return nil, j.quarantineRefusal(v)
 		}
 		if j.arrivals > 0 && !r.takeRetry(j.service) {
 			reservation.Release(backends.ResultInconclusive, r.Now())
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -45,7 +45,7 @@
 				}
 			} else {
 				placed.reservation.Release(backends.ResultOK, r.Now())
-				r.recordAnswered(j)
+				r.recordAnswered(j, response.Response)
 			}
 			return r.deliver(response, out)
 		}
@@ -73,8 +73,8 @@
 		out.Abort()
 		return OutcomeCallerGone
 	}
-	if retryAfter, refuse := r.refusedByQuarantine(j); refuse {
-		f = *j.quarantineRefusal(retryAfter)
+	if v, refuse := r.refusedByQuarantine(j); refuse {
+		f = *j.quarantineRefusal(v)
 	}
 	j.log.WithField("content", f.Content).WithField("reason", f.Reason).WithField("may_have_run", f.MayHaveRun).WithField("retry_after_ms", f.RetryAfter.Milliseconds()).Info("gave up")
 	out.Refuse(f)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -86,25 +86,25 @@
 }
 
 // Quarantine decides which requests are quarantined, from the crashes that all gateways have
-// observed.
+// observed. Requests are given by their suspects: their whole content and the parts of their prompts.
 type Quarantine interface {
-	// HasRecords reports whether there is a record of any request.
+	// HasRecords reports whether there is a record of any suspect.
 	HasRecords() bool
-	// Quarantined reports whether a request is quarantined, and after what time its caller should
-	// retry.
-	Quarantined(id quarantine.ID) (retryAfter time.Duration, quarantined bool)
+	// Quarantined reports whether a request is quarantined, because of which suspect, and after what
+	// time its caller should retry.
+	Quarantined(suspects []quarantine.ID) (v quarantine.Verdict, quarantined bool)
 	// TrialDue reports whether a trial of a quarantined request is due.
-	TrialDue(id quarantine.ID) bool
+	TrialDue(suspects []quarantine.ID) bool
 	// StartTrial reports whether a quarantined request may be sent to one server, to find out
 	// whether it crashes servers. A call that returns true starts the trial.
-	StartTrial(id quarantine.ID) bool
+	StartTrial(suspects []quarantine.ID) bool
 	// NearThreshold reports whether one more crash would quarantine a request, or whether it is
 	// quarantined already.
-	NearThreshold(id quarantine.ID) bool
-	// Crashed records that a server crashed while it ran requests.
-	Crashed(s backends.Server, requests []quarantine.ID)
-	// Answered records that a server has answered a request completely.
-	Answered(id quarantine.ID)
+	NearThreshold(suspects []quarantine.ID) bool
+	// Crashed records that a server crashed while it ran requests with these suspects.
+	Crashed(s backends.Server, suspects []quarantine.ID)
+	// Answered records that a server has answered a request with these suspects completely.
+	Answered(suspects []quarantine.ID)
 }
 
 // Origins knows which software versions began the streams that callers may resume, at this gateway or
@@ -293,6 +293,9 @@
 	// forecasts estimates the lengths of generations.
 	forecasts *outputForecasts
 	log       logrus.FieldLogger
+	// suspectIDs are computed at most once, see suspects.
+	suspectsOnce sync.Once
+	suspectIDs   []quarantine.ID
 	// responseBegun is set once a server has begun to respond. cancel cancels the request.
 	responseBegun atomic.Bool
 	cancel        context.CancelCauseFunc
@@ -412,8 +415,8 @@
 	if j.engine != nil && req.Generation != nil && req.Generation.PromptTokens > j.engine.MemoryTokens {
 		return nil, &Refusal{Reason: ReasonPromptTooLarge}
 	}
-	if retryAfter, refuse := r.refusedByQuarantine(j); refuse {
-		return nil, &Refusal{Reason: ReasonQuarantined, RetryAfter: retryAfter, Content: j.quarantineID().String()}
+	if v, refuse := r.refusedByQuarantine(j); refuse {
+		return nil, j.quarantineRefusal(v)
 	}
 	j.deadline = time.Now().Add(effectiveTimeout(req.Timeout, route.Timeout))
 	if r.outlastsShutdown(j) {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -86,7 +86,7 @@
 			h.discard()
 			s.recordStretch(s.job, placed.reservation)
 			placed.reservation.Release(backends.ResultOK, s.Now())
-			s.recordAnswered(s.job)
+			s.recordAnswered(s.job, placed.response)
 			s.recordOutput()
 			return s.finish(head)
 		}
@@ -215,7 +215,7 @@
 // is possible.
 func (s *session) resume(ctx context.Context, placed *placedResponse, cause error) *placedResponse {
 	j := s.job
-	log := j.log.WithField("server", placed.reservation.Server.ID).WithField("software", placed.reservation.Server.SoftwareVersion).WithField("after", s.seq.lastEventID()).WithField("content", j.quarantineID().String())
+	log := j.log.WithField("server", placed.reservation.Server.ID).WithField("software", placed.reservation.Server.SoftwareVersion).WithField("after", s.seq.lastEventID()).WithField("content", j.content().String())
 	stoppedHere := s.run.isStopped()
 	if !stoppedHere {
 		s.handleBrokenResponse(ctx, j, placed.reservation.Server)
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -103,6 +103,9 @@
 	Signed bool
 	// Recoded is set if the body was recoded on the way and is not as the server sent it.
 	Recoded bool
+	// EndsWithConnection is set if the body ends with the server's connection, so that its end cannot
+	// be told from that of the server's process.
+	EndsWithConnection bool
 	// Body returns io.EOF only after the complete body.
 	Body io.ReadCloser
 }
@@ -212,6 +215,6 @@
 	// RetryAfter is the time after which the caller may retry; it is set only if the request has
 	// not run.
 	RetryAfter time.Duration
-	// Content identifies the content of a quarantined request, for the log.
+	// Content identifies the suspect for which a request is quarantined, for the log.
 	Content string
 }
--- /dev/null
+++ b/quarantine/decide.go
@@ -0,0 +1,229 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// candidate is a suspect with enough crashes to be quarantined.
+type candidate struct {
+	ID
+	crashes []Crash
+	// answered is set if a server has answered the suspect before these crashes.
+	answered bool
+	// teams are the records that a SharedPromptPart is judged by.
+	teams []*Record
+	// threshold is the number of crashes at which the suspect is quarantined.
+	threshold int
+}
+
+// rank orders candidates by how well they explain crashes: first those that no server has ever
+// answered, then by the number of crashes, then whole contents, which are more specific than the
+// parts of their prompts.
+func rank(x, y candidate) int {
+	return cmp.Or(compareBools(x.answered, y.answered), cmp.Compare(len(y.crashes), len(x.crashes)), compareBools(x.Kind != WholeContent, y.Kind != WholeContent))
+}
+
+func compareBools(x, y bool) int {
+	switch {
+	case x == y:
+		return 0
+	case y:
+		return -1
+	}
+	return 1
+}
+
+// decide recomputes from the records which suspects are quarantined, and returns those that it has
+// quarantined and released.
+//
+// A crash counts against every suspect that ran on the server. A harmless part that many requests
+// share runs on most servers that crash under another one, so candidates are judged from the best
+// explanation to the worst: one is quarantined if enough of its crashes remain that no better
+// candidate explains. A wrong choice corrects itself: a suspect that is quarantined runs no more, so
+// that the next crash is under the right one only.
+//
+// Whole contents don't explain the crashes of each other. Otherwise a content that many callers send
+// would absorb the crashes of a crashing one, which would then never be quarantined. A harmless
+// content that is quarantined shares its crashes with others under which several servers crashed;
+// its decision is ambiguous, and a trial shows that it is harmless.
+func (t *Tracker) decide() (quarantined, released []ID) {
+	previous := t.quarantined
+	t.quarantined = make(map[ID]decision, len(previous))
+	candidates := t.candidates()
+	// explained are the crashes that better candidates explain, byPart those that prompt parts do.
+	explained, byPart := make(map[uint64]bool), make(map[uint64]bool)
+	for len(candidates) > 0 {
+		n := 1
+		for n < len(candidates) && rank(candidates[0], candidates[n]) == 0 {
+			n++
+		}
+		equal := candidates[:n]
+		candidates = candidates[n:]
+		equal = slices.DeleteFunc(equal, func(c candidate) bool {
+			if c.Kind == WholeContent {
+				return unexplained(c.crashes, byPart) < c.threshold
+			}
+			return unexplained(c.crashes, explained) < c.threshold
+		})
+		for _, c := range equal {
+			t.quarantine(c, equal)
+		}
+		for _, c := range equal {
+			for _, crash := range c.crashes {
+				explained[crash.Incarnation] = true
+				byPart[crash.Incarnation] = byPart[crash.Incarnation] || c.Kind != WholeContent
+			}
+		}
+	}
+	t.markAmbiguous()
+	return missing(t.quarantined, previous), missing(previous, t.quarantined)
+}
+
+// candidates returns the suspects with enough crashes, ordered by rank.
+func (t *Tracker) candidates() (out []candidate) {
+	teams := make(map[uint64][]*Record)
+	for id, r := range t.records {
+		c := candidate{ID: id, crashes: r.countedCrashes(t.policy.Window), answered: r.ClearedAt > 0, threshold: t.policy.CrashThreshold}
+		if id.Kind == PromptPart {
+			c.threshold = t.policy.PartThreshold
+			teams[id.Content] = append(teams[id.Content], r)
+		}
+		if c.hasEvidence(t.policy) {
+			out = append(out, c)
+		}
+	}
+	for _, records := range teams {
+		if len(records) < t.policy.SharedPartThreshold {
+			continue
+		}
+		if c := t.sharedCandidate(records); c.hasEvidence(t.policy) {
+			out = append(out, c)
+		}
+	}
+	if slices.ContainsFunc(out, func(c candidate) bool { return c.Kind != WholeContent }) {
+		t.raiseThresholds(out)
+		out = slices.DeleteFunc(out, func(c candidate) bool { return !c.hasEvidence(t.policy) })
+	}
+	slices.SortFunc(out, func(x, y candidate) int { return cmp.Or(rank(x, y), compareIDs(x.ID, y.ID)) })
+	return out
+}
+
+// raiseThresholds raises the thresholds of prompt parts that have been answered before, and of those that
+// explain a small share of the crashes in their time: with many crashes for other reasons, some parts
+// have several by chance.
+func (t *Tracker) raiseThresholds(candidates []candidate) {
+	all := t.crashTimes()
+	for i := range candidates {
+		c := &candidates[i]
+		if c.Kind == WholeContent {
+			continue
+		}
+		first, last := c.crashes[len(c.crashes)-1].At, c.crashes[0].At
+		total := 0
+		for _, at := range all {
+			if at >= first && at <= last {
+				total++
+			}
+		}
+		switch n := len(c.crashes); {
+		case c.answered || 4*n < total:
+			c.threshold = t.policy.RaisedPartThreshold
+		case 3*n < 2*total:
+			c.threshold = (c.threshold + t.policy.RaisedPartThreshold) / 2
+		}
+	}
+}
+
+// crashTimes returns the times of all crashes that records name.
+func (t *Tracker) crashTimes() []time.Duration {
+	times := make(map[uint64]time.Duration)
+	for _, r := range t.records {
+		for _, c := range r.Crashes {
+			times[c.Incarnation] = max(times[c.Incarnation], c.At)
+		}
+	}
+	return slices.Collect(maps.Values(times))
+}
+
+// sharedCandidate judges a prompt part by the records of the teams that use it. One crash of each
+// team counts, so that no team can have the requests of another quarantined.
+func (t *Tracker) sharedCandidate(records []*Record) candidate {
+	c := candidate{ID: records[0].shared(), threshold: t.policy.SharedPartThreshold}
+	var clearedAt time.Duration
+	for _, r := range records {
+		clearedAt = max(clearedAt, r.ClearedAt)
+	}
+	for _, r := range records {
+		if len(r.Crashes) > 0 && r.Crashes[0].At > clearedAt {
+			c.crashes, c.teams = append(c.crashes, r.Crashes[0]), append(c.teams, r)
+		}
+	}
+	c.crashes, c.answered = newestCrashes(c.crashes), clearedAt > 0
+	return c
+}
+
+// hasEvidence reports whether a suspect has enough crashes to be quarantined. Those under a prompt part must
+// be apart and span some time: servers that crash together run many parts that requests share.
+func (c *candidate) hasEvidence(p Policy) bool {
+	n := len(c.crashes)
+	if c.Kind == WholeContent || n < c.threshold {
+		return n >= c.threshold
+	}
+	return spacedCrashes(c.crashes, p.MinCrashGap) >= c.threshold && c.crashes[0].At-c.crashes[n-1].At >= p.MinPartSpan
+}
+
+// unexplained returns the number of crashes that are not explained.
+func unexplained(crashes []Crash, explained map[uint64]bool) (n int) {
+	for _, c := range crashes {
+		if !explained[c.Incarnation] {
+			n++
+		}
+	}
+	return n
+}
+
+// quarantine quarantines a candidate. equal are the candidates of the same rank.
+func (t *Tracker) quarantine(c candidate, equal []candidate) {
+	d := decision{lastCrash: c.crashes[0].At}
+	switch {
+	case c.Kind == SharedPromptPart:
+		for _, r := range c.teams {
+			if _, ok := t.quarantined[r.ID]; !ok {
+				t.quarantined[r.ID] = d
+			}
+		}
+	case c.Kind == PromptPart && c.answered:
+		d.trialDelay, d.maxTrialCrashes = t.policy.AnsweredPartTrialDelay, t.policy.MaxTrialCrashes
+	case c.Kind == PromptPart && slices.ContainsFunc(equal, func(o candidate) bool {
+		return o.ID != c.ID && o.Kind == PromptPart && sharesCrash(o.crashes, c.crashes)
+	}):
+		d.trialDelay, d.maxTrialCrashes = t.policy.TrialDelay, t.policy.MaxTrialCrashes
+	case c.Kind == PromptPart:
+		d.trialDelay, d.maxTrialCrashes = t.policy.PartTrialDelay, t.policy.MaxPartTrialCrashes
+	}
+	t.quarantined[c.ID] = d
+}
+
+// markAmbiguous allows trials of the whole contents of which fewer than CrashThreshold of the counted
+// crashes are theirs alone. A crash is shared if another content with more than one crash ran on the
+// server too, also if that one has been cleared by a trial.
+func (t *Tracker) markAmbiguous() {
+	contents := make(map[uint64]int)
+	for id, r := range t.records {
+		if id.Kind == WholeContent && len(r.Crashes) > 1 {
+			for _, c := range r.Crashes {
+				contents[c.Incarnation]++
+			}
+		}
+	}
+	for id, d := range t.quarantined {
+		if id.Kind != WholeContent || t.records[id].countCrashes(t.policy.Window, func(c Crash) bool { return contents[c.Incarnation] == 1 }) >= t.policy.CrashThreshold {
+			continue
+		}
+		d.trialDelay, d.maxTrialCrashes = t.policy.TrialDelay, t.policy.MaxTrialCrashes
+		t.quarantined[id] = d
+	}
+}
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -6,15 +6,15 @@
 	"time"
 )
 
-// maxCrashes bounds the crashes of a record; the newest are kept. It is above the crash threshold
-// of three, so that crashes shared with other requests are recognized as shared.
-const maxCrashes = 8
+// maxCrashes bounds the crashes of a record; the newest are kept. It is above the thresholds, so
+// that crashes shared with other suspects are recognized as shared.
+const maxCrashes = 16
 
 // maxTrials bounds the trials of a record; the newest are kept. The delay doubles with each
 // trial, up to about six minutes.
 const maxTrials = 8
 
-// Crash is the crash of one incarnation of a server under a request.
+// Crash is the crash of one incarnation of a server under a suspect.
 type Crash struct {
 	// Incarnation identifies the incarnation of the server; all processes compute the same
 	// number for it.
@@ -23,12 +23,21 @@
 	At time.Duration
 }
 
+// CrashRecords returns the records of a crash under requests with these suspects.
+func CrashRecords(incarnation uint64, at time.Duration, suspects []ID) []Record {
+	list := make([]Record, 0, len(suspects))
+	for _, id := range suspects {
+		list = append(list, Record{ID: id, Crashes: []Crash{{Incarnation: incarnation, At: at}}})
+	}
+	return list
+}
+
 // compareCrashes orders crashes from the newest to the oldest.
 func compareCrashes(a, b Crash) int {
 	return cmp.Or(cmp.Compare(b.At, a.At), cmp.Compare(a.Incarnation, b.Incarnation))
 }
 
-// Record is what is known of a request. Merging records of one request is commutative,
+// Record is what is known of a suspect. Merging records of one suspect is commutative,
 // associative and idempotent: the order and the number of merges do not matter.
 type Record struct {
 	ID
@@ -36,11 +45,11 @@
 	// ClearedAt do not count against it, but still show which other requests ran on those
 	// servers.
 	Crashes []Crash
-	// ClearedAt is when a server last answered the request, or an operator last released it;
-	// crashes up to then do not count. 0 if never.
+	// ClearedAt is when a server last answered a request of the suspect, or an operator last
+	// released it; crashes up to then do not count. 0 if never.
 	ClearedAt time.Duration
-	// Trials are the times after ClearedAt at which the request was sent to a server to find
-	// out whether it crashes servers, newest first.
+	// Trials are the times after ClearedAt at which a request was sent to a server to find
+	// out whether the suspect crashes servers, newest first.
 	Trials []time.Duration
 }
 
@@ -107,6 +116,24 @@
 	return n
 }
 
+// spacedCrashes returns the number of crashes, of which each came gap before the newer one counted before it.
+// They are ordered from the newest to the oldest.
+func spacedCrashes(crashes []Crash, gap time.Duration) (n int) {
+	var last time.Duration
+	for _, c := range crashes {
+		if n == 0 || last-c.At >= gap {
+			n, last = n+1, c.At
+		}
+	}
+	return n
+}
+
+// Covers reports whether r has all that o has.
+func (r *Record) Covers(o Record) bool {
+	c := r.clone()
+	return !c.merge(o)
+}
+
 // countCrashes returns the number of counted crashes for which match is true.
 func (r *Record) countCrashes(window time.Duration, match func(Crash) bool) (n int) {
 	for _, c := range r.countedCrashes(window) {
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -25,6 +25,24 @@
 	// MaxTrialCrashes is the number of crashes under trials after which a request is not
 	// tried any more.
 	MaxTrialCrashes int
+	// PartThreshold is the number of crashes at which a prompt part is quarantined. It is above
+	// CrashThreshold, as more requests depend on a part than on a content.
+	PartThreshold int
+	// MinCrashGap is the time between two crashes under a prompt part that both count, MinPartSpan the
+	// time that they must span.
+	MinCrashGap, MinPartSpan time.Duration
+	// RaisedPartThreshold is the number of crashes for a part that servers have answered before, or
+	// under which few of all servers that crash do.
+	RaisedPartThreshold int
+	// SharedPartThreshold is the number of teams under whose requests with a part servers must
+	// have crashed for the part to be quarantined for all teams.
+	SharedPartThreshold int
+	// PartTrialDelay is the time from the last crash under a part to its first trial if the
+	// decision is not ambiguous, MaxPartTrialCrashes the number of crashes after which there
+	// are no more of these trials. AnsweredPartTrialDelay is the same time for a part that servers
+	// have answered before.
+	PartTrialDelay, AnsweredPartTrialDelay time.Duration
+	MaxPartTrialCrashes                    int
 	// MaxRecords bounds the records of all teams, MaxRecordsPerTeam those of one team.
 	MaxRecords, MaxRecordsPerTeam int
 }
@@ -33,8 +51,12 @@
 // ran on the same server as a crashing one would be quarantined. With a higher one, each crashing
 // request would crash one more server, with all requests that run there.
 func Default() Policy {
-	return Policy{CrashThreshold: 3, Window: time.Hour, QuarantineTime: time.Hour, TrialDelay: 1500 * time.Millisecond, TrialTimeout: time.Second, MaxTrialCrashes: 2,
-		MaxRecords: 1024, MaxRecordsPerTeam: 128}
+	return Policy{
+		CrashThreshold: 3, Window: time.Hour, QuarantineTime: time.Hour, TrialDelay: 1500 * time.Millisecond, TrialTimeout: time.Second, MaxTrialCrashes: 2,
+		PartThreshold: 4, MinCrashGap: 100 * time.Millisecond, MinPartSpan: 400 * time.Millisecond, RaisedPartThreshold: 8, SharedPartThreshold: 3,
+		PartTrialDelay: 10 * time.Second, AnsweredPartTrialDelay: 250 * time.Millisecond, MaxPartTrialCrashes: 1,
+		MaxRecords: 2048, MaxRecordsPerTeam: 256,
+	}
 }
 
 // Tracker stores the records of requests under which servers crashed, and derives from them
@@ -47,13 +69,14 @@
 	quarantined map[ID]decision
 }
 
-// decision is why a request is quarantined.
+// decision is why a suspect is quarantined.
 type decision struct {
-	// lastCrash is the time of the latest crash under the request.
+	// lastCrash is the time of the latest crash under the suspect.
 	lastCrash time.Duration
-	// ambiguous is set if fewer than CrashThreshold of the counted crashes are the request's alone.
-	// A crash is shared if another request with more than one crash ran on the server too.
-	ambiguous bool
+	// trialDelay is the time from lastCrash to the first trial. maxTrialCrashes is the number of
+	// crashes under trials after which there are no more, 0 for no trials.
+	trialDelay      time.Duration
+	maxTrialCrashes int
 }
 
 // NewTracker returns a Tracker without records.
@@ -76,13 +99,9 @@
 	Quarantined, Released []ID
 }
 
-// Crashed records that an incarnation of a server crashed while requests ran there.
+// Crashed records that an incarnation of a server crashed while requests with these suspects ran there.
 func (t *Tracker) Crashed(incarnation uint64, at time.Duration, running []ID) Update {
-	list := make([]Record, 0, len(running))
-	for _, id := range running {
-		list = append(list, Record{ID: id, Crashes: []Crash{{Incarnation: incarnation, At: at}}})
-	}
-	return t.Merge(list)
+	return t.Merge(CrashRecords(incarnation, at, running))
 }
 
 // Clear records that a server has answered a request, or that an operator has released it:
@@ -162,11 +181,15 @@
 	return Record{ID: id}
 }
 
-// ReachesThreshold reports whether the crashes of a record suffice to quarantine its request.
-func (t *Tracker) ReachesThreshold(r Record) bool {
-	return len(r.countedCrashes(t.policy.Window)) >= t.policy.CrashThreshold
+// IsQuarantined reports whether a suspect is quarantined, or was until its QuarantineTime ended.
+func (t *Tracker) IsQuarantined(id ID) bool {
+	_, quarantined := t.quarantined[id]
+	return quarantined
 }
 
+// IDs returns the suspects with a record, in no particular order.
+func (t *Tracker) IDs() []ID { return slices.Collect(maps.Keys(t.records)) }
+
 // Expired reports whether a record is too old to count. A record far in the future is also
 // expired: it comes from a clock that has restarted since.
 func (t *Tracker) Expired(r Record, now time.Duration) bool {
@@ -193,37 +216,6 @@
 	return u
 }
 
-// decide recomputes from the records which requests are quarantined, and returns those that it
-// has quarantined and released.
-//
-// A crash counts against every request that ran on the server, also if one of them is
-// quarantined already. Otherwise a request that many callers make would be quarantined first and
-// absorb the crashes that a crashing request causes, which would then never be quarantined. A
-// harmless request that is quarantined shares its crashes with others under which several
-// servers crashed. Its decision is therefore ambiguous, and a trial shows that it is harmless.
-// The decision stays ambiguous when one of those others has been cleared by a trial.
-func (t *Tracker) decide() (quarantined, released []ID) {
-	previous := t.quarantined
-	t.quarantined = make(map[ID]decision, len(previous))
-	// requests counts for each crash the requests with more than one crash that ran there.
-	requests := make(map[uint64]int)
-	for id, r := range t.records {
-		if crashes := r.countedCrashes(t.policy.Window); len(crashes) >= t.policy.CrashThreshold {
-			t.quarantined[id] = decision{lastCrash: crashes[0].At}
-		}
-		if len(r.Crashes) > 1 {
-			for _, c := range r.Crashes {
-				requests[c.Incarnation]++
-			}
-		}
-	}
-	for id, d := range t.quarantined {
-		d.ambiguous = t.records[id].countCrashes(t.policy.Window, func(c Crash) bool { return requests[c.Incarnation] == 1 }) < t.policy.CrashThreshold
-		t.quarantined[id] = d
-	}
-	return missing(t.quarantined, previous), missing(previous, t.quarantined)
-}
-
 // missing returns the requests of one set that are not in another, ordered by ID.
 func missing(in, from map[ID]decision) (out []ID) {
 	for id := range in {
