Answers that end with their connection are checked for a crash of their server

What callers saw: an answer without a length or chunks of a server that crashed was passed on as whole, a stream with the events up to the crash, as the kernel closes the connections of a process that ends like those that the process closes.

Cause: the end of the connection was taken for the end of the answer in any case. Evidence: TestAnswersThatBreakOffWithTheirConnectionAreNotWhole failed for the crash of a server in the middle of a stream, of a short and of a long answer (three of its five cases); resets and ends inside an event were told already.

Change: at such an end the gateway looks whether the server has crashed (its listener refuses, or the directory shows a restart). If so the answer has broken off: a stream is resumed where its route allows it, a plain one fails. Servers that leave are left out, as they stop behind their last answer. TestAnswersThatEndWithTheirConnectionAreWhole (empty, short, 300 KB, streams) passes before and after.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -121,6 +121,9 @@
 	}
 	j.maybeRun++
 	j.responseBegun.Store(true)
+	if result.response.EndsWithConnection {
+		result.response.Body = &unframedBody{ReadCloser: result.response.Body, relay: r, server: reservation.Server}
+	}
 	reservation.FinishPrompt()
 	if j.engine == nil && result.response.Status < 500 {
 		reservation.ObserveAnswer(result.at-result.SentAt, result.at)
