Connections of callers leave file descriptors for servers

What callers saw: with most new connections at one gateway, connections of callers took all of its file descriptors; requests that had been read reached no server, and further callers waited unread until they gave up.

Cause: nothing bounded the connections of callers. Evidence: TestProcessGatewayKeepsDescriptorsForServers starts the program with 200 descriptors and opens 300 connections; no request on an open connection was served within a second.

Change: half of the descriptors are for callers. A connection beyond them is closed unread at once, which tells its caller to try another gateway; a metric counts them. The processor of a gateway that gets all connections is not bounded by this.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,12 +5,14 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"reflect"
 	"runtime/debug"
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -213,9 +215,10 @@
 		ready.Close()
 		return errors.Wrap(err, "listen on the peers' address")
 	}
-	g.callers = ingress.New(callers, g.relay)
+	g.callers = ingress.New(callers, g.relay, maxCallerConnections())
 	rep.OnChange(func(c *routing.Config) { g.callers.SetLimits(c.Limits) })
 	rec.RegisterGauge("kingcup_gateway_in_progress", "Requests without a final answer.", func() float64 { return float64(g.relay.InProgress()) })
+	rec.RegisterGauge("kingcup_gateway_connections_closed_unread", "Connections of callers that were closed unread since the start, as too many were open.", func() float64 { return float64(g.callers.ClosedUnread()) })
 	rec.RegisterGauge("kingcup_gateway_config_version", "Version of the configuration in force.", func() float64 {
 		c, _ := rep.Current()
 		if c == nil {
@@ -343,6 +346,19 @@
 		(g.group.followers[membersTable].HasTable() || time.Since(g.started) > membersTimeout)
 }
 
+// callerDescriptors is the part of the file descriptors that connections of callers may use. The rest is
+// for connections to servers, of which each request may need one, to the store and to peers.
+const callerDescriptors = 0.5
+
+// maxCallerConnections returns how many connections of callers may be open, 0 for no bound.
+func maxCallerConnections() int {
+	var limit syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) != nil || limit.Cur > math.MaxInt32 {
+		return 0
+	}
+	return int(callerDescriptors * float64(limit.Cur))
+}
+
 // membersTimeout is how long after its start a gateway waits for the table of gateways. If
 // only that table is unreadable, callers must not be refused because of it.
 const membersTimeout = 2 * time.Second
--- a/internal/proof/gateway_process_test.go
+++ b/internal/proof/gateway_process_test.go
@@ -1,9 +1,14 @@
 package proof
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -29,12 +34,20 @@
 	t.Helper()
 	dir, err := binaries()
 	require.NoError(t, err)
+	return startGatewayCommand(t, f, exec.Command(filepath.Join(dir, "kingcup-gateway"), gatewayFlags...))
+}
+
+var gatewayFlags = []string{"-metrics-port", "0", "-leave", "500ms"}
+
+// startGatewayCommand starts a command that runs the program.
+func startGatewayCommand(t *testing.T, f *fleet.Fleet, cmd *exec.Cmd) *gatewayProcess {
+	t.Helper()
 	endpoint, err := f.Store.AddEndpoint()
 	require.NoError(t, err)
 	vm := fleet.NewVMSettings("vm-1", endpoint.Address)
 	g := &gatewayProcess{callerAddress: vm.Callers, settings: filepath.Join(t.TempDir(), "settings.json"), out: &bytes.Buffer{}}
 	require.NoError(t, vm.WriteFile(g.settings))
-	g.cmd = exec.Command(filepath.Join(dir, "kingcup-gateway"), "-metrics-port", "0", "-leave", "500ms")
+	g.cmd = cmd
 	g.cmd.Env = append(os.Environ(), fleet.SettingsVariable+"="+g.settings, "GORACE=halt_on_error=1")
 	g.cmd.Stdout, g.cmd.Stderr = g.out, os.Stderr
 	require.NoError(t, g.cmd.Start())
@@ -84,6 +97,48 @@
 	}
 }
 
+// Guards against a crowd of new connections that uses up the file descriptors, so that requests that were read
+// reach no server, and further callers wait unread.
+func TestProcessGatewayKeepsDescriptorsForServers(t *testing.T) {
+	const descriptors, crowd = 200, 300
+	f := fleet.New()
+	defer f.Close()
+	_, err := f.Add(fleet.DeskService, "zone-1", fleet.Behavior{})
+	require.NoError(t, err)
+	dir, err := binaries()
+	require.NoError(t, err)
+	command := fmt.Sprintf("ulimit -n %d; exec %s %s", descriptors, filepath.Join(dir, "kingcup-gateway"), strings.Join(gatewayFlags, " "))
+	g := startGatewayCommand(t, f, exec.Command("sh", "-c", command))
+	require.Eventually(t, func() bool { return g.servesCalls(t.Context()) }, 10*time.Second, 20*time.Millisecond)
+	var conns []net.Conn
+	for range crowd {
+		c, err := net.DialTimeout("tcp", g.callerAddress, time.Second)
+		require.NoError(t, err)
+		defer c.Close()
+		conns = append(conns, c)
+	}
+	_, err = f.Add(fleet.ModelService, "zone-1", fleet.Behavior{Events: 3})
+	require.NoError(t, err)
+	served := func() bool {
+		// Each of the connections that were accepted first carries one request.
+		c := conns[0]
+		conns = conns[1:]
+		fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: %s\r\nX-Api-Key: %s\r\nX-Kingcupplank-Attempt-Id: %s\r\nX-Kingcupplank-Token-Usage: 100,400\r\nContent-Length: 0\r\n\r\n", fleet.PlanPath, fleet.Host, fleet.Key, fleet.NextID())
+		c.SetReadDeadline(time.Now().Add(time.Second))
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		return err == nil && resp.StatusCode == http.StatusOK
+	}
+	require.Eventually(t, served, time.Second, 50*time.Millisecond, "connections to servers")
+	unread := 0
+	for _, c := range conns {
+		c.SetReadDeadline(time.Now().Add(time.Millisecond))
+		if _, err := c.Read(make([]byte, 1)); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			unread++
+		}
+	}
+	require.GreaterOrEqual(t, unread, crowd-descriptors, "closed, so that their callers try another gateway")
+}
+
 // With invalid settings the gateway must print one line that lists all errors and exit with code 2.
 func TestProcessGatewayBadSettings(t *testing.T) {
 	dir, err := binaries()
