Records of repeated crashes are sent to peers beside a flood of first ones

Each request that runs on a crashed server makes a record for its content and for each part of its prompt, so that a storm of crashes could use up the limit of records between gateways, and the records that decide would be left out. Records of suspects with several crashes have a limit of their own (16 a second, 256 at once, as the others).

--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -24,9 +24,9 @@
 
 const (
 	// recordsPerSecond and recordsBurst limit the records that a gateway sends to its
-	// peers. Thousands of requests are in flight when a failure domain is lost; their
-	// records must not fill the links. 32 links of 50 bytes a record are 26 KB a second at
-	// most.
+	// peers, of those with one crash and of the others each. Thousands of requests are in
+	// flight when a failure domain is lost; their records must not fill the links. 32 links
+	// of 50 bytes a record are 52 KB a second at most.
 	recordsPerSecond, recordsBurst = 16, 256
 	// maxInitialRecords bounds the records that a peer receives when a link to it is
 	// established.
@@ -55,9 +55,11 @@
 // those that start later. sharedQuarantine is safe for concurrent use; no other lock is
 // taken while mu is locked.
 type sharedQuarantine struct {
-	group         *group
-	log           logrus.FieldLogger
-	recordLimiter *rate.Limiter
+	group *group
+	log   logrus.FieldLogger
+	// firstCrashes limits the records of suspects with one crash, of which there is one for each request
+	// that runs on a crashed server; repeatedCrashes limits the others, which decide.
+	firstCrashes, repeatedCrashes *rate.Limiter
 	// onQuarantined is called for each suspect that becomes quarantined; it may be nil.
 	onQuarantined atomic.Pointer[func(quarantine.ID)]
 	// hasRecords says that the tracker is not empty.
@@ -79,7 +81,8 @@
 
 func newSharedQuarantine(g *group) *sharedQuarantine {
 	return &sharedQuarantine{
-		group: g, log: g.log, recordLimiter: rate.NewLimiter(recordsPerSecond, recordsBurst), tracker: quarantine.NewTracker(quarantine.Default()),
+		group: g, log: g.log, firstCrashes: rate.NewLimiter(recordsPerSecond, recordsBurst), repeatedCrashes: rate.NewLimiter(recordsPerSecond, recordsBurst),
+		tracker: quarantine.NewTracker(quarantine.Default()),
 		rows: make(map[quarantine.ID]storedRecord), saveAt: make(map[quarantine.ID]time.Time),
 	}
 }
@@ -252,7 +255,11 @@
 	slices.SortStableFunc(records, func(x, y quarantine.Record) int { return cmp.Compare(len(y.Crashes), len(x.Crashes)) })
 	out := &peerv1.Suspects{}
 	for _, r := range records {
-		if !s.recordLimiter.Allow() {
+		limiter := s.firstCrashes
+		if len(r.Crashes) > 1 {
+			limiter = s.repeatedCrashes
+		}
+		if !limiter.Allow() {
 			s.log.WithField("records", len(records)).Warn("too many quarantine records at once, some are not sent to peers")
 			break
 		}
