--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -83,7 +83,7 @@
 	return &sharedQuarantine{
 		group: g, log: g.log, firstCrashes: rate.NewLimiter(recordsPerSecond, recordsBurst), repeatedCrashes: rate.NewLimiter(recordsPerSecond, recordsBurst),
 		tracker: quarantine.NewTracker(quarantine.Default()),
-		rows: make(map[quarantine.ID]storedRecord), saveAt: make(map[quarantine.ID]time.Time),
+		rows:    make(map[quarantine.ID]storedRecord), saveAt: make(map[quarantine.ID]time.Time),
 	}
 }
 
