Soak: requests with a crashing prompt part, most callers at one gateway, logs of runs that do not begin

Sound requests have prompt parts and share the first with crashing ones, of which no two are alike; no more than three of these may reach servers later than 3 s after the fifth crash. For a while nine callers in ten meet one gateway. A run that does not serve at its start keeps its logs now.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"syscall"
 	"time"
@@ -17,7 +18,7 @@
 
 // faultKinds are drawn with equal probability. New kinds are appended, so that the seed of an
 // earlier failure still draws the same faults from the kinds before them.
-var faultKinds = []faultFunc{disruptStore, disruptStore, disruptServer, disruptServer, killGateway, pauseGateway, terminateGateway, hangUpGateway, reclaimServer, crashServer, rejectRequests, compactStore, replaceKey, addRoutes, addRoutes, restartServer, corruptEntry, killAllButOne, sendCrashingRequest, restoreStore, restoreStore, cordonDomain, makeDomainCold, announceRateLimit, announceLeaving, askForBackoff, cordonBehindSlowStore, releaseVersion}
+var faultKinds = []faultFunc{disruptStore, disruptStore, disruptServer, disruptServer, killGateway, pauseGateway, terminateGateway, hangUpGateway, reclaimServer, crashServer, rejectRequests, compactStore, replaceKey, addRoutes, addRoutes, restartServer, corruptEntry, killAllButOne, sendCrashingRequest, restoreStore, restoreStore, cordonDomain, makeDomainCold, announceRateLimit, announceLeaving, askForBackoff, cordonBehindSlowStore, releaseVersion, sendCrashingParts, crowdGateway}
 
 const (
 	minFaultDuration, maxFaultDuration = 200 * time.Millisecond, 3 * time.Second
@@ -55,6 +56,24 @@
 
 func (s *Soak) drawGateway() *gateway { return s.gateways[s.drawInt(len(s.gateways))] }
 
+// crowdShare is the number of callers, of crowdShare+1, that a crowded gateway gets.
+const crowdShare = 9
+
+// crowdGateway sends most callers to one gateway.
+func crowdGateway(s *Soak, _ context.Context) (string, func()) {
+	g := s.drawGateway()
+	s.crowded.Store(g)
+	return "most callers go to " + g.settings.Name, func() { s.crowded.CompareAndSwap(g, nil) }
+}
+
+// callersGateway returns the gateway that a caller meets.
+func (s *Soak) callersGateway(rng *rand.Rand) *gateway {
+	if g := s.crowded.Load(); g != nil && rng.IntN(crowdShare+1) < crowdShare {
+		return g
+	}
+	return s.gateways[rng.IntN(len(s.gateways))]
+}
+
 // disruptStore disrupts the connections of one gateway to the store, or makes the store fail for
 // all gateways.
 func disruptStore(s *Soak, _ context.Context) (string, func()) {
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -34,6 +34,8 @@
 	// minVersionFaultKinds is the number from which on they may have several software versions, and
 	// callers resume streams.
 	minVersionFaultKinds = 28
+	// minPartFaultKinds is the number from which on prompts have parts.
+	minPartFaultKinds = 29
 
 	// usualStep is the event interval of an engine of mean pace. With it, a slow engine exceeds
 	// maxPause while it reads a prompt in a dip, and a fast one does not.
@@ -94,7 +96,7 @@
 
 // engine returns the behavior of the i-th model engine.
 func (l load) engine(i int) fleet.Behavior {
-	b := fleet.Behavior{Events: streamEvents, EventInterval: eventInterval, CopyTime: copyTime, CrashOn: crashingBody, CrashDelay: crashDelay}
+	b := fleet.Behavior{Events: streamEvents, EventInterval: eventInterval, CopyTime: copyTime, CrashOn: crashingBody, CrashOnPart: crashingPart, CrashDelay: crashDelay}
 	if l.unequalEngines {
 		pace := slowPace
 		if i%fastEvery == 0 {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -68,6 +69,8 @@
 	callersKey, validKey string
 	// crashingBodies are the request bodies on which model servers crash.
 	crashingBodies []string
+	// crowded is the gateway that most callers go to, nil for none.
+	crowded atomic.Pointer[gateway]
 	// newestPath is a path on the route that was added last.
 	newestPath string
 	faultLog   []string
@@ -130,6 +133,7 @@
 	s.mu.Unlock()
 	res.Violations = append(res.Violations, s.history.Check(servers, revokeTimeout)...)
 	res.Violations = append(res.Violations, checkQuarantine(servers, s.crashingBodies)...)
+	res.Violations = append(res.Violations, checkPartQuarantine(servers)...)
 	for _, a := range s.history.attempts {
 		res.Attempts++
 		res.ResumeAttempts += a.resumeAttempts
@@ -359,7 +363,7 @@
 // progress.
 func (s *Soak) caller(ctx context.Context, rng *rand.Rand) {
 	for wait.For(ctx, time.Duration(rng.IntN(60))*time.Millisecond) {
-		s.attempt(s.gateways[rng.IntN(len(s.gateways))], servedPaths[rng.IntN(len(servedPaths))])
+		s.attempt(s.callersGateway(rng), servedPaths[rng.IntN(len(servedPaths))])
 	}
 }
 
@@ -372,7 +376,7 @@
 	s.mu.Lock()
 	key := s.callersKey
 	s.mu.Unlock()
-	a := Attempt{Request: fleet.CallerRequest{ID: fleet.NextID(), Key: key}, Path: path, SentAt: time.Now(), expectedEvents: s.load.events(path)}
+	a := Attempt{Request: fleet.CallerRequest{ID: fleet.NextID(), Key: key, Parts: s.promptParts()}, Path: path, SentAt: time.Now(), expectedEvents: s.load.events(path)}
 	var err error
 	if a.isStream() {
 		a.Status, err = fleet.StreamWith(ctx, g.settings.Callers, path, a.Request, func(e string) { a.Events = append(a.Events, e) })
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -35,6 +35,7 @@
 	{9640, 21, "common request is not suspected once another one is cleared"},
 	{9821, 26, "failure domain stays cordoned because the stand-in's operator does not uncordon it again after a restore"},
 	{210, 27, "idempotent request of an added route counts as executed too often"},
+	{321, 28, "common request stays quarantined beside crashing ones"},
 }
 
 var buildGateway = sync.OnceValues(func() (string, error) {
@@ -62,6 +63,9 @@
 	require.NoError(t, err)
 	dir := t.TempDir()
 	res, err := Run(t.Context(), Options{Seed: seed, FaultKinds: kinds, Duration: *duration, Gateways: *gatewayCount, Binary: path, Dir: dir})
+	if err != nil {
+		keepLogs(t, dir)
+	}
 	require.NoError(t, err)
 	t.Logf("seed %d: %s, %d faults, %d of %d requests served, %d of %d resume attempts succeeded", seed, res.Load, len(res.FaultLog), res.Served, res.Attempts, res.Resumed, res.ResumeAttempts)
 	if len(res.Violations) == 0 {
@@ -74,6 +78,11 @@
 	for _, violation := range res.Violations {
 		t.Error(violation)
 	}
+	keepLogs(t, dir)
+}
+
+// keepLogs copies the logs of a failed run.
+func keepLogs(t *testing.T, dir string) {
 	if *logDir != "" {
 		require.NoError(t, os.CopyFS(filepath.Join(*logDir, t.Name()), os.DirFS(dir)))
 	}
