--- a/quarantine/promptpart_test.go
+++ b/quarantine/promptpart_test.go
@@ -126,25 +126,31 @@
 	}
 }
 
-// A team's prompts all begin with one part, of which no server has answered a request before. A wrong decision
-// corrects itself with the next crash.
+// Guards against a prompt part that comes with a crashing one being quarantined as well, once there is a crash
+// without it or an answer with it. A wrong decision corrects itself.
 func TestBetterExplanationReplacesAWorse(t *testing.T) {
-	tracker := NewTracker(Default())
-	common, crashing, content := NewPartID("a", 1), NewPartID("a", 2), request("x")
-	crash := func(n uint64, ids ...ID) Update {
-		return tracker.Crashed(n, time.Duration(n)*time.Second, ids)
+	common, other, crashing, content := NewPartID("a", 1), NewPartID("a", 3), NewPartID("a", 2), request("x")
+	alwaysTogether := func() (*Tracker, func(n uint64, ids ...ID) Update) {
+		tracker := NewTracker(Default())
+		crash := func(n uint64, ids ...ID) Update { return tracker.Crashed(n, time.Duration(n)*time.Second, ids) }
+		crash(1, content, common, crashing)
+		crash(2, content, common, crashing)
+		require.Equal(t, []ID{content}, crash(3, content, common, crashing).Quarantined, "its whole content explains it")
+		require.ElementsMatch(t, []ID{common, crashing}, crash(4, request("y"), common, crashing).Quarantined)
+		return tracker, crash
+	}
+	isQuarantined := func(tracker *Tracker, parts ...ID) bool {
+		_, quarantined := tracker.RequestQuarantined(append([]ID{request("z")}, parts...), 6*time.Second)
+		return quarantined
 	}
-	crash(1, content, common, crashing)
-	crash(2, content, common, crashing)
-	require.Equal(t, []ID{content}, crash(3, content, common, crashing).Quarantined, "its whole content explains it")
-	require.ElementsMatch(t, []ID{common, crashing}, crash(4, request("y"), common, crashing).Quarantined, "they always come together")
-	u := tracker.ClearRequest([]ID{request("z"), common}, 5*time.Second)
-	require.Equal(t, []ID{common}, u.Released)
-	_, quarantined := tracker.RequestQuarantined([]ID{request("z"), common}, 6*time.Second)
-	require.False(t, quarantined)
-	v, quarantined := tracker.RequestQuarantined([]ID{request("z"), common, crashing}, 6*time.Second)
-	require.True(t, quarantined)
-	require.Equal(t, crashing, v.ID)
+	tracker, crash := alwaysTogether()
+	require.Equal(t, []ID{common}, crash(5, request("w"), other, crashing).Released)
+	require.False(t, isQuarantined(tracker, common))
+	require.True(t, isQuarantined(tracker, common, crashing))
+	tracker, _ = alwaysTogether()
+	require.Equal(t, []ID{common}, tracker.ClearRequest([]ID{request("z"), common}, 5*time.Second).Released)
+	require.False(t, isQuarantined(tracker, common))
+	require.True(t, isQuarantined(tracker, common, crashing))
 }
 
 // Guards against a team quarantining a part of another team's prompts, and against a part that several teams
