The bound of callers' connections knows the descriptors that the settings allow

The bound was half of the operating system's limit, which may be far above what the platform gives the process (maxFds of the settings file, until now read and not used). It is half of the smaller one.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"math"
 	"net"
 	"reflect"
 	"runtime/debug"
@@ -215,7 +214,7 @@
 		ready.Close()
 		return errors.Wrap(err, "listen on the peers' address")
 	}
-	g.callers = ingress.New(callers, g.relay, maxCallerConnections())
+	g.callers = ingress.New(callers, g.relay, maxCallerConnections(platform.MaxFiles))
 	rep.OnChange(func(c *routing.Config) { g.callers.SetLimits(c.Limits) })
 	rec.RegisterGauge("kingcup_gateway_in_progress", "Requests without a final answer.", func() float64 { return float64(g.relay.InProgress()) })
 	rec.RegisterGauge("kingcup_gateway_connections_closed_unread", "Connections of callers that were closed unread since the start, as too many were open.", func() float64 { return float64(g.callers.ClosedUnread()) })
@@ -350,13 +349,14 @@
 // for connections to servers, of which each request may need one, to the store and to peers.
 const callerDescriptors = 0.5
 
-// maxCallerConnections returns how many connections of callers may be open, 0 for no bound.
-func maxCallerConnections() int {
+// maxCallerConnections returns how many connections of callers may be open if the settings allow the process a
+// number of file descriptors. The operating system's limit may be lower.
+func maxCallerConnections(maxFiles int) int {
 	var limit syscall.Rlimit
-	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) != nil || limit.Cur > math.MaxInt32 {
-		return 0
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) == nil && limit.Cur < uint64(maxFiles) {
+		maxFiles = int(limit.Cur)
 	}
-	return int(callerDescriptors * float64(limit.Cur))
+	return int(callerDescriptors * float64(maxFiles))
 }
 
 // membersTimeout is how long after its start a gateway waits for the table of gateways. If
