At most three requests with a crashing part reach servers after its fifth crash, also one by one

A part that servers had answered before, or that had few of the crashes of its time, needed eight crashes and had two trials: where its requests come seldom, four and more could reach servers later than the contact window after the fifth crash (worked out from the thresholds, not seen). It needs seven now, five at two thirds of the crashes, and has one trial: three at most.

TestLaterGatewaysKnowQuarantinedParts: gateways that start behind a kill of all others know the part from the rows of the store; 20 requests refused, no server crashes, sound ones are served.

--- a/internal/gateway/promptpart_test.go
+++ b/internal/gateway/promptpart_test.go
@@ -99,3 +99,29 @@
 	require.Greater(t, count(&sent), 60)
 	require.GreaterOrEqual(t, float64(count(&served)), 0.95*float64(count(&sent)), "sound requests with the same first part")
 }
+
+// Guards against gateways that start after all others were killed sending a crashing part on, as they know it
+// only from the rows of the store.
+func TestLaterGatewaysKnowQuarantinedParts(t *testing.T) {
+	s := newSystem(t)
+	crashes := s.startCrashingEngines(0)
+	for range 8 {
+		s.server(fleet.ModelService, partEngine)
+	}
+	first := []*testGateway{s.gateway("vm-1"), s.gateway("vm-2")}
+	every(200*time.Millisecond, 4*time.Second, func(i int) {
+		first[i%2].generateParts(commonPart, "a1")
+		first[i%2].generateParts(commonPart, crashingPart)
+	})
+	for _, n := range first {
+		n.Close()
+	}
+	crashesBefore := len(crashes.times())
+	require.LessOrEqual(t, crashesBefore, maxPartCrashes)
+	later := []*testGateway{s.gateway("vm-3"), s.gateway("vm-4")}
+	for i := range 20 {
+		require.Equal(t, http.StatusServiceUnavailable, later[i%2].generateParts(fmt.Sprintf("a%x", i), crashingPart))
+	}
+	require.Equal(t, http.StatusOK, later[0].generateParts(commonPart, "a1"))
+	require.Len(t, crashes.times(), crashesBefore)
+}
--- a/quarantine/decide.go
+++ b/quarantine/decide.go
@@ -196,7 +196,7 @@
 			}
 		}
 	case c.Kind == PromptPart && c.answered:
-		d.trialDelay, d.maxTrialCrashes = t.policy.AnsweredPartTrialDelay, t.policy.MaxTrialCrashes
+		d.trialDelay, d.maxTrialCrashes = t.policy.AnsweredPartTrialDelay, t.policy.MaxPartTrialCrashes
 	case c.Kind == PromptPart && slices.ContainsFunc(equal, func(o candidate) bool {
 		return o.ID != c.ID && o.Kind == PromptPart && sharesCrash(o.crashes, c.crashes)
 	}):
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -38,9 +38,9 @@
 	// have crashed for the part to be quarantined for all teams.
 	SharedPartThreshold int
 	// PartTrialDelay is the time from the last crash under a part to its first trial if the
-	// decision is not ambiguous, MaxPartTrialCrashes the number of crashes after which there
-	// are no more of these trials. AnsweredPartTrialDelay is the same time for a part that servers
-	// have answered before.
+	// decision is not ambiguous. AnsweredPartTrialDelay is the same time for a part that servers
+	// have answered before. MaxPartTrialCrashes is the number of crashes after which there are no
+	// more of these trials.
 	PartTrialDelay, AnsweredPartTrialDelay time.Duration
 	MaxPartTrialCrashes                    int
 	// MaxRecords bounds the records of all teams, MaxRecordsPerTeam those of one team.
@@ -53,7 +53,7 @@
 func Default() Policy {
 	return Policy{
 		CrashThreshold: 3, Window: time.Hour, QuarantineTime: time.Hour, TrialDelay: 1500 * time.Millisecond, TrialTimeout: time.Second, MaxTrialCrashes: 2,
-		PartThreshold: 4, MinCrashGap: 100 * time.Millisecond, MinPartSpan: 400 * time.Millisecond, RaisedPartThreshold: 8, SharedPartThreshold: 3,
+		PartThreshold: 4, MinCrashGap: 100 * time.Millisecond, MinPartSpan: 400 * time.Millisecond, RaisedPartThreshold: 7, SharedPartThreshold: 3,
 		PartTrialDelay: 10 * time.Second, AnsweredPartTrialDelay: 250 * time.Millisecond, MaxPartTrialCrashes: 1,
 		MaxRecords: 2048, MaxRecordsPerTeam: 256,
 	}
