--- a/quarantine/decide.go
+++ b/quarantine/decide.go
@@ -68,8 +68,17 @@
 			}
 			return unexplained(c.crashes, explained) < c.threshold
 		})
+		// parts counts for each crash the prompt parts that explain it equally well.
+		parts := make(map[uint64]int)
 		for _, c := range equal {
-			t.quarantine(c, equal)
+			if c.Kind == PromptPart {
+				for _, crash := range c.crashes {
+					parts[crash.Incarnation]++
+				}
+			}
+		}
+		for _, c := range equal {
+			t.quarantine(c, slices.ContainsFunc(c.crashes, func(crash Crash) bool { return parts[crash.Incarnation] > 1 }))
 		}
 		for _, c := range equal {
 			for _, crash := range c.crashes {
@@ -121,13 +130,9 @@
 		if c.Kind == WholeContent {
 			continue
 		}
-		first, last := c.crashes[len(c.crashes)-1].At, c.crashes[0].At
-		total := 0
-		for _, at := range all {
-			if at >= first && at <= last {
-				total++
-			}
-		}
+		first, _ := slices.BinarySearch(all, c.crashes[len(c.crashes)-1].At)
+		end, _ := slices.BinarySearch(all, c.crashes[0].At+1)
+		total := end - first
 		switch n := len(c.crashes); {
 		case c.answered || 4*n < total:
 			c.threshold = t.policy.RaisedPartThreshold
@@ -137,7 +142,7 @@
 	}
 }
 
-// crashTimes returns the times of all crashes that records name.
+// crashTimes returns the times of all crashes that records name, in order.
 func (t *Tracker) crashTimes() []time.Duration {
 	times := make(map[uint64]time.Duration)
 	for _, r := range t.records {
@@ -145,7 +150,7 @@
 			times[c.Incarnation] = max(times[c.Incarnation], c.At)
 		}
 	}
-	return slices.Collect(maps.Values(times))
+	return slices.Sorted(maps.Values(times))
 }
 
 // sharedCandidate judges a prompt part by the records of the teams that use it. One crash of each
@@ -185,8 +190,8 @@
 	return n
 }
 
-// quarantine quarantines a candidate. equal are the candidates of the same rank.
-func (t *Tracker) quarantine(c candidate, equal []candidate) {
+// quarantine quarantines a candidate. ambiguous is set if another prompt part explains a crash equally well.
+func (t *Tracker) quarantine(c candidate, ambiguous bool) {
 	d := decision{lastCrash: c.crashes[0].At}
 	switch {
 	case c.Kind == SharedPromptPart:
@@ -197,9 +202,7 @@
 		}
 	case c.Kind == PromptPart && c.answered:
 		d.trialDelay, d.maxTrialCrashes = t.policy.AnsweredPartTrialDelay, t.policy.MaxPartTrialCrashes
-	case c.Kind == PromptPart && slices.ContainsFunc(equal, func(o candidate) bool {
-		return o.ID != c.ID && o.Kind == PromptPart && sharesCrash(o.crashes, c.crashes)
-	}):
+	case c.Kind == PromptPart && ambiguous:
 		d.trialDelay, d.maxTrialCrashes = t.policy.TrialDelay, t.policy.MaxTrialCrashes
 	case c.Kind == PromptPart:
 		d.trialDelay, d.maxTrialCrashes = t.policy.PartTrialDelay, t.policy.MaxPartTrialCrashes
--- a/quarantine/trial.go
+++ b/quarantine/trial.go
@@ -83,10 +83,8 @@
 }
 
 // sharesCrash reports whether the same server incarnation crashed under both suspects.
-func (r *Record) sharesCrash(o *Record) bool { return sharesCrash(r.Crashes, o.Crashes) }
-
-func sharesCrash(x, y []Crash) bool {
-	return slices.ContainsFunc(x, func(a Crash) bool {
-		return slices.ContainsFunc(y, func(b Crash) bool { return b.Incarnation == a.Incarnation })
+func (r *Record) sharesCrash(o *Record) bool {
+	return slices.ContainsFunc(r.Crashes, func(a Crash) bool {
+		return slices.ContainsFunc(o.Crashes, func(b Crash) bool { return b.Incarnation == a.Incarnation })
 	})
 }
