--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -53,7 +53,7 @@
 // New records are sent to the peers, which forward those that are new to them. A quarantine
 // decision is also written to the store as a row: it outlives all gateways and reaches
 // those that start later. sharedQuarantine is safe for concurrent use; no other lock is
-// taken while mu is locked.
+// taken while mu or answersMu is locked.
 type sharedQuarantine struct {
 	group *group
 	log   logrus.FieldLogger
