--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -7,22 +7,22 @@
 	"time"
 )
 
-// Policy sets when a request is quarantined and when it is tried again.
+// Policy sets when a suspect is quarantined and when it is tried again.
 type Policy struct {
-	// CrashThreshold is the number of server crashes at which a request is quarantined.
+	// CrashThreshold is the number of server crashes at which a whole content is quarantined.
 	CrashThreshold int
 	// Window is the time within which these crashes must have happened.
 	Window time.Duration
-	// QuarantineTime is how long after the last of these crashes the request stays quarantined.
+	// QuarantineTime is how long after the last of these crashes the suspect stays quarantined.
 	// After that it is served again, as servers may have been fixed in the meantime.
 	QuarantineTime time.Duration
-	// TrialDelay is the time from the last crash under an ambiguous request to its first
+	// TrialDelay is the time from the last crash under a suspect with an ambiguous decision to its first
 	// trial. It doubles with each trial that had no result.
 	TrialDelay time.Duration
-	// TrialTimeout is how long a trial without a result blocks the trials of requests that
+	// TrialTimeout is how long a trial without a result blocks the trials of suspects that
 	// share crashes with it.
 	TrialTimeout time.Duration
-	// MaxTrialCrashes is the number of crashes under trials after which a request is not
+	// MaxTrialCrashes is the number of crashes under trials after which a suspect is not
 	// tried any more.
 	MaxTrialCrashes int
 	// PartThreshold is the number of crashes at which a prompt part is quarantined. It is above
@@ -59,12 +59,12 @@
 	}
 }
 
-// Tracker stores the records of requests under which servers crashed, and derives from them
-// which requests are quarantined.
+// Tracker stores the records of suspects under which servers crashed, and derives from them
+// which suspects are quarantined.
 type Tracker struct {
 	policy  Policy
 	records map[ID]*Record
-	// quarantined are the requests that have reached the crash threshold, also those whose
+	// quarantined are the suspects that decide has quarantined, also those whose
 	// QuarantineTime is over but whose records have not been deleted yet.
 	quarantined map[ID]decision
 }
@@ -87,7 +87,7 @@
 // Len returns the number of records.
 func (t *Tracker) Len() int { return len(t.records) }
 
-// QuarantinedCount returns the number of quarantined requests. It includes those whose
+// QuarantinedCount returns the number of quarantined suspects. It includes those whose
 // QuarantineTime has ended since their records were last expired.
 func (t *Tracker) QuarantinedCount() int { return len(t.quarantined) }
 
@@ -95,7 +95,7 @@
 type Update struct {
 	// Changed are the records that have changed, with their new content.
 	Changed []Record
-	// Quarantined are the requests that the call quarantined, Released those that it released.
+	// Quarantined are the suspects that the call quarantined, Released those that it released.
 	Quarantined, Released []ID
 }
 
