Streams do not wait for a crash check because servers with a popular part crashed together

Cause: a stream whose server breaks off waits up to 120 ms for the check of that server if one more crash would quarantine one of its suspects, and a prompt part counted as that near with two crashes at any time, as a whole content does. Parts are popular: two servers of a domain suffice.

Change: parts count by their own thresholds and by crashes that are apart. Evidence: TestServersThatCrashTogetherBringNoPartNearItsThreshold fails before.

--- a/quarantine/promptpart_test.go
+++ b/quarantine/promptpart_test.go
@@ -203,3 +203,19 @@
 	require.False(t, tracker.RequestTrialDue([]ID{request("x"), x, y}, time.Minute))
 	require.True(t, tracker.RequestTrialDue([]ID{request("x"), x}, time.Minute))
 }
+
+// Guards against streams that could be resumed at once waiting for the check of their server, because several
+// servers that ran a popular part crashed together.
+func TestServersThatCrashTogetherBringNoPartNearItsThreshold(t *testing.T) {
+	tracker, popular, crashing := NewTracker(Default()), NewPartID("a", 1), NewPartID("a", 2)
+	tracker.Merge([]Record{{ID: popular, ClearedAt: time.Second}})
+	for n := range uint64(13) {
+		tracker.Crashed(n, 2*time.Second+time.Duration(n)*time.Millisecond, []ID{popular, {Team: "a", Content: n}})
+	}
+	require.False(t, tracker.RequestNearThreshold([]ID{request("x"), popular}))
+	for n := range uint64(3) {
+		require.False(t, tracker.RequestNearThreshold([]ID{request("x"), crashing}))
+		tracker.Crashed(20+n, time.Duration(3+n)*time.Second, []ID{crashing, {Team: "a", Content: n}})
+	}
+	require.True(t, tracker.RequestNearThreshold([]ID{request("x"), crashing}))
+}
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -166,11 +166,21 @@
 	return retryAfter, true
 }
 
-// NearThreshold reports whether one more crash under a request would reach the crash threshold,
-// or whether it is reached already.
+// NearThreshold reports whether one more crash under a suspect would reach its crash threshold, or whether
+// it is reached already.
 func (t *Tracker) NearThreshold(id ID) bool {
 	r := t.records[id]
-	return r != nil && len(r.countedCrashes(t.policy.Window)) >= t.policy.CrashThreshold-1
+	if r == nil {
+		return false
+	}
+	crashes := r.countedCrashes(t.policy.Window)
+	switch {
+	case id.Kind == WholeContent:
+		return len(crashes) >= t.policy.CrashThreshold-1
+	case r.ClearedAt > 0:
+		return spacedCrashes(crashes, t.policy.MinCrashGap) >= t.policy.RaisedPartThreshold-1
+	}
+	return spacedCrashes(crashes, t.policy.MinCrashGap) >= t.policy.PartThreshold-1
 }
 
 // Record returns the record of a request, one without crashes if there is none.
