Parts of requests that servers have been answering for a second are no suspects

Cause: each of the servers made records of all parts of the prompts whose streams ran there, which gateways told each other and cleared again.

Change: a crashing part ends servers as they begin to answer, so the parts of a stream that has been coming for a second are not reported, as those of streams at other servers already.

--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -100,8 +100,13 @@
 		return
 	}
 	j.hadBrokenResponse, j.isTrial = true, false
-	checked := r.startCrashCheck(s, brokenRequest{suspects: j.suspects(), requestID: j.ID, parts: j.PromptParts, events: j.progress.events, attempt: j.attempts})
-	if !r.Quarantine.NearThreshold(j.suspects()) {
+	suspects := j.suspects()
+	if j.progress.events > 0 && r.Now()-j.arrived-j.progress.firstDelay >= minAnsweringTime {
+		// Servers have been answering it for some time, so the parts of its prompt are harmless.
+		suspects = suspects[:1]
+	}
+	checked := r.startCrashCheck(s, brokenRequest{suspects: suspects, requestID: j.ID, parts: j.PromptParts, events: j.progress.events, attempt: j.attempts})
+	if !r.Quarantine.NearThreshold(suspects) {
 		return
 	}
 	t := time.NewTimer(maxCrashCheckWait)
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -417,3 +417,21 @@
 		require.Zero(t, lq.lookups)
 	})
 }
+
+// Guards against the crash of a failure domain making records of all parts whose streams ran there for long.
+func TestPartsAnsweredForSomeTimeAreNoSuspects(t *testing.T) {
+	for name, c := range map[string]struct {
+		answering time.Duration
+		want      int
+	}{"for long": {minAnsweringTime, 1}, "begins": {50 * time.Millisecond, 3}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t, Config{})
+				lq := f.trackCrashes()
+				f.addServer("e1", modelService)
+				f.serveBroken(func() { time.Sleep(c.answering); f.upstream.setDown("e1") })
+				require.Equal(t, c.want, lq.tracker.Len())
+			})
+		})
+	}
+}
