Retries are counted by kind, and the line of a used-up budget has its inputs

What operators saw: 'retry budget is used up' names a request and nothing of the budget, so that a process with a share too large can't be told from one that has its share anew. Change: what is left, the share, the gateways it is shared by and the age of the process in that line; kingcup_gateway_retries_total by service, kind and result; the window of the settings reaches the relay's settings. No decision changes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -160,7 +160,7 @@
 func relayConfig(platform *settings.Settings) relay.Config {
 	return relay.Config{
 		RevokeTimeout: platform.Bounds.Revoke, ApplyTimeout: platform.Bounds.ApplyConfig,
-		RetryRatio: platform.Bounds.RetryRatio, RetryExtra: platform.Bounds.RetryExtra,
+		RetryRatio: platform.Bounds.RetryRatio, RetryExtra: platform.Bounds.RetryExtra, RetryWindow: platform.Bounds.RetryWindow,
 		DomainFailures: platform.FaultTolerance.FailureDomains,
 	}
 }
--- a/internal/gatewaymetrics/metrics.go
+++ b/internal/gatewaymetrics/metrics.go
@@ -29,8 +29,10 @@
 	firstByte      *prometheus.HistogramVec
 	eventPause     prometheus.Histogram
 	failedAttempts *prometheus.CounterVec
-	migrations     *prometheus.CounterVec
-	standbyCopies  *prometheus.CounterVec
+	// retries counts attempts beyond the first of a request, by kind and by what the budget decided.
+	retries       *prometheus.CounterVec
+	migrations    *prometheus.CounterVec
+	standbyCopies *prometheus.CounterVec
 	// queueDecisions counts how generations left the queue for an engine. queueWait is the real wait of
 	// those that were started, queueEstimate the wait that was estimated on their arrival.
 	queueDecisions           *prometheus.CounterVec
@@ -94,6 +96,9 @@
 			Name: "kingcup_gateway_unreadable_entries_total", Help: "Entries of servers that could not be read.",
 		}),
 	}
+	r.retries = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "kingcup_gateway_retries_total", Help: "Attempts beyond the first of their request by service, kind (repeat, race, continuation, hedge) and result: taken from the retry budget, or refused by it.",
+	}, []string{"service", "kind", "result"})
 	r.resumptions = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "kingcup_gateway_streams_resumed_total", Help: "Streams that were resumed at another server after their first event, or by their callers, by the software version: the one that began the stream, another one, or unknown.",
 	}, []string{"result"})
@@ -137,7 +142,7 @@
 	}, []string{"service", "kind"})
 	r.registry.MustRegister(r.queueDecisions, r.queueWait, r.queueEstimate)
 	r.limits = newLimitMetrics(r.registry)
-	r.registry.MustRegister(r.resumptions, r.prompts, r.runs, r.storeCallReasons, r.peerBytes, r.storeRestores, r.standbyCopies)
+	r.registry.MustRegister(r.retries, r.resumptions, r.prompts, r.runs, r.storeCallReasons, r.peerBytes, r.storeRestores, r.standbyCopies)
 	r.registry.MustRegister(r.requests, r.firstByte, r.eventPause, r.failedAttempts, r.migrations, r.crashes, r.unreadableEntries, r.storeCalls, r.storeBytes, r.storeTransfer)
 	return r
 }
@@ -207,6 +212,11 @@
 	r.failedAttempts.WithLabelValues(service, result).Inc()
 }
 
+// Retry implements relay.Observer.
+func (r *Recorder) Retry(service string, kind relay.RetryKind, result string) {
+	r.retries.WithLabelValues(service, string(kind), result).Inc()
+}
+
 // UnreadableEntry counts a directory entry that doesn't describe a usable server.
 func (r *Recorder) UnreadableEntry() { r.unreadableEntries.Inc() }
 
--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -1,6 +1,31 @@
 package relay
 
-import "kingcupplank.example/kingcup/retry"
+import (
+	"github.com/sirupsen/logrus"
+
+	"kingcupplank.example/kingcup/retry"
+)
+
+// RetryKind is why a request is sent to a further server.
+type RetryKind string
+
+// The kinds of retries.
+const (
+	// RetryRepeat: the attempt before has failed, or its server has not run the request.
+	RetryRepeat RetryKind = "repeat"
+	// RetryRace: the first server does not begin to respond in time.
+	RetryRace RetryKind = "race"
+	// RetryContinuation: a run that has stopped or lost its server continues from a copy.
+	RetryContinuation RetryKind = "continuation"
+	// RetryHedge: a silent run continues from its standby copy.
+	RetryHedge RetryKind = "hedge"
+)
+
+// Results of retries, for metrics.
+const (
+	RetryTaken   = "taken"
+	RetryRefused = "refused"
+)
 
 // recordFirstAttempt adds to the service's retry budget for the first attempt of a request.
 func (r *Relay) recordFirstAttempt(service string) {
@@ -10,15 +35,30 @@
 }
 
 // takeRetry reports whether one more attempt is allowed, and counts it if so.
-func (r *Relay) takeRetry(service string) bool {
+func (r *Relay) takeRetry(service string, kind RetryKind) bool {
+	r.mu.Lock()
+	taken := r.retryBudget(service).TryTake()
+	r.mu.Unlock()
+	if !taken {
+		r.Observer.Retry(service, kind, RetryRefused)
+		return false
+	}
+	r.Observer.Retry(service, kind, RetryTaken)
+	return true
+}
+
+// retryBudgetFields returns the log fields of a service's retry budget.
+func (r *Relay) retryBudgetFields(service string) logrus.Fields {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.retryBudget(service).TryTake()
+	b := r.retryBudget(service)
+	return logrus.Fields{"left": b.Left(), "share": b.Max, "gateways": r.Peers.Count(), "up_ms": (r.Now() - r.started).Milliseconds()}
 }
 
 // forceRetry counts an attempt that must not be refused: a run that has stopped at its server is
 // lost if it does not resume elsewhere.
-func (r *Relay) forceRetry(service string) {
+func (r *Relay) forceRetry(service string, kind RetryKind) {
+	r.Observer.Retry(service, kind, RetryTaken)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.retryBudget(service).Spend()
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -35,6 +35,7 @@
 	replica   *routing.Replica
 	registry  *backends.Registry
 	upstream  *fakeUpstream
+	cfg       Config
 	relay     *Relay
 	peers     *fakePeers
 	// checkServers is the number of servers that a request of the route check may be sent to, 2
@@ -164,11 +165,17 @@
 		cfg.RetryExtra = 100
 	}
 	f.peers = &fakePeers{count: 1, accepting: true}
-	f.relay = New(cfg, Deps{Replica: f.replica, Registry: f.registry, Upstream: f.upstream, Now: f.now, Log: discardLog(), Observer: noObserver{}, Peers: f.peers})
+	f.cfg = cfg
+	f.restart()
 	f.apply(1)
 	return f
 }
 
+// restart replaces the relay by that of a new process on the same VM.
+func (f *fixture) restart() {
+	f.relay = New(f.cfg, Deps{Replica: f.replica, Registry: f.registry, Upstream: f.upstream, Now: f.now, Log: discardLog(), Observer: noObserver{}, Peers: f.peers})
+}
+
 // now includes the time for which the VM was suspended, as the gateway's clock does; timers do
 // not.
 func (f *fixture) now() time.Duration {
@@ -425,6 +432,7 @@
 func (noObserver) FirstByte(string, string, routing.Kind, time.Duration) {}
 func (noObserver) EventPause(string, time.Duration)                      {}
 func (noObserver) AttemptFailed(string, string)                          {}
+func (noObserver) Retry(string, RetryKind, string)                       {}
 func (noObserver) Migrated(string)                                       {}
 func (noObserver) QueueDecided(string, bool, QueueDecision, time.Duration, time.Duration) {
 }
--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -128,7 +128,7 @@
 	if standby == nil {
 		return nil
 	}
-	s.forceRetry(s.job.service)
+	s.forceRetry(s.job.service, RetryHedge)
 	software := s.job.requiredSoftware(s.run.currentServer())
 	ctx, cancel := context.WithCancel(ctx)
 	timer := time.AfterFunc(maxMigrationWait, cancel)
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -64,9 +64,9 @@
 			reservation.Release(backends.ResultInconclusive, r.Now())
 			return nil, j.quarantineRefusal(v)
 		}
-		if j.arrivals > 0 && !r.takeRetry(j.service) {
+		if j.arrivals > 0 && !r.takeRetry(j.service, RetryRepeat) {
 			reservation.Release(backends.ResultInconclusive, r.Now())
-			j.log.WithField("sent", j.attempts).Warn("retry budget is used up")
+			j.log.WithFields(r.retryBudgetFields(j.service)).WithField("sent", j.attempts).Warn("retry budget is used up")
 			return nil, r.refuse(j, ReasonNoCapacity)
 		}
 		placed, used, err := r.sendWithRace(ctx, j, reservation, &Attempt{LastEventID: lastEventID})
--- a/internal/relay/race.go
+++ b/internal/relay/race.go
@@ -82,7 +82,7 @@
 		return nil
 	}
 	limit.admitted()
-	if _, quarantined := r.quarantined(j); quarantined || !r.takeRetry(j.service) {
+	if _, quarantined := r.quarantined(j); quarantined || !r.takeRetry(j.service, RetryRace) {
 		reservation.Release(backends.ResultInconclusive, r.Now())
 		return nil
 	}
--- a/internal/relay/race_test.go
+++ b/internal/relay/race_test.go
@@ -99,7 +99,7 @@
 			})
 			if tt.noRetryLeft {
 				f.relay.recordFirstAttempt(deskService)
-				for f.relay.takeRetry(deskService) {
+				for f.relay.takeRetry(deskService, RetryRace) {
 				}
 			}
 			f.serve(request(tt.path)).requireWhole(t, "ok")
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -32,6 +32,8 @@
 	// further retries that all gateways share.
 	RetryRatio float64
 	RetryExtra int
+	// RetryWindow is the window in which the retries are counted.
+	RetryWindow time.Duration
 	// DomainFailures is how many failure domains may fail at the same time. From 1 on, standby
 	// copies are evictable, see the package standby.
 	DomainFailures int
@@ -48,6 +50,9 @@
 	EventPause(team string, d time.Duration)
 	// AttemptFailed is called for each attempt without a usable response.
 	AttemptFailed(service, result string)
+	// Retry is called for each attempt beyond the first of a request that is taken from the retry budget
+	// of its service, or that the budget does not allow.
+	Retry(service string, kind RetryKind, result string)
 	// Migrated is called for each copy of a run, and for each stream that resumed from a copy, was
 	// hedged or was lost.
 	Migrated(result string)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -270,7 +270,7 @@
 	for i := 0; i < len(copies); i++ {
 		c := copies[i]
 		s.keepStandby(c)
-		s.forceRetry(s.job.service)
+		s.forceRetry(s.job.service, RetryContinuation)
 		next, err := s.send(ctx, s.job, c.reservation, &Attempt{
 			LastEventID: s.seq.lastEventID(), ResumeFrom: &c.KVCopy, RequiredSoftware: s.job.requiredSoftware(placed.reservation.Server),
 		})
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -33,6 +33,9 @@
 	return true
 }
 
+// Left returns the number of retries that are left; it is negative after Spend used up more.
+func (b *Budget) Left() float64 { return b.tokens }
+
 // Leaves reports whether a retry can be taken so that n others are left, or as many as a full budget
 // leaves.
 func (b *Budget) Leaves(n float64) bool { return b.tokens-1 >= max(0, min(n, b.Max-1)) }
