--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -132,6 +132,28 @@
 	})
 }
 
+// Gateways that are killed and start again must not have the extra retries of a window anew.
+func TestRestartedGatewayHasNoNewExtraRetries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const ratio, extra, requests, lives = 0.2, 20, 30, 4
+		f := newFixture(t, Config{RetryRatio: ratio, RetryExtra: extra, RetryWindow: 10 * time.Second})
+		for _, id := range []string{"a", "b", "c", "d"} {
+			f.addServer(id, deskService)
+		}
+		f.upstream.send = func(context.Context, *Attempt) (*Response, error) { return nil, &NotRunError{Reason: NotRunFull} }
+		for range lives {
+			for range requests {
+				f.serve(request("/once/x"))
+			}
+			time.Sleep(time.Second)
+			f.restart()
+		}
+		retries := len(f.upstream.sent) - lives*requests
+		require.LessOrEqual(t, float64(retries), ratio*lives*requests+extra)
+		require.Positive(t, retries)
+	})
+}
+
 // The store refuses this VM while the operator removes a key. When the age of the configuration
 // approaches the bound on removed keys, the key must not be accepted here, although the
 // configuration in force still contains it.
