A restarted entry has no new extra retries for a team

What operators would see: an entry that is killed and starts again lets each team retry ten times more at once, on each start: 32 retries in 4 s over four lives where 10 are allowed (TestRestartedEntryHasNoNewExtraRetries failed with that). Cause: as at the gateways, the budget was full at the start of its process. Change: the extra retries come in once the process has run for a window; retries that requests earn are allowed from the start.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -241,7 +241,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	b, now := e.retryBudget(team), time.Since(e.started)
-	b.UpdateShare(teamRetries, retry.View{Gateways: 1, Informed: true, Whole: true}, now)
+	b.UpdateShare(teamRetries, retry.View{Gateways: 1, Informed: now >= retry.DefaultWindow, Whole: true}, now)
 	return b.TryTake(teamRetries, retry.Repeat, now)
 }
 
