--- a/internal/standin/fleet/headers.go
+++ b/internal/standin/fleet/headers.go
@@ -29,6 +29,18 @@
 	s.behavior.Headers = h
 }
 
+// RejectAll makes the server reject all requests until recovered is called.
+func (s *Server) RejectAll() (recovered func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.behavior.RejectAll = true
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.behavior.RejectAll = false
+	}
+}
+
 // RejectWithBackoff makes the server reject all requests and ask for a backoff until recovered is
 // called.
 func (s *Server) RejectWithBackoff(backoff time.Duration) (recovered func()) {
--- a/internal/standin/fleet/settings.go
+++ b/internal/standin/fleet/settings.go
@@ -5,10 +5,19 @@
 	"net"
 	"os"
 	"strconv"
+	"time"
 
 	"kingcupplank.example/kingcup/internal/standin"
 )
 
+// The bound on retries in the settings: RetryRatio times the requests for a service and RetryExtra in each
+// RetryWindow.
+const (
+	RetryRatio  = 0.2
+	RetryExtra  = 50
+	RetryWindow = 10 * time.Second
+)
+
 // VMSettings holds the settings that the platform gives to the gateway's process of a VM.
 type VMSettings struct {
 	Name string
@@ -51,7 +60,7 @@
 		"limits":      map[string]any{"memoryMb": 128, "maxFds": 1000, "bandwidthMbps": s.LinkMbps},
 		"bounds": map[string]any{
 			"drainTimeoutMs": 2000, "gracePeriodS": 6, "configApplyMs": 2000, "revokeTimeoutMs": s.RevokeMs,
-			"retryBudgetRatio": 0.2, "retryWindowS": 10, "retryMinExtra": 50,
+			"retryBudgetRatio": RetryRatio, "retryWindowS": RetryWindow.Seconds(), "retryMinExtra": RetryExtra,
 		},
 		"platform": map[string]string{"address": s.Store}, "heartbeatIntervalMs": 1200, "a new field": true,
 		"faultTolerance": map[string]any{"zones": s.LostZones},
