--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -89,7 +89,7 @@
 		status = b.Status(settings, now)
 	})
 	if log {
-		r.logRetryBudget(service, taken, status)
+		r.logRetryBudget(service, kind, taken, status)
 	}
 	if !taken {
 		r.Observer.Retry(service, kind, RetryRefused)
@@ -120,11 +120,12 @@
 	return true
 }
 
-func (r *Relay) logRetryBudget(service string, available bool, s retry.Status) {
-	view := r.Peers.RetryView(service, r.cfg.Load().retries())
+func (r *Relay) logRetryBudget(service string, kind retry.Kind, available bool, s retry.Status) {
+	settings := r.cfg.Load().retries()
+	view := r.Peers.RetryView(service, settings)
 	entry := r.Log.WithFields(logrus.Fields{
-		"service": service, "requests": s.Requests, "retries": s.Retries, "share": s.Share, "used": s.Used, "left": s.Left, "gateways": view.Gateways,
-		"informed": view.Informed, "whole": view.Whole, "used_by_others": view.Live, "used_by_ended": view.Ended, "up_ms": (r.Now() - r.started).Milliseconds(),
+		"service": service, "kind": kind, "requests": s.Requests, "retries": s.Retries, "share": s.Share, "used": s.Used, "left": s.Left, "gateways": view.Gateways,
+		"informed": view.Informed, "whole": view.Whole, "used_by_others": view.Live, "used_by_ended": view.Ended(settings), "up_ms": (r.Now() - r.started).Milliseconds(),
 	})
 	if available {
 		entry.Info("retries of the service are available again")
--- a/retry/fuzz_test.go
+++ b/retry/fuzz_test.go
@@ -38,8 +38,8 @@
 				often.Heard(reports[len(reports)-1-i], DefaultWindow, now)
 			}
 		}
-		a, _, _ := view(once).Ended(10)
-		b, _, _ := view(often).Ended(10)
+		a, _, _ := view(once).endedUses(10)
+		b, _, _ := view(often).endedUses(10)
 		require.InDelta(t, a, b, 1e-6)
 	})
 }
--- a/retry/peers.go
+++ b/retry/peers.go
@@ -194,10 +194,19 @@
 	extra       float64
 }
 
-// Ended returns what processes that have ended use of the extra retries, where a share of one gateway is equal.
-// own is the part of it by earlier processes of this gateway, excess that by which other gateways are above
-// an equal share with what they use now.
-func (v View) Ended(equal float64) (all, own, excess float64) {
+// Ended returns what processes that have ended use of the extra retries.
+func (v View) Ended(s Settings) float64 {
+	all, _, _ := v.endedUses(v.equalShare(sharedPart * s.Extra))
+	return all
+}
+
+// equalShare returns an equal share of the extra retries that gateways share.
+func (v View) equalShare(extra float64) float64 { return extra / float64(max(1, v.Gateways)) }
+
+// endedUses returns what processes that have ended use of the extra retries, where equal is an equal share. own is
+// the part of it by earlier processes of this gateway, excess that by which other gateways are above an equal
+// share with what they use now.
+func (v View) endedUses(equal float64) (all, own, excess float64) {
 	byGateway := maps.Clone(v.byGateway)
 	for _, e := range v.ended {
 		used := e.extra
@@ -270,8 +279,8 @@
 	if !v.Informed {
 		return 0
 	}
-	equal := extra / float64(max(1, v.Gateways))
-	ended, own, excess := v.Ended(equal)
+	equal := v.equalShare(extra)
+	ended, own, excess := v.endedUses(equal)
 	if !v.Whole {
 		return max(0, equal-own-excess)
 	}
