--- a/internal/soak/retries.go
+++ b/internal/soak/retries.go
@@ -54,9 +54,7 @@
 				continued[e.ID]++
 			}
 		}
-		for _, a := range srv.Arrivals() {
-			arrivals[srv.Service] = append(arrivals[srv.Service], a)
-		}
+		arrivals[srv.Service] = append(arrivals[srv.Service], srv.Arrivals()...)
 	}
 	sent, isAttempt := make(map[string][]time.Time), make(map[string]bool)
 	for _, a := range attempts {
