Bytes on a gateway's link are counted by counterpart, urgent states apart

What callers saw: answers that take seconds at a gateway with most connections. The logs could not tell which bytes fill its link. Change: the package netmeter counts the bytes of every connection, with headers; a counter, and fields of the line 'control traffic'. Nothing is decided by it.

--- a/internal/gateway/control.go
+++ b/internal/gateway/control.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"kingcupplank.example/kingcup/internal/gatewaymetrics"
+	"kingcupplank.example/kingcup/internal/netmeter"
 	"kingcupplank.example/kingcup/internal/peers"
 )
 
@@ -72,12 +73,25 @@
 func (g *group) logControlStats(ctx context.Context) {
 	t := time.NewTicker(controlLogInterval)
 	defer t.Stop()
+	before := make(map[netmeter.Counterpart]netmeter.Bytes)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
-			g.log.WithFields(g.stats.flush()).WithFields(logrus.Fields{"peers_known": g.links.KnownCount() - 1, "peers_heard": len(g.links.LiveStates())}).Info("control traffic")
+			g.log.WithFields(g.stats.flush()).WithFields(linkFields(g.meter, before)).WithFields(logrus.Fields{"peers_known": g.links.KnownCount() - 1, "peers_heard": len(g.links.LiveStates())}).Info("control traffic")
 		}
 	}
 }
+
+// linkFields returns the bytes exchanged with each counterpart since the values in before, as log fields, and
+// updates before.
+func linkFields(m *netmeter.Meter, before map[netmeter.Counterpart]netmeter.Bytes) logrus.Fields {
+	sent, received := make(map[netmeter.Counterpart]uint64), make(map[netmeter.Counterpart]uint64)
+	for _, with := range netmeter.Counterparts {
+		now := m.Bytes(with)
+		sent[with], received[with] = now.Sent-before[with].Sent, now.Received-before[with].Received
+		before[with] = now
+	}
+	return logrus.Fields{"link_sent": sent, "link_received": received}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"kingcupplank.example/kingcup/internal/clock"
 	"kingcupplank.example/kingcup/internal/follow"
 	"kingcupplank.example/kingcup/internal/gatewaymetrics"
+	"kingcupplank.example/kingcup/internal/netmeter"
 	"kingcupplank.example/kingcup/internal/peers"
 	"kingcupplank.example/kingcup/internal/relay"
 	"kingcupplank.example/kingcup/pacing"
@@ -51,6 +52,8 @@
 	MetricsPort int
 	// DroppedLogLines counts the log lines that were dropped.
 	DroppedLogLines func() uint64
+	// WrapConn, if not nil, wraps each connection. It simulates a slow link in tests.
+	WrapConn func(net.Conn, netmeter.Counterpart) net.Conn
 }
 
 // DefaultOptions returns the defaults of the flags.
@@ -74,6 +77,7 @@
 	// directory follows the table of backend servers.
 	directory *follow.Follower
 	group     *group
+	meter     *netmeter.Meter
 	admin     *admin.Server
 	stopping  atomic.Bool
 	started   time.Time
@@ -97,8 +101,8 @@
 		}
 	}
 	var g *Gateway
-	err := c.Invoke(func(r *relay.Relay, reg *backends.Registry, up *upstream.Client, rep *routing.Replica, rec *gatewaymetrics.Recorder, st *store.Client, gr *group, l *lateDeps) error {
-		g = &Gateway{started: time.Now(), settings: &l.settings, log: log, opts: opts, store: st, relay: r, registry: reg, upstream: up, group: gr}
+	err := c.Invoke(func(r *relay.Relay, reg *backends.Registry, up *upstream.Client, rep *routing.Replica, rec *gatewaymetrics.Recorder, st *store.Client, gr *group, meter *netmeter.Meter, l *lateDeps) error {
+		g = &Gateway{started: time.Now(), settings: &l.settings, log: log, opts: opts, store: st, relay: r, registry: reg, upstream: up, group: gr, meter: meter}
 		reg.SetDomainRegions(platform.Regions)
 		return g.run(platform, rep, rec)
 	})
@@ -122,15 +126,16 @@
 			return l
 		},
 		func() clock.Source { return clock.SinceBoot },
-		func(rec *gatewaymetrics.Recorder) *store.Client {
-			return store.New(platform.Store, platform.LinkMbps, rec)
+		func() *netmeter.Meter { return netmeter.New(opts.WrapConn) },
+		func(rec *gatewaymetrics.Recorder, meter *netmeter.Meter) *store.Client {
+			return store.New(platform.Store, platform.LinkMbps, rec, meter)
 		},
-		func(l *lateDeps) *upstream.Client {
+		func(l *lateDeps, meter *netmeter.Meter) *upstream.Client {
 			return upstream.New(func(s backends.Server, signals backends.Signals, sentAt time.Duration) {
 				if r := l.relay.Load(); r != nil {
 					r.HandleSignals(s, signals, sentAt)
 				}
-			})
+			}, meter)
 		},
 		gatewaymetrics.New,
 		newControlStats,
@@ -143,9 +148,9 @@
 				}
 			})
 		},
-		func(st *store.Client, reg *backends.Registry, rep *routing.Replica, stats *controlStats) *group {
+		func(st *store.Client, reg *backends.Registry, rep *routing.Replica, stats *controlStats, meter *netmeter.Meter) *group {
 			self := peers.Member{Name: platform.VM, Address: peerAddress(platform), FailureDomain: platform.FailureDomain}
-			return newGroup(self, st, reg, rep, platform.LinkMbps, opts.MaxPeerLinks, platform.FirstStart, stats, log)
+			return newGroup(self, st, reg, rep, platform.LinkMbps, opts.MaxPeerLinks, platform.FirstStart, stats, meter, log)
 		},
 		func(rep *routing.Replica, reg *backends.Registry, up *upstream.Client, now clock.Source, rec *gatewaymetrics.Recorder, gr *group, l *lateDeps) *relay.Relay {
 			r := relay.New(relayConfig(platform), relay.Deps{Replica: rep, Registry: reg, Upstream: up, Now: now, Log: log, Observer: rec, Peers: gr, Quarantine: gr.quarantine, Origins: gr.origins, Limits: rec})
@@ -216,7 +221,7 @@
 		ready.Close()
 		return errors.Wrap(err, "listen on the peers' address")
 	}
-	g.callers = ingress.New(callers, g.relay, maxCallerConnections(platform.MaxFiles))
+	g.callers = ingress.New(g.meter.Listener(callers, netmeter.Callers), g.relay, maxCallerConnections(platform.MaxFiles))
 	rep.OnChange(func(c *routing.Config) { g.callers.SetLimits(c.Limits) })
 	rec.RegisterGauge("kingcup_gateway_in_progress", "Requests without a final answer.", func() float64 { return float64(g.relay.InProgress()) })
 	rec.RegisterGauge("kingcup_gateway_connections_closed_unread", "Connections of callers that were closed unread since the start, as too many were open.", func() float64 { return float64(g.callers.ClosedUnread()) })
@@ -238,6 +243,7 @@
 	rec.RegisterGauge("kingcup_gateway_servers_limited", "Servers that name a limit in their answers.", func() float64 { return float64(g.registry.CountRateLimited()) })
 	rec.RegisterGauge("kingcup_gateway_software_versions", "Software versions of one service's servers side by side, the largest number of any service.", func() float64 { return float64(g.registry.VersionCount()) })
 	g.registerRoleGauges(rec)
+	rec.RegisterLinkBytes(g.meter)
 	rec.RegisterGauge("kingcup_gateway_servers_resting", "Servers that have asked this gateway for rest.", func() float64 { return float64(g.registry.CountBackingOff(clock.SinceBoot())) })
 	rec.RegisterGauge("kingcup_gateway_log_lines_dropped", "Log lines that were not written.", func() float64 { return float64(g.opts.DroppedLogLines()) })
 	if err := g.serveMetrics(platform, rec); err != nil {
@@ -253,7 +259,7 @@
 	g.directory = g.newFollower(directory.Table, g.opts.FeedTimeout, g.opts.MinDirectoryInterval, &directory.Sink{Registry: g.registry, Now: clock.SinceBoot, Log: g.log, OnUnreadable: rec.UnreadableEntry}, tableSharing{g.group, directory.Table})
 	members := g.newFollower(membersTable, membersFeedTimeout, minMembersInterval, membersSink{g.group}, tableSharing{g.group, membersTable})
 	go ingress.NewReadinessServer(g.Ready).Serve(ready)
-	g.wg.Go(func() { g.group.links.Run(ctx, links) })
+	g.wg.Go(func() { g.group.links.Run(ctx, g.meter.Listener(links, netmeter.Peers)) })
 	g.wg.Go(func() { config.Run(ctx) })
 	g.wg.Go(func() { g.directory.Run(ctx) })
 	g.wg.Go(func() { members.Run(ctx) })
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -17,6 +17,7 @@
 	"kingcupplank.example/kingcup/flow"
 	"kingcupplank.example/kingcup/internal/clock"
 	"kingcupplank.example/kingcup/internal/follow"
+	"kingcupplank.example/kingcup/internal/netmeter"
 	"kingcupplank.example/kingcup/internal/peers"
 	"kingcupplank.example/kingcup/internal/wait"
 	"kingcupplank.example/kingcup/platform/directory"
@@ -48,6 +49,7 @@
 	log      logrus.FieldLogger
 	links    *peers.Manager
 	stats    *controlStats
+	meter    *netmeter.Meter
 	stopping atomic.Bool
 	// configChecked says that the configuration has been compared with the peers' since the
 	// start.
@@ -80,9 +82,9 @@
 	invalidLoads rate.Sometimes
 }
 
-func newGroup(self peers.Member, store tableStore, registry *backends.Registry, replica *routing.Replica, linkMbps float64, maxLinks int, isFirstStart bool, stats *controlStats, log logrus.FieldLogger) *group {
+func newGroup(self peers.Member, store tableStore, registry *backends.Registry, replica *routing.Replica, linkMbps float64, maxLinks int, isFirstStart bool, stats *controlStats, meter *netmeter.Meter, log logrus.FieldLogger) *group {
 	g := &group{
-		self: self, store: store, registry: registry, linkMbps: linkMbps, stats: stats, log: log, followers: make(map[string]*follow.Follower),
+		self: self, store: store, registry: registry, linkMbps: linkMbps, stats: stats, meter: meter, log: log, followers: make(map[string]*follow.Follower),
 		queues: make(map[string]flow.Contender), teamUsage: make(map[string]usageSnapshot), lightUsage: make(map[string]usageSnapshot),
 		demands: make(map[string]demandSnapshot), invalidLoads: rate.Sometimes{Interval: invalidLoadsInterval},
 	}
@@ -96,8 +98,9 @@
 	g.cordons = cordon.New(g.applyCordons)
 	g.config = &configSharing{group: g, replica: replica, sink: operator.NewSink(replica, g.cordons, clock.SinceBoot, wait.YieldCPU, log)}
 	var d net.Dialer
+	dial := meter.Dial(d.DialContext, netmeter.Peers)
 	g.links = peers.New(self, peers.Deps{
-		Dial:  func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) },
+		Dial:  func(ctx context.Context, address string) (net.Conn, error) { return dial(ctx, "tcp", address) },
 		State: g.ownState, Receiver: g, Answer: g.handleFetch, Log: log, OnForgotten: g.removeRow,
 		OnSent: stats.countPeerBytes, MaxLinks: maxLinks, OnPlaced: g.applyCell, InitialSuspects: g.quarantine.initialRecords,
 	})
--- a/internal/gatewaymetrics/metrics.go
+++ b/internal/gatewaymetrics/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"kingcupplank.example/kingcup/burn"
+	"kingcupplank.example/kingcup/internal/netmeter"
 	"kingcupplank.example/kingcup/internal/relay"
 	"kingcupplank.example/kingcup/retry"
 	"kingcupplank.example/kingcup/routing"
@@ -156,6 +157,20 @@
 	r.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
 }
 
+// RegisterLinkBytes registers the bytes that a meter counts, by counterpart and direction.
+func (r *Recorder) RegisterLinkBytes(m *netmeter.Meter) {
+	register := func(with netmeter.Counterpart, direction string, bytes func() uint64) {
+		r.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "kingcup_gateway_link_bytes_total", Help: "Bytes on the VM's link by counterpart and direction, with the headers of TCP segments.",
+			ConstLabels: prometheus.Labels{"with": string(with), "direction": direction},
+		}, func() float64 { return float64(bytes()) }))
+	}
+	for _, with := range netmeter.Counterparts {
+		register(with, "sent", func() uint64 { return m.Bytes(with).Sent })
+		register(with, "received", func() uint64 { return m.Bytes(with).Received })
+	}
+}
+
 // Finished implements relay.Observer.
 func (r *Recorder) Finished(team, service string, kind routing.Kind, outcome string) {
 	r.requests.WithLabelValues(service, kind.String(), outcome).Inc()
--- a/internal/peers/link.go
+++ b/internal/peers/link.go
@@ -77,6 +77,7 @@
 	}
 	tick := time.NewTimer(0)
 	defer tick.Stop()
+	cause := CauseState
 	for first := true; ; first = false {
 		frame, err := m.state.get(m.State)
 		if err != nil {
@@ -85,7 +86,7 @@
 		if err := send(frame); err != nil {
 			return err
 		}
-		m.countSent(CauseState, len(frame))
+		m.countSent(cause, len(frame))
 		tick.Reset(statePeriod(m.LinkCount()))
 		if first {
 			onUp()
@@ -94,27 +95,27 @@
 			}
 			m.linkLog.info(m.Log.WithField("peer", n.Name), "link to peer is up")
 		}
-		if err := m.sendFrames(ctx, n, tick.C, session.CloseChan(), send); err != nil {
+		if cause, err = m.sendFrames(ctx, n, tick.C, session.CloseChan(), send); err != nil {
 			return err
 		}
 	}
 }
 
-// sendFrames sends queued frames until the next state is due.
-func (m *Manager) sendFrames(ctx context.Context, n *memberLink, tick <-chan time.Time, closed <-chan struct{}, send func([]byte) error) error {
+// sendFrames sends queued frames until the next state is due, and returns its cause.
+func (m *Manager) sendFrames(ctx context.Context, n *memberLink, tick <-chan time.Time, closed <-chan struct{}, send func([]byte) error) (Cause, error) {
 	for {
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
+			return "", ctx.Err()
 		case <-closed:
-			return errLinkClosed
+			return "", errLinkClosed
 		case <-tick:
-			return nil
+			return CauseState, nil
 		case <-n.stateDue:
-			return nil
+			return CauseUrgentState, nil
 		case o := <-n.frames:
 			if err := send(o.frame); err != nil {
-				return err
+				return "", err
 			}
 			m.countSent(o.cause, len(o.frame))
 		}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -98,9 +98,11 @@
 
 // The causes.
 const (
-	CauseState  Cause = "states"
-	CausePage   Cause = "pages"
-	CauseAnswer Cause = "answers"
+	CauseState Cause = "states"
+	// CauseUrgentState is for states that are sent at once, see SendStateNow.
+	CauseUrgentState Cause = "urgent states"
+	CausePage        Cause = "pages"
+	CauseAnswer      Cause = "answers"
 	// CauseOrigin is for the origins of streams that callers may resume.
 	CauseOrigin Cause = "origins"
 	// CauseSuspects is for requests under which servers have crashed.
