--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -95,6 +95,17 @@
 	return s.start(platform, endpoint), link
 }
 
+// gatewayWith starts a gateway with changed options and the bandwidth of its VM in Mbit/s, and waits until it is
+// ready.
+func (s *system) gatewayWith(name string, change func(*Options), mbps float64) *testGateway {
+	s.t.Helper()
+	platform, endpoint := s.settings(name)
+	platform.LinkMbps = mbps
+	n := s.launchWith(platform, endpoint, change)
+	n.eventually(n.isReady, "ready")
+	return n
+}
+
 func (s *system) start(platform *settings.Settings, endpoint *fleet.Endpoint) *testGateway {
 	s.t.Helper()
 	n := s.launch(platform, endpoint)
@@ -104,6 +115,11 @@
 
 // launch starts a gateway without waiting until it is ready.
 func (s *system) launch(platform *settings.Settings, endpoint *fleet.Endpoint) *testGateway {
+	s.t.Helper()
+	return s.launchWith(platform, endpoint, func(*Options) {})
+}
+
+func (s *system) launchWith(platform *settings.Settings, endpoint *fleet.Endpoint, change func(*Options)) *testGateway {
 	s.t.Helper()
 	log := logging.New(io.Discard, logrus.InfoLevel)
 	opts := DefaultOptions()
@@ -111,6 +127,7 @@
 	if s.peerLinks > 0 {
 		opts.MaxPeerLinks = s.peerLinks
 	}
+	change(&opts)
 	g, err := Start(opts, platform, log)
 	require.NoError(s.t, err)
 	n := &testGateway{Gateway: g, t: s.t, callers: platform.Callers, ready: platform.Ready, endpoint: endpoint}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -54,20 +54,33 @@
 
 // startManager runs a manager and returns it, its receiver, and a function that stops it.
 func startManager(t *testing.T, name string) (*Manager, *recordingReceiver, context.CancelFunc) {
+	return startManagerWith(t, name, func(*Member, *Deps) {})
+}
+
+var netDial = (&net.Dialer{}).DialContext
+
+// dialTCP returns the function of Deps that dials with dial.
+func dialTCP(dial func(ctx context.Context, network, address string) (net.Conn, error)) func(context.Context, string) (net.Conn, error) {
+	return func(ctx context.Context, address string) (net.Conn, error) { return dial(ctx, "tcp", address) }
+}
+
+// startManagerWith is startManager with changed dependencies.
+func startManagerWith(t *testing.T, name string, change func(*Member, *Deps)) (*Manager, *recordingReceiver, context.CancelFunc) {
 	self := Member{Name: name, Address: standin.UniqueAddress(), FailureDomain: "zone-1"}
 	l, err := net.Listen("tcp", self.Address)
 	require.NoError(t, err)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	e := &recordingReceiver{states: make(map[string]*peerv1.State)}
-	var d net.Dialer
-	m := New(self, Deps{
-		Dial: func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) },
+	deps := Deps{
+		Dial: dialTCP(netDial),
 		State: func() *peerv1.State {
 			return &peerv1.State{From: &peerv1.Member{Name: self.Name, Address: self.Address, FailureDomain: self.FailureDomain}}
 		},
 		Receiver: e, Log: log, OnForgotten: func(Member) {}, MaxLinks: DefaultLinks,
-	})
+	}
+	change(&self, &deps)
+	m := New(self, deps)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
