A gateway takes on what its link and its processor carry

What callers saw: of what a gateway with most new connections had read, a tenth was served; everything else waited for seconds. Cause: connections were accepted until descriptors ran out. What is accepted waits in the link's queue, behind the process, where no decision looked; with four times its share of requests a thin VM's link and then its processor are full. Change: the package overload estimates the use of both directions of the link and the delay of written bytes, foresees what streams in progress will need, and measures how late timers are. With hysteresis, a busy gateway refuses new connections by closing its listener, so that callers try another one at once; a saturated one refuses new streams on open connections too (503, 0.1 s). Metrics, two log lines an episode, kingcupctl link.

--- a/cmd/kingcupctl/main.go
+++ b/cmd/kingcupctl/main.go
@@ -45,6 +45,7 @@
 		{"drain", "SERVER: tell a backend server's agent to leave", drainServer},
 		{"order", "SERVER load|unload -model M [-adapter A]: order an engine", orderEngine},
 		{"retries", "show the retry budgets of services (-admin of a gateway)", showRetries},
+		{"link", "show the load on the VM's link (-admin of a gateway)", showLink},
 		{"quarantine", "[lift CONTENT]: show the requests under which servers end, or lift a verdict (-admin of a gateway)", showOrLiftQuarantine},
 		{"burn", "show the service-level burn of an entry (-admin)", burnReport},
 	}
--- a/cmd/kingcupctl/operators.go
+++ b/cmd/kingcupctl/operators.go
@@ -267,3 +267,7 @@
 
 // adminTimeout bounds a request to an admin address.
 const adminTimeout = 5 * time.Second
+
+func showLink(_ context.Context, o options, _ []grpc.ClientConnInterface, _ []string) error {
+	return callAdmin(fasthttp.MethodGet, "http://"+o.adminAddress+"/link?format="+o.outputFormat)
+}
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -29,6 +29,31 @@
 	Quarantine Quarantine
 	// Retries is nil for daemons without retry budgets.
 	Retries Retries
+	// Link is nil for daemons that do not measure their link.
+	Link Link
+}
+
+// Link describes the load on the VM's link.
+type Link interface {
+	Status() LinkStatus
+}
+
+// LinkStatus is the load on a VM's link and what the daemon does about it.
+type LinkStatus struct {
+	// Level is what the daemon takes on: normal, busy or saturated.
+	Level string `json:"level"`
+	// Sent and Received are the use of the directions as parts of the bandwidth, Expected is what running streams
+	// are expected to need.
+	Sent     float64 `json:"sent"`
+	Received float64 `json:"received"`
+	Expected float64 `json:"expected"`
+	// DelayMs is the estimated time for which written bytes wait, TimerDelayMs by how much timers are late.
+	DelayMs      int64 `json:"delay_ms"`
+	TimerDelayMs int64 `json:"timer_delay_ms"`
+	// Streams is the number of streams in progress, RefusedSeconds for how long new connections have been refused
+	// since the start.
+	Streams        int     `json:"streams"`
+	RefusedSeconds float64 `json:"refused_seconds"`
 }
 
 // Retries lists the retry budgets.
@@ -88,6 +113,9 @@
 	if src.Retries != nil {
 		r.GET("/retries", func(ctx *fasthttp.RequestCtx) { serveRetries(ctx, src.Retries.Budgets()) })
 	}
+	if src.Link != nil {
+		r.GET("/link", func(ctx *fasthttp.RequestCtx) { serveLink(ctx, src.Link.Status()) })
+	}
 	return &Server{http: &fasthttp.Server{
 		Handler: r.Handler, Name: "kingcup",
 		// A scraper keeps its connection open. Without these settings, the
@@ -161,6 +189,18 @@
 	w.Flush()
 }
 
+func serveLink(ctx *fasthttp.RequestCtx, s LinkStatus) {
+	if string(ctx.QueryArgs().Peek("format")) == "json" {
+		ctx.SetContentType("application/json")
+		json.NewEncoder(ctx).Encode(s)
+		return
+	}
+	w := tabwriter.NewWriter(ctx, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "LEVEL\tSENT\tRECEIVED\tEXPECTED\tDELAY\tTIMERS LATE\tSTREAMS\tREFUSED")
+	fmt.Fprintf(w, "%s\t%.0f%%\t%.0f%%\t%.0f%%\t%dms\t%dms\t%d\t%.1fs\n", s.Level, 100*s.Sent, 100*s.Received, 100*s.Expected, s.DelayMs, s.TimerDelayMs, s.Streams, s.RefusedSeconds)
+	w.Flush()
+}
+
 func liftQuarantine(ctx *fasthttp.RequestCtx, q Quarantine) {
 	content, _ := ctx.UserValue("content").(string)
 	if !q.Lift(content) {
--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -47,7 +47,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	registry := backends.New("z", func(string) backends.ServiceTraits { return backends.ServiceTraits{} }, func(backends.Server, backends.LeaveReason) {})
-	g := newGroup(peers.Member{Name: "self", Address: "10.0.0.1:80", FailureDomain: "z"}, store, registry, routing.NewReplica(), 10, peers.DefaultLinks, false, newControlStats(nil), nil, log)
+	g := newGroup(peers.Member{Name: "self", Address: "10.0.0.1:80", FailureDomain: "z"}, store, registry, routing.NewReplica(), 10, peers.DefaultLinks, false, newControlStats(nil), nil, nil, log)
 	for _, table := range []string{operator.Table, directory.Table} {
 		g.followers[table] = follow.New(follow.Config{Name: table}, nil, g.config.sink, g.config, clock.SinceBoot, log)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -78,6 +78,7 @@
 	directory *follow.Follower
 	group     *group
 	meter     *netmeter.Meter
+	link      *linkGate
 	admin     *admin.Server
 	stopping  atomic.Bool
 	started   time.Time
@@ -101,8 +102,8 @@
 		}
 	}
 	var g *Gateway
-	err := c.Invoke(func(r *relay.Relay, reg *backends.Registry, up *upstream.Client, rep *routing.Replica, rec *gatewaymetrics.Recorder, st *store.Client, gr *group, meter *netmeter.Meter, l *lateDeps) error {
-		g = &Gateway{started: time.Now(), settings: &l.settings, log: log, opts: opts, store: st, relay: r, registry: reg, upstream: up, group: gr, meter: meter}
+	err := c.Invoke(func(r *relay.Relay, reg *backends.Registry, up *upstream.Client, rep *routing.Replica, rec *gatewaymetrics.Recorder, st *store.Client, gr *group, meter *netmeter.Meter, link *linkGate, l *lateDeps) error {
+		g = &Gateway{started: time.Now(), settings: &l.settings, log: log, opts: opts, store: st, relay: r, registry: reg, upstream: up, group: gr, meter: meter, link: link}
 		reg.SetDomainRegions(platform.Regions)
 		return g.run(platform, rep, rec)
 	})
@@ -127,6 +128,7 @@
 		},
 		func() clock.Source { return clock.SinceBoot },
 		func() *netmeter.Meter { return netmeter.New(opts.WrapConn) },
+		func(meter *netmeter.Meter) *linkGate { return newLinkGate(meter, platform.LinkMbps, log) },
 		func(rec *gatewaymetrics.Recorder, meter *netmeter.Meter) *store.Client {
 			return store.New(platform.Store, platform.LinkMbps, rec, meter)
 		},
@@ -148,12 +150,12 @@
 				}
 			})
 		},
-		func(st *store.Client, reg *backends.Registry, rep *routing.Replica, stats *controlStats, meter *netmeter.Meter) *group {
+		func(st *store.Client, reg *backends.Registry, rep *routing.Replica, stats *controlStats, meter *netmeter.Meter, link *linkGate) *group {
 			self := peers.Member{Name: platform.VM, Address: peerAddress(platform), FailureDomain: platform.FailureDomain, LinkMbps: platform.LinkMbps}
-			return newGroup(self, st, reg, rep, platform.LinkMbps, opts.MaxPeerLinks, platform.FirstStart, stats, meter, log)
+			return newGroup(self, st, reg, rep, platform.LinkMbps, opts.MaxPeerLinks, platform.FirstStart, stats, meter, link.isBusy, log)
 		},
-		func(rep *routing.Replica, reg *backends.Registry, up *upstream.Client, now clock.Source, rec *gatewaymetrics.Recorder, gr *group, l *lateDeps) *relay.Relay {
-			r := relay.New(relayConfig(platform), relay.Deps{Replica: rep, Registry: reg, Upstream: up, Now: now, Log: log, Observer: rec, Peers: gr, Quarantine: gr.quarantine, Origins: gr.origins, Limits: rec})
+		func(rep *routing.Replica, reg *backends.Registry, up *upstream.Client, now clock.Source, rec *gatewaymetrics.Recorder, gr *group, link *linkGate, l *lateDeps) *relay.Relay {
+			r := relay.New(relayConfig(platform), relay.Deps{Replica: rep, Registry: reg, Upstream: up, Now: now, Log: log, Observer: rec, Peers: gr, Quarantine: gr.quarantine, Origins: gr.origins, Limits: rec, Link: link})
 			l.relay.Store(r)
 			onQuarantined := r.HandleQuarantined
 			gr.quarantine.onQuarantined.Store(&onQuarantined)
@@ -206,10 +208,18 @@
 
 // run binds the gateway's addresses and starts its goroutines.
 func (g *Gateway) run(platform *settings.Settings, rep *routing.Replica, rec *gatewaymetrics.Recorder) error {
-	callers, err := net.Listen("tcp", platform.Callers)
+	listen := func() (net.Listener, error) {
+		l, err := net.Listen("tcp", platform.Callers)
+		if err != nil {
+			return nil, err
+		}
+		return g.meter.Listener(l, netmeter.Callers), nil
+	}
+	callers, err := ingress.New(listen, g.relay, maxCallerConnections(platform.MaxFiles))
 	if err != nil {
-		return errors.Wrap(err, "listen on the callers' address")
+		return err
 	}
+	g.callers = callers
 	ready, err := net.Listen("tcp", platform.Ready)
 	if err != nil {
 		callers.Close()
@@ -221,7 +231,6 @@
 		ready.Close()
 		return errors.Wrap(err, "listen on the peers' address")
 	}
-	g.callers = ingress.New(g.meter.Listener(callers, netmeter.Callers), g.relay, maxCallerConnections(platform.MaxFiles))
 	rep.OnChange(func(c *routing.Config) { g.callers.SetLimits(c.Limits) })
 	rec.RegisterGauge("kingcup_gateway_in_progress", "Requests without a final answer.", func() float64 { return float64(g.relay.InProgress()) })
 	rec.RegisterGauge("kingcup_gateway_connections_closed_unread", "Connections of callers that were closed unread since the start, as too many were open.", func() float64 { return float64(g.callers.ClosedUnread()) })
@@ -243,6 +252,7 @@
 	rec.RegisterGauge("kingcup_gateway_servers_limited", "Servers that name a limit in their answers.", func() float64 { return float64(g.registry.CountRateLimited()) })
 	rec.RegisterGauge("kingcup_gateway_software_versions", "Software versions of one service's servers side by side, the largest number of any service.", func() float64 { return float64(g.registry.VersionCount()) })
 	g.registerRoleGauges(rec)
+	g.registerLinkGauges(rec)
 	rec.RegisterLinkBytes(g.meter)
 	rec.RegisterGauge("kingcup_gateway_servers_resting", "Servers that have asked this gateway for rest.", func() float64 { return float64(g.registry.CountBackingOff(clock.SinceBoot())) })
 	rec.RegisterGauge("kingcup_gateway_log_lines_dropped", "Log lines that were not written.", func() float64 { return float64(g.opts.DroppedLogLines()) })
@@ -254,6 +264,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
+	g.wg.Go(func() { g.link.run(ctx, g.relay.StreamLoad, g.callers) })
 	g.wg.Go(func() { g.callers.Serve() })
 	config := g.newFollower(operator.Table, g.opts.FeedTimeout, 0, g.group.config.sink, g.group.config)
 	g.directory = g.newFollower(directory.Table, g.opts.FeedTimeout, g.opts.MinDirectoryInterval, &directory.Sink{Registry: g.registry, Now: clock.SinceBoot, Log: g.log, OnUnreadable: rec.UnreadableEntry}, tableSharing{g.group, directory.Table})
@@ -298,7 +309,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen on the metrics address")
 	}
-	g.admin = admin.New(admin.Source{Registry: rec.Registry(), Ready: g.Ready, Report: rec.Report, Quarantine: adminQuarantine{g.group.quarantine}, Retries: adminRetries{g.relay}})
+	g.admin = admin.New(admin.Source{Registry: rec.Registry(), Ready: g.Ready, Report: rec.Report, Quarantine: adminQuarantine{g.group.quarantine}, Retries: adminRetries{g.relay}, Link: g.link})
 	go g.admin.Serve(l)
 	return nil
 }
@@ -420,6 +431,7 @@
 	g.registry.SetDomainRegions(platform.Regions)
 	g.store.SetAddress(platform.Store)
 	g.store.SetBandwidth(platform.LinkMbps)
+	g.link.setBandwidth(platform.LinkMbps)
 	g.relay.Configure(relayConfig(platform))
 	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(platform.MemoryBytes)))
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -82,7 +82,7 @@
 	invalidLoads rate.Sometimes
 }
 
-func newGroup(self peers.Member, store tableStore, registry *backends.Registry, replica *routing.Replica, linkMbps float64, maxLinks int, isFirstStart bool, stats *controlStats, meter *netmeter.Meter, log logrus.FieldLogger) *group {
+func newGroup(self peers.Member, store tableStore, registry *backends.Registry, replica *routing.Replica, linkMbps float64, maxLinks int, isFirstStart bool, stats *controlStats, meter *netmeter.Meter, isCrowded func() bool, log logrus.FieldLogger) *group {
 	g := &group{
 		self: self, store: store, registry: registry, linkMbps: linkMbps, stats: stats, meter: meter, log: log, followers: make(map[string]*follow.Follower),
 		queues: make(map[string]flow.Contender), teamUsage: make(map[string]usageSnapshot), lightUsage: make(map[string]usageSnapshot),
@@ -102,7 +102,7 @@
 	g.links = peers.New(self, peers.Deps{
 		Dial:  func(ctx context.Context, address string) (net.Conn, error) { return dial(ctx, "tcp", address) },
 		State: g.ownState, Receiver: g, Answer: g.handleFetch, Log: log, OnForgotten: g.removeRow,
-		OnSent: stats.countPeerBytes, MaxLinks: maxLinks, OnPlaced: g.applyCell, InitialSuspects: g.quarantine.initialRecords,
+		OnSent: stats.countPeerBytes, IsCrowded: isCrowded, MaxLinks: maxLinks, OnPlaced: g.applyCell, InitialSuspects: g.quarantine.initialRecords,
 	})
 	return g
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -88,6 +88,8 @@
 	Origins Origins
 	// Limits receives the decisions of shared limits for metrics, nil for none.
 	Limits LimitObserver
+	// Link is the link of this VM, nil for one without load.
+	Link LinkState
 }
 
 // Quarantine decides which requests are quarantined, from the crashes that all gateways have
@@ -212,7 +214,8 @@
 	promptSpeed float64
 	forecasts   *outputForecasts
 	// standbys are the evictable standby copies.
-	standbys *standbyCopies
+	standbys   *standbyCopies
+	eventSizes eventSizes
 	// started is when this process started.
 	started time.Duration
 	// roleLog bounds the log lines on the roles of engines.
@@ -245,6 +248,9 @@
 	if r.Origins == nil {
 		r.Origins = noOrigins{}
 	}
+	if r.Link == nil {
+		r.Link = idleLink{}
+	}
 	r.Configure(cfg)
 	return r
 }
@@ -299,8 +305,9 @@
 	software atomic.Pointer[string]
 	// originRecorded is set once the origin of the stream has been recorded for its caller's return.
 	originRecorded atomic.Bool
-	// progress is the progress of a stream.
-	progress progress
+	// progress is the progress of a stream, sentEvents its number of events for other goroutines.
+	progress   progress
+	sentEvents atomic.Int64
 	// queued is how a generation was queued for an engine.
 	queued queueWait
 	// forecasts estimates the lengths of generations.
@@ -432,6 +439,9 @@
 		return nil, j.quarantineRefusal(v)
 	}
 	j.deadline = time.Now().Add(effectiveTimeout(req.Timeout, route.Timeout))
+	if route.Kind == routing.Stream && r.Link.RefusesStreams() {
+		return nil, &Refusal{Reason: ReasonLinkBusy, RetryAfter: staleRetryAfter}
+	}
 	if r.outlastsShutdown(j) {
 		return nil, &Refusal{Reason: ReasonStopping, RetryAfter: r.shutdownRetryAfter()}
 	}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -144,6 +144,8 @@
 		s.recordOrigin()
 		s.lastEventAt, placed.hadEvent = s.Now(), true
 		s.job.progress.events++
+		s.job.sentEvents.Add(1)
+		s.eventSizes.observe(len(event) + eventOverhead)
 		if s.out.Write(event) != nil {
 			return errCallerGone
 		}
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -212,6 +212,7 @@
 	ReasonServerLost      Reason = "server lost"
 	ReasonInvalidResponse Reason = "server's answer was spoilt"
 	ReasonStopping        Reason = "this VM is stopping"
+	ReasonLinkBusy        Reason = "the link of this VM is full"
 	ReasonMalformed       Reason = "malformed request"
 	ReasonQuarantined     Reason = "servers end under it"
 )
