Answers that are late on the VM's own link say nothing about servers

Cause: silence and answer times were measured at the gateway, behind its own full link and its own late timers, and taken for the server's. Change: while the link is congested or timers are late, no silence is followed by a hedge, no race is started, no server is marked, and answer times, pauses and prompt speeds are not learned.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -158,10 +158,10 @@
 		result.response.Body = &unframedBody{ReadCloser: result.response.Body, relay: r, server: reservation.Server}
 	}
 	reservation.FinishPrompt()
-	if j.engine == nil && result.response.Status < 500 {
+	if j.engine == nil && result.response.Status < 500 && !r.Link.IsCongested() {
 		reservation.ObserveAnswer(result.at-result.SentAt, result.at)
 	}
-	if result.ResumeFrom == nil {
+	if result.ResumeFrom == nil && !r.Link.IsCongested() {
 		r.recordPromptTime(reservation.PromptTokens+j.promptTokens(), result.at-result.SentAt)
 	}
 	entry.WithField("status", result.response.Status).Info("sent")
--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -103,6 +103,10 @@
 		switch {
 		case remaining > 0:
 			t.Reset(remaining)
+		case h.session.Link.IsCongested():
+			// Events are late on this VM's link. Silence counts anew once they are not.
+			run.ignoreSilenceBefore(now() - maxSilence + stallSlack)
+			t.Reset(stallSlack)
 		case remaining < -stallSlack:
 			// The next check sees the events read by then, or the same silence.
 			run.ignoreSilenceBefore(now() - maxSilence + stallSlack)
--- a/internal/relay/race.go
+++ b/internal/relay/race.go
@@ -71,6 +71,10 @@
 // startSecondAttempt starts the second attempt of a race. It returns nil if there is no other
 // server or no retry left.
 func (r *Relay) startSecondAttempt(ctx context.Context, j *job, first *attempt) *attempt {
+	if r.Link.IsCongested() {
+		// The response is late on this VM's link, where a second one would wait too.
+		return nil
+	}
 	q := r.serverQuery(j)
 	q.Tried, q.Spill = append([]string{first.Server.ID}, j.excluded...), true
 	limit := r.sharedLimit(j)
@@ -102,7 +106,7 @@
 	j.excluded = append(j.excluded, loser.Server.ID)
 	loser.cancel()
 	result := backends.ResultInconclusive
-	if r.Now()-loser.SentAt >= j.route.TargetLatency {
+	if r.Now()-loser.SentAt >= j.route.TargetLatency && !r.Link.IsCongested() {
 		result = backends.ResultLost
 	}
 	loser.reservation.Release(result, r.Now())
--- a/internal/relay/speed.go
+++ b/internal/relay/speed.go
@@ -44,6 +44,9 @@
 		return func() {}
 	}
 	t := time.AfterFunc(timeout, func() {
+		if r.Link.IsCongested() {
+			return
+		}
 		mark()
 		j.log.WithFields(logrus.Fields{"server": reservation.Server.ID, "after_ms": timeout.Milliseconds(), "prompt": reservation.PromptTokens}).Info("server has not begun to respond in time")
 		r.Peers.Notify()
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -172,12 +172,15 @@
 // recordEventPause records the time between two events.
 func (s *session) recordEventPause(placed *placedResponse, d time.Duration) {
 	// The first event of a resumed stream comes after the pause of the move.
-	if s.job.Generation != nil && placed.hadEvent {
+	isOfServer := !s.Link.IsCongested()
+	if s.job.Generation != nil && placed.hadEvent && isOfServer {
 		placed.reservation.ObservePause(d, s.Now())
 	}
 	s.job.progress.longestPause = max(s.job.progress.longestPause, d)
 	s.Observer.EventPause(s.job.team, d)
-	s.recordPause(d)
+	if isOfServer {
+		s.recordPause(d)
+	}
 	if maxPause := s.job.route.MaxPause; maxPause > 0 && d > maxPause {
 		s.job.log.WithFields(logrus.Fields{"server": s.run.serverID(), "after": s.seq.lastID, "pause_ms": d.Milliseconds()}).Info("stream stalled")
 	}
