Gateways that have died are not taken for as crowded as those that are left

What callers saw: with one or three of 29 gateways left, half of the plain requests that were read were refused as 'servers have no room', though the servers were idle. Cause: the shared limit of a service with few slots counts gateways that are not heard with the mean demand of those that are known. A gateway that gets the callers of 28 dead ones takes each of these for as crowded as itself. Change: a gateway that has fallen silent counts with what gateways reported before they fell silent, where the known ones have more than three times that.

--- a/concurrency/admissions_test.go
+++ b/concurrency/admissions_test.go
@@ -29,6 +29,8 @@
 	for _, k := range g.peers {
 		if r := s.report(g, k); r != nil {
 			p.Add(r.demand)
+		} else if s.gateways[k].reports[0].inFlight != nil {
+			p.AddSilent(s.gateways[k].reports[0].demand)
 		}
 	}
 	var list []Server
--- a/concurrency/demand.go
+++ b/concurrency/demand.go
@@ -59,6 +59,9 @@
 	// Sum is the sum of the demands of Heard gateways, in requests per second.
 	Sum   float64
 	Heard int
+	// SilentSum is the sum of the last reports of Silent gateways, which are not heard any more.
+	SilentSum float64
+	Silent    int
 }
 
 // Add adds the report of a gateway. It reports false for a rate that is out of range or not a
@@ -72,9 +75,30 @@
 	return true
 }
 
+// AddSilent adds the last report of a gateway that is not heard any more. It reports false as Add does.
+func (p *PeerDemand) AddSilent(perSecond float64) bool {
+	if !(perSecond >= 0 && perSecond <= MaxDemand) {
+		return false
+	}
+	p.SilentSum += perSecond
+	p.Silent++
+	return true
+}
+
+// crowdedFactor is the ratio of the mean demand of the known gateways to that which others reported last from which
+// on the callers of the others have come to them.
+const crowdedFactor = 3
+
 // Total returns the demand of all gateways. The gateways that are not heard count with the mean of
-// those that are known, this one included.
+// those that are known, this one included. Where that is far more than what gateways have reported before they fell
+// silent, they count with the mean of these reports: the callers of gateways that have died come to the others.
 func (p PeerDemand) Total(own float64, gateways int) float64 {
-	known := p.Heard + 1
-	return (own + p.Sum) * max(1, float64(gateways)/float64(known))
+	known := own + p.Sum
+	mean := known / float64(p.Heard+1)
+	if p.Silent > 0 {
+		if before := p.SilentSum / float64(p.Silent); before*crowdedFactor < mean {
+			mean = before
+		}
+	}
+	return known + mean*float64(max(0, gateways-p.Heard-1))
 }
--- a/concurrency/failures_test.go
+++ b/concurrency/failures_test.go
@@ -299,3 +299,27 @@
 		last = d
 	}
 }
+
+// Guards against callers that are refused below the capacity because the gateways that are left take the dead ones
+// for as crowded as themselves.
+func TestSurvivorsServeTheCallersOfDeadGateways(t *testing.T) {
+	for _, f := range []fleet{{29, 4, 6}, {103, 4, 6}} {
+		for _, left := range []int{1, 3} {
+			s := newSim(f.gateways, f.servers, f.slots, 1, newShared)
+			s.retry, s.longRuns = true, 0.02
+			s.rate = func(time.Duration) float64 { return 0.4 * f.perSecond() }
+			s.events[failAt] = func() {
+				for _, g := range s.gateways[left:] {
+					g.dead = true
+				}
+			}
+			// Until then the survivors learn that the others are silent.
+			s.run(failAt + 2*failTime)
+			arrived, refused := s.arrived, s.refused
+			s.run(failsUntil)
+			arrived, refused = s.arrived-arrived, s.refused-refused
+			t.Logf("%d of %d gateways left: %d of %d requests are refused", left, f.gateways, refused, arrived)
+			require.LessOrEqual(t, refused, arrived/100)
+		}
+	}
+}
--- a/concurrency/sim_test.go
+++ b/concurrency/sim_test.go
@@ -41,6 +41,8 @@
 	queue   []*simRequest
 }
 
+const longRunFactor = 4
+
 type simRun struct {
 	*simRequest
 	ends time.Duration
@@ -95,6 +97,8 @@
 	weights  []float64
 	// retry says that callers that are refused retry once.
 	retry bool
+	// longRuns is the part of the requests that take longRunFactor times as long as others.
+	longRuns float64
 	// clockStep is how far the clock of each gateway is ahead of that of the one before.
 	clockStep time.Duration
 	newAdmit  func(start time.Duration) simAdmission
@@ -365,6 +369,9 @@
 		})
 		for len(v.running) < v.slots && len(v.queue) > 0 && s.now >= v.queue[0].sent+simHop {
 			took := time.Duration((0.9 + 0.2*s.rng.Float64()) * float64(v.service))
+			if s.longRuns > 0 && s.rng.Float64() < s.longRuns {
+				took *= longRunFactor
+			}
 			v.running = append(v.running, simRun{v.queue[0], s.now + took})
 			v.queue = v.queue[1:]
 		}
--- a/internal/gateway/demands.go
+++ b/internal/gateway/demands.go
@@ -48,29 +48,36 @@
 
 // Demand implements relay.Peers.
 func (g *group) Demand(service string) concurrency.PeerDemand {
-	return sumDemands(g.links.LiveStates(), service, func(peer string, rate float64) { g.logInvalidDemand(peer, service, rate) })
+	onInvalid := func(peer string, rate float64) { g.logInvalidDemand(peer, service, rate) }
+	return sumDemands(g.links.LiveStates(), g.links.SilentStates(), service, onInvalid)
 }
 
-// sumDemands sums the demand for a service in the states of peers. Peers that report no demand at all
-// count as not heard. It calls onInvalid for each report that is out of range.
-func sumDemands(states []*peerv1.State, service string, onInvalid func(peer string, rate float64)) (sum concurrency.PeerDemand) {
-	for _, s := range states {
-		if len(s.GetDemands()) == 0 {
-			continue
-		}
-		rate := 0.0
-		for _, d := range s.GetDemands() {
-			if d.GetService() == service {
-				rate = float64(d.GetPerSecond())
+// sumDemands sums the demand for a service in the states of peers, and in the last states of those that are
+// silent. Peers that report no demand at all count as not heard. It calls onInvalid for each report that is out of
+// range.
+func sumDemands(live, silent []*peerv1.State, service string, onInvalid func(peer string, rate float64)) (sum concurrency.PeerDemand) {
+	add := func(states []*peerv1.State, add func(float64) bool) {
+		for _, s := range states {
+			if rate, ok := reportedDemand(s, service); ok && !add(rate) {
+				onInvalid(s.GetFrom().GetName(), rate)
 			}
 		}
-		if !sum.Add(rate) {
-			onInvalid(s.GetFrom().GetName(), rate)
-		}
 	}
+	add(live, sum.Add)
+	add(silent, sum.AddSilent)
 	return sum
 }
 
+// reportedDemand returns the demand for a service in the state of a peer, and false if it reports none at all.
+func reportedDemand(s *peerv1.State, service string) (rate float64, ok bool) {
+	for _, d := range s.GetDemands() {
+		if d.GetService() == service {
+			rate = float64(d.GetPerSecond())
+		}
+	}
+	return rate, len(s.GetDemands()) > 0
+}
+
 // logInvalidDemand logs that a peer has reported a demand out of range.
 func (g *group) logInvalidDemand(peer, service string, rate float64) {
 	now := clock.SinceBoot()
--- a/internal/gateway/demands_test.go
+++ b/internal/gateway/demands_test.go
@@ -36,7 +36,7 @@
 	}
 	invalid := 0
 	sum := func(states ...*peerv1.State) concurrency.PeerDemand {
-		return sumDemands(states, "desk", func(string, float64) { invalid++ })
+		return sumDemands(states, nil, "desk", func(string, float64) { invalid++ })
 	}
 	require.Zero(t, sum())
 	require.Zero(t, sum(state()), "previous release: unknown")
@@ -49,6 +49,8 @@
 		require.Zero(t, sum(state(&peerv1.Demand{Service: "desk", PerSecond: float32(rate)})))
 	}
 	require.Equal(t, 4, invalid)
+	silent := sumDemands(nil, []*peerv1.State{state(), state(&peerv1.Demand{Service: "desk", PerSecond: 7})}, "desk", func(string, float64) {})
+	require.Equal(t, concurrency.PeerDemand{SilentSum: 7, Silent: 1}, silent)
 }
 
 // Guards against a message that grows with services that are no longer used.
--- a/internal/peers/link.go
+++ b/internal/peers/link.go
@@ -41,6 +41,7 @@
 	if m.links[n.Name] == n {
 		delete(m.links, n.Name)
 		delete(m.known, n.Name)
+		delete(m.silent, n.Name)
 	}
 	m.Log.WithField("peer", n.Name).Info("peer has been unreachable for too long and is removed")
 	go m.OnForgotten(n.Member)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -134,6 +134,8 @@
 	estimatedCount int
 	links          map[string]*memberLink
 	live           map[string]*peerState
+	// silent are the last states of peers from which none has arrived for too long, by name.
+	silent map[string]*peerv1.State
 	// inbound contains the links that peers have dialed, by name.
 	inbound map[string]*yamux.Session
 	// onDemand are the sessions with gateways that this one has no link with, by name.
@@ -178,7 +180,7 @@
 func New(self Member, deps Deps) *Manager {
 	m := &Manager{
 		self: self, Deps: deps, known: make(map[string]Member), links: make(map[string]*memberLink),
-		live: make(map[string]*peerState), inbound: make(map[string]*yamux.Session),
+		live: make(map[string]*peerState), silent: make(map[string]*peerv1.State), inbound: make(map[string]*yamux.Session),
 		onDemand: make(map[string]*onDemandSession),
 		linkLog:  newLimitedLog(), acceptsPartial: make(map[string]bool),
 	}
@@ -227,6 +229,7 @@
 	for _, name := range names {
 		delete(m.known, name)
 		delete(m.acceptsPartial, name)
+		delete(m.silent, name)
 	}
 	m.updateLinks()
 }
@@ -403,6 +406,18 @@
 	return out
 }
 
+// SilentStates returns the last states of the known gateways from which none has arrived for too long.
+func (m *Manager) SilentStates() (out []*peerv1.State) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for name, s := range m.silent {
+		if _, known := m.known[name]; known {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
 // SendStateNow sends the state to all peers at once, or as soon as the bound on control traffic allows. It is
 // for changes that peers must act on.
 func (m *Manager) SendStateNow() {
@@ -481,6 +496,7 @@
 	}
 	m.live[name] = &peerState{state: s, receivedAt: time.Now()}
 	m.acceptsPartial[name] = s.GetAcceptsPartial()
+	delete(m.silent, name)
 	previous, ok := m.known[name]
 	isNew := !ok || previous.Address != from.GetAddress()
 	m.mu.Unlock()
@@ -508,6 +524,7 @@
 		for name, p := range m.live {
 			if time.Since(p.receivedAt) >= stateTimeout(len(m.links)) {
 				silent = append(silent, name)
+				m.silent[name] = p.state
 				delete(m.live, name)
 			}
 		}
