--- a/internal/peers/budget.go
+++ b/internal/peers/budget.go
@@ -10,9 +10,10 @@
 	controlShare = 0.045
 	// budgetBurst is the time whose bytes may be sent at once, and by which bytes that are not delayed may
 	// exceed the budget.
-	budgetBurst = 300 * time.Millisecond
-	// minBurstBytes is the least number of bytes that may be sent at once.
-	minBurstBytes = 600
+	budgetBurst = 700 * time.Millisecond
+	// minBurstBytes is the least number of bytes that may be sent at once, initialBytes that of a new link.
+	minBurstBytes = 1400
+	initialBytes  = 600
 )
 
 // byteBudget bounds the bytes that are sent: a token bucket that may go into debt. It is not safe for
@@ -38,11 +39,11 @@
 	return max(minBurstBytes, b.bytesPerSecond*budgetBurst.Seconds())
 }
 
-// setRate sets the bytes a second. A new budget is full.
+// setRate sets the bytes a second.
 func (b *byteBudget) setRate(bytesPerSecond float64, now time.Time) {
 	if b.updatedAt.IsZero() {
 		b.bytesPerSecond, b.updatedAt = bytesPerSecond, now
-		b.available = b.burst()
+		b.available = initialBytes
 		return
 	}
 	b.update(now)
--- a/internal/peers/state.go
+++ b/internal/peers/state.go
@@ -83,20 +83,21 @@
 // frameOverhead is what a frame takes on the link besides its bytes: the headers of yamux, IPv4 and TCP.
 const frameOverhead = 64
 
-// urgentDebt is the part of the burst that urgent states may exceed the budget by.
-const urgentDebt = 0.5
-
-// loadsBurst is the part of the burst that is saved up for a state with loads, so that its header is a small part of
-// it.
-const loadsBurst = 0.8
+const (
+	// urgentDebtBytes is the number of bytes that urgent states may exceed the budget by.
+	urgentDebtBytes = 400
+	// loadsBytes is the number of bytes that are saved up for a state with loads, so that its header is a small part
+	// of it.
+	loadsBytes = 350
+)
 
 // delay returns how long a state has to wait that is not a regular one. Urgent states may exceed the budget.
 func (l *stateSender) delay(cause Cause, now time.Time) time.Duration {
 	switch cause {
 	case CauseUrgentState:
-		return l.budget.wait(int(-urgentDebt*l.budget.burst()), now)
+		return l.budget.wait(-urgentDebtBytes, now)
 	case CauseLoads:
-		return l.budget.wait(int(loadsBurst*l.budget.burst()), now)
+		return l.budget.wait(loadsBytes, now)
 	}
 	return 0
 }
