--- a/internal/gateway/crowd_test.go
+++ b/internal/gateway/crowd_test.go
@@ -39,10 +39,10 @@
 	pick    func(i int) *testGateway
 	retryAt func(i int) *testGateway
 
-	mu                              sync.Mutex
-	plainRead, plainServed, plainNo int
-	read, served, unread            int
-	plainTimes                      []time.Duration
+	mu                     sync.Mutex
+	plainRead, plainServed int
+	read, served, unread   int
+	plainTimes             []time.Duration
 }
 
 // run sends plain requests and streams for duration. The first skip of it does not count.
--- a/internal/peers/partial_test.go
+++ b/internal/peers/partial_test.go
@@ -107,17 +107,19 @@
 // Guards against peers of an older release that get states which they would take for whole ones.
 func TestOlderPeersGetWholeStates(t *testing.T) {
 	loads := newChangingLoads()
-	m, receivers, _ := crowdedManager(t, loads)
-	m.mu.Lock()
-	require.True(t, m.acceptsPartial["peer-0"])
-	m.acceptsPartial["peer-0"] = false
-	m.mu.Unlock()
-	own, l := &ownState{}, stateSender{sent: newSentState()}
-	l.budget.setRate(1, time.Now())
+	m, _, _ := crowdedManager(t, loads)
+	accepts := func() bool {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return m.acceptsPartial["peer-0"]
+	}
+	require.Eventually(t, accepts, soon, time.Millisecond)
+	m.receiveState(&peerv1.State{From: &peerv1.Member{Name: "peer-old", Address: "127.0.0.1:1"}})
+	link := &memberLink{Member: Member{Name: "peer-old"}}
+	m.resetSender(link)
 	for range 2 {
-		frame, _, err := l.next(own, m.State, false, time.Now())
+		frame, _, err := m.nextState(link)
 		require.NoError(t, err)
 		require.Greater(t, len(frame), 30*crowdServers)
 	}
-	require.NotEmpty(t, receivers)
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -128,6 +128,7 @@
 	}
 	res.Violations = append(res.Violations, s.checkCordon(ctx)...)
 	res.Violations = append(res.Violations, s.checkSignals(ctx)...)
+	res.Violations = append(res.Violations, s.checkLeaving(ctx)...)
 	s.mu.Lock()
 	servers := s.servers
 	s.mu.Unlock()
