Tables that are read take no callers from a gateway

What callers saw: a thin VM whose configuration grew by 4,000 routes, or that read a row of 16,000 alone, refused connections meanwhile. Cause: the gate of 'A gateway takes on what its link and its processor carry' counted the bytes of the store and the peers, which come in at most of the link's rate and yield. Change: use counts the bytes of callers and servers; the delay of written bytes and congestion count all. Timers count from 100 ms on in place of 40, since decoding a long row takes a thin VM some of that.

--- a/internal/gateway/linkgate.go
+++ b/internal/gateway/linkgate.go
@@ -37,6 +37,8 @@
 	mu             sync.Mutex
 	timers         *overload.Timers
 	sent, received *overload.Direction
+	// allSent and allReceived are the same with what is exchanged with peers and the store.
+	allSent, allReceived *overload.Direction
 	// streamed is the use by events of streams, which take as much in either direction.
 	streamed *overload.Direction
 	gate     overload.Gate
@@ -68,6 +70,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.sent, l.received, l.streamed = overload.NewDirection(mbps), overload.NewDirection(mbps), overload.NewDirection(mbps)
+	l.allSent, l.allReceived = overload.NewDirection(mbps), overload.NewDirection(mbps)
 }
 
 // Level returns what the gateway takes on now.
@@ -109,15 +112,20 @@
 
 // sample measures the load on the link and updates the level.
 func (l *linkGate) sample(streams relay.StreamLoad, now time.Duration) {
-	total := l.meter.Total()
+	total, callers, servers := l.meter.Total(), l.meter.Bytes(netmeter.Callers), l.meter.Bytes(netmeter.Servers)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.sent.Observe(total.Sent, now)
-	l.received.Observe(total.Received, now)
+	l.sent.Observe(callers.Sent+servers.Sent, now)
+	l.received.Observe(callers.Received+servers.Received, now)
+	l.allSent.Observe(total.Sent, now)
+	l.allReceived.Observe(total.Received, now)
 	l.streamed.Observe(streams.Forwarded, now)
 	l.timers.Fired(now)
 	other := max(0, max(l.sent.Use(), l.received.Use())-l.streamed.Use())
-	l.load = overload.Load{Sent: l.sent.Use(), Received: l.received.Use(), Expected: other + l.sent.Share(streams.Needed), Delay: l.sent.Delay(), TimerDelay: l.timers.Delay()}
+	l.load = overload.Load{
+		Sent: l.sent.Use(), Received: l.received.Use(), Expected: other + l.sent.Share(streams.Needed), Total: max(l.allSent.Use(), l.allReceived.Use()),
+		Delay: l.allSent.Delay(), TimerDelay: l.timers.Delay(),
+	}
 	l.streams = streams.Open
 	if l.gate.Level() != overload.Normal {
 		l.refused += now - l.sampledAt
@@ -155,11 +163,11 @@
 }
 
 func loadFields(l overload.Load) logrus.Fields {
-	return logrus.Fields{"sent": l.Sent, "received": l.Received, "expected": l.Expected, "delay_ms": l.Delay.Milliseconds(), "timers_late_ms": l.TimerDelay.Milliseconds()}
+	return logrus.Fields{"sent": l.Sent, "received": l.Received, "expected": l.Expected, "total": l.Total, "delay_ms": l.Delay.Milliseconds(), "timers_late_ms": l.TimerDelay.Milliseconds()}
 }
 
 func peakOf(a, b overload.Load) overload.Load {
-	return overload.Load{Sent: max(a.Sent, b.Sent), Received: max(a.Received, b.Received), Expected: max(a.Expected, b.Expected), Delay: max(a.Delay, b.Delay), TimerDelay: max(a.TimerDelay, b.TimerDelay)}
+	return overload.Load{Sent: max(a.Sent, b.Sent), Received: max(a.Received, b.Received), Total: max(a.Total, b.Total), Expected: max(a.Expected, b.Expected), Delay: max(a.Delay, b.Delay), TimerDelay: max(a.TimerDelay, b.TimerDelay)}
 }
 
 // Status implements admin.Link.
--- a/overload/overload.go
+++ b/overload/overload.go
@@ -109,9 +109,12 @@
 
 // Load is the load on the link and the processor of a VM.
 type Load struct {
-	// Sent and Received are the use of the two directions. Expected is the use of either that running
-	// requests are expected to reach.
+	// Sent and Received are the use of the two directions by requests. Expected is the use of either that running
+	// requests are expected to reach. What a process reads to be up to date yields to requests and is no reason to
+	// refuse any.
 	Sent, Received, Expected float64
+	// Total is the use of the busier direction by everything.
+	Total float64
 	// Delay is how long bytes wait that are written now.
 	Delay time.Duration
 	// TimerDelay is by how much timers are late.
@@ -131,8 +134,8 @@
 	congestedUse, congestedDelay = 0.9, 40 * time.Millisecond
 	// lateTimers and timelyTimers are the delays of timers from which on the processor is busy, and below which it is
 	// not. With veryLateTimers it is saturated.
-	lateTimers, timelyTimers = 40 * time.Millisecond, 15 * time.Millisecond
-	veryLateTimers           = 150 * time.Millisecond
+	lateTimers, timelyTimers = 100 * time.Millisecond, 30 * time.Millisecond
+	veryLateTimers           = 250 * time.Millisecond
 )
 
 // Use returns the highest use of the link.
@@ -141,7 +144,7 @@
 // IsCongested reports whether answers of servers come late because of this VM, so that their lateness says
 // nothing about the servers.
 func (l Load) IsCongested() bool {
-	return l.Delay >= congestedDelay || max(l.Sent, l.Received) >= congestedUse || l.TimerDelay >= lateTimers
+	return l.Delay >= congestedDelay || max(l.Sent, l.Received, l.Total) >= congestedUse || l.TimerDelay >= lateTimers
 }
 
 func (l Load) isBusy() bool {
