Review, case 1: a stream without a length whose server is gone looks complete

A server that leaves and is killed in the middle of a response that ends with its connection is taken to have finished it.

--- /dev/null
+++ b/review/lab/balancer.go
@@ -0,0 +1,95 @@
+package lab
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Balancer sends new connections to the gateways that are in rotation. It asks each once a second whether it is
+// ready. Two misses take a gateway out, one answer with status 200 brings it back.
+type Balancer struct {
+	lab  *Lab
+	stop chan struct{}
+
+	mu     sync.Mutex
+	misses map[*Gateway]int
+}
+
+// NewBalancer starts a balancer.
+func NewBalancer(l *Lab) *Balancer {
+	b := &Balancer{lab: l, stop: make(chan struct{}), misses: make(map[*Gateway]int)}
+	for _, g := range l.Gateways {
+		go b.check(g)
+	}
+	return b
+}
+
+// Stop stops the balancer.
+func (b *Balancer) Stop() { close(b.stop) }
+
+func (b *Balancer) check(g *Gateway) {
+	for {
+		select {
+		case <-b.stop:
+			return
+		case <-time.After(time.Second):
+		}
+		ready := g.isReady()
+		b.mu.Lock()
+		if b.misses[g]++; ready {
+			b.misses[g] = 0
+		}
+		b.mu.Unlock()
+	}
+}
+
+// pick returns a gateway in rotation, or any if there is none.
+func (b *Balancer) pick() *Gateway {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var in []*Gateway
+	for _, g := range b.lab.Gateways {
+		if b.misses[g] < 2 {
+			in = append(in, g)
+		}
+	}
+	if len(in) == 0 {
+		in = b.lab.Gateways
+	}
+	return in[rand.IntN(len(in))]
+}
+
+// Ask sends a request as a client does: it is sent once more, with a new id and on a new connection, if the gateway
+// can't be connected to or says that the request has not run.
+func (b *Balancer) Ask(q Request) (name string, a Answer) {
+	begun := time.Now()
+	for try := 0; ; try++ {
+		g := b.pick()
+		q.ID = fmt.Sprintf("%016x", rand.Uint64())
+		a = Do(g, q)
+		left := q.Deadline - time.Since(begun)
+		promised := a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests
+		if try == 1 || left <= 0 || !promised && !a.Unconnected {
+			return g.Name, a
+		}
+		seconds, _ := strconv.ParseFloat(a.RetryAfter, 64)
+		time.Sleep(min(left/3, time.Duration(seconds*float64(time.Second))))
+	}
+}
+
+// WaitFor waits for a group, for a limited time.
+func WaitFor(wg *sync.WaitGroup, timeout time.Duration) {
+	done := make(chan struct{})
+	go func() {
+		wg.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(timeout):
+	}
+}
