Review, case 2: stopped gateways cut requests whose body was still coming

Stop counts a request only once its body has been read. The gateway ends 3.2 s after SIGTERM although the rest of a body may come within its last 200 ms: the request is then run by a server and its connection is closed without an answer.

--- a/review/lab/balancer.go
+++ b/review/lab/balancer.go
@@ -47,8 +47,8 @@
 	}
 }
 
-// pick returns a gateway in rotation, or any if there is none.
-func (b *Balancer) pick() *Gateway {
+// Pick returns a gateway in rotation, or any if there is none.
+func (b *Balancer) Pick() *Gateway {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var in []*Gateway
@@ -68,7 +68,7 @@
 func (b *Balancer) Ask(q Request) (name string, a Answer) {
 	begun := time.Now()
 	for try := 0; ; try++ {
-		g := b.pick()
+		g := b.Pick()
 		q.ID = fmt.Sprintf("%016x", rand.Uint64())
 		a = Do(g, q)
 		left := q.Deadline - time.Since(begun)
--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -35,6 +35,8 @@
 	Gateways []*Gateway
 	// OnServerLine, if set, is called with each line that a server writes about its work.
 	OnServerLine func(server, line string)
+	// DeskTimeoutMs and DeskTargetMs are of the routes to the desk service.
+	DeskTimeoutMs, DeskTargetMs int
 
 	dir   string
 	start time.Time
@@ -69,7 +71,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Lab{Store: fleet.NewStore(), dir: dir, start: time.Now(), out: out}, nil
+	return &Lab{Store: fleet.NewStore(), DeskTimeoutMs: 1000, DeskTargetMs: 150, dir: dir, start: time.Now(), out: out}, nil
 }
 
 // Close ends all processes and removes the temporary folder.
@@ -270,8 +272,8 @@
 		"routes": []map[string]any{
 			route("plan", PlanPath, "streaming", ModelService, 39000, 1800, 1, false),
 			route("check", CheckPath, "streaming", ModelService, 6000, 1500, 2, true),
-			route("once", OncePath, "unsafe", DeskService, 1000, 150, 2, false),
-			route("safe", SafePath, "safe", DeskService, 1000, 150, 2, false),
+			route("once", OncePath, "unsafe", DeskService, l.DeskTimeoutMs, l.DeskTargetMs, 2, false),
+			route("safe", SafePath, "safe", DeskService, l.DeskTimeoutMs, l.DeskTargetMs, 2, false),
 		},
 		"services": []map[string]any{
 			{"name": ModelService, "healthPath": "/healthz", "maxConnections": 272, "protocol": "h1", "tls": false, "inferenceEngine": map[string]any{
--- a/review/lab/server.go
+++ b/review/lab/server.go
@@ -11,24 +11,25 @@
 	"time"
 )
 
-// Server is the process of a model server.
+// Server is the process of a server.
 type Server struct {
 	ID, Zone, Address string
 
-	lab    *Lab
-	cmd    *exec.Cmd
-	born   int64
-	mu     sync.Mutex
-	state  string
-	beats  int
-	killed bool
-	exited chan struct{}
+	lab     *Lab
+	service string
+	cmd     *exec.Cmd
+	born    int64
+	mu      sync.Mutex
+	state   string
+	beats   int
+	killed  bool
+	exited  chan struct{}
 }
 
-// AddServer starts a model server with further flags and writes its entry, also by and by as a heartbeat.
-func (l *Lab) AddServer(id, zone string, flags ...string) (*Server, error) {
-	s := &Server{ID: id, Zone: zone, lab: l, born: time.Now().UnixMilli(), state: "ready", exited: make(chan struct{})}
-	s.cmd = exec.Command("review/bin/server", append([]string{"-id", id, "-zone", zone}, flags...)...)
+// AddServer starts a model server and writes its entry, also by and by as a heartbeat.
+func (l *Lab) AddServer(id, zone string) (*Server, error) {
+	s := &Server{ID: id, Zone: zone, lab: l, service: ModelService, born: time.Now().UnixMilli(), state: "ready", exited: make(chan struct{})}
+	s.cmd = exec.Command("review/bin/server", "-id", id, "-zone", zone)
 	s.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	out, err := s.cmd.StdoutPipe()
 	if err != nil {
@@ -68,7 +69,7 @@
 	}
 	s.beats++
 	s.lab.Store.Put("servers", s.ID, map[string]any{
-		"service": ModelService, "address": s.Address, "zone": s.Zone, "version": "v1", "slots": Slots, "state": s.state,
+		"service": s.service, "address": s.Address, "zone": s.Zone, "version": "v1", "slots": Slots, "state": s.state,
 		"coldRemainingMs": 0, "sequence": s.beats, "born": s.born,
 	})
 }
@@ -86,6 +87,14 @@
 	}
 }
 
+// SetService makes the server one of another service.
+func (s *Server) SetService(service string) {
+	s.mu.Lock()
+	s.service = service
+	s.mu.Unlock()
+	s.writeEntry()
+}
+
 // Drain makes the server say that it leaves.
 func (s *Server) Drain() {
 	s.mu.Lock()
--- a/review/server/main.go
+++ b/review/server/main.go
@@ -1,4 +1,4 @@
-// Command server is a stand-in for a model server, for the cases of the review. It runs as a process of its own, so
+// Command server is a stand-in for a model server or an application server, for the cases of the review. It runs as a process of its own, so
 // that a case can kill it and the operating system closes its connections.
 package main
 
@@ -57,10 +57,6 @@
 	link     sync.Mutex
 	draining atomic.Bool
 	spoils   atomic.Bool
-	// keeps says that the server works on after the connection of a request has closed.
-	keeps bool
-	// slowness is how many times longer the time between two events is.
-	slowness atomic.Int64
 	handles  atomic.Int64
 }
 
@@ -69,9 +65,7 @@
 	flag.StringVar(&s.id, "id", "", "id of the server")
 	flag.StringVar(&s.zone, "zone", "", "zone of the server")
 	flag.StringVar(&s.address, "address", "127.0.0.1:0", "address to serve on")
-	flag.BoolVar(&s.keeps, "keeps", false, "work on after the connection of a request has closed")
 	flag.Parse()
-	s.slowness.Store(1)
 	l, err := net.Listen("tcp", s.address)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -86,10 +80,6 @@
 	mux.HandleFunc("POST /standin/copy", s.receiveCopy)
 	mux.HandleFunc("POST /standin/drain", func(http.ResponseWriter, *http.Request) { s.draining.Store(true) })
 	mux.HandleFunc("POST /standin/spoil/{on}", func(_ http.ResponseWriter, r *http.Request) { s.spoils.Store(r.PathValue("on") == "true") })
-	mux.HandleFunc("POST /standin/slow/{times}", func(_ http.ResponseWriter, r *http.Request) {
-		times, _ := strconv.ParseInt(r.PathValue("times"), 10, 64)
-		s.slowness.Store(max(1, times))
-	})
 	mux.HandleFunc("GET /standin/zone", func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, s.zone) })
 	mux.HandleFunc("/", s.request)
 	http.Serve(l, mux)
@@ -119,6 +109,11 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	var workMs int
+	if n, _ := fmt.Sscanf(string(body), "work=%d", &workMs); n == 1 {
+		s.answer(w, id, time.Duration(workMs)*time.Millisecond)
+		return
+	}
 	events, after, prompt := 0, 0, 0
 	fmt.Sscanf(string(body), "events=%d", &events)
 	fmt.Sscan(r.Header.Get("Last-Event-Id"), &after)
@@ -148,6 +143,19 @@
 	s.stream(w, r, u, events, s.isUnframed(id))
 }
 
+// answerBytes is the size of a plain answer.
+const answerBytes = 800
+
+// answer works on a plain request and answers it.
+func (s *server) answer(w http.ResponseWriter, id string, work time.Duration) {
+	fmt.Printf("runs %s for %v\n", id, work)
+	time.Sleep(work)
+	w.Header().Set("X-Kingcupplank-Attempt-Id", id)
+	w.Header().Set("X-Kingcupplank-Response-Seal", "seal."+s.id)
+	w.Header().Set("Content-Length", strconv.Itoa(answerBytes))
+	io.WriteString(w, strings.Repeat("y", answerBytes))
+}
+
 // stream sends the events after the last one that the client has.
 func (s *server) stream(w http.ResponseWriter, r *http.Request, u *run, events int, unframed bool) {
 	framing := "chunked"
@@ -162,10 +170,8 @@
 			return
 		}
 	}
-	closed := r.Context().Done()
 	for n := int(u.events.Load()) + 1; n <= events; n++ {
-		if closed != nil && send(fmt.Sprintf("id: %d\ndata: %s token %d\n\n", n, u.id, n)) != nil && !s.keeps {
-			fmt.Printf("dropped %s after event %d\n", u.id, n)
+		if send(fmt.Sprintf("id: %d\ndata: %s token %d\n\n", n, u.id, n)) != nil {
 			return
 		}
 		u.events.Store(int64(n))
@@ -174,15 +180,11 @@
 			fmt.Printf("stopped %s after event %d for a move\n", u.id, n)
 			abort()
 			return
-		case <-closed:
-			if !s.keeps {
-				fmt.Printf("dropped %s after event %d\n", u.id, n)
-				abort()
-				return
-			}
-			fmt.Printf("works on at %s without a connection after event %d\n", u.id, n)
-			closed = nil
-		case <-time.After(eventInterval * time.Duration(s.slowness.Load())):
+		case <-r.Context().Done():
+			fmt.Printf("dropped %s after event %d\n", u.id, n)
+			abort()
+			return
+		case <-time.After(eventInterval):
 		}
 	}
 	end()
