--- a/review/lab/balancer.go
+++ b/review/lab/balancer.go
@@ -1,10 +1,7 @@
 package lab
 
 import (
-	"fmt"
 	"math/rand/v2"
-	"net/http"
-	"strconv"
 	"sync"
 	"time"
 )
@@ -62,34 +59,3 @@
 	}
 	return in[rand.IntN(len(in))]
 }
-
-// Ask sends a request as a client does: it is sent once more, with a new id and on a new connection, if the gateway
-// can't be connected to or says that the request has not run.
-func (b *Balancer) Ask(q Request) (name string, a Answer) {
-	begun := time.Now()
-	for try := 0; ; try++ {
-		g := b.Pick()
-		q.ID = fmt.Sprintf("%016x", rand.Uint64())
-		a = Do(g, q)
-		left := q.Deadline - time.Since(begun)
-		promised := a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests
-		if try == 1 || left <= 0 || !promised && !a.Unconnected {
-			return g.Name, a
-		}
-		seconds, _ := strconv.ParseFloat(a.RetryAfter, 64)
-		time.Sleep(min(left/3, time.Duration(seconds*float64(time.Second))))
-	}
-}
-
-// WaitFor waits for a group, for a limited time.
-func WaitFor(wg *sync.WaitGroup, timeout time.Duration) {
-	done := make(chan struct{})
-	go func() {
-		wg.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-time.After(timeout):
-	}
-}
--- a/review/lab/client.go
+++ b/review/lab/client.go
@@ -4,10 +4,8 @@
 	"bufio"
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -27,9 +25,6 @@
 	// EventIDs are the ids of the events of a stream, in order.
 	EventIDs []int
 	Err      error
-	// RetryAfter is the header of a refusal. Unconnected says that there was no connection.
-	RetryAfter  string
-	Unconnected bool
 }
 
 // Request is a client's request. Events is the number of events of the stream that it asks for.
@@ -37,15 +32,13 @@
 	ID, Path       string
 	Deadline       time.Duration
 	Events, Prompt int
-	// Padding is the number of bytes of the body beyond its first line.
-	Padding int
 }
 
 // Do sends a request to a gateway.
 func Do(g *Gateway, q Request) (a Answer) {
 	ctx, cancel := context.WithTimeout(context.Background(), q.Deadline)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+g.Callers+q.Path, strings.NewReader(fmt.Sprintf("events=%d\n", q.Events)+strings.Repeat("x", q.Padding)))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+g.Callers+q.Path, strings.NewReader(fmt.Sprintf("events=%d\n", q.Events)))
 	if err != nil {
 		return Answer{Err: err}
 	}
@@ -61,11 +54,10 @@
 	}
 	resp, err := client.Do(r)
 	if err != nil {
-		var op *net.OpError
-		return Answer{Err: err, Unconnected: errors.As(err, &op) && op.Op == "dial"}
+		return Answer{Err: err}
 	}
 	defer resp.Body.Close()
-	a = Answer{Status: resp.StatusCode, RetryAfter: resp.Header.Get("Retry-After"), Seal: resp.Header.Get("X-Kingcupplank-Response-Seal")}
+	a = Answer{Status: resp.StatusCode, Seal: resp.Header.Get("X-Kingcupplank-Response-Seal")}
 	a.Body, a.Err = io.ReadAll(resp.Body)
 	a.Whole = a.Err == nil
 	a.EventIDs = eventIDs(a.Body)
--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -11,7 +11,6 @@
 	"os/exec"
 	"path/filepath"
 	"runtime"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -37,6 +36,8 @@
 	OnServerLine func(server, line string)
 	// DeskTimeoutMs and DeskTargetMs are of the routes to the desk service.
 	DeskTimeoutMs, DeskTargetMs int
+	// ResumablePlans lets long streams be resumed, like short ones.
+	ResumablePlans bool
 
 	dir   string
 	start time.Time
@@ -195,24 +196,6 @@
 	g.cmd.Process.Signal(s)
 }
 
-// AnonMemory returns the bytes of anonymous memory that the process has in use, 0 if it does not run.
-func (g *Gateway) AnonMemory() int {
-	g.mu.Lock()
-	pid := g.cmd.Process.Pid
-	g.mu.Unlock()
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		return 0
-	}
-	for line := range strings.Lines(string(data)) {
-		kb := 0
-		if n, _ := fmt.Sscanf(line, "RssAnon: %d kB", &kb); n == 1 {
-			return kb << 10
-		}
-	}
-	return 0
-}
-
 // AwaitReady waits until all gateways say that they are ready.
 func (l *Lab) AwaitReady(timeout time.Duration) error {
 	deadline := time.Now().Add(timeout)
@@ -267,10 +250,14 @@
 			"maxAttempts": attempts, "priority": 1, "public": false, "sessionAffinity": kind == "streaming", "streamResume": resume, "itlTargetMs": 180,
 		}
 	}
+	planAttempts := 1
+	if l.ResumablePlans {
+		planAttempts = 2
+	}
 	l.Store.Put("op", "config", map[string]any{
 		"version": version,
 		"routes": []map[string]any{
-			route("plan", PlanPath, "streaming", ModelService, 39000, 1800, 1, false),
+			route("plan", PlanPath, "streaming", ModelService, 39000, 1800, planAttempts, l.ResumablePlans),
 			route("check", CheckPath, "streaming", ModelService, 6000, 1500, 2, true),
 			route("once", OncePath, "unsafe", DeskService, l.DeskTimeoutMs, l.DeskTargetMs, 2, false),
 			route("safe", SafePath, "safe", DeskService, l.DeskTimeoutMs, l.DeskTargetMs, 2, false),
--- a/review/lab/server.go
+++ b/review/lab/server.go
@@ -14,6 +14,8 @@
 // Server is the process of a server.
 type Server struct {
 	ID, Zone, Address string
+	// Version is the version of the server's software.
+	Version string
 
 	lab     *Lab
 	service string
@@ -28,8 +30,26 @@
 
 // AddServer starts a model server and writes its entry, also by and by as a heartbeat.
 func (l *Lab) AddServer(id, zone string) (*Server, error) {
-	s := &Server{ID: id, Zone: zone, lab: l, service: ModelService, born: time.Now().UnixMilli(), state: "ready", exited: make(chan struct{})}
-	s.cmd = exec.Command("review/bin/server", "-id", id, "-zone", zone)
+	s, err := l.startServer(id, zone, "127.0.0.1:0", "v1")
+	if err == nil {
+		s.Announce()
+	}
+	return s, err
+}
+
+// Restart kills the server and starts it again after a pause, under the same id and address and with another version of
+// its software. Announce writes the entry of the new one.
+func (s *Server) Restart(pause time.Duration, version string) (*Server, error) {
+	s.lab.Logf("%s ends", s.ID)
+	s.end()
+	time.Sleep(pause)
+	s.lab.Logf("%s starts again as %s", s.ID, version)
+	return s.lab.startServer(s.ID, s.Zone, s.Address, version)
+}
+
+func (l *Lab) startServer(id, zone, address, version string) (*Server, error) {
+	s := &Server{ID: id, Zone: zone, Version: version, lab: l, service: ModelService, born: time.Now().UnixMilli(), state: "ready", exited: make(chan struct{})}
+	s.cmd = exec.Command("review/bin/server", "-id", id, "-zone", zone, "-address", address, "-version", version)
 	s.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	out, err := s.cmd.StdoutPipe()
 	if err != nil {
@@ -56,9 +76,13 @@
 	l.mu.Lock()
 	l.servers = append(l.servers, s)
 	l.mu.Unlock()
+	return s, nil
+}
+
+// Announce writes the server's entry from now on.
+func (s *Server) Announce() {
 	s.writeEntry()
 	go s.beat()
-	return s, nil
 }
 
 func (s *Server) writeEntry() {
@@ -69,7 +93,7 @@
 	}
 	s.beats++
 	s.lab.Store.Put("servers", s.ID, map[string]any{
-		"service": s.service, "address": s.Address, "zone": s.Zone, "version": "v1", "slots": Slots, "state": s.state,
+		"service": s.service, "address": s.Address, "zone": s.Zone, "version": s.Version, "slots": Slots, "state": s.state,
 		"coldRemainingMs": 0, "sequence": s.beats, "born": s.born,
 	})
 }
--- a/review/lab/slowclient.go
+++ b/review/lab/slowclient.go
@@ -67,7 +67,7 @@
 	if err != nil {
 		return Answer{Err: err}, true, false
 	}
-	a = Answer{Status: resp.StatusCode, Seal: resp.Header.Get("X-Kingcupplank-Response-Seal"), RetryAfter: resp.Header.Get("Retry-After")}
+	a = Answer{Status: resp.StatusCode, Seal: resp.Header.Get("X-Kingcupplank-Response-Seal")}
 	a.Body, a.Err = io.ReadAll(resp.Body)
 	a.Whole = a.Err == nil
 	return a, true, a.Whole && !resp.Close
--- a/review/server/main.go
+++ b/review/server/main.go
@@ -49,6 +49,8 @@
 
 type server struct {
 	id, zone, address string
+	// version is the version of the server's software, which each event names.
+	version string
 
 	mu     sync.Mutex
 	runs   map[string]*run
@@ -64,6 +66,7 @@
 	s := &server{runs: make(map[string]*run), copies: make(map[string]string)}
 	flag.StringVar(&s.id, "id", "", "id of the server")
 	flag.StringVar(&s.zone, "zone", "", "zone of the server")
+	flag.StringVar(&s.version, "version", "v1", "version of the server's software")
 	flag.StringVar(&s.address, "address", "127.0.0.1:0", "address to serve on")
 	flag.Parse()
 	l, err := net.Listen("tcp", s.address)
@@ -171,7 +174,7 @@
 		}
 	}
 	for n := int(u.events.Load()) + 1; n <= events; n++ {
-		if send(fmt.Sprintf("id: %d\ndata: %s token %d\n\n", n, u.id, n)) != nil {
+		if send(fmt.Sprintf("id: %d\ndata: %s token %d of %s\n\n", n, u.id, n, s.version)) != nil {
 			return
 		}
 		u.events.Store(int64(n))
