--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -132,12 +132,16 @@
 		func(rec *gatewaymetrics.Recorder, meter *netmeter.Meter) *store.Client {
 			return store.New(platform.Store, platform.LinkMbps, rec, meter)
 		},
-		func(l *lateDeps, meter *netmeter.Meter) *upstream.Client {
+		func(l *lateDeps, meter *netmeter.Meter, rec *gatewaymetrics.Recorder) *upstream.Client {
+			onDrop := func(s backends.Server, awaited string, status int, why upstream.DropReason) {
+				rec.ResponseDropped(s.Service, string(why))
+				log.WithFields(logrus.Fields{"server": s.ID, "awaited": awaited, "status": status, "names": string(why)}).Info("response is not the awaited one, dropped")
+			}
 			return upstream.New(func(s backends.Server, signals backends.Signals, sentAt time.Duration) {
 				if r := l.relay.Load(); r != nil {
 					r.HandleSignals(s, signals, sentAt)
 				}
-			}, meter)
+			}, onDrop, meter)
 		},
 		gatewaymetrics.New,
 		newControlStats,
--- a/internal/gatewaymetrics/metrics.go
+++ b/internal/gatewaymetrics/metrics.go
@@ -32,9 +32,11 @@
 	eventPause     prometheus.Histogram
 	failedAttempts *prometheus.CounterVec
 	// retries counts attempts beyond the first of a request, by kind and by what the budget decided.
-	retries       *prometheus.CounterVec
-	migrations    *prometheus.CounterVec
-	standbyCopies *prometheus.CounterVec
+	retries    *prometheus.CounterVec
+	migrations *prometheus.CounterVec
+	// responsesDropped counts responses that were not the awaited ones, by what they named.
+	responsesDropped *prometheus.CounterVec
+	standbyCopies    *prometheus.CounterVec
 	// queueDecisions counts how generations left the queue for an engine. queueWait is the real wait of
 	// those that were started, queueEstimate the wait that was estimated on their arrival.
 	queueDecisions           *prometheus.CounterVec
@@ -104,6 +106,9 @@
 	r.resumptions = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "kingcup_gateway_streams_resumed_total", Help: "Streams that were resumed at another server after their first event, or by their callers, by the software version: the one that began the stream, another one, or unknown.",
 	}, []string{"result"})
+	r.responsesDropped = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "kingcup_gateway_responses_dropped_total", Help: "Responses of backend servers that were not the awaited ones by service and what they named: another request, or no request.",
+	}, []string{"service", "names"})
 	r.standbyCopies = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "kingcup_gateway_standby_copies_total", Help: "Standby copies of runs by event: made, refreshed, refused for lack of room, failed, dropped, lost with their server, used, missing when needed.",
 	}, []string{"event"})
@@ -144,7 +149,7 @@
 	}, []string{"service", "kind"})
 	r.registry.MustRegister(r.queueDecisions, r.queueWait, r.queueEstimate)
 	r.limits = newLimitMetrics(r.registry)
-	r.registry.MustRegister(r.retries, r.resumptions, r.prompts, r.runs, r.storeCallReasons, r.peerBytes, r.storeRestores, r.standbyCopies)
+	r.registry.MustRegister(r.retries, r.resumptions, r.prompts, r.runs, r.storeCallReasons, r.peerBytes, r.storeRestores, r.standbyCopies, r.responsesDropped)
 	r.registry.MustRegister(r.requests, r.firstByte, r.eventPause, r.failedAttempts, r.migrations, r.crashes, r.unreadableEntries, r.storeCalls, r.storeBytes, r.storeTransfer)
 	return r
 }
@@ -188,6 +193,11 @@
 // ServerCrashed implements relay.Observer.
 func (r *Recorder) ServerCrashed(service string) { r.crashes.WithLabelValues(service).Inc() }
 
+// ResponseDropped counts a response that was not the awaited one.
+func (r *Recorder) ResponseDropped(service, names string) {
+	r.responsesDropped.WithLabelValues(service, names).Inc()
+}
+
 // StandbyCopy implements relay.Observer.
 func (r *Recorder) StandbyCopy(event relay.StandbyEvent) {
 	r.standbyCopies.WithLabelValues(string(event)).Inc()
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -17,10 +17,10 @@
 	*Attempt
 	relay       *Relay
 	reservation *backends.Reservation
-	// number counts the request's attempts, from 1.
-	number int
-	ctx    context.Context
-	cancel context.CancelFunc
+	// number counts the request's attempts, from 1, here those at its server.
+	number, here int
+	ctx          context.Context
+	cancel       context.CancelFunc
 	// stopStartTimer stops the timer of watchResponseStart.
 	stopStartTimer func()
 }
@@ -67,12 +67,23 @@
 	}
 	j.attempts++
 	j.responseBegun.Store(false)
-	t := &attempt{Attempt: a, relay: r, reservation: reservation, number: j.attempts}
+	t := &attempt{Attempt: a, relay: r, reservation: reservation, number: j.attempts, here: j.countAttemptAt(reservation.Server.ID)}
 	t.stopStartTimer = r.watchResponseStart(j, reservation, a)
 	t.ctx, t.cancel = context.WithCancel(ctx)
 	return t, nil
 }
 
+// countAttemptAt counts an attempt at a server and returns the number of those of the request there.
+func (j *job) countAttemptAt(server string) (here int) {
+	j.attemptsAt = append(j.attemptsAt, server)
+	for _, s := range j.attemptsAt {
+		if s == server {
+			here++
+		}
+	}
+	return here
+}
+
 // kind returns the kind of retry that an attempt of a request is.
 func (a *Attempt) kind(j *job) retry.Kind {
 	switch {
@@ -138,7 +149,7 @@
 	reservation := result.reservation
 	entry := j.log.WithFields(logrus.Fields{
 		"server": reservation.Server.ID, "software": reservation.Server.SoftwareVersion, "try": result.number, "running": reservation.Running, "tokens": reservation.ExpectedTokens,
-		"prompt": reservation.PromptTokens, "of": reservation.ServerCount,
+		"prompt": reservation.PromptTokens, "of": reservation.ServerCount, "here": result.here,
 		"waited_ms": (result.SentAt - j.arrived).Milliseconds(), "answer_ms": (result.at - result.SentAt).Milliseconds(),
 	})
 	if result.StandbyAddress != "" {
--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -135,7 +135,7 @@
 	}
 	software := s.job.requiredSoftware(s.run.currentServer())
 	ctx, cancel := context.WithCancel(ctx)
-	timer := time.AfterFunc(maxMigrationWait, cancel)
+	timer, begin := time.AfterFunc(maxMigrationWait, cancel), s.Now()
 	next, err := s.send(ctx, s.job, standby.reservation, &Attempt{
 		LastEventID: s.run.lastDeliveredID(), ResumeFrom: &standby.KVCopy, RequiredSoftware: software, Retry: retry.Hedge,
 	})
@@ -149,7 +149,7 @@
 		return nil
 	}
 	s.undoArrival(s.job)
-	s.job.log.WithFields(logrus.Fields{"server": s.run.serverID(), "to": standby.reservation.Server.ID, "to_software": standby.reservation.Server.SoftwareVersion}).Info("silent stream resumed from its standby copy")
+	s.job.log.WithFields(logrus.Fields{"server": s.run.serverID(), "to": standby.reservation.Server.ID, "to_software": standby.reservation.Server.SoftwareVersion, "both_ms": (s.Now() - begin).Milliseconds()}).Info("silent stream resumed from its standby copy")
 	s.Observer.Migrated("hedged")
 	s.Observer.StandbyCopy(StandbyUsed)
 	s.run.cancelResponse()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -291,8 +291,10 @@
 	// server, without continuations of a run that has reached one. Each arrival beyond the first has
 	// taken a retry, the last one of retryKind at retryAt.
 	attempts, arrivals int
-	retryKind          retry.Kind
-	retryAt            time.Duration
+	// attemptsAt are the servers of the attempts, in order.
+	attemptsAt []string
+	retryKind  retry.Kind
+	retryAt    time.Duration
 	// isTrial is set if the request is quarantined and is sent to one server as a trial.
 	isTrial bool
 	// hasResponse is set if a response is available that is delivered if no other server gives a
