--- a/internal/standin/fleet/server.go
+++ b/internal/standin/fleet/server.go
@@ -310,6 +310,7 @@
 	s.mu.Lock()
 	b := s.behavior
 	s.mu.Unlock()
+	w.Header().Set("X-Kingcupplank-Attempt-Id", r.Header.Get("X-Kingcupplank-Attempt-Id"))
 	if expectedID := r.Header.Get("X-Kingcupplank-Expect-Instance"); expectedID != "" && expectedID != s.ID {
 		w.Header().Set("X-Kingcupplank-Instance-Id", s.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -369,7 +370,6 @@
 	case <-r.Context().Done():
 		return
 	}
-	w.Header().Set("X-Kingcupplank-Attempt-Id", r.Header.Get("X-Kingcupplank-Attempt-Id"))
 	w.Header().Set("X-Kingcupplank-Response-Seal", "seal-"+s.ID)
 	if b.Status >= 300 {
 		w.WriteHeader(b.Status)
