A server's unmarked 503, 429, 408 or 421 is no promise to the caller

What callers saw: "not run" (503) for a request that a server had run.

Cause: the gateway passed on the status of any failure of a server. Callers take these four for the promise that the request hasn't run and never will; only a server that marks its answer so says that.

--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net/http"
 
 	"kingcupplank.example/kingcup/backends"
 )
@@ -103,9 +104,22 @@
 }
 
 // isValid reports whether the response may be forwarded. A success must be as the server sent it:
-// signed by the server and not recoded on the way.
-func (b *bufferedResponse) isValid() bool {
-	return b.Status >= 300 || b.Signed && !b.Recoded
+// signed by the server and not recoded on the way. A status that promises "not run" must not be forwarded:
+// the server has run the request unless it marks its response, which is a NotRunError then.
+func (r *Response) isValid() bool {
+	if r.Status < 300 {
+		return r.Signed && !r.Recoded
+	}
+	return !promisesNotRun(r.Status)
+}
+
+// promisesNotRun reports whether callers take a status for the promise that the request has not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
 }
 
 func (b *bufferedResponse) isServerError() bool { return b.Status >= 500 }
