A run is stopped at its server before it goes on at another

What callers saw: streams that ran at two servers (TWICE).

Cause: a closed connection and silence were taken for the end of a run. A hedge closed the old response only when the copy's server had begun to answer, later still where a processor is busy; a broken stream was resumed at once; and a server that works on after a close was never told to stop.

Change: package handover decides when a run may be sent elsewhere; every attempt asks in Relay.startAttempt, a hedge before it begins. A server that may still work on the request gets the call that stops a run: answered, gone, or not received in 50 ms (not answered in 60 ms once received: a server stops the run when the call reaches it); a timer that fires late counts as a stall of this process. The call goes on for 4 s if the server could not be reached. A server that stops keeps the run's memory, so that the stream resumes from there. The response of a silent server that does not answer the call is kept until the standby server begins, as before.

--- a/internal/gatewaymetrics/metrics.go
+++ b/internal/gatewaymetrics/metrics.go
@@ -34,6 +34,8 @@
 	// retries counts attempts beyond the first of a request, by kind and by what the budget decided.
 	retries    *prometheus.CounterVec
 	migrations *prometheus.CounterVec
+	// runStops is how long servers were awaited that were told to stop a run, by result.
+	runStops *prometheus.HistogramVec
 	// responsesDropped counts responses that were not the awaited ones, by what they named.
 	responsesDropped *prometheus.CounterVec
 	standbyCopies    *prometheus.CounterVec
@@ -106,6 +108,10 @@
 	r.resumptions = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "kingcup_gateway_streams_resumed_total", Help: "Streams that were resumed at another server after their first event, or by their callers, by the software version: the one that began the stream, another one, or unknown.",
 	}, []string{"result"})
+	r.runStops = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "kingcup_gateway_run_stop_seconds", Help: "Time that a server was awaited which was told to stop a run before it goes on elsewhere, by result.",
+		Buckets: []float64{.002, .005, .01, .02, .05, .1, .2, .4},
+	}, []string{"result"})
 	r.responsesDropped = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "kingcup_gateway_responses_dropped_total", Help: "Responses of backend servers that were not the awaited ones by service and what they named: another request, or no request.",
 	}, []string{"service", "names"})
@@ -149,7 +155,7 @@
 	}, []string{"service", "kind"})
 	r.registry.MustRegister(r.queueDecisions, r.queueWait, r.queueEstimate)
 	r.limits = newLimitMetrics(r.registry)
-	r.registry.MustRegister(r.retries, r.resumptions, r.prompts, r.runs, r.storeCallReasons, r.peerBytes, r.storeRestores, r.standbyCopies, r.responsesDropped)
+	r.registry.MustRegister(r.retries, r.resumptions, r.prompts, r.runs, r.storeCallReasons, r.peerBytes, r.storeRestores, r.standbyCopies, r.responsesDropped, r.runStops)
 	r.registry.MustRegister(r.requests, r.firstByte, r.eventPause, r.failedAttempts, r.migrations, r.crashes, r.unreadableEntries, r.storeCalls, r.storeBytes, r.storeTransfer)
 	return r
 }
@@ -193,6 +199,11 @@
 // ServerCrashed implements relay.Observer.
 func (r *Recorder) ServerCrashed(service string) { r.crashes.WithLabelValues(service).Inc() }
 
+// RunStopped implements relay.Observer.
+func (r *Recorder) RunStopped(result string, d time.Duration) {
+	r.runStops.WithLabelValues(result).Observe(d.Seconds())
+}
+
 // ResponseDropped counts a response that was not the awaited one.
 func (r *Recorder) ResponseDropped(service, names string) {
 	r.responsesDropped.WithLabelValues(service, names).Inc()
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -52,6 +52,7 @@
 	if err := a.Recheck(); err != nil {
 		return nil, err
 	}
+	r.stopElsewhere(ctx, j, reservation.Server, a)
 	if err := r.takeArrival(j, a.kind(j)); err != nil {
 		return nil, err
 	}
@@ -160,6 +161,9 @@
 		if wasNotSent(result.err) {
 			r.undoArrival(j)
 		}
+		if !errors.As(result.err, new(*NotRunError)) {
+			j.unstopped.add(reservation.Server)
+		}
 		entry.WithField("result", result.err.Error()).Info("sent")
 		return nil, result.err
 	}
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -323,6 +323,7 @@
 	down       map[string]bool
 	downChecks int
 	send       func(ctx context.Context, a *Attempt) (*Response, error)
+	stopRun    func(ctx context.Context, from backends.Server, id, to string, sent func()) (string, error)
 	copyRun    func(ctx context.Context, from backends.Server, id, to string, final bool) (string, error)
 }
 
@@ -344,9 +345,27 @@
 	f.mu.Lock()
 	f.copies = append(f.copies, fmt.Sprintf("%s %s>%s %v", id, from.ID, to, final))
 	f.mu.Unlock()
+	if f.copyRun == nil {
+		return "", ErrNoRun
+	}
 	return f.copyRun(ctx, from, id, to, final)
 }
 
+// StopRun is not recorded among the copies. Without a stopRun, servers drop a run whose connection has closed.
+func (f *fakeUpstream) StopRun(ctx context.Context, from backends.Server, id, to string, sent func()) (string, error) {
+	if f.stopRun == nil {
+		sent()
+		return "", ErrNoRun
+	}
+	return f.stopRun(ctx, from, id, to, sent)
+}
+
+// unreachable is a stopRun of servers that can't be reached.
+func unreachable(ctx context.Context, _ backends.Server, _, _ string, _ func()) (string, error) {
+	<-ctx.Done()
+	return "", &NotRunError{Reason: NotRunUnreachable}
+}
+
 func (f *fakeUpstream) CloseIdle(address string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -461,3 +480,5 @@
 func (noObserver) ServerCrashed(string)     {}
 func (noObserver) StandbyCopy(StandbyEvent) {}
 func (noObserver) StreamResumed(Resumption) {}
+
+func (noObserver) RunStopped(string, time.Duration) {}
--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -51,7 +51,7 @@
 	go func() {
 		defer close(h.done)
 		if h.awaitSilence(watching) {
-			h.response = h.continueFromStandby(ctx)
+			h.response = h.continueFromStandby(ctx, watching)
 		}
 	}()
 	return h
@@ -122,14 +122,19 @@
 	return max(minSilence, time.Duration(maxPauseShare*float64(j.route.MaxPause)), time.Duration(longestPauseFactor*float64(longestPause)))
 }
 
-// continueFromStandby asks the standby server to continue the stream, and cancels the old
-// response if it does.
-func (h *hedge) continueFromStandby(ctx context.Context) *placedResponse {
+// continueFromStandby stops the run at its server, so that the stream resumes from its copies. If the server
+// doesn't answer, it asks the standby server to continue the stream, and cancels the old response if it
+// does: without a copy, the old server may still resume sending.
+func (h *hedge) continueFromStandby(ctx, watching context.Context) *placedResponse {
 	s := h.session
 	if _, quarantined := s.quarantined(s.job); quarantined {
 		return nil
 	}
-	standby := s.run.takeStandby()
+	standby := s.run.peekStandby()
+	if standby == nil || s.job.canBeStopped() && h.stopSilent(watching, standby.reservation.Server) || watching.Err() != nil {
+		return nil
+	}
+	standby = s.run.takeStandby()
 	if standby == nil {
 		return nil
 	}
--- a/internal/relay/hedge_test.go
+++ b/internal/relay/hedge_test.go
@@ -15,6 +15,8 @@
 func serveHedged(t *testing.T, f *fixture, refuse bool, writeEvents func(body *fakeBody)) *caller {
 	f.addServer("a", modelService)
 	f.addServer("b", modelService)
+	f.upstream.stopRun = unreachable
+	t.Cleanup(func() { time.Sleep(stopTimeout) })
 	f.upstream.send = func(ctx context.Context, a *Attempt) (*Response, error) {
 		body := newFakeBody()
 		if a.ResumeFrom == nil {
--- a/internal/relay/migration.go
+++ b/internal/relay/migration.go
@@ -65,6 +65,8 @@
 	// stopped is set once the run is being stopped at its server by a final copy to an engine that
 	// runs streams: the response then breaks off although the server is well.
 	stopped bool
+	// stopKnown is set once the run is known to have stopped at its server.
+	stopKnown bool
 	// moves counts the moves to an engine that runs streams that were begun.
 	moves int
 }
@@ -96,7 +98,7 @@
 // setResponse sets the response that is read from now on.
 func (u *run) setResponse(placed *placedResponse) {
 	u.mu.Lock()
-	u.server, u.cancel, u.stopped, u.answeringFrom = placed.reservation.Server, placed.cancel, false, 0
+	u.server, u.cancel, u.stopped, u.stopKnown, u.answeringFrom = placed.reservation.Server, placed.cancel, false, false, 0
 	u.mu.Unlock()
 }
 
@@ -447,6 +449,9 @@
 		entry.Info("run copied")
 		m.relay.Observer.Migrated("copied")
 	}
+	if final && m.relay.stopResult(m.from, err).IsKnown() {
+		m.run.setStopKnown(m.from)
+	}
 	if handle == "" {
 		return took, err
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -66,6 +66,9 @@
 	RunPlaced(result string)
 	// ServerCrashed is called for each server that crashed while running requests.
 	ServerCrashed(service string)
+	// RunStopped is called for each run that a server was told to stop before it goes on elsewhere, with the
+	// result (see package handover) and the time that it was awaited.
+	RunStopped(result string, d time.Duration)
 	// StandbyCopy is called for what happens to a standby copy, see the constants of
 	// StandbyEvent.
 	StandbyCopy(event StandbyEvent)
@@ -297,6 +300,8 @@
 	retryAt    time.Duration
 	// isTrial is set if the request is quarantined and is sent to one server as a trial.
 	isTrial bool
+	// unstopped are the servers that may still work on the request.
+	unstopped unstoppedServers
 	// hasResponse is set if a response is available that is delivered if no other server gives a
 	// better one.
 	hasResponse bool
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -37,6 +37,9 @@
 	placed, refusal := r.place(ctx, j, j.LastEventID)
 	for refusal == nil && !placed.isStream() {
 		response, err := bufferResponse(placed.response)
+		if err != nil || response.hasMore {
+			j.unstopped.add(placed.reservation.Server)
+		}
 		if err != nil {
 			r.handleBrokenResponse(ctx, j, placed.reservation.Server)
 		}
@@ -223,6 +226,9 @@
 	j := s.job
 	log := j.log.WithField("server", placed.reservation.Server.ID).WithField("software", placed.reservation.Server.SoftwareVersion).WithField("after", s.seq.lastEventID()).WithField("content", j.content().String())
 	stoppedHere := s.run.isStopped()
+	if !s.run.isStopKnown() {
+		j.unstopped.add(placed.reservation.Server)
+	}
 	if !stoppedHere {
 		s.handleBrokenResponse(ctx, j, placed.reservation.Server)
 	}
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -167,6 +167,10 @@
 	// handle may be returned together with ErrNoCapacity: then the run has stopped and its own
 	// server keeps the KV cache.
 	CopyRun(ctx context.Context, from backends.Server, id, to string, final bool) (handle string, err error)
+	// StopRun is a final CopyRun. sent is called once the server can receive the call. A run is stopped before
+	// it is copied. Errors: those of CopyRun, and *NotRunError if no process or another one listens at the
+	// address, or nothing could be sent.
+	StopRun(ctx context.Context, from backends.Server, id, to string, sent func()) (handle string, err error)
 	// DropCopy frees a copy that will not be used.
 	DropCopy(ctx context.Context, c KVCopy)
 	// CloseIdle closes the idle connections to the address of a server that has crashed.
