Endless bodies and events that are no answer fail over

What callers saw: an idempotent request that waits for the end of a failure's body, or of an unsigned success, until its deadline; a stream that brings the same event without end.

Cause: a body was read before it was looked at whether it could be forwarded at all, with a bound on its bytes but none on its time; duplicates and events without an id were not counted.

Evidence: TestEndlessBodyFailsOver and TestStreamWithoutProgressEnds failed before in all cases but one (a fast unsigned success ended at its bound in bytes).

Change: an unsigned or recoded success is not read, a failure's body has 0.5 s and 64 KiB, a stream ends after 64 events in a row that are duplicates or have no id.

--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -82,6 +82,8 @@
 type sequence struct {
 	lastID  uint64
 	started bool
+	// stale counts the events since the last new one.
+	stale int
 }
 
 // sequenceAfter returns the sequence that follows the event with an id.
@@ -90,20 +92,27 @@
 	return sequence{lastID: last, started: err == nil}
 }
 
+// errNoProgress means that a stream brings events that are not new, one after the other.
+var errNoProgress = errors.New("events without progress")
+
+// maxStaleEvents bounds the events in a row that are duplicates or have no id.
+const maxStaleEvents = 64
+
 // accept reports whether an event is to be forwarded. It is false for a duplicate, and a gap is
 // an error. Events without an id are accepted.
 func (s *sequence) accept(event []byte) (bool, error) {
 	id, ok := eventID(event)
-	if !ok {
-		return true, nil
+	if !ok || s.started && id <= s.lastID {
+		if s.stale++; s.stale > maxStaleEvents {
+			return false, errNoProgress
+		}
+		return !ok, nil
 	}
+	s.stale = 0
 	if !s.started {
 		s.lastID, s.started = id, true
 		return true, nil
 	}
-	if id <= s.lastID {
-		return false, nil
-	}
 	if id != s.lastID+1 {
 		return false, errors.Wrapf(errGap, "event %d follows %d", id, s.lastID)
 	}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -5,6 +5,9 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
 
 	"kingcupplank.example/kingcup/backends"
 )
@@ -33,7 +36,7 @@
 			}
 			return r.sendRefusal(ctx, j, *refusal, out)
 		}
-		response, err := bufferResponse(placed.response)
+		response, err := bufferResponse(placed.response, placed.cancel)
 		if err == nil && response.isValid() {
 			r.Observer.FirstByte(j.team, j.service, j.route.Kind, r.Now()-j.arrived)
 			if response.isServerError() {
@@ -54,7 +57,7 @@
 			placed.reservation.Release(backends.ResultInconclusive, r.Now())
 			return r.sendRefusal(ctx, j, *r.refuse(j, ReasonDeadline), out)
 		}
-		if err != nil {
+		if err != nil && !errors.Is(err, errInvalidSuccess) {
 			r.handleBrokenResponse(ctx, j, placed.reservation.Server)
 		}
 		r.Observer.AttemptFailed(j.service, "spoilt")
@@ -90,13 +93,37 @@
 	hasMore bool
 }
 
-func bufferResponse(response *Response) (*bufferedResponse, error) {
+// errInvalidSuccess means that a success is not as its server sent it.
+var errInvalidSuccess = errors.New("success is unsigned or recoded")
+
+// errLongFailure means that the body of a failure is longer than maxBufferedSize.
+var errLongFailure = errors.New("body of a failure is too long")
+
+// failureBodyTimeout bounds the time to read the body of a failure.
+const failureBodyTimeout = 500 * time.Millisecond
+
+// bufferResponse reads a response whose body may be without end; cancel cancels it. An invalid success is not
+// read at all.
+func bufferResponse(response *Response, cancel func()) (*bufferedResponse, error) {
+	isFailure := response.Status >= 300
+	if !isFailure && !response.isValid() {
+		response.Body.Close()
+		return nil, errInvalidSuccess
+	}
+	if isFailure {
+		t := time.AfterFunc(failureBodyTimeout, cancel)
+		defer t.Stop()
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedSize+1))
 	if err != nil {
 		response.Body.Close()
 		return nil, err
 	}
 	buffered := &bufferedResponse{Response: response, body: body, hasMore: len(body) > maxBufferedSize}
+	if isFailure && buffered.hasMore {
+		response.Body.Close()
+		return nil, errLongFailure
+	}
 	if !buffered.hasMore {
 		response.Body.Close()
 	}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -36,11 +36,11 @@
 	}
 	placed, refusal := r.place(ctx, j, j.LastEventID)
 	for refusal == nil && !placed.isStream() {
-		response, err := bufferResponse(placed.response)
+		response, err := bufferResponse(placed.response, placed.cancel)
 		if err != nil || response.hasMore {
 			j.unstopped.add(placed.reservation.Server)
 		}
-		if err != nil {
+		if err != nil && !errors.Is(err, errInvalidSuccess) {
 			r.handleBrokenResponse(ctx, j, placed.reservation.Server)
 		}
 		if placed.standby != nil {
