Soak and stand-in: second rejections, unmarked 503, endless bytes, servers that work on

The soak drew no server that sends a rejection twice, answers 503 without the mark after it has run a request, sends bytes without end, or works on after a close, and checked no time at two servers; REFUSED and TWICE could not show.

Two kinds of faults at the end of its list, and a check that a request is at two servers for 400 ms at most while connections to the first are not disrupted. A final copy call stops its run before anything else, as the protocol says.

--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -5,6 +5,7 @@
 
 import (
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -41,6 +42,8 @@
 	cond  *sync.Cond
 	mode  Mode
 	conns map[*net.TCPConn]bool
+	// disruptions are the times in which the mode was not PassThrough.
+	disruptions []span
 }
 
 // NewProxy starts a proxy in front of target.
@@ -59,6 +62,12 @@
 func (p *Proxy) SetMode(m Mode) {
 	p.mu.Lock()
 	p.mode = m
+	if n := len(p.disruptions); n > 0 && p.disruptions[n-1].to.IsZero() {
+		p.disruptions[n-1].to = time.Now()
+	}
+	if m != PassThrough {
+		p.disruptions = append(p.disruptions, span{from: time.Now()})
+	}
 	if m == ResetConnections {
 		p.resetAll()
 	}
@@ -66,6 +75,20 @@
 	p.cond.Broadcast()
 }
 
+// ResetOpen resets the open connections. New ones are passed through.
+func (p *Proxy) ResetOpen() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.resetAll()
+}
+
+// wasDisrupted reports whether the mode was not PassThrough within a time.
+func (p *Proxy) wasDisrupted(from, to time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.disruptions, func(d span) bool { return d.overlaps(from, to) })
+}
+
 // resetAll resets all connections. The caller holds mu.
 func (p *Proxy) resetAll() {
 	for c := range p.conns {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -133,6 +133,7 @@
 	servers := s.servers
 	s.mu.Unlock()
 	res.Violations = append(res.Violations, s.history.Check(servers, revokeTimeout)...)
+	res.Violations = append(res.Violations, s.checkTogether()...)
 	res.Violations = append(res.Violations, checkRetries(servers, s.history.attempts)...)
 	res.Violations = append(res.Violations, checkQuarantine(servers, s.crashingBodies)...)
 	res.Violations = append(res.Violations, checkPartQuarantine(servers)...)
--- a/internal/standin/fleet/migration.go
+++ b/internal/standin/fleet/migration.go
@@ -26,14 +26,14 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
+	if body.Final {
+		active.abort()
+	}
 	target := s.serverAt(body.To)
 	if target == nil || target.stopped.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	if body.Final {
-		active.abort()
-	}
 	handle := "h-" + body.ID
 	s.mu.Lock()
 	_, isRenewal := s.copies[handle]
--- a/internal/standin/fleet/server.go
+++ b/internal/standin/fleet/server.go
@@ -6,6 +6,7 @@
 	"io"
 	"maps"
 	"math"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -50,6 +51,8 @@
 	executions []Execution
 	arrivals   []Arrival
 	runs       map[string]*run
+	// workings are the times in which it worked on streams that are over.
+	workings []Working
 	// copies has the attempt's id of each copy of a run's KV cache, by the copy's handle:
 	// copies of migrations that started here and standby copies held here.
 	copies map[string]string
@@ -106,6 +109,8 @@
 	PromptTime time.Duration
 	// Dips are times in which the server is slower.
 	Dips Dips
+	// Trouble is how the server misbehaves.
+	Trouble Trouble
 	// Raw, if set, handles the request on the hijacked connection instead.
 	Raw func(c net.Conn, r *http.Request)
 }
@@ -181,7 +186,7 @@
 	// Platform calls for another process that used this port before.
 	mux.HandleFunc("/kingcupplank/", http.NotFound)
 	mux.HandleFunc("/", s.handleRequest)
-	s.http = &http.Server{Handler: mux}
+	s.http = &http.Server{Handler: mux, ConnContext: withConn}
 	go s.http.Serve(l)
 	s.writeEntry()
 }
@@ -318,9 +323,8 @@
 	}
 	s.recordArrival(r)
 	maps.Copy(w.Header(), b.Headers)
-	if b.RejectAll {
-		w.Header().Set("X-Kingcupplank-Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+	if b.RejectAll || rand.Float64() < b.Trouble.RejectShare {
+		b.reject(w, r)
 		return
 	}
 	lastReceived := 0
@@ -338,6 +342,9 @@
 		Body: string(body), Header: r.Header.Clone(), At: time.Now(), FromCopy: r.Header.Get("Kv-From") != "",
 	})
 	s.mu.Unlock()
+	if b.Trouble.answerWrongly(w) {
+		return
+	}
 	if b.Raw != nil {
 		c, _, err := http.NewResponseController(w).Hijack()
 		if err == nil {
@@ -395,9 +402,13 @@
 	s.mu.Unlock()
 	defer func() {
 		s.mu.Lock()
-		delete(s.runs, id)
+		if s.runs[id] == active {
+			delete(s.runs, id)
+		}
 		s.mu.Unlock()
 	}()
+	defer s.recordWorking(id, time.Now())
+	ctx := b.streamContext(r)
 	w.Header().Set("Content-Type", "text/event-stream")
 	controller := http.NewResponseController(w)
 	if b.ShortEvents > 0 && r.URL.Path == CheckPath {
@@ -408,9 +419,12 @@
 	}
 	for n := lastReceived + 1; n <= b.Events; n++ {
 		io.WriteString(w, EventText(n, b.SoftwareVersion))
-		if controller.Flush() != nil {
+		if controller.Flush() != nil && ctx.Done() != nil {
 			return
 		}
+		if s.stopped.Load() {
+			panic(http.ErrAbortHandler)
+		}
 		active.lastEvent.Store(int64(n))
 		select {
 		case <-active.stop:
@@ -421,7 +435,7 @@
 		case <-s.hung:
 			<-r.Context().Done()
 			return
-		case <-r.Context().Done():
+		case <-ctx.Done():
 			return
 		case <-time.After(b.Dips.stretch(b.EventInterval, time.Since(s.started))):
 		}
--- /dev/null
+++ b/internal/standin/fleet/trouble.go
@@ -0,0 +1,109 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// Trouble is how a server misbehaves. Shares are of its requests.
+type Trouble struct {
+	// RejectShare are rejected. After SecondAnswer, if not 0, a rejection is sent once more.
+	RejectShare  float64
+	SecondAnswer time.Duration
+	// UnmarkedShare are run and answered with status 503, not marked as not run.
+	UnmarkedShare float64
+	// EndlessShare are answered with bytes without end, in a head or a body.
+	EndlessShare float64
+	// WorksOn says that the server goes on with a stream whose connection has closed.
+	WorksOn bool
+}
+
+// SetTrouble makes the server misbehave until recovered is called.
+func (s *Server) SetTrouble(t Trouble) (recovered func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.behavior.Trouble = t
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.behavior.Trouble = Trouble{}
+	}
+}
+
+// Working is a time in which a server worked on a stream.
+type Working struct {
+	ID       string
+	From, To time.Time
+}
+
+// Workings returns the times in which the server has worked on streams.
+func (s *Server) Workings() []Working {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Working(nil), s.workings...)
+}
+
+func (s *Server) recordWorking(id string, from time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.workings = append(s.workings, Working{id, from, time.Now()})
+}
+
+// streamContext returns the context that ends a stream's run.
+func (b Behavior) streamContext(r *http.Request) context.Context {
+	if b.Trouble.WorksOn {
+		return context.WithoutCancel(r.Context())
+	}
+	return r.Context()
+}
+
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// reject rejects a request as not executed.
+func (b Behavior) reject(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("X-Kingcupplank-Not-Executed", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+	if b.Trouble.SecondAnswer > 0 {
+		c := r.Context().Value(connKey{}).(net.Conn)
+		second := fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nX-Kingcupplank-Attempt-Id: %s\r\nX-Kingcupplank-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", r.Header.Get("X-Kingcupplank-Attempt-Id"))
+		time.AfterFunc(b.Trouble.SecondAnswer, func() { io.WriteString(c, second) })
+	}
+}
+
+// answerWrongly answers a request that was executed wrongly, if it is one of the drawn ones.
+func (t Trouble) answerWrongly(w http.ResponseWriter) bool {
+	draw := rand.Float64()
+	if draw < t.UnmarkedShare {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return true
+	}
+	if draw >= t.UnmarkedShare+t.EndlessShare {
+		return false
+	}
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return true
+	}
+	defer c.Close()
+	head, text := "HTTP/1.1 500 Internal Server Error\r\n", "A: b\r\n"
+	if rand.IntN(2) == 0 {
+		head, text = head+"Transfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n"
+	}
+	io.WriteString(c, head)
+	for err == nil {
+		_, err = io.WriteString(c, strings.Repeat(text, 20))
+		time.Sleep(time.Millisecond)
+	}
+	return true
+}
