A stream without a length whose leaving server is gone, or whose run was stopped, is not complete

Cause: at the end of a response that ends with its connection the server was asked whether it has crashed, unless it was leaving; a leaving server may end in the middle too. Nothing looked at whether the gateway itself had had the run stopped.

Change: leaving servers are asked too; the end of a stream whose server was told to stop the run is no end, and the stream resumes from its copies.

--- a/internal/gateway/unframed_test.go
+++ b/internal/gateway/unframed_test.go
@@ -83,6 +83,11 @@
 		"inside an event":  {eventsText(1, 2) + "id: 3\nda", func(*fleet.Server, net.Conn) {}},
 		"reset":            {eventsText(1, 2), func(_ *fleet.Server, c net.Conn) { c.(*net.TCPConn).SetLinger(0) }},
 		"crash of servers": {eventsText(1, 2), crash},
+		"end of a leaving server": {eventsText(1, 2), func(srv *fleet.Server, _ net.Conn) {
+			srv.StartDraining(true)
+			time.Sleep(100 * time.Millisecond)
+			srv.Kill()
+		}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newSystem(t)
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -179,6 +179,7 @@
 func (h *hedge) stopSilent(watching context.Context, to backends.Server) bool {
 	s := h.session
 	from := s.run.currentServer()
+	s.run.requestStop()
 	result, handle := s.stopRun(watching, s.job, from, to)
 	if !result.IsKnown() {
 		return false
@@ -196,6 +197,20 @@
 	return true
 }
 
+// requestStop records that the run's server is told to stop it.
+func (u *run) requestStop() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.stopRequested = true
+}
+
+// isStopRequested reports whether the run's server has been told to stop it.
+func (u *run) isStopRequested() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.stopRequested
+}
+
 // setStopKnown records that the run is known to have stopped at a server.
 func (u *run) setStopKnown(s backends.Server) {
 	u.mu.Lock()
--- a/internal/relay/hedge_test.go
+++ b/internal/relay/hedge_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"kingcupplank.example/kingcup/backends"
 )
 
 // serveHedged serves a stream with a standby copy at a second engine. writeEvents writes the
@@ -104,3 +106,33 @@
 		require.Equal(t, 1, len(f.upstream.servers()))
 	})
 }
+
+// Guards against a stream without a length being taken for complete as its server stops it for its continuation.
+func TestStreamThatEndsWithItsConnectionGoesOnAfterAStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, Config{})
+		f.addServer("a", modelService)
+		f.addServer("b", modelService)
+		first := newFakeBody()
+		f.upstream.stopRun = func(_ context.Context, _ backends.Server, _, _ string, sent func()) (string, error) {
+			sent()
+			first.writer.Close()
+			return "h", nil
+		}
+		f.upstream.send = func(_ context.Context, a *Attempt) (*Response, error) {
+			if a.ResumeFrom == nil {
+				go writePaced(first, 1, 4, 40*time.Millisecond)
+				r := first.response()
+				r.EndsWithConnection = true
+				return r, nil
+			}
+			next := newFakeBody()
+			go func() {
+				next.write(events(5, 10))
+				next.writer.Close()
+			}()
+			return next.response(), nil
+		}
+		f.serve(request("/plan/x")).requireWhole(t, events(1, 10))
+	})
+}
--- a/internal/relay/migration.go
+++ b/internal/relay/migration.go
@@ -65,6 +65,8 @@
 	// stopped is set once the run is being stopped at its server by a final copy to an engine that
 	// runs streams: the response then breaks off although the server is well.
 	stopped bool
+	// stopRequested is set once its server has been told to stop the run.
+	stopRequested bool
 	// stopKnown is set once the run is known to have stopped at its server.
 	stopKnown bool
 	// moves counts the moves to an engine that runs streams that were begun.
@@ -98,7 +100,8 @@
 // setResponse sets the response that is read from now on.
 func (u *run) setResponse(placed *placedResponse) {
 	u.mu.Lock()
-	u.server, u.cancel, u.stopped, u.stopKnown, u.answeringFrom = placed.reservation.Server, placed.cancel, false, false, 0
+	u.server, u.cancel, u.answeringFrom = placed.reservation.Server, placed.cancel, 0
+	u.stopped, u.stopRequested, u.stopKnown = false, false, false
 	u.mu.Unlock()
 }
 
@@ -439,6 +442,9 @@
 func (m *migration) transfer(ctx context.Context, final bool) (took time.Duration, err error) {
 	start := time.Now()
 	to := m.target.reservation.Server
+	if final {
+		m.run.requestStop()
+	}
 	handle, err := m.relay.copyRun(ctx, m.from, m.run.job.ID, to, final)
 	took = time.Since(start)
 	entry := m.run.job.log.WithFields(logrus.Fields{"server": m.from.ID, "software": m.from.SoftwareVersion, "to": to.ID, "to_software": to.SoftwareVersion, "final": final, "took_ms": took.Milliseconds()})
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -17,6 +17,9 @@
 // errCallerGone means that the response cannot be written to the caller any more.
 var errCallerGone = errors.New("caller is gone")
 
+// errEndedByStop means that a response ended with its connection, and its server was told to stop the run.
+var errEndedByStop = errors.New("response ended as its run was stopped")
+
 // session is a stream that is being forwarded to its caller.
 type session struct {
 	*Relay
@@ -119,6 +122,9 @@
 	events := newEventReader(placed.response.Body)
 	for {
 		event, err := events.next()
+		if err == io.EOF && placed.response.EndsWithConnection && s.run.isStopRequested() {
+			return errEndedByStop
+		}
 		if err == io.EOF {
 			return nil
 		}
--- a/internal/relay/unframed.go
+++ b/internal/relay/unframed.go
@@ -12,7 +12,8 @@
 var errEndedByCrash = errors.New("response ended as its server crashed")
 
 // unframedBody is the body of a response that ends with its connection. The kernel closes the connections of
-// a process that crashes like those that the process closes, so the server is checked at the end.
+// a process that ends like those that the process closes, so the server is checked at the end. One that was
+// leaving may have ended in the middle of its responses too.
 type unframedBody struct {
 	io.ReadCloser
 	relay  *Relay
@@ -31,8 +32,7 @@
 		return n, err
 	}
 	b.err = io.EOF
-	// A server that leaves stops after its last response.
-	if _, leaving := b.relay.Registry.State(b.server); !leaving && b.relay.hasCrashed(b.server) {
+	if b.relay.hasCrashed(b.server) {
 		b.err = errEndedByCrash
 	}
 	return n, b.err
