A gateway that stops waits for requests whose body is still coming

Cause: the wait of Stop counted requests once their body had been read. Then net/http got 200 ms, meant for the last bytes of answers, and was closed.

Change: requests count from their head on; after the connections without a request are closed, those that are in progress get the rest of the time.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -400,8 +400,8 @@
 )
 
 // Stop shuts the gateway down after SIGTERM. The gateway is not ready from now on, but
-// still accepts connections for ShutdownDelay. Stop returns when no request is in progress,
-// or shortly before SIGKILL.
+// still accepts connections for ShutdownDelay. Stop returns when no request is in progress, those whose
+// body is still coming included, or shortly before SIGKILL.
 func (g *Gateway) Stop() {
 	begun := time.Now()
 	g.stopping.Store(true)
@@ -416,8 +416,8 @@
 			break
 		}
 	}
-	unfinished := g.relay.InProgress()
-	g.callers.Shutdown(lastWriteTimeout)
+	unfinished := g.callers.InProgress()
+	g.callers.Shutdown(lastWriteTimeout, max(0, timeout-time.Since(begun)))
 	g.cancel()
 	g.log.WithField("in_progress", unfinished).Info("stopped")
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -444,3 +445,27 @@
 	n := s.gateway("vm-1")
 	require.Equal(t, http.StatusOK, n.do(plain(fleet.OncePath)).status)
 }
+
+// Guards against a request whose body is still coming when the gateway stops being run and cut off without an answer.
+func TestShutdownWaitsForABodyThatIsComing(t *testing.T) {
+	s := newSystem(t)
+	s.server(fleet.DeskService, fleet.Behavior{Delay: 400 * time.Millisecond})
+	n := s.gateway("vm-1")
+	n.eventually(func() bool { return n.do(plain(fleet.OncePath)).status == http.StatusOK }, "served")
+	c := n.dial()
+	const body = "first half, second half"
+	fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: %s\r\nX-Api-Key: %s\r\nX-Kingcupplank-Attempt-Id: late\r\nX-Kingcupplank-Deadline-Ms: 5000\r\nContent-Length: %d\r\n\r\n%s", fleet.OncePath, fleet.Host, fleet.Key, len(body), body[:10])
+	n.eventually(func() bool { return n.Gateway.callers.InProgress() == 1 }, "head has been read")
+	stopped := make(chan struct{})
+	go func() {
+		n.Stop()
+		close(stopped)
+	}()
+	time.Sleep(650 * time.Millisecond)
+	_, err := io.WriteString(c, body[10:])
+	require.NoError(t, err)
+	r := c.read()
+	require.NoError(t, r.err)
+	require.Equal(t, http.StatusOK, r.status)
+	<-stopped
+}
