Streams are not resumed where a server may have started again unseen

Cause: the version of a server was taken from the copy of the directory, however old; a server that starts again under its id passes the check of its id.

Change: where servers say when they started, a new run of a stream that has begun is sent only to a server that names the listed start; the version that began a stream is trusted if the directory was confirmed after its first event, or its server says so; else the stream is resumed nowhere. Copies need no check at their server: one that has started again has none.

Open: the origin that a caller's return is judged by may have been recorded before it was verified.

--- a/backends/software.go
+++ b/backends/software.go
@@ -30,6 +30,13 @@
 	r.confirmedAt = max(r.confirmedAt, at)
 }
 
+// ConfirmedSince reports whether the directory is known to contain all changes up to a time.
+func (r *Registry) ConfirmedSince(at time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.confirmedAt >= at
+}
+
 // HasSeveralVersions reports whether servers with different versions of their software were listed for a
 // service within a time span up to now. An unknown version differs from any other.
 func (r *Registry) HasSeveralVersions(service string, within, now time.Duration) bool {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -52,6 +52,9 @@
 	if err := a.Recheck(); err != nil {
 		return nil, err
 	}
+	if r.mayHaveRestarted(ctx, a, reservation.Server) {
+		return nil, &NotRunError{Reason: NotRunIneligible, Detail: reservation.Server.ID + " may have started again"}
+	}
 	r.stopElsewhere(ctx, j, reservation.Server, a)
 	if err := r.takeArrival(j, a.kind(j)); err != nil {
 		return nil, err
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -320,6 +320,8 @@
 	closedIdle []string
 	dropped    []KVCopy
 	leaving    map[string]bool
+	// restarted are the start times of servers that are not the listed incarnation.
+	restarted  map[string]int64
 	down       map[string]bool
 	downChecks int
 	send       func(ctx context.Context, a *Attempt) (*Response, error)
@@ -408,6 +410,16 @@
 	return f.leaving[s.ID], nil
 }
 
+// StartTime returns the listed start time of a server, unless restarted has another one.
+func (f *fakeUpstream) StartTime(_ context.Context, s backends.Server) (int64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if at, ok := f.restarted[s.ID]; ok {
+		return at, nil
+	}
+	return s.StartTime, nil
+}
+
 func (f *fakeUpstream) setLeaving(id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -310,6 +310,11 @@
 	// software is the software version that has sent the first event of the stream, nil before it.
 	// The stream may only be resumed at servers of that version.
 	software atomic.Pointer[string]
+	// softwareFrom is the server that sent it at softwareAt, softwareVerified is set once the server has told
+	// that it is the listed incarnation.
+	softwareFrom     backends.Server
+	softwareAt       time.Duration
+	softwareVerified atomic.Bool
 	// originRecorded is set once the origin of the stream has been recorded for its caller's return.
 	originRecorded atomic.Bool
 	// progress is the progress of a stream, sentEvents its number of events for other goroutines.
--- a/internal/relay/software.go
+++ b/internal/relay/software.go
@@ -12,9 +12,65 @@
 // bindSoftware records which software version sends the first event of the stream.
 func (s *session) bindSoftware() {
 	if s.job.software.Load() == nil {
-		version := s.run.currentServer().SoftwareVersion
+		server := s.run.currentServer()
+		version := server.SoftwareVersion
 		s.job.software.Store(&version)
+		s.job.softwareFrom, s.job.softwareAt = server, s.Now()
+		if server.StartTime != 0 && !s.Registry.ConfirmedSince(s.Now()-maxTrustedAge) {
+			go s.verifyIncarnation(s.job)
+		}
+	}
+}
+
+const (
+	// maxTrustedAge is the age of the directory up to which servers are not asked for their incarnation as a
+	// stream begins. Without changes the directory is confirmed about once a second.
+	maxTrustedAge = 1500 * time.Millisecond
+	// startTimeTimeout bounds how long a server is asked when it started.
+	startTimeTimeout = 100 * time.Millisecond
+)
+
+// isIncarnation asks a server whether it is still the listed incarnation. A server that may start again under its
+// id, possibly with other software, says when it started.
+func (r *Relay) isIncarnation(ctx context.Context, s backends.Server) bool {
+	ctx, cancel := context.WithTimeout(ctx, startTimeTimeout)
+	defer cancel()
+	startTime, err := r.Upstream.StartTime(ctx, s)
+	if err != nil {
+		r.Log.WithError(err).WithField("server", s.ID).Info("server does not say when it started, no stream is resumed there")
 	}
+	return err == nil && startTime == s.StartTime
+}
+
+// verifyIncarnation verifies that the first event of a stream came from the listed incarnation of its server.
+func (r *Relay) verifyIncarnation(j *job) {
+	if r.isIncarnation(context.Background(), j.softwareFrom) {
+		j.softwareVerified.Store(true)
+	}
+}
+
+// checkSoftware forgets the software version of a stream if its server may have been another incarnation than the
+// listed one: the directory was not confirmed after the first event, and the server hasn't told.
+func (r *Relay) checkSoftware(ctx context.Context, j *job) {
+	if j.softwareFrom.StartTime == 0 || j.softwareVerified.Load() || r.Registry.ConfirmedSince(j.softwareAt) {
+		return
+	}
+	if r.isIncarnation(ctx, j.softwareFrom) {
+		return
+	}
+	// The server may be gone. The directory shows soon which incarnation it was.
+	for until := r.Now() + maxTrustedAge; r.Now() < until && wait.For(ctx, queuePollInterval); {
+		if r.Registry.ConfirmedSince(j.softwareAt) {
+			return
+		}
+	}
+	r.forgetSoftware(j)
+}
+
+// mayHaveRestarted reports whether a server at which a stream is to be resumed by a new run may have started again
+// with other software. A copy needs no such check: a server that has started again has none.
+func (r *Relay) mayHaveRestarted(ctx context.Context, a *Attempt, s backends.Server) bool {
+	return s.StartTime != 0 && a.RequiredSoftware != nil && a.LastEventID != "" && a.ResumeFrom == nil && !r.isIncarnation(ctx, s)
 }
 
 // requiredSoftware returns the software version at which the run at a server may be resumed from a copy.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -238,6 +238,7 @@
 	if !stoppedHere {
 		s.handleBrokenResponse(ctx, j, placed.reservation.Server)
 	}
+	s.checkSoftware(ctx, j)
 	if _, quarantined := s.mustNotSend(j); quarantined {
 		placed.reservation.Release(backends.ResultInconclusive, s.Now())
 		log.WithError(cause).Warn("stream broke and is not resumed: its request is quarantined")
--- a/internal/relay/version_test.go
+++ b/internal/relay/version_test.go
@@ -313,3 +313,43 @@
 		})
 	}
 }
+
+// Guards against a stream going on at another software version behind an outage of the store, in which a server has
+// started again under its id: the one that began the stream, or the one at which it is resumed.
+func TestStreamIsNotResumedWhereServersHaveRestartedUnseen(t *testing.T) {
+	for name, c := range map[string]struct {
+		restarted string
+		want      bool
+	}{"none": {"", true}, "its first server": {"a", false}, "the next server": {"b", false}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t, Config{})
+				time.Sleep(time.Minute)
+				f.upstream.restarted = map[string]int64{c.restarted: 2}
+				f.upstream.send = func(_ context.Context, a *Attempt) (*Response, error) {
+					body := newFakeBody()
+					go func() {
+						if a.LastEventID == "" {
+							f.registry.Put(f.newIncarnation("b", 1), f.now())
+							body.write(events(1, 3))
+							time.Sleep(100 * time.Millisecond)
+							body.breakOff()
+							return
+						}
+						body.write(events(4, 6))
+						body.writer.Close()
+					}()
+					return body.response(), nil
+				}
+				f.registry.Put(f.newIncarnation("a", 1), f.now())
+				got := f.serve(request("/check/x"))
+				if c.want {
+					got.requireWhole(t, events(1, 6))
+					return
+				}
+				require.False(t, got.done)
+				require.Equal(t, events(1, 3), got.body.String())
+			})
+		})
+	}
+}
--- a/internal/standin/fleet/server.go
+++ b/internal/standin/fleet/server.go
@@ -477,7 +477,7 @@
 func (s *Server) handleReport(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	fmt.Fprintf(w, `{"phase":"hybrid","state":%q,"activeRequests":%d}`, s.state, len(s.runs))
+	fmt.Fprintf(w, `{"phase":"hybrid","state":%q,"activeRequests":%d,"born":%d}`, s.state, len(s.runs), s.StartTime)
 }
 
 // addStandbyCopy stores a standby copy of a run under the run's id as its handle.
