Slow callers are no silence, and a run that has ended delivers its tail

What callers would see: a stream that is moved, or broken off before its last events, as its caller was slow to read one.

Cause: the time of the last event was that before it was written to the caller, so a write of over 0.11 s was taken for the server's silence; since a silent stream's run is stopped, a run that had ended by itself meanwhile ("not there") had 40 ms for its last events.

Evidence: TestSlowCallerIsNoSilence and TestRunThatHasEndedDeliversItsTail failed before.

Change: no silence while an event is being written; a run that may have ended by itself has 0.4 s for its tail.

--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -284,6 +284,9 @@
 	body    strings.Builder
 	done    bool
 	aborted bool
+	// delay is how long the caller takes to read the event that begins with delayed.
+	delay   time.Duration
+	delayed string
 }
 
 func (c *caller) Refuse(f Refusal) { c.refusal = &f }
@@ -294,6 +297,9 @@
 }
 
 func (c *caller) Write(p []byte) error {
+	if c.delay > 0 && strings.HasPrefix(string(p), c.delayed) {
+		time.Sleep(c.delay)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.body.Write(p)
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -21,8 +21,10 @@
 	// stopConnectTimeout bounds one attempt to reach it, stopRetryInterval is the wait before the next.
 	stopConnectTimeout = 300 * time.Millisecond
 	stopRetryInterval  = 50 * time.Millisecond
-	// streamTailTime is how long the last events of a run are awaited after it has stopped.
+	// streamTailTime is how long the last events of a run are awaited after it has been stopped, endedTailTime
+	// those of one that may have ended by itself.
 	streamTailTime = 40 * time.Millisecond
+	endedTailTime  = 400 * time.Millisecond
 )
 
 // unstoppedServers are the servers that may still work on a request although their responses are not read any
@@ -188,9 +190,13 @@
 	if handle != "" {
 		s.run.replaceStandby(KVCopy{Source: from.Address, Handle: handle})
 	}
-	if result != handover.Ended {
+	switch result {
+	case handover.Stopped:
 		s.run.stopAt(from)
 		wait.For(watching, streamTailTime)
+	case handover.NotThere:
+		s.run.stopAt(from)
+		wait.For(watching, endedTailTime)
 	}
 	s.Observer.Migrated("hedged")
 	s.run.cancelResponse()
--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -30,9 +30,10 @@
 // sending. It belongs to one response of a server.
 //
 // An engine that hangs or is behind a network partition sends no reset. The connection's
-// keepalive probes detect that after 4 s, while events come every 30 to 60 ms. The old response
-// is canceled only once the standby server responds, so a false alarm costs neither the stream
-// nor an event: events that both servers send are forwarded once.
+// keepalive probes detect that after 4 s, while events come every 30 to 60 ms. A server that answers
+// is told to stop the run, which then resumes from a copy. The response of one that doesn't answer is
+// canceled only once the standby server responds, so that a missing copy does not cost the stream:
+// events that both servers send are forwarded once.
 type hedge struct {
 	session *session
 	// stopWatching ends the wait for silence, abort also the attempt at the standby server.
@@ -92,9 +93,9 @@
 			return false
 		case <-t.C:
 		}
-		lastEventAt, longestPause, started := run.eventTimes()
-		if !started {
-			// The engine is still reading the prompt.
+		lastEventAt, longestPause, isWaiting := run.eventTimes()
+		if !isWaiting {
+			// The engine is still reading the prompt, or the caller is slow to read an event.
 			t.Reset(minSilence)
 			continue
 		}
@@ -170,12 +171,19 @@
 	return c
 }
 
-// eventTimes returns the time of the last event and the longest pause so far; started is false
-// before the first event.
-func (u *run) eventTimes() (lastEventAt, longestPause time.Duration, started bool) {
+// eventTimes returns the time of the last event and the longest pause so far. isWaiting is false
+// before the first event, and while an event is being written to the caller.
+func (u *run) eventTimes() (lastEventAt, longestPause time.Duration, isWaiting bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.lastEventAt, u.longestPause, u.eventCount > 0
+	return u.lastEventAt, u.longestPause, u.eventCount > 0 && !u.isWriting
+}
+
+// beginWrite records that an event is being written to the caller; recordEvent ends that.
+func (u *run) beginWrite() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.isWriting = true
 }
 
 // ignoreSilenceBefore makes the silence of the stream count from the given time or later.
--- a/internal/relay/hedge_test.go
+++ b/internal/relay/hedge_test.go
@@ -17,7 +17,9 @@
 func serveHedged(t *testing.T, f *fixture, refuse bool, writeEvents func(body *fakeBody)) *caller {
 	f.addServer("a", modelService)
 	f.addServer("b", modelService)
-	f.upstream.stopRun = unreachable
+	if f.upstream.stopRun == nil {
+		f.upstream.stopRun = unreachable
+	}
 	t.Cleanup(func() { time.Sleep(stopTimeout) })
 	f.upstream.send = func(ctx context.Context, a *Attempt) (*Response, error) {
 		body := newFakeBody()
@@ -136,3 +138,42 @@
 		f.serve(request("/plan/x")).requireWhole(t, events(1, 10))
 	})
 }
+
+// Guards against a caller that is slow to read an event being taken for a silent server.
+func TestSlowCallerIsNoSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, Config{})
+		f.addServer("a", modelService)
+		f.addServer("b", modelService)
+		f.upstream.stopRun = func(context.Context, backends.Server, string, string, func()) (string, error) {
+			t.Error("the run is stopped")
+			return "", ErrNoRun
+		}
+		f.upstream.send = func(context.Context, *Attempt) (*Response, error) {
+			body := newFakeBody()
+			go func() {
+				writePaced(body, 1, 10, 40*time.Millisecond)
+				body.writer.Close()
+			}()
+			return body.response(), nil
+		}
+		c := &caller{delay: time.Second, delayed: "id: 3\n"}
+		f.relay.Serve(t.Context(), request("/plan/x"), c)
+		c.requireWhole(t, events(1, 10))
+	})
+}
+
+// Guards against the end of a run being lost that ended by itself as it was told to stop.
+func TestRunThatHasEndedDeliversItsTail(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, Config{})
+		f.upstream.stopRun = func(context.Context, backends.Server, string, string, func()) (string, error) { return "", ErrNoRun }
+		c := serveHedged(t, f, true, func(body *fakeBody) {
+			writePaced(body, 1, 4, 40*time.Millisecond)
+			time.Sleep(250 * time.Millisecond)
+			body.write(events(5, 10))
+			body.writer.Close()
+		})
+		c.requireWhole(t, events(1, 10))
+	})
+}
--- a/internal/relay/migration.go
+++ b/internal/relay/migration.go
@@ -45,9 +45,11 @@
 
 	mu     sync.Mutex
 	server backends.Server
-	// eventCount is the number of events forwarded, lastEventAt the time of the last.
+	// eventCount is the number of events forwarded, lastEventAt the time of the last. isWriting is set while
+	// one is being written to the caller.
 	eventCount  int
 	lastEventAt time.Duration
+	isWriting   bool
 	// answeringFrom is the time of the first event of the present server, 0 before it.
 	answeringFrom time.Duration
 	// lastEventID is the id of the last event, longestPause the longest time between two events.
@@ -83,7 +85,7 @@
 
 func (u *run) recordEvent(p progress, id string, now time.Duration) {
 	u.mu.Lock()
-	u.eventCount, u.longestPause, u.lastEventID, u.lastEventAt = p.events, p.longestPause, id, now
+	u.eventCount, u.longestPause, u.lastEventID, u.lastEventAt, u.isWriting = p.events, p.longestPause, id, now, false
 	if u.answeringFrom == 0 {
 		u.answeringFrom = now
 	}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -155,10 +155,11 @@
 		s.job.progress.events++
 		s.job.sentEvents.Add(1)
 		s.eventSizes.observe(len(event) + eventOverhead)
+		s.run.beginWrite()
 		if s.out.Write(event) != nil {
 			return errCallerGone
 		}
-		s.run.recordEvent(s.job.progress, s.seq.lastEventID(), s.lastEventAt)
+		s.run.recordEvent(s.job.progress, s.seq.lastEventID(), s.Now())
 		if isFirst {
 			s.considerFirstMove(placed)
 		}
