--- a/internal/gatewaymetrics/metrics.go
+++ b/internal/gatewaymetrics/metrics.go
@@ -108,13 +108,7 @@
 	r.resumptions = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "kingcup_gateway_streams_resumed_total", Help: "Streams that were resumed at another server after their first event, or by their callers, by the software version: the one that began the stream, another one, or unknown.",
 	}, []string{"result"})
-	r.runStops = prometheus.NewHistogramVec(prometheus.HistogramOpts{
-		Name: "kingcup_gateway_run_stop_seconds", Help: "Time that a server was awaited which was told to stop a run before it goes on elsewhere, by result.",
-		Buckets: []float64{.002, .005, .01, .02, .05, .1, .2, .4},
-	}, []string{"result"})
-	r.responsesDropped = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "kingcup_gateway_responses_dropped_total", Help: "Responses of backend servers that were not the awaited ones by service and what they named: another request, or no request.",
-	}, []string{"service", "names"})
+	r.addUpstreamMetrics()
 	r.standbyCopies = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "kingcup_gateway_standby_copies_total", Help: "Standby copies of runs by event: made, refreshed, refused for lack of room, failed, dropped, lost with their server, used, missing when needed.",
 	}, []string{"event"})
@@ -155,11 +149,23 @@
 	}, []string{"service", "kind"})
 	r.registry.MustRegister(r.queueDecisions, r.queueWait, r.queueEstimate)
 	r.limits = newLimitMetrics(r.registry)
-	r.registry.MustRegister(r.retries, r.resumptions, r.prompts, r.runs, r.storeCallReasons, r.peerBytes, r.storeRestores, r.standbyCopies, r.responsesDropped, r.runStops)
+	r.registry.MustRegister(r.retries, r.resumptions, r.prompts, r.runs, r.storeCallReasons, r.peerBytes, r.storeRestores, r.standbyCopies)
 	r.registry.MustRegister(r.requests, r.firstByte, r.eventPause, r.failedAttempts, r.migrations, r.crashes, r.unreadableEntries, r.storeCalls, r.storeBytes, r.storeTransfer)
 	return r
 }
 
+// addUpstreamMetrics adds the metrics on answers of servers and on runs that change servers.
+func (r *Recorder) addUpstreamMetrics() {
+	r.runStops = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "kingcup_gateway_run_stop_seconds", Help: "Time that a server was awaited which was told to stop a run before it goes on elsewhere, by result.",
+		Buckets: []float64{.002, .005, .01, .02, .05, .1, .2, .4},
+	}, []string{"result"})
+	r.responsesDropped = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "kingcup_gateway_responses_dropped_total", Help: "Responses of backend servers that were not the awaited ones by service and what they named: another request, or no request.",
+	}, []string{"service", "names"})
+	r.registry.MustRegister(r.responsesDropped, r.runStops)
+}
+
 // Registry returns the registry of all metrics of the gateway.
 func (r *Recorder) Registry() *prometheus.Registry { return r.registry }
 
