A stream that is silent clears no prompt part

Cause: a part counts as harmless once a server has been answering a request with it for a second. A stream counted from its first event on, also when no further one came: its server had crashed, and its gateway (paused, in the log) had not ended it yet.

TestSilentStreamClearsNoPart failed before.

Change: the server's events have to span the second.

--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -251,7 +251,7 @@
 	parts := make(map[quarantine.ID]bool)
 	for _, runs := range r.runs {
 		for u := range runs {
-			if len(u.job.PromptParts) == 0 || crashed != nil && u.isAt(*crashed) || !u.isAnsweringSince(r.Now()-minAnsweringTime) {
+			if len(u.job.PromptParts) == 0 || crashed != nil && u.isAt(*crashed) || !u.hasAnsweredFor(minAnsweringTime) {
 				continue
 			}
 			for _, id := range u.job.promptParts() {
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -435,3 +435,32 @@
 		})
 	}
 }
+
+// Guards against a prompt part being cleared by a stream that is silent since its server crashed.
+func TestSilentStreamClearsNoPart(t *testing.T) {
+	for name, c := range map[string]struct{ events, want int }{"silent": {1, 0}, "answering": {40, 1}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t, Config{})
+				f.noStandby = true
+				f.apply(2)
+				f.addServer("e1", modelService)
+				f.upstream.send = func(context.Context, *Attempt) (*Response, error) {
+					body := newFakeBody()
+					go func() {
+						writePaced(body, 1, c.events, 40*time.Millisecond)
+						time.Sleep(time.Second)
+						body.breakOff()
+					}()
+					return body.response(), nil
+				}
+				r := request("/plan/x")
+				r.PromptParts = []uint64{7}
+				go f.serve(r)
+				time.Sleep(time.Duration(c.events)*40*time.Millisecond + minAnsweringTime - 10*time.Millisecond)
+				require.Len(t, f.relay.answeringParts(nil), c.want)
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
--- a/internal/relay/migration.go
+++ b/internal/relay/migration.go
@@ -92,11 +92,12 @@
 	u.mu.Unlock()
 }
 
-// isAnsweringSince reports whether the run's present server sent its first event before a time.
-func (u *run) isAnsweringSince(at time.Duration) bool {
+// hasAnsweredFor reports whether the run's present server has sent events for a time. A server that is silent
+// may have crashed since.
+func (u *run) hasAnsweredFor(d time.Duration) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return !u.done && u.answeringFrom > 0 && u.answeringFrom <= at
+	return !u.done && u.answeringFrom > 0 && u.lastEventAt-u.answeringFrom >= d
 }
 
 // setResponse sets the response that is read from now on.
