A run that was stopped for a full server goes on at its own

What callers would see: a silent stream that is lost although its server has its memory: it was stopped for the server of its standby copy, which has no room, and whose copy is missing.

Cause: the handle that a server names beside "no capacity" was dropped.

Evidence: TestRunStoppedForAFullServerGoesOnAtItsOwn failed before.

Change: the run gets a copy at its own server, tried first.

--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -62,11 +62,11 @@
 		return
 	}
 	for _, from := range j.unstopped.takeOthers(to) {
-		result, handle := r.stopRun(ctx, j, from, to)
-		if handle == "" || result != handover.Stopped {
+		result, call := r.stopRun(ctx, j, from, to)
+		if result != handover.Stopped || call.handle == "" {
 			continue
 		}
-		stopped := KVCopy{Source: from.Address, Handle: handle}
+		stopped := KVCopy{Source: from.Address, Handle: call.handle}
 		if a.ResumeFrom != nil {
 			a.ResumeFrom = &stopped
 		} else {
@@ -87,14 +87,17 @@
 	// done is closed at its end, after result and handle were set.
 	done   chan struct{}
 	result handover.Result
-	handle string
+	// handle is that of a copy at the other server, sourceHandle that of the memory that the run's own server
+	// keeps if the other one has no room.
+	handle, sourceHandle string
 }
 
-// stopRun stops the request's run at a server, and returns once it may be continued at the server to. The handle is
-// that of a copy there, empty if there is none. If ctx ends first, the result is handover.Pending.
-func (r *Relay) stopRun(ctx context.Context, j *job, from, to backends.Server) (result handover.Result, handle string) {
+// stopRun stops the request's run at a server, and returns once it may be continued at the server to. The call is
+// complete if the result is one that IsKnown. If ctx ends first, the result is handover.Pending.
+func (r *Relay) stopRun(ctx context.Context, j *job, from, to backends.Server) (result handover.Result, call *stopCall) {
 	begin := r.Now()
-	call, stop := r.beginStop(j, from, to), handover.Begin(begin)
+	stop := handover.Begin(begin)
+	call = r.beginStop(j, from, to)
 	sent := call.sent
 	defer func() {
 		r.Observer.RunStopped(string(result), r.Now()-begin)
@@ -108,10 +111,7 @@
 		}
 		result, remaining := stop.Decide(r.Now())
 		if result != handover.Pending {
-			if result == handover.Stopped {
-				handle = call.handle
-			}
-			return result, handle
+			return result, call
 		}
 		t := time.NewTimer(remaining)
 		select {
@@ -122,7 +122,7 @@
 		case <-t.C:
 		case <-ctx.Done():
 			t.Stop()
-			return handover.Pending, ""
+			return handover.Pending, call
 		}
 		t.Stop()
 	}
@@ -138,8 +138,11 @@
 		defer cancel()
 		for {
 			handle, err := r.tryStop(ctx, j.ID, from, to, markSent)
-			if c.result = r.stopResult(from, err); c.result == handover.Stopped && err == nil {
+			c.result = r.stopResult(from, err)
+			if err == nil {
 				c.handle = handle
+			} else if c.result == handover.Stopped {
+				c.sourceHandle = handle
 			}
 			if c.result != handover.Pending || !wait.For(ctx, stopRetryInterval) {
 				return
@@ -182,13 +185,16 @@
 	s := h.session
 	from := s.run.currentServer()
 	s.run.requestStop()
-	result, handle := s.stopRun(watching, s.job, from, to)
+	result, call := s.stopRun(watching, s.job, from, to)
 	if !result.IsKnown() {
 		return false
 	}
 	s.run.setStopKnown(from)
-	if handle != "" {
-		s.run.replaceStandby(KVCopy{Source: from.Address, Handle: handle})
+	if call.handle != "" {
+		s.run.replaceStandby(KVCopy{Source: from.Address, Handle: call.handle})
+	}
+	if call.sourceHandle != "" {
+		s.addSourceCopy(from, call.sourceHandle)
 	}
 	switch result {
 	case handover.Stopped:
@@ -203,6 +209,18 @@
 	return true
 }
 
+// addSourceCopy lets the run resume at its own server, which keeps its memory.
+func (s *session) addSourceCopy(from backends.Server, handle string) {
+	reservation := s.Registry.ReserveAt(from, s.run.expectedMemory())
+	if reservation == nil {
+		return
+	}
+	c := reservedCopy{KVCopy: KVCopy{Source: from.Address, Handle: handle}, reservation: reservation}
+	if !s.run.addCopy(c) {
+		go s.dropCopy(c)
+	}
+}
+
 // requestStop records that the run's server is told to stop it.
 func (u *run) requestStop() {
 	u.mu.Lock()
--- a/internal/relay/hedge_test.go
+++ b/internal/relay/hedge_test.go
@@ -177,3 +177,36 @@
 		c.requireWhole(t, events(1, 10))
 	})
 }
+
+// Guards against a silent run being lost that was stopped for a server without room: its own server keeps its memory.
+func TestRunStoppedForAFullServerGoesOnAtItsOwn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, Config{})
+		f.addServer("a", modelService)
+		f.addServer("b", modelService)
+		first, began := newFakeBody(), ""
+		f.upstream.stopRun = func(context.Context, backends.Server, string, string, func()) (string, error) {
+			first.breakOff()
+			return "h", ErrNoCapacity
+		}
+		f.upstream.send = func(_ context.Context, a *Attempt) (*Response, error) {
+			switch {
+			case a.ResumeFrom == nil:
+				began = a.Server.ID
+				go writePaced(first, 1, 4, 40*time.Millisecond)
+				return first.response(), nil
+			case a.Server.ID != began:
+				return nil, &NotRunError{Reason: NotRunFull, Detail: "no such copy"}
+			}
+			require.Equal(t, &KVCopy{Source: a.Server.Address, Handle: "h"}, a.ResumeFrom)
+			next := newFakeBody()
+			go func() {
+				next.write(events(5, 10))
+				next.writer.Close()
+			}()
+			return next.response(), nil
+		}
+		f.serve(request("/plan/x")).requireWhole(t, events(1, 10))
+		require.Empty(t, f.registry.Loads())
+	})
+}
