Lost log lines show, and requests that are not served have a line

No line of the record names the request. A lost line could not be told from a way without one: lines beyond 1,000 a second, or behind a slow reader, were counted in one gauge only, and requests that were answered 400, 408 or 413 before the relay got them wrote none. Lines are numbered within their process; a line says how many were lost, by cause, and a counter does; lines marked as kept are outside the limit and have a part of the queue.

--- a/cmd/kingcup-gateway/main.go
+++ b/cmd/kingcup-gateway/main.go
@@ -40,7 +40,7 @@
 	}
 	out := logging.NewWriter(os.Stdout)
 	log := logging.New(out, level).WithField("vm", platform.VM)
-	opts := gateway.Options{FeedTimeout: *feedTimeout, MinDirectoryInterval: *directoryInterval, MaxPeerLinks: *maxLinks, ShutdownDelay: *shutdownDelay, MetricsPort: *metricsPort, DroppedLogLines: out.Dropped}
+	opts := gateway.Options{FeedTimeout: *feedTimeout, MinDirectoryInterval: *directoryInterval, MaxPeerLinks: *maxLinks, ShutdownDelay: *shutdownDelay, MetricsPort: *metricsPort, LostLogLines: out.Lost}
 	g, err := gateway.Start(opts, platform, log)
 	if err != nil {
 		out.Close()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"kingcupplank.example/kingcup/internal/clock"
 	"kingcupplank.example/kingcup/internal/follow"
 	"kingcupplank.example/kingcup/internal/gatewaymetrics"
+	"kingcupplank.example/kingcup/internal/logging"
 	"kingcupplank.example/kingcup/internal/netmeter"
 	"kingcupplank.example/kingcup/internal/peers"
 	"kingcupplank.example/kingcup/internal/relay"
@@ -50,8 +51,8 @@
 	ShutdownDelay time.Duration
 	// MetricsPort is the port of the metrics and reports; 0 disables them.
 	MetricsPort int
-	// DroppedLogLines counts the log lines that were dropped.
-	DroppedLogLines func() uint64
+	// LostLogLines returns the number of log lines that were lost for a cause, nil for none.
+	LostLogLines func(logging.LossCause) uint64
 	// WrapConn, if not nil, wraps each connection. It simulates a slow link in tests.
 	WrapConn func(net.Conn, netmeter.Counterpart) net.Conn
 }
@@ -60,7 +61,6 @@
 func DefaultOptions() Options {
 	return Options{
 		FeedTimeout: time.Second, MinDirectoryInterval: 100 * time.Millisecond, MaxPeerLinks: peers.DefaultLinks, ShutdownDelay: 3 * time.Second, MetricsPort: 9464,
-		DroppedLogLines: func() uint64 { return 0 },
 	}
 }
 
@@ -219,7 +219,11 @@
 		}
 		return g.meter.Listener(l, netmeter.Callers), nil
 	}
-	callers, err := ingress.New(listen, g.relay, maxCallerConnections(platform.MaxFiles))
+	onInvalid := func(id, path string, reason relay.Reason) {
+		g.log.WithFields(logrus.Fields{"request": id, "path": path, "reason": reason}).Info("refused")
+		rec.Finished("", "", 0, string(reason))
+	}
+	callers, err := ingress.New(listen, g.relay, maxCallerConnections(platform.MaxFiles), onInvalid)
 	if err != nil {
 		return err
 	}
@@ -259,7 +263,9 @@
 	g.registerLinkGauges(rec)
 	rec.RegisterLinkBytes(g.meter)
 	rec.RegisterGauge("kingcup_gateway_servers_resting", "Servers that have asked this gateway for rest.", func() float64 { return float64(g.registry.CountBackingOff(clock.SinceBoot())) })
-	rec.RegisterGauge("kingcup_gateway_log_lines_dropped", "Log lines that were not written.", func() float64 { return float64(g.opts.DroppedLogLines()) })
+	if g.opts.LostLogLines != nil {
+		rec.RegisterLostLogLines(g.opts.LostLogLines)
+	}
 	if err := g.serveMetrics(platform, rec); err != nil {
 		callers.Close()
 		ready.Close()
--- a/internal/gatewaymetrics/metrics.go
+++ b/internal/gatewaymetrics/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"kingcupplank.example/kingcup/burn"
+	"kingcupplank.example/kingcup/internal/logging"
 	"kingcupplank.example/kingcup/internal/netmeter"
 	"kingcupplank.example/kingcup/internal/relay"
 	"kingcupplank.example/kingcup/retry"
@@ -188,6 +189,16 @@
 	}
 }
 
+// RegisterLostLogLines registers the number of log lines that were lost, by cause.
+func (r *Recorder) RegisterLostLogLines(lost func(logging.LossCause) uint64) {
+	for cause, name := range logging.LossCauses {
+		r.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "kingcup_gateway_log_lines_lost_total", Help: "Log lines that were not written by cause: more than the limit in a second (rate), a slow reader of the output (queue), the end of the process (close).",
+			ConstLabels: prometheus.Labels{"cause": name},
+		}, func() float64 { return float64(lost(logging.LossCause(cause))) }))
+	}
+}
+
 // Finished implements relay.Observer.
 func (r *Recorder) Finished(team, service string, kind routing.Kind, outcome string) {
 	r.requests.WithLabelValues(service, kind.String(), outcome).Inc()
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -1,9 +1,13 @@
 // Package logging writes structured log lines and never blocks a request on output. Lines go
-// through a bounded queue; if the queue is full, they are dropped and counted.
+// through a bounded queue; if the queue is full, they are lost and counted. Each line has a number, so that a
+// lost one can be told from one that was never written.
 package logging
 
 import (
+	"bytes"
+	"fmt"
 	"io"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,19 +17,46 @@
 
 const (
 	// maxQueuedLines bounds the queue. A line has about 400 bytes, so the queue holds at
-	// most about 400 KB.
+	// most about 400 KB. Kept lines may use reservedLines more.
 	maxQueuedLines = 1024
+	reservedLines  = 256
 	// maxLinesPerSecond allows ten lines per request at a hundred requests per second on
 	// a VM. Beyond that, logging would cost more than the requests.
 	maxLinesPerSecond = 1000
+	// lossReportInterval is the least time between two lines that report lost lines.
+	lossReportInterval = time.Second
 )
 
+// KeptField marks a line that is lost only after all others: the limit on lines per second does not apply to it,
+// and a part of the queue is reserved for such lines.
+const KeptField = "kept"
+
+// keptMark is KeptField with the value true in a formatted line.
+var keptMark = []byte(`"` + KeptField + `":true`)
+
+// LossCause is why a line was lost.
+type LossCause int
+
+// The causes.
+const (
+	// LostToRate: there were more lines in the second than the limit.
+	LostToRate LossCause = iota
+	// LostToQueue: the reader of the output was too slow.
+	LostToQueue
+	// LostToClose: the Writer was closed.
+	LostToClose
+	lossCauseCount
+)
+
+// LossCauses are the names of all causes.
+var LossCauses = [lossCauseCount]string{LostToRate: "rate", LostToQueue: "queue", LostToClose: "close"}
+
 // Writer is a bounded queue of lines in front of a slow writer. It also limits the lines per
 // second. It is safe for concurrent use.
 type Writer struct {
-	lines   chan []byte
-	done    chan struct{}
-	dropped atomic.Uint64
+	lines chan []byte
+	done  chan struct{}
+	lost  [lossCauseCount]atomic.Uint64
 
 	mu              sync.Mutex
 	closed          bool
@@ -34,30 +65,56 @@
 }
 
 // NewWriter returns a Writer and starts a goroutine that writes the queued lines to w until
-// Close.
+// Close. After lines were lost, it writes a line that says how many.
 func NewWriter(w io.Writer) *Writer {
-	q := &Writer{lines: make(chan []byte, maxQueuedLines), done: make(chan struct{})}
+	q := &Writer{lines: make(chan []byte, maxQueuedLines+reservedLines), done: make(chan struct{})}
 	go func() {
 		defer close(q.done)
+		var reported lossCounts
+		var reportedAt time.Time
 		for line := range q.lines {
 			w.Write(line)
+			if time.Since(reportedAt) >= lossReportInterval && q.reportLoss(w, &reported) {
+				reportedAt = time.Now()
+			}
 		}
+		q.reportLoss(w, &reported)
 	}()
 	return q
 }
 
+// lossCounts are numbers of lost lines by cause.
+type lossCounts [lossCauseCount]uint64
+
+// reportLoss writes a line if lines were lost since the last report, and returns whether it did.
+func (q *Writer) reportLoss(w io.Writer, reported *lossCounts) bool {
+	var counts lossCounts
+	for cause := range counts {
+		counts[cause] = q.lost[cause].Load()
+	}
+	if counts == *reported {
+		return false
+	}
+	fmt.Fprintf(w, `{"level":"warning","lost_by_queue":%d,"lost_by_rate":%d,"msg":"log lines were lost","time":%q}`+"\n",
+		counts[LostToQueue]-reported[LostToQueue], counts[LostToRate]-reported[LostToRate], time.Now().Format(timestampFormat))
+	*reported = counts
+	return true
+}
+
 // Write implements io.Writer. It never blocks and never returns an error.
 func (q *Writer) Write(line []byte) (int, error) {
+	isKept := bytes.Contains(line, keptMark)
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.closed || !q.countLine() {
-		q.dropped.Add(1)
-		return len(line), nil
-	}
-	select {
-	case q.lines <- append([]byte(nil), line...):
+	switch {
+	case q.closed:
+		q.lost[LostToClose].Add(1)
+	case !isKept && !q.countLine():
+		q.lost[LostToRate].Add(1)
+	case len(q.lines) >= maxQueuedLines && !isKept || len(q.lines) == cap(q.lines):
+		q.lost[LostToQueue].Add(1)
 	default:
-		q.dropped.Add(1)
+		q.lines <- append([]byte(nil), line...)
 	}
 	return len(line), nil
 }
@@ -72,10 +129,10 @@
 	return q.linesThisSecond <= maxLinesPerSecond
 }
 
-// Dropped returns the number of lines that were dropped.
-func (q *Writer) Dropped() uint64 { return q.dropped.Load() }
+// Lost returns the number of lines that were lost for a cause.
+func (q *Writer) Lost(cause LossCause) uint64 { return q.lost[cause].Load() }
 
-// Close writes the queued lines and ends the goroutine. Later lines are dropped.
+// Close writes the queued lines and ends the goroutine. Later lines are lost.
 func (q *Writer) Close() {
 	q.mu.Lock()
 	if !q.closed {
@@ -91,6 +148,27 @@
 	log := logrus.New()
 	log.SetOutput(w)
 	log.SetLevel(level)
-	log.SetFormatter(jsonFormatter{timestampFormat})
+	log.SetFormatter(&numberingFormatter{Formatter: jsonFormatter{timestampFormat}})
 	return log
 }
+
+// numberField is the number of a line within its process, from 1. A gap shows that lines were lost.
+const numberField = "line"
+
+// numberingFormatter numbers the lines of another formatter. logrus calls it with its lock held.
+type numberingFormatter struct {
+	logrus.Formatter
+	count uint64
+}
+
+// Format implements logrus.Formatter.
+func (f *numberingFormatter) Format(e *logrus.Entry) ([]byte, error) {
+	line, err := f.Formatter.Format(e)
+	if err != nil {
+		return line, err
+	}
+	f.count++
+	end := len(line) - len("}\n")
+	line = strconv.AppendUint(append(line[:end], `,"`+numberField+`":`...), f.count, 10)
+	return append(line, "}\n"...), nil
+}
--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -1,6 +1,8 @@
 package logging
 
 import (
+	"bytes"
+	"encoding/json"
 	"errors"
 	"io"
 	"math"
@@ -52,6 +54,55 @@
 	require.Error(t, err)
 }
 
+// Guards against lost lines that can't be told from lines that were never written.
+func TestLostLinesShow(t *testing.T) {
+	var out bytes.Buffer
+	reader := make(chan struct{})
+	q := NewWriter(writerFunc(func(line []byte) (int, error) {
+		<-reader
+		return out.Write(line)
+	}))
+	log := New(q, logrus.InfoLevel)
+	for range maxQueuedLines + 100 {
+		log.Info("usual")
+	}
+	for range reservedLines / 2 {
+		log.WithField(KeptField, true).Info("kept")
+	}
+	close(reader)
+	q.Close()
+	lost, kept, last := q.Lost(LostToRate)+q.Lost(LostToQueue), 0, 0
+	require.Positive(t, lost)
+	gaps, reports := 0, 0
+	for line := range bytes.Lines(out.Bytes()) {
+		var l struct {
+			Line  int    `json:"line"`
+			Msg   string `json:"msg"`
+			Kept  bool   `json:"kept"`
+			Queue int    `json:"lost_by_queue"`
+			Rate  int    `json:"lost_by_rate"`
+		}
+		require.NoError(t, json.Unmarshal(line, &l))
+		if l.Line == 0 {
+			reports += l.Queue + l.Rate
+			continue
+		}
+		gaps += l.Line - last - 1
+		last = l.Line
+		if l.Kept {
+			kept++
+		}
+	}
+	require.EqualValues(t, lost, gaps)
+	require.EqualValues(t, lost, reports)
+	require.Equal(t, reservedLines/2, kept)
+}
+
+// writerFunc is an io.Writer.
+type writerFunc func(p []byte) (int, error)
+
+func (f writerFunc) Write(p []byte) (int, error) { return f(p) }
+
 // Measures a log line like the two that a gateway writes for a plain request.
 func BenchmarkLogLine(b *testing.B) {
 	log := New(io.Discard, logrus.InfoLevel).WithField("vm", "vm-1").WithFields(logrus.Fields{"request": "attempt-1234", "route": "safe", "service": "desk", "team": "team-1", "config": uint64(12), "config_age_ms": int64(33)})
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -220,6 +220,8 @@
 	ReasonStopping        Reason = "this VM is stopping"
 	ReasonLinkBusy        Reason = "the link of this VM is full"
 	ReasonMalformed       Reason = "malformed request"
+	ReasonSlowBody        Reason = "body came too slowly"
+	ReasonLongBody        Reason = "body is too long"
 	ReasonQuarantined     Reason = "servers end under it"
 )
 
