--- a/internal/soak/promise_test.go
+++ b/internal/soak/promise_test.go
@@ -205,7 +205,7 @@
 			e.run(a, 160)
 		}, call: func(e *engineConn, _ string) { e.head(status, "") }}
 	}, 6, true},
-	{"status of the server's own", func(status int) scriptedEngine {
+	{"servers own status", func(status int) scriptedEngine {
 		return scriptedEngine{answer: func(e *engineConn, a *arrival) {
 			a.isRun, a.status = true, status
 			e.head(status, named(a)+"X-Kingcupplank-Response-Seal: s\r\n")
