A promise that a request has not run is given by the record of its sends alone

Callers got 503 for a stream that an engine had (REFUSED). The promise rested on a counter that several paths raised and one lowered, by the absence of a sign that a server has the request, and the writer of responses wrote any status. Package dispatch records each send before its first byte as one that may have run, until its own marked answer, or that nothing was written, proves the opposite. The writer of responses asks the record: 503, 429, 408 and 421 leave only if each send is proven, and no send can begin after them; a server's own status of these is never written. A signed 421 is no rejection: a seal is on responses to requests that have run. The counter is gone. The last line of a request names its sends; that of a promise after a send is kept before others.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"kingcupplank.example/kingcup/backends"
+	"kingcupplank.example/kingcup/dispatch"
 	"kingcupplank.example/kingcup/retry"
 )
 
@@ -17,6 +18,8 @@
 	*Attempt
 	relay       *Relay
 	reservation *backends.Reservation
+	// ticket is the attempt in the request's record.
+	ticket dispatch.Ticket
 	// number counts the request's attempts, from 1, here those at its server.
 	number, here int
 	ctx          context.Context
@@ -63,6 +66,11 @@
 		r.undoArrival(j)
 		return nil, &NotRunError{Reason: NotRunIneligible, Detail: "rate limit of " + reservation.Server.ID}
 	}
+	ticket, ok := j.Sends.Begin(reservation.Server.ID, a.ResumeFrom != nil)
+	if !ok {
+		r.undoArrival(j)
+		return nil, &NotRunError{Reason: NotRunPromised, Detail: reservation.Server.ID}
+	}
 	a.Request, a.Server, a.Team = j.Request, reservation.Server, j.team
 	a.SentAt, a.Timeout = r.Now(), j.timeLeft()
 	a.Priority = -1
@@ -71,7 +79,7 @@
 	}
 	j.attempts++
 	j.responseBegun.Store(false)
-	t := &attempt{Attempt: a, relay: r, reservation: reservation, number: j.attempts, here: j.countAttemptAt(reservation.Server.ID)}
+	t := &attempt{Attempt: a, relay: r, reservation: reservation, ticket: ticket, number: j.attempts, here: j.countAttemptAt(reservation.Server.ID)}
 	t.stopStartTimer = r.watchResponseStart(j, reservation, a)
 	t.ctx, t.cancel = context.WithCancel(ctx)
 	return t, nil
@@ -123,10 +131,22 @@
 // send sends the attempt and waits for the head of the response.
 func (t *attempt) send() attemptResult {
 	response, err := t.relay.Upstream.Send(t.ctx, t.Attempt)
+	t.settle(err)
 	t.stopStartTimer()
 	return attemptResult{t, response, err, t.relay.Now()}
 }
 
+// settle records the result of the attempt in the request's record.
+func (t *attempt) settle(err error) {
+	var notRun *NotRunError
+	switch {
+	case err == nil:
+		t.ticket.Settle(dispatch.Begun)
+	case errors.As(err, &notRun):
+		t.ticket.Settle(notRun.Reason.outcome())
+	}
+}
+
 // wasNotSent reports whether an attempt with an error has certainly not reached a server. Such attempts take
 // nothing from the retry budget, which protects servers that are up: callers must not be refused because
 // of servers that are down.
@@ -135,7 +155,7 @@
 	if !errors.As(err, &notRun) {
 		return false
 	}
-	return notRun.Reason == NotRunIneligible || notRun.Reason == NotRunUnreachable || notRun.Reason == NotRunDown || notRun.Reason == NotRunCallerGone
+	return notRun.Reason.outcome() == dispatch.NotSent
 }
 
 // hasCallerLeft reports whether the caller has closed its connection, and ends the request if so. A request that
@@ -170,7 +190,6 @@
 		entry.WithField("result", result.err.Error()).Info("sent")
 		return nil, result.err
 	}
-	j.maybeRun++
 	j.responseBegun.Store(true)
 	if result.response.EndsWithConnection {
 		result.response.Body = &unframedBody{ReadCloser: result.response.Body, relay: r, server: reservation.Server}
--- a/internal/relay/crash.go
+++ b/internal/relay/crash.go
@@ -345,7 +345,7 @@
 // quarantineRefusal returns the refusal of a quarantined request. If it has not run, its caller
 // may retry after the verdict's time, not earlier.
 func (j *job) quarantineRefusal(v quarantine.Verdict) *Refusal {
-	f := &Refusal{Reason: ReasonQuarantined, MayHaveRun: j.maybeRun > 0, Content: v.ID.String()}
+	f := &Refusal{Reason: ReasonQuarantined, MayHaveRun: j.Sends.MayHaveRun(), Content: v.ID.String()}
 	if !f.MayHaveRun {
 		f.RetryAfter = v.RetryAfter
 	}
--- a/internal/relay/enginequeue.go
+++ b/internal/relay/enginequeue.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -337,7 +336,9 @@
 // resetExcluded allows servers that refused to be asked again, as they may have capacity by now.
 // If a server may have run the request, all excluded servers stay excluded.
 func (j *job) resetExcluded() {
-	j.excluded = slices.DeleteFunc(j.excluded, func(string) bool { return j.maybeRun == 0 })
+	if !j.Sends.MayHaveRun() {
+		j.excluded = nil
+	}
 }
 
 func waitForWakeup(ctx context.Context, wakeup <-chan struct{}) bool {
--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -207,10 +207,8 @@
 	u.cancel()
 }
 
-// switchTo replaces a response by one that resumed the run from a copy. Both are the same run, so the
-// old server no longer counts as one that may have run the request.
+// switchTo replaces a response by one that resumed the run from a copy.
 func (s *session) switchTo(next, old *placedResponse) {
-	s.job.maybeRun--
 	old.reservation.Release(backends.ResultInconclusive, s.Now())
 	s.relocateRun(s.run, next)
 }
--- a/internal/relay/pacedqueue.go
+++ b/internal/relay/pacedqueue.go
@@ -33,7 +33,7 @@
 // that may have run does not queue, as it would block the others for the few servers that it has
 // left. The queue is not used once a server without a bounded rate is available.
 func (r *Relay) canAskServers(j *job, pq *pacedQueue, w *flow.Waiter) bool {
-	return j.maybeRun > 0 || pq.isHead(w, r.Now()) || r.availability(j).HasUnlimited
+	return j.Sends.MayHaveRun() || pq.isHead(w, r.Now()) || r.availability(j).HasUnlimited
 }
 
 // joinPacedQueue queues a request if all its servers have a bounded rate or are backing off. It
@@ -42,7 +42,7 @@
 	if !servers.MustWait() {
 		return nil
 	}
-	if j.maybeRun == 0 {
+	if !j.Sends.MayHaveRun() {
 		pq.add(w)
 	}
 	if wait := pq.estimateWait(w, servers, r.Now()); r.Now()+wait > w.DispatchDeadline {
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -99,7 +99,6 @@
 		}
 		return nil
 	}
-	j.maybeRun++
 	if ctx.Err() != nil {
 		reservation.Release(backends.ResultInconclusive, r.Now())
 		return r.refuse(j, ReasonDeadline)
@@ -128,7 +127,7 @@
 
 // canRetry reports whether the request may run once more.
 func (j *job) canRetry() bool {
-	return j.route.Repeatable() && j.maybeRun < j.route.MaxServers && j.timeLeft() > minTimeLeft
+	return j.route.Repeatable() && j.Sends.Runs() < j.route.MaxServers && j.timeLeft() > minTimeLeft
 }
 
 // acquire reserves a server, waiting for a limited time for one with capacity.
@@ -250,7 +249,7 @@
 
 // refuse returns the refusal of a request that may have been sent before.
 func (r *Relay) refuse(j *job, reason Reason) *Refusal {
-	f := &Refusal{Reason: reason, MayHaveRun: j.maybeRun > 0}
+	f := &Refusal{Reason: reason, MayHaveRun: j.Sends.MayHaveRun()}
 	if !f.MayHaveRun {
 		f.RetryAfter = retryAfterBase + time.Duration(rand.Float64()*float64(retryAfterJitter))
 	}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -8,8 +8,10 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
 	"kingcupplank.example/kingcup/backends"
+	"kingcupplank.example/kingcup/internal/logging"
 )
 
 // maxBufferedSize is the size in bytes up to which a response is read completely before it is
@@ -80,7 +82,11 @@
 	if v, refuse := r.refusedByQuarantine(j); refuse {
 		f = *j.quarantineRefusal(v)
 	}
-	j.log.WithField("content", f.Content).WithField("reason", f.Reason).WithField("may_have_run", f.MayHaveRun).WithField("retry_after_ms", f.RetryAfter.Milliseconds()).Info("gave up")
+	entry := j.log.WithFields(logrus.Fields{"content": f.Content, "reason": f.Reason, "may_have_run": f.MayHaveRun, "retry_after_ms": f.RetryAfter.Milliseconds(), "sends": j.Sends.String()})
+	if !f.MayHaveRun && j.Sends.Len() > 0 {
+		entry = entry.WithField(logging.KeptField, true)
+	}
+	entry.Info("gave up")
 	out.Refuse(f)
 	return string(f.Reason)
 }
@@ -137,11 +143,11 @@
 	if r.Status < 300 {
 		return r.Signed && !r.Recoded
 	}
-	return !promisesNotRun(r.Status)
+	return !PromisesNotRun(r.Status)
 }
 
-// promisesNotRun reports whether callers take a status for the promise that the request has not run.
-func promisesNotRun(status int) bool {
+// PromisesNotRun reports whether callers take a status for the promise that the request has not run and never will.
+func PromisesNotRun(status int) bool {
 	switch status {
 	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		return true
--- a/internal/relay/race.go
+++ b/internal/relay/race.go
@@ -15,7 +15,7 @@
 
 // canRace reports whether a request may run at two servers at the same time.
 func (j *job) canRace() bool {
-	return j.route.Kind == routing.Idempotent && j.engine == nil && j.route.TargetLatency > 0 && j.maybeRun+1 < j.route.MaxServers
+	return j.route.Kind == routing.Idempotent && j.engine == nil && j.route.TargetLatency > 0 && j.Sends.Runs()+1 < j.route.MaxServers
 }
 
 // sendWithRace makes one attempt. A request that may run more than once is sent to a second
@@ -100,9 +100,8 @@
 	return second
 }
 
-// abandon cancels the attempt that lost a race. Its server may have run the request.
+// abandon cancels the attempt that lost a race. Its server may run the request until the attempt has ended.
 func (r *Relay) abandon(j *job, loser *attempt, results <-chan attemptResult) {
-	j.maybeRun++
 	j.excluded = append(j.excluded, loser.Server.ID)
 	loser.cancel()
 	result := backends.ResultInconclusive
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -249,9 +249,8 @@
 	deadline      time.Time
 	configVersion uint64
 	// excluded are the servers that the request is not sent to, because they failed or refused it;
-	// see resetExcluded. maybeRun counts the servers that may have run the request.
+	// see resetExcluded.
 	excluded []string
-	maybeRun int
 	// attempts counts the attempts at servers; arrivals counts those that may have reached a
 	// server, without continuations of a run that has reached one. Each arrival beyond the first has
 	// taken a retry, the last one of retryKind at retryAt.
@@ -334,7 +333,7 @@
 
 // logFields returns the fields of a request's final log line.
 func (j *job) logFields(outcome string, now time.Duration) logrus.Fields {
-	f := logrus.Fields{"outcome": outcome, "sent": j.attempts, "ran": j.maybeRun, "took_ms": (now - j.arrived).Milliseconds()}
+	f := logrus.Fields{"outcome": outcome, "sent": j.attempts, "ran": j.Sends.Runs(), "took_ms": (now - j.arrived).Milliseconds()}
 	if g := j.Generation; g != nil {
 		f["prompt"], f["max_output"], f["hint"] = g.PromptTokens, g.MaxOutput, g.EstimatedOutput
 		f["events"], f["first_ms"], f["pause_ms"] = j.progress.events, j.progress.firstDelay.Milliseconds(), j.progress.longestPause.Milliseconds()
--- a/internal/relay/sharedlimit.go
+++ b/internal/relay/sharedlimit.go
@@ -184,7 +184,7 @@
 // takeTurn reports whether the limit admits a request now, and counts it if so. While the limit
 // binds, the most urgent request goes first. One that may have run does not queue.
 func (r *Relay) takeTurn(j *job, l *sharedLimit, pq *pacedQueue, w *flow.Waiter) bool {
-	if l.binds() && j.maybeRun == 0 && !pq.isHead(w, r.Now()) {
+	if l.binds() && !j.Sends.MayHaveRun() && !pq.isHead(w, r.Now()) {
 		return false
 	}
 	return l.tryTake(r.Now())
@@ -204,7 +204,7 @@
 // nil otherwise.
 func (r *Relay) joinLimitedQueue(j *job, pq *pacedQueue, w *flow.Waiter, l *sharedLimit) *Refusal {
 	now := r.Now()
-	queued := j.maybeRun == 0 && pq.add(w)
+	queued := !j.Sends.MayHaveRun() && pq.add(w)
 	ahead := pq.countAhead(w, now)
 	l.mu.Lock()
 	wait := l.limiter.Wait(ahead, now)
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"kingcupplank.example/kingcup/backends"
+	"kingcupplank.example/kingcup/dispatch"
 	"kingcupplank.example/kingcup/retry"
 )
 
@@ -54,6 +55,8 @@
 	Generation *Generation
 	// PromptParts are the IDs of the parts of the prompt that other requests may share, in order.
 	PromptParts []uint64
+	// Sends are the sends of the request to servers. A status that promises that it has not run is given by them alone.
+	Sends dispatch.Record
 	// CallerGone reports whether the caller has closed its connection, as far as this process's socket knows.
 	// The context of the request may end later. It may be nil.
 	CallerGone func() bool
@@ -142,8 +145,18 @@
 	NotRunIneligible NotRunReason = "barred"
 	// NotRunCallerGone: the caller has left before the request was sent.
 	NotRunCallerGone NotRunReason = "caller gone"
+	// NotRunPromised: the caller has been promised that the request will not run.
+	NotRunPromised NotRunReason = "promised not to run"
 )
 
+// outcome returns what an attempt with this reason leaves in the request's record.
+func (r NotRunReason) outcome() dispatch.Outcome {
+	if r == NotRunFull || r == NotRunReplaced {
+		return dispatch.Rejected
+	}
+	return dispatch.NotSent
+}
+
 // Error implements error.
 func (e *NotRunError) Error() string { return fmt.Sprintf("not run, %s: %s", e.Reason, e.Detail) }
 
@@ -188,6 +201,8 @@
 // and then End or Abort.
 type Responder interface {
 	Refuse(f Refusal)
+	// Begin fails for a status that promises that the request has not run: such a response is not a refusal of
+	// this gateway's.
 	Begin(response *Response) error
 	// Write sends bytes to the caller without buffering.
 	Write(p []byte) error
@@ -228,7 +243,7 @@
 // Refusal is a final response that the gateway gives instead of a server.
 type Refusal struct {
 	Reason Reason
-	// MayHaveRun is set if a server may have run the request.
+	// MayHaveRun is set if a server may have run the request. The status depends on the request's record alone.
 	MayHaveRun bool
 	// RetryAfter is the time after which the caller may retry; it is set only if the request has
 	// not run.
--- a/internal/soak/promise_test.go
+++ b/internal/soak/promise_test.go
@@ -61,11 +61,10 @@
 	calls, rejections int
 }
 
-func startEngine(t *testing.T, f *fleet.Fleet, id string, script scriptedEngine) *scriptedEngine {
+func startEngine(t *testing.T, f *fleet.Fleet, id string, e *scriptedEngine) *scriptedEngine {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { l.Close() })
-	e := &script
 	e.id, e.address = id, l.Addr().String()
 	f.Store.Put("servers", id, map[string]any{
 		"service": fleet.ModelService, "address": e.address, "zone": gatewayDomain, "version": fleet.DefaultSoftwareVersion, "slots": 8, "state": "ready",
@@ -177,7 +176,7 @@
 // promiseCase is a way in which a server's bytes could be taken for "not run".
 type promiseCase struct {
 	name   string
-	engine func(status int) scriptedEngine
+	engine func(status int) *scriptedEngine
 	// streams is the number of streams, one after the begin of the other.
 	streams int
 	// copies says that a second engine has room for copies of runs.
@@ -185,8 +184,8 @@
 }
 
 var promiseCases = []promiseCase{
-	{"second copy of a rejection", func(status int) scriptedEngine {
-		return scriptedEngine{answer: func(e *engineConn, a *arrival) {
+	{"second copy of a rejection", func(status int) *scriptedEngine {
+		return &scriptedEngine{answer: func(e *engineConn, a *arrival) {
 			if e.engine.countRequests() > requestsPerRetry && len(e.engine.arrivalsOf(a.id)) == 1 {
 				e.reject(a, status)
 				return
@@ -197,28 +196,28 @@
 			e.run(a, 4)
 		}, call: noCall}
 	}, requestsPerRetry + 3, false},
-	{"second copy of the answer to a call", func(status int) scriptedEngine {
-		return scriptedEngine{answer: func(e *engineConn, a *arrival) {
+	{"second copy of the answer to a call", func(status int) *scriptedEngine {
+		return &scriptedEngine{answer: func(e *engineConn, a *arrival) {
 			if e.calls > 0 {
 				e.head(status, "")
 			}
 			e.run(a, 160)
 		}, call: func(e *engineConn, _ string) { e.head(status, "") }}
 	}, 6, true},
-	{"servers own status", func(status int) scriptedEngine {
-		return scriptedEngine{answer: func(e *engineConn, a *arrival) {
+	{"servers own status", func(status int) *scriptedEngine {
+		return &scriptedEngine{answer: func(e *engineConn, a *arrival) {
 			a.isRun, a.status = true, status
 			e.head(status, named(a)+"X-Kingcupplank-Response-Seal: s\r\n")
 		}, call: noCall}
 	}, 1, false},
-	{"rejection of another request", func(status int) scriptedEngine {
-		return scriptedEngine{answer: func(e *engineConn, a *arrival) {
+	{"rejection of another request", func(status int) *scriptedEngine {
+		return &scriptedEngine{answer: func(e *engineConn, a *arrival) {
 			e.head(status, "X-Kingcupplank-Attempt-Id: other\r\n"+notRunMark)
 			e.run(a, 4)
 		}, call: noCall}
 	}, 1, false},
-	{"engine that reads late", func(status int) scriptedEngine {
-		return scriptedEngine{answer: func(e *engineConn, a *arrival) {
+	{"engine that reads late", func(status int) *scriptedEngine {
+		return &scriptedEngine{answer: func(e *engineConn, a *arrival) {
 			time.Sleep(2 * time.Second)
 			e.run(a, 4)
 		}, call: noCall}
--- a/tools/without/gateway.go
+++ b/tools/without/gateway.go
@@ -3,7 +3,7 @@
 // gatewaySafeguards are the safeguards of the gateway.
 var gatewaySafeguards = []safeguard{
 	{"unknown outcomes are not retried", "internal/relay/place.go", "if !j.canRetry() {\n\t\treturn r.refuse(j, ReasonServerLost)\n\t}", "", "./internal/relay", "TestUnknownOutcomeIsNotRetried"},
-	{"requests that may have run are never reported as not run", "internal/relay/place.go", "f := &Refusal{Reason: reason, MayHaveRun: j.maybeRun > 0}", "f := &Refusal{Reason: reason}", "./internal/relay", "TestRefusalAfterUnknownOutcomeStaysUnknown"},
+	{"requests that may have run are never reported as not run", "internal/relay/place.go", "f := &Refusal{Reason: reason, MayHaveRun: j.Sends.MayHaveRun()}", "f := &Refusal{Reason: reason}", "./internal/relay", "TestRefusalAfterUnknownOutcomeStaysUnknown"},
 	{"retry budget", "internal/relay/place.go", "if j.arrivals > 0 && !r.takeRetry(j.service) {", "if false {", "./internal/relay", "TestRetriesStayWithinTheBudget"},
 	{"signature of a successful response", "internal/relay/plain.go", "return b.Status >= 300 || b.Signed && !b.Recoded", "return true", "./internal/relay", "TestUnsignedSuccessIsNotForwarded"},
 	{"age of API keys", "internal/relay/relay.go", "if r.KeysStale(configAge) || !r.Peers.ConfigCurrent() {", "if !r.Peers.ConfigCurrent() {", "./internal/relay", "TestKeysAreNotTrustedWithoutConfirmation"},
@@ -113,7 +113,7 @@
 	{"strict rate limits", "pacing/pacing.go", "combined, minFraction = min(combined, l.Rate), minStrictFraction", "minFraction = minStrictFraction", "./pacing", "TestRateLimitIsKeptAndUsedByAnyNumberOfGateways"},
 	{"rate limit applies to copies", "internal/relay/attempt.go", "if a.ResumeFrom != nil && !r.Registry.TryUseRate", "if false && !r.Registry.TryUseRate", "./internal/relay", "TestStandbyAtRateLimitedServerIsNotUsedEarly"},
 	{"refusal of requests whose turn would come too late", "internal/relay/pacedqueue.go", "r.Now()+wait > w.DispatchDeadline", "wait < 0", "./internal/relay", "TestZeroRateLimitRefusesAtOnce"},
-	{"requests that may have run do not join the paced queue", "internal/relay/pacedqueue.go", "if j.maybeRun == 0 {\n\t\tpq.add(w)", "if true {\n\t\tpq.add(w)", "./internal/relay", "TestRetriedRequestDoesNotBlockPacedQueue"},
+	{"requests that may have run do not join the paced queue", "internal/relay/pacedqueue.go", "if !j.Sends.MayHaveRun() {\n\t\tpq.add(w)", "if true {\n\t\tpq.add(w)", "./internal/relay", "TestRetriedRequestDoesNotBlockPacedQueue"},
 	{"bound of Retry-After for rate limits", "internal/relay/pacedqueue.go", "wait = min(wait, maxRateLimitRetryAfter)", "", "./internal/relay", "TestRetryAfterForRateLimitIsBounded"},
 	{"announcements of an alternating rate limit", "backends/signals.go", "now-*last < minAnnounceInterval", "now-*last < 0", "./backends", "TestRateLimitThatComesAndGoesIsAnnouncedRarely"},
 	{"wait for rate-limited servers beside a full one", "internal/relay/place.go", "servers.HasBoundedRate || servers.HasBackingOff {", "servers.MustWait() {", "./internal/relay", "TestRequestWaitsForRateLimitedServersBesideAFullOne"},
@@ -157,5 +157,5 @@
 	{"few standby copies made at a time", "internal/relay/standbycopies.go", "if s.copying >= standby.MaxCopying {", "if false {", "./internal/relay", "TestFewStandbysAreMadeAtATime"},
 	{"reports of standby copies that exceed the load", "internal/gateway/peers.go", "return int(min(l.GetStandby(), tokens))", "return int(l.GetStandby())", "./internal/gateway", "TestStandbyCopiesAreReportedToPeers"},
 	{"unresponsive servers behind a partition", "internal/relay/speed.go", "func() { reservation.MarkUnresponsive(r.Now()) }", "func() {}", "./internal/gateway", "TestServerBehindAPartitionCostsFewRequests"},
-	{"requests that may have run, behind a partition", "internal/relay/place.go", "f := &Refusal{Reason: reason, MayHaveRun: j.maybeRun > 0}", "f := &Refusal{Reason: reason}", "./internal/gateway", "TestServerBehindAPartitionCostsFewRequests"},
+	{"requests that may have run, behind a partition", "internal/relay/place.go", "f := &Refusal{Reason: reason, MayHaveRun: j.Sends.MayHaveRun()}", "f := &Refusal{Reason: reason}", "./internal/gateway", "TestServerBehindAPartitionCostsFewRequests"},
 }
