--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -44,15 +44,17 @@
 // Record holds the sends of a request. The zero Record has none. It is safe for concurrent use; no other lock is
 // taken while its own is held.
 type Record struct {
-	mu       sync.Mutex
-	sends    []*Send
+	mu    sync.Mutex
+	sends []Send
+	// few holds the sends of most requests.
+	few      [2]Send
 	promised bool
 }
 
 // Ticket is an open send.
 type Ticket struct {
 	record *Record
-	send   *Send
+	index  int
 }
 
 // Begin records a send that is about to be made. ok is false if the caller has been promised that the request will
@@ -63,17 +65,19 @@
 	if r.promised {
 		return Ticket{}, false
 	}
-	s := &Send{Server: server, Continues: continues}
-	r.sends = append(r.sends, s)
-	return Ticket{r, s}, true
+	if r.sends == nil {
+		r.sends = r.few[:0]
+	}
+	r.sends = append(r.sends, Send{Server: server, Continues: continues})
+	return Ticket{r, len(r.sends) - 1}, true
 }
 
 // Settle records what is known of the send. A server that has begun to respond cannot be taken back.
 func (t Ticket) Settle(o Outcome) {
 	t.record.mu.Lock()
 	defer t.record.mu.Unlock()
-	if t.send.Outcome != Begun {
-		t.send.Outcome = o
+	if s := &t.record.sends[t.index]; s.Outcome != Begun {
+		s.Outcome = o
 	}
 }
 
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -7,7 +7,6 @@
 	"bytes"
 	"fmt"
 	"io"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -148,27 +147,6 @@
 	log := logrus.New()
 	log.SetOutput(w)
 	log.SetLevel(level)
-	log.SetFormatter(&numberingFormatter{Formatter: jsonFormatter{timestampFormat}})
+	log.SetFormatter(jsonFormatter{timestampFormat: timestampFormat, count: new(uint64)})
 	return log
 }
-
-// numberField is the number of a line within its process, from 1. A gap shows that lines were lost.
-const numberField = "line"
-
-// numberingFormatter numbers the lines of another formatter. logrus calls it with its lock held.
-type numberingFormatter struct {
-	logrus.Formatter
-	count uint64
-}
-
-// Format implements logrus.Formatter.
-func (f *numberingFormatter) Format(e *logrus.Entry) ([]byte, error) {
-	line, err := f.Formatter.Format(e)
-	if err != nil {
-		return line, err
-	}
-	f.count++
-	end := len(line) - len("}\n")
-	line = strconv.AppendUint(append(line[:end], `,"`+numberField+`":`...), f.count, 10)
-	return append(line, "}\n"...), nil
-}
--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -28,7 +28,7 @@
 		}
 		want, err := reference.Format(e)
 		require.NoError(t, err)
-		got, err := jsonFormatter{timestampFormat}.Format(e)
+		got, err := jsonFormatter{timestampFormat: timestampFormat}.Format(e)
 		require.NoError(t, err)
 		require.Equal(t, string(want), string(got))
 	})
@@ -50,7 +50,7 @@
 
 // Guards against an incomplete line, without an error, for a value that cannot be encoded.
 func TestUnencodableValueIsAnError(t *testing.T) {
-	_, err := jsonFormatter{timestampFormat}.Format(logrus.WithField("value", math.Inf(1)))
+	_, err := jsonFormatter{timestampFormat: timestampFormat}.Format(logrus.WithField("value", math.Inf(1)))
 	require.Error(t, err)
 }
 
