--- a/internal/gateway/promises_test.go
+++ b/internal/gateway/promises_test.go
@@ -29,8 +29,8 @@
 	ran map[string]bool
 	// sends and rejections count what has reached servers.
 	sends, rejections, calls atomic.Int64
-	fleet             *fleet.Fleet
-	ids               atomic.Int64
+	fleet                    *fleet.Fleet
+	ids                      atomic.Int64
 }
 
 var promiseStatuses = []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest}
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 	"sync"
 	"time"
@@ -104,7 +105,7 @@
 	if exec.started > a.maxRuns() && !canRepeat {
 		violations = append(violations, fmt.Sprintf("was executed %d times", exec.started))
 	}
-	if a.Status == 503 && exec.started > 0 && !canRepeat {
+	if promises(a.Status) && exec.started > 0 && !canRepeat {
 		violations = append(violations, "was reported as not run but was executed")
 	}
 	if a.Status != 200 || !a.Complete {
@@ -120,6 +121,11 @@
 	return violations
 }
 
+// promises reports whether a status promises that the request has not run.
+func promises(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests || status == http.StatusRequestTimeout || status == http.StatusMisdirectedRequest
+}
+
 func (a *Attempt) isStream() bool { return a.Path == fleet.PlanPath || a.Path == fleet.CheckPath }
 
 // checkEvents requires the events to be in order without gaps, and all of them to be there if the
--- a/internal/soak/promise_test.go
+++ b/internal/soak/promise_test.go
@@ -272,19 +272,18 @@
 	}
 }
 
-// promises reports whether a status promises that the request has not run.
-func promises(status int) bool {
-	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests || status == http.StatusRequestTimeout || status == http.StatusMisdirectedRequest
+// gatewayPath returns the path of the gateway's program.
+func gatewayPath(t *testing.T) string {
+	if *gatewayBinary != "" {
+		return *gatewayBinary
+	}
+	path, err := buildGateway()
+	require.NoError(t, err)
+	return path
 }
 
 // startLoneGateway starts a gateway as a process and waits until it is ready.
 func startLoneGateway(t *testing.T, f *fleet.Fleet) *gateway {
-	binary := *gatewayBinary
-	if binary == "" {
-		var err error
-		binary, err = buildGateway()
-		require.NoError(t, err)
-	}
 	endpoint, err := f.Store.AddEndpoint()
 	require.NoError(t, err)
 	dir := t.TempDir()
@@ -293,7 +292,7 @@
 	require.NoError(t, g.settings.WriteFile(g.settingsPath))
 	g.logFile, err = os.Create(filepath.Join(dir, "vm-1.log"))
 	require.NoError(t, err)
-	require.NoError(t, g.start(binary))
+	require.NoError(t, g.start(gatewayPath(t)))
 	t.Cleanup(g.close)
 	require.Eventually(t, func() bool {
 		resp, err := http.Get("http://" + g.settings.Ready + "/kingcupplank/readyz")
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -18,6 +18,7 @@
 	firstSeed    = flag.Uint64("soak.from", 1, "first seed")
 	duration     = flag.Duration("soak.lasts", 5*time.Second, "duration of the faults in a run")
 	gatewayCount = flag.Int("soak.gateways", 3, "number of gateways in a run")
+	kindCount    = flag.Int("soak.kinds", len(faultKinds), "number of kinds of faults that are drawn; a seed draws the same faults with the same number")
 	logDir       = flag.String("soak.keep", "", "directory for the logs of failed runs")
 )
 
@@ -59,8 +60,7 @@
 }
 
 func runSeed(t *testing.T, seed uint64, kinds int) {
-	path, err := buildGateway()
-	require.NoError(t, err)
+	path := gatewayPath(t)
 	dir := t.TempDir()
 	res, err := Run(t.Context(), Options{Seed: seed, FaultKinds: kinds, Duration: *duration, Gateways: *gatewayCount, Binary: path, Dir: dir})
 	if err != nil {
@@ -96,7 +96,7 @@
 func TestSoak(t *testing.T) {
 	for i := range *seedCount {
 		seed := *firstSeed + uint64(i)
-		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { runSeed(t, seed, len(faultKinds)) })
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { runSeed(t, seed, *kindCount) })
 	}
 }
 
--- a/internal/soak/trouble.go
+++ b/internal/soak/trouble.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"time"
 
 	"kingcupplank.example/kingcup/internal/standin/fleet"
@@ -20,6 +21,22 @@
 	return fmt.Sprintf("%s misbehaves: %+v", srv.ID, t), srv.SetTrouble(t)
 }
 
+// answerAgain makes a server send answers a second time, late, also to calls and without a name, beside rejections with
+// any status.
+func answerAgain(s *Soak, _ context.Context) (string, func()) {
+	srv := s.drawServer()
+	again := fleet.Again{Share: 0.5, MaxDelay: s.drawDuration(0, 3*time.Second), AtNext: s.drawInt(2) == 0, Unnamed: s.drawInt(3) == 0}
+	statuses := []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout}
+	t := fleet.Trouble{RejectShare: 0.4, RejectStatus: statuses[s.drawInt(len(statuses))], AnswersAgain: again}
+	return fmt.Sprintf("%s answers again: %+v", srv.ID, t), srv.SetTrouble(t)
+}
+
+// readLate makes a server read late what has arrived, as one that is paused.
+func readLate(s *Soak, _ context.Context) (string, func()) {
+	srv, t := s.drawServer(), fleet.Trouble{ReadsLate: s.drawDuration(minFaultDuration, maxFaultDuration)}
+	return fmt.Sprintf("%s reads late: %+v", srv.ID, t), srv.SetTrouble(t)
+}
+
 // breakBesideWork resets the connections of a model server that works on after a close.
 func breakBesideWork(s *Soak, _ context.Context) (string, func()) {
 	srv := s.drawServer()
--- a/internal/standin/fleet/migration.go
+++ b/internal/standin/fleet/migration.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"time"
 )
@@ -10,6 +11,7 @@
 // handleMigration copies the KV cache of a run to another engine. The source records the
 // copy under its handle. A second call for the same run renews the copy.
 func (s *Server) handleMigration(w http.ResponseWriter, r *http.Request) {
+	connOf(r).sendLate()
 	var body struct {
 		ID    string `json:"id"`
 		To    string `json:"to"`
@@ -30,10 +32,12 @@
 		active.abort()
 	}
 	target := s.serverAt(body.To)
-	if target == nil || target.stopped.Load() {
+	if target == nil || target.stopped.Load() || rand.Float64() < b.Trouble.RejectShare {
 		w.WriteHeader(http.StatusServiceUnavailable)
+		b.Trouble.AnswersAgain.send(r, http.StatusServiceUnavailable, "", "")
 		return
 	}
+	defer b.Trouble.AnswersAgain.send(r, http.StatusMisdirectedRequest, "", "")
 	handle := "h-" + body.ID
 	s.mu.Lock()
 	_, isRenewal := s.copies[handle]
--- a/internal/standin/fleet/server.go
+++ b/internal/standin/fleet/server.go
@@ -235,13 +235,15 @@
 }
 
 func (s *Server) handleRequest(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	b := s.behavior
+	s.mu.Unlock()
+	b.Trouble.readLate()
+	connOf(r).sendLate()
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
 	}
-	s.mu.Lock()
-	b := s.behavior
-	s.mu.Unlock()
 	w.Header().Set("X-Kingcupplank-Attempt-Id", r.Header.Get("X-Kingcupplank-Attempt-Id"))
 	if expectedID := r.Header.Get("X-Kingcupplank-Expect-Instance"); expectedID != "" && expectedID != s.ID {
 		w.Header().Set("X-Kingcupplank-Instance-Id", s.ID)
@@ -312,6 +314,7 @@
 	}
 	if b.Events == 0 {
 		io.WriteString(w, "answer of "+s.ID)
+		b.Trouble.AnswersAgain.send(r, http.StatusOK, "X-Kingcupplank-Response-Seal: seal-"+s.ID+"\r\n", "answer of "+s.ID)
 		return
 	}
 	s.streamEvents(w, r, b, lastReceived)
--- a/internal/standin/fleet/trouble.go
+++ b/internal/standin/fleet/trouble.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -8,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -18,12 +20,29 @@
 	SecondAnswer time.Duration
 	// UnmarkedShare are run and answered with status 503, not marked as not run.
 	UnmarkedShare float64
+	// RejectStatus is the status of rejections, 503 if 0.
+	RejectStatus int
+	// AnswersAgain says that answers are sent a second time: rejections, answers to calls and whole plain ones.
+	AnswersAgain Again
+	// ReadsLate is the longest time for which the server waits before it reads what has arrived.
+	ReadsLate time.Duration
 	// EndlessShare are answered with bytes without end, in a head or a body.
 	EndlessShare float64
 	// WorksOn says that the server goes on with a stream whose connection has closed.
 	WorksOn bool
 }
 
+// Again is when the second copy of an answer is sent.
+type Again struct {
+	// Share is the share of answers that are sent again, at the latest after MaxDelay, and where the next answer on the
+	// connection is expected if AtNext is set.
+	Share    float64
+	MaxDelay time.Duration
+	AtNext   bool
+	// Unnamed says that the copy names no request.
+	Unnamed bool
+}
+
 // SetTrouble makes the server misbehave until recovered is called.
 func (s *Server) SetTrouble(t Trouble) (recovered func()) {
 	s.mu.Lock()
@@ -63,19 +82,65 @@
 	return r.Context()
 }
 
-// connKey is the key of a request's connection in its context.
+// callerConn is a connection of a gateway with the copy of an answer that is sent before the next one.
+type callerConn struct {
+	net.Conn
+	mu   sync.Mutex
+	late string
+}
+
+// sendLate sends the copy that is due.
+func (c *callerConn) sendLate() {
+	c.mu.Lock()
+	late := c.late
+	c.late = ""
+	c.mu.Unlock()
+	io.WriteString(c, late)
+}
+
+// connKey is the key of a request's callerConn in its context.
 type connKey struct{}
 
 func withConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, c)
+	return context.WithValue(ctx, connKey{}, &callerConn{Conn: c})
+}
+
+func connOf(r *http.Request) *callerConn { return r.Context().Value(connKey{}).(*callerConn) }
+
+// send sends the copy of an answer to a request, or to a call without an id.
+func (a Again) send(r *http.Request, status int, fields, body string) {
+	if rand.Float64() >= a.Share {
+		return
+	}
+	if id := r.Header.Get("X-Kingcupplank-Attempt-Id"); id != "" && !a.Unnamed {
+		fields = "X-Kingcupplank-Attempt-Id: " + id + "\r\n" + fields
+	}
+	answer := fmt.Sprintf("HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n%s", status, http.StatusText(status), fields, len(body), body)
+	c := connOf(r)
+	if a.AtNext {
+		c.mu.Lock()
+		c.late = answer
+		c.mu.Unlock()
+		return
+	}
+	time.AfterFunc(time.Duration(rand.Int64N(int64(a.MaxDelay)+1)), func() { io.WriteString(c, answer) })
+}
+
+// readLate waits as a server that is late to read what has arrived.
+func (t Trouble) readLate() {
+	if t.ReadsLate > 0 {
+		time.Sleep(time.Duration(rand.Int64N(int64(t.ReadsLate))))
+	}
 }
 
 // reject rejects a request as not executed.
 func (b Behavior) reject(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("X-Kingcupplank-Not-Executed", "1")
-	w.WriteHeader(http.StatusServiceUnavailable)
+	status := cmp.Or(b.Trouble.RejectStatus, http.StatusServiceUnavailable)
+	w.WriteHeader(status)
+	b.Trouble.AnswersAgain.send(r, status, "X-Kingcupplank-Not-Executed: 1\r\n", "")
 	if b.Trouble.SecondAnswer > 0 {
-		c := r.Context().Value(connKey{}).(net.Conn)
+		c := connOf(r)
 		second := fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nX-Kingcupplank-Attempt-Id: %s\r\nX-Kingcupplank-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", r.Header.Get("X-Kingcupplank-Attempt-Id"))
 		time.AfterFunc(b.Trouble.SecondAnswer, func() { io.WriteString(c, second) })
 	}
