Failing test: a stream without a length whose dying server still listens ends as complete

ORDER at a leaving server's end: the look at the server comes 1 to 2 ms after the end of its connection, and a process that ends may close its connections before its listener. Fails always.

--- a/internal/gateway/unframed_test.go
+++ b/internal/gateway/unframed_test.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -72,6 +74,36 @@
 	}})
 }
 
+// dyingServer announces a server whose connections are closed with its process in the middle of an answer, and its
+// listener a while after them.
+func (s *system) dyingServer(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s.fleet.Store.Put("servers", "i-dying", map[string]any{
+		"service": fleet.ModelService, "address": l.Addr().String(), "zone": "zone-1", "version": fleet.DefaultSoftwareVersion, "slots": 8, "state": "ready", "coldRemainingMs": 0, "sequence": 1,
+	})
+	go func() {
+		var dead atomic.Bool
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				r, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil || dead.Load() {
+					return
+				}
+				io.WriteString(c, unframedHead(r, "text/event-stream")+eventsText(1, 2))
+				time.Sleep(50 * time.Millisecond)
+				dead.Store(true)
+				time.AfterFunc(100*time.Millisecond, func() { l.Close() })
+			}()
+		}
+	}()
+}
+
 // Guards against an answer that ends with its connection being taken for whole although it broke off: inside an
 // event, by a reset, or as its server crashed.
 func TestAnswersThatBreakOffWithTheirConnectionAreNotWhole(t *testing.T) {
@@ -103,6 +135,14 @@
 			}
 		})
 	}
+	t.Run("connections close before the listener", func(t *testing.T) {
+		s := newSystem(t)
+		s.dyingServer(t)
+		n := s.gateway("vm-1")
+		n.eventually(func() bool { return n.registry.CountReady(fleet.ModelService) == 1 }, "listed")
+		got := n.do(generation(fleet.PlanPath))
+		require.Error(t, got.err, "two of five events: %q", got.body)
+	})
 	for name, size := range map[string]int{"short answer": 100, "long answer": 300 << 10} {
 		t.Run(name, func(t *testing.T) {
 			s := newSystem(t)
