--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -387,6 +387,13 @@
 	return f.down[s.ID]
 }
 
+// Answers is true for servers that accept connections.
+func (f *fakeUpstream) Answers(_ context.Context, s backends.Server) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.down[s.ID]
+}
+
 // setDown makes a server refuse connections.
 func (f *fakeUpstream) setDown(id string) {
 	f.mu.Lock()
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -191,6 +191,8 @@
 	// IsDown reports whether a server's address refuses connections. It is false if that cannot
 	// be determined.
 	IsDown(ctx context.Context, s backends.Server) bool
+	// Answers reports whether the listed incarnation of a server answers a call on a new connection.
+	Answers(ctx context.Context, s backends.Server) bool
 	// StartTime asks a server when it started, in Unix milliseconds.
 	StartTime(ctx context.Context, s backends.Server) (int64, error)
 	// IsLeaving asks a server whether it is about to stop.
