A caller that comes back is not promised "not run" by a server that handed its request over

The cause of REFUSED elsewhere: at the entry, a request that must not run twice is handed over from an agent that leaves to another one. Its caller, back at another entry, was told NOT_RUN by the first agent, which still keeps the failed generation, while the second ran it. A server's answer proves its own send alone: the other servers are asked, and without a stream the outcome is unknown. TestServerThatLeftSpeaksForItselfAlone failed before and passes now.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -77,7 +77,8 @@
 		if err == nil {
 			return nil
 		}
-		if failure.FromError(err).Reason != kingcupv1.Reason_REASON_UNKNOWN_GENERATION {
+		// A server that has not run the request may have handed it over to another one.
+		if fail := failure.FromError(err); fail.Reason != kingcupv1.Reason_REASON_UNKNOWN_GENERATION && fail.Outcome != kingcupv1.Outcome_OUTCOME_NOT_RUN {
 			return err
 		}
 	}
