A resumed request that must not run twice is not placed again

TWICE by the same cause: where the server that a caller names has refused the request and another entry has placed it elsewhere, the entry at which the caller resumes placed it once more. It can't know, so the outcome is unknown. TestResumedRequestIsNotPlacedAgain failed before (three starts) and passes now.

--- a/internal/entry/inflight.go
+++ b/internal/entry/inflight.go
@@ -99,6 +99,9 @@
 	}
 	fail := failure.FromError(err)
 	switch {
+	case fail.Outcome == kingcupv1.Outcome_OUTCOME_NOT_RUN && f.mayHaveRun && f.req.GetNonIdempotent():
+		// Another entry may have placed the request elsewhere after this server's refusal.
+		return nil, failure.Unknown(kingcupv1.Reason_REASON_IN_PROGRESS, time.Second, "%s", fail.Detail)
 	case fail.Outcome == kingcupv1.Outcome_OUTCOME_NOT_RUN && f.delivered.NextIndex() == 0:
 		f.recordRefusal(f.server, fail)
 		// The request has waited for the maximum time in one agent's queue. It
--- a/internal/proof/handedover_test.go
+++ b/internal/proof/handedover_test.go
@@ -92,3 +92,21 @@
 		require.Equal(t, 2, agents.startCount())
 	})
 }
+
+// Guards against a request that must not run twice being placed again where its caller resumes it, as its first
+// server had handed it over.
+func TestResumedRequestIsNotPlacedAgain(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		s := newSystem(t, setup{entries: 2, servers: 3})
+		defer s.close()
+		agents, id, server := playHandover(t, s)
+		req := request("plan", 5)
+		req.NonIdempotent = true
+		resumed, err := kingcupv1.NewCallerServiceClient(s.conns[1]).Resume(t.Context(), &kingcupv1.ResumeRequest{Request: req, GenerationId: id, BackendServer: server, Attempt: 1})
+		require.NoError(t, err)
+		_, err = resumed.Recv()
+		require.False(t, failure.IsNotRun(err), "%v", err)
+		time.Sleep(5 * time.Second)
+		require.Equal(t, 2, agents.startCount())
+	})
+}
