The agent promises "not run" only if the engine has rejected each attempt

The cause of REFUSED elsewhere: a generation that an engine had lost before its first token, or had paused, was started again, and the rejection of that attempt was told to the caller as NOT_RUN though the first one may have run. The agent keeps a dispatch.Record of its attempts too, adopted ones included. TestRejectionOfAFurtherAttemptIsNoPromise failed before and passes now; internal/proof passes.

--- a/internal/agent/generation.go
+++ b/internal/agent/generation.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"kingcupplank.example/kingcup/dispatch"
 	"kingcupplank.example/kingcup/engine"
 	"kingcupplank.example/kingcup/failure"
 	innerv1 "kingcupplank.example/kingcup/proto/kingcup/inner/v1"
@@ -23,6 +24,8 @@
 	// entryAttempt is the attempt that the entry requested. The agent uses
 	// higher attempts when it restarts the generation itself.
 	entryAttempt uint32
+	// sends are the attempts at the engine.
+	sends dispatch.Record
 
 	// ---
 	// dispatched is set before the first call to the engine.
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"kingcupplank.example/kingcup/dispatch"
 	"kingcupplank.example/kingcup/engine"
 	"kingcupplank.example/kingcup/failure"
 	"kingcupplank.example/kingcup/internal/wait"
@@ -102,9 +103,23 @@
 		}
 		req.Prefix = prefix
 	}
-	return a.engine.Generate(ctx, req)
+	ticket, ok := g.sends.Begin("engine", false)
+	if !ok {
+		return nil, errPromised
+	}
+	src, err := a.engine.Generate(ctx, req)
+	switch {
+	case err == nil:
+		ticket.Settle(dispatch.Begun)
+	case errors.Is(err, engine.ErrRejected):
+		ticket.Settle(dispatch.Rejected)
+	}
+	return src, err
 }
 
+// errPromised means that the caller has been told that the request has not run.
+var errPromised = errors.New("request was promised not to run")
+
 // copyTokens copies tokens from src to the buffer. It returns nil when the
 // stream is complete.
 func (a *Agent) copyTokens(g *generation, attempt uint32, src engine.Stream) error {
@@ -203,10 +218,10 @@
 	a.log.WithFields(g.logFields()).WithError(err).Warn("generation failed")
 }
 
-// engineFailure converts an error of the engine. Only a rejection before the
-// first token proves that the request did not run.
+// engineFailure converts an error of the engine. Only rejections of all attempts
+// before the first token prove that the request did not run.
 func (a *Agent) engineFailure(g *generation, err error) *failure.Error {
-	if errors.Is(err, engine.ErrRejected) && g.buf.NextIndex() == 0 {
+	if errors.Is(err, engine.ErrRejected) && g.buf.NextIndex() == 0 && g.sends.Promise() {
 		return failure.NotRun(kingcupv1.Reason_REASON_UNKNOWN_MODEL, 0, "%v", err)
 	}
 	if errors.Is(err, errCrashesEngine) {
@@ -243,6 +258,7 @@
 		nonIdempotent: true,
 		dispatched:    true,
 	}
+	g.sends.Begin("engine", false)
 	g.buf.BeginAttempt(r.Attempt)
 	g.job = &sched.Job{
 		ID: r.ID, Team: r.Team, Model: r.Model, Weight: 1,
