A reply of another kind answers no call and accepts no generation

An answer that was not one: the entry took any reply without a failure for the answer to a call, or for the acceptance of a generation. A call that must not run twice was recorded as done with an empty answer, which its caller then got as a success. The outcome is unknown now. TestReplyOfAnotherKindIsNoAnswer failed before and passes now.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -138,5 +138,8 @@
 	if fail := reply.GetFailure(); fail != nil {
 		return nil, failure.FromProto(fail)
 	}
+	if reply.GetCall() == nil {
+		return nil, failure.Unknown(kingcupv1.Reason_REASON_PROTOCOL, 0, "agent replied %T to a call", reply.GetKind())
+	}
 	return reply.GetCall(), nil
 }
--- a/internal/entry/inflight.go
+++ b/internal/entry/inflight.go
@@ -273,6 +273,10 @@
 		st.close()
 		return nil, failure.FromProto(fail)
 	}
+	if reply.GetAccepted() == nil {
+		st.close()
+		return nil, failure.Unknown(kingcupv1.Reason_REASON_PROTOCOL, 0, "agent replied %T to a start", reply.GetKind())
+	}
 	f.withdrawOnDone(ctx, st)
 	return st, nil
 }
--- a/internal/proof/handedover_test.go
+++ b/internal/proof/handedover_test.go
@@ -110,3 +110,27 @@
 		require.Equal(t, 2, agents.startCount())
 	})
 }
+
+// Guards against a reply of another kind being taken for the answer to a call, or for the acceptance of a generation.
+func TestReplyOfAnotherKindIsNoAnswer(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		s := newSystem(t, setup{entries: 1, servers: 1})
+		defer s.close()
+		for i := range s.backendServers {
+			s.startFakeAgent(i, func(_ *innerv1.Open, st *wire.Stream) {
+				st.Send(&innerv1.Reply{Kind: &innerv1.Reply_Done{Done: &innerv1.Done{}}})
+			})
+		}
+		time.Sleep(10 * time.Second)
+		_, err := s.callNonIdempotent(0, "slot")
+		require.Equal(t, kingcupv1.Outcome_OUTCOME_UNKNOWN, failure.FromError(err).Outcome, "%v", err)
+		_, err = s.callNonIdempotent(0, "slot")
+		require.Error(t, err, "a call without an answer is replayed as answered")
+		req := request("plan", 5)
+		req.NonIdempotent = true
+		got, done := s.generate(s.client(noRetries, 0), req)
+		<-done
+		require.Equal(t, kingcupv1.Outcome_OUTCOME_UNKNOWN, failure.FromError(got.err).Outcome, "%v", got.err)
+		require.Empty(t, got.servers, "announced as accepted")
+	})
+}
