Lines are numbered where they are queued, in order

logrus formats outside of its lock, so that the numbers of lines raced: two lines could have one number, and a gap said nothing (found by the detector of races in 10 of 25 plays of TestStartingGatewayHasItsTablesFromPeers, a known red that did not fail otherwise). The queue, which has a lock, numbers them now. TestLinesAreNumberedInOrder failed before (with the detector and without: 400 lines with repeated numbers) and passes now.

--- a/internal/logging/formatter.go
+++ b/internal/logging/formatter.go
@@ -14,21 +14,10 @@
 // jsonFormatter writes the same bytes as logrus.JSONFormatter, but does not copy the fields, and
 // uses no reflection for values of common types. It saves this time because a log line is
 // formatted in the goroutine of a request, which waits for it.
-type jsonFormatter struct {
-	timestampFormat string
-	// count, if not nil, is the number of lines, each of which then has its number. logrus calls Format with its
-	// lock held.
-	count *uint64
-}
-
-// numberField is the number of a line within its process, from 1. A gap shows that lines were lost.
-const numberField = "line"
+type jsonFormatter struct{ timestampFormat string }
 
 // Format implements logrus.Formatter.
 func (f jsonFormatter) Format(e *logrus.Entry) ([]byte, error) {
-	if f.count != nil {
-		*f.count++
-	}
 	b := e.Buffer
 	if b == nil {
 		b = &bytes.Buffer{}
@@ -37,7 +26,7 @@
 	keys := make([]string, 0, len(e.Data)+3)
 	for key := range e.Data {
 		if isReserved(key) {
-			return f.formatReserved(e)
+			return (&logrus.JSONFormatter{TimestampFormat: f.timestampFormat}).Format(e)
 		}
 		keys = append(keys, key)
 	}
@@ -56,24 +45,10 @@
 			w.value(e.Data[key])
 		}
 	}
-	if f.count != nil {
-		w.key(numberField)
-		w.integer(int64(*f.count))
-	}
 	b.WriteString("}\n")
 	return b.Bytes(), w.err
 }
 
-// formatReserved formats an entry with a field whose name is reserved.
-func (f jsonFormatter) formatReserved(e *logrus.Entry) ([]byte, error) {
-	if f.count != nil {
-		time, message, level, buffer := e.Time, e.Message, e.Level, e.Buffer
-		e = e.WithField(numberField, *f.count)
-		e.Time, e.Message, e.Level, e.Buffer = time, message, level, buffer
-	}
-	return (&logrus.JSONFormatter{TimestampFormat: f.timestampFormat}).Format(e)
-}
-
 // isReserved reports whether key is the name of a field that logrus itself writes.
 func isReserved(key string) bool {
 	switch key {
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -57,8 +58,10 @@
 	done  chan struct{}
 	lost  [lossCauseCount]atomic.Uint64
 
-	mu              sync.Mutex
-	closed          bool
+	mu     sync.Mutex
+	closed bool
+	// count is the number of lines, lost ones included.
+	count           uint64
 	currentSecond   int64
 	linesThisSecond int
 }
@@ -105,6 +108,7 @@
 	isKept := bytes.Contains(line, keptMark)
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.count++
 	switch {
 	case q.closed:
 		q.lost[LostToClose].Add(1)
@@ -113,11 +117,25 @@
 	case len(q.lines) >= maxQueuedLines && !isKept || len(q.lines) == cap(q.lines):
 		q.lost[LostToQueue].Add(1)
 	default:
-		q.lines <- append([]byte(nil), line...)
+		q.lines <- numbered(line, q.count)
 	}
 	return len(line), nil
 }
 
+// numberField is the number of a line within its process, from 1. A gap shows that lines were lost.
+const numberField = "line"
+
+// lineEnd ends each line.
+const lineEnd = "}\n"
+
+// numbered returns a copy of a line with its number.
+func numbered(line []byte, n uint64) []byte {
+	const numberSize = 20
+	out := append(make([]byte, 0, len(line)+len(numberField)+numberSize+len(`,"":`)), bytes.TrimSuffix(line, []byte(lineEnd))...)
+	out = append(out, `,"`+numberField+`":`...)
+	return append(strconv.AppendUint(out, n, 10), lineEnd...)
+}
+
 // countLine counts a line in the current second and reports whether it is within the rate
 // limit. The caller holds mu.
 func (q *Writer) countLine() bool {
@@ -147,6 +165,6 @@
 	log := logrus.New()
 	log.SetOutput(w)
 	log.SetLevel(level)
-	log.SetFormatter(jsonFormatter{timestampFormat: timestampFormat, count: new(uint64)})
+	log.SetFormatter(jsonFormatter{timestampFormat})
 	return log
 }
--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"math"
+	"sync"
 	"testing"
 	"time"
 
@@ -28,7 +29,7 @@
 		}
 		want, err := reference.Format(e)
 		require.NoError(t, err)
-		got, err := jsonFormatter{timestampFormat: timestampFormat}.Format(e)
+		got, err := jsonFormatter{timestampFormat}.Format(e)
 		require.NoError(t, err)
 		require.Equal(t, string(want), string(got))
 	})
@@ -50,7 +51,7 @@
 
 // Guards against an incomplete line, without an error, for a value that cannot be encoded.
 func TestUnencodableValueIsAnError(t *testing.T) {
-	_, err := jsonFormatter{timestampFormat: timestampFormat}.Format(logrus.WithField("value", math.Inf(1)))
+	_, err := jsonFormatter{timestampFormat}.Format(logrus.WithField("value", math.Inf(1)))
 	require.Error(t, err)
 }
 
@@ -98,6 +99,33 @@
 	require.Equal(t, reservedLines/2, kept)
 }
 
+// Guards against numbers that repeat or go back where goroutines log at the same time.
+func TestLinesAreNumberedInOrder(t *testing.T) {
+	var out bytes.Buffer
+	q := NewWriter(&out)
+	log := New(q, logrus.InfoLevel)
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			for range 50 {
+				log.Info("line")
+			}
+		})
+	}
+	wg.Wait()
+	q.Close()
+	number := 0
+	for line := range bytes.Lines(out.Bytes()) {
+		var l struct {
+			Line int `json:"line"`
+		}
+		require.NoError(t, json.Unmarshal(line, &l))
+		number++
+		require.Equal(t, number, l.Line)
+	}
+	require.Equal(t, 400, number)
+}
+
 // writerFunc is an io.Writer.
 type writerFunc func(p []byte) (int, error)
 
