--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -39,6 +39,8 @@
 	// Continues is set if the send continues a run of the request, which is no run of its own.
 	Continues bool
 	Outcome   Outcome
+	// Why says what the outcome was learned from, for log lines.
+	Why string
 }
 
 // Record holds the sends of a request. The zero Record has none. It is safe for concurrent use; no other lock is
@@ -72,12 +74,12 @@
 	return Ticket{r, len(r.sends) - 1}, true
 }
 
-// Settle records what is known of the send. A server that has begun to respond cannot be taken back.
-func (t Ticket) Settle(o Outcome) {
+// Settle records what is known of the send, and from what. A server that has begun to respond cannot be taken back.
+func (t Ticket) Settle(o Outcome, why string) {
 	t.record.mu.Lock()
 	defer t.record.mu.Unlock()
 	if s := &t.record.sends[t.index]; s.Outcome != Begun {
-		s.Outcome = o
+		s.Outcome, s.Why = o, why
 	}
 }
 
@@ -139,6 +141,9 @@
 		if s.Continues {
 			b.WriteString(" (continues)")
 		}
+		if s.Why != "" {
+			fmt.Fprintf(&b, " (%s)", s.Why)
+		}
 	}
 	return b.String()
 }
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -32,7 +32,7 @@
 				if promised && !o.isProof() {
 					continue
 				}
-				tickets[i].Settle(o)
+				tickets[i].Settle(o, "")
 				if model[i] != Begun {
 					model[i] = o
 				}
@@ -66,10 +66,12 @@
 func TestContinuationIsNoRunOfItsOwn(t *testing.T) {
 	var r Record
 	first, _ := r.Begin("a", false)
-	first.Settle(Begun)
+	first.Settle(Begun, "")
 	next, _ := r.Begin("b", true)
-	next.Settle(Begun)
+	next.Settle(Begun, "")
 	require.Equal(t, 1, r.Runs())
 	require.True(t, r.MayHaveRun())
-	require.Equal(t, "a begun, b begun (continues)", r.String())
+	last, _ := r.Begin("c", false)
+	last.Settle(Rejected, "status 503")
+	require.Equal(t, "a begun, b begun (continues), c rejected (status 503)", r.String())
 }
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -110,9 +110,9 @@
 	src, err := a.engine.Generate(ctx, req)
 	switch {
 	case err == nil:
-		ticket.Settle(dispatch.Begun)
+		ticket.Settle(dispatch.Begun, "")
 	case errors.Is(err, engine.ErrRejected):
-		ticket.Settle(dispatch.Rejected)
+		ticket.Settle(dispatch.Rejected, err.Error())
 	}
 	return src, err
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -141,9 +141,11 @@
 	var notRun *NotRunError
 	switch {
 	case err == nil:
-		t.ticket.Settle(dispatch.Begun)
+		t.ticket.Settle(dispatch.Begun, "")
 	case errors.As(err, &notRun):
-		t.ticket.Settle(notRun.Reason.outcome())
+		t.ticket.Settle(notRun.Reason.outcome(), notRun.Detail)
+	default:
+		t.ticket.Settle(dispatch.Unknown, err.Error())
 	}
 }
 
