Stand-in: a new incarnation of a server does not keep what a fault has changed of the old one

Traced by their logs: all model servers rejected for a while, one of them was started again meanwhile, and the new incarnation had the old one's behavior; the end of the fault changed the old one only, so that it rejected every request for good. Faults of the stand-in end with the incarnation now. The check stays as it is.

--- a/internal/standin/fleet/behavior.go
+++ b/internal/standin/fleet/behavior.go
@@ -48,6 +48,16 @@
 	Raw func(c net.Conn, r *http.Request)
 }
 
+// soundBehavior returns the server's behavior without what a fault has changed for a while: a new incarnation does not
+// misbehave, and would otherwise do so for good, as its fault ends with the old one.
+func (s *Server) soundBehavior() Behavior {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := s.behavior
+	b.RejectAll, b.Headers, b.Trouble = false, nil, Trouble{}
+	return b
+}
+
 // Dips are the times in which a server is Factor times slower: Duration in every Interval, the
 // first one Offset after the server's start. There are none if Interval is 0.
 type Dips struct {
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -115,10 +115,7 @@
 		if f.isClosed() {
 			return
 		}
-		s.mu.Lock()
-		b := s.behavior
-		s.mu.Unlock()
-		replacement, err := f.Add(s.Service, s.FailureDomain, b)
+		replacement, err := f.Add(s.Service, s.FailureDomain, s.soundBehavior())
 		if err == nil && f.OnReplacement != nil {
 			f.OnReplacement(replacement)
 		}
@@ -158,7 +155,7 @@
 		return nil, err
 	}
 	s := &Server{
-		ID: old.ID, Service: old.Service, Address: old.Address, FailureDomain: old.FailureDomain, behavior: old.behavior,
+		ID: old.ID, Service: old.Service, Address: old.Address, FailureDomain: old.FailureDomain, behavior: old.soundBehavior(),
 		StartTime: max(time.Now().UnixMilli(), old.StartTime+1),
 	}
 	s.start(f, l)
