A reason that is not known proves nothing

Any NotRunError with a reason that was not listed counted as "not sent". TestUnknownReasonIsNoProof failed before.

--- a/internal/agent/generation.go
+++ b/internal/agent/generation.go
@@ -173,7 +173,7 @@
 	defer a.mu.Unlock()
 	// startJob sets dispatched under this lock before it calls the engine, so a
 	// request whose start is in flight is never reported as not run.
-	if g.dispatched || g.unscheduled {
+	if g.dispatched || g.unscheduled || !g.sends.Promise() {
 		return false
 	}
 	a.unschedule(g)
--- a/internal/relay/promise_test.go
+++ b/internal/relay/promise_test.go
@@ -27,3 +27,16 @@
 		}
 	}
 }
+
+// Guards against an error without a known reason counting as a proof that a request has not run.
+func TestUnknownReasonIsNoProof(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, Config{})
+		f.addServer("a", deskService)
+		f.upstream.send = func(context.Context, *Attempt) (*Response, error) { return nil, &NotRunError{Reason: "another"} }
+		r := request("/once/x")
+		c := f.serve(r)
+		require.True(t, c.refusal.MayHaveRun)
+		require.False(t, r.Sends.Promise())
+	})
+}
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -151,10 +151,13 @@
 
 // outcome returns what an attempt with this reason leaves in the request's record.
 func (r NotRunReason) outcome() dispatch.Outcome {
-	if r == NotRunFull || r == NotRunReplaced {
+	switch r {
+	case NotRunFull, NotRunReplaced:
 		return dispatch.Rejected
+	case NotRunUnreachable, NotRunDown, NotRunIneligible, NotRunCallerGone, NotRunPromised:
+		return dispatch.NotSent
 	}
-	return dispatch.NotSent
+	return dispatch.Unknown
 }
 
 // Error implements error.
