A request that may have run is not sent again unless it may be repeated, whatever path asks

TWICE by the same cause: an error that a path takes for "not run" and that proves nothing had the next server asked. startAttempt, through which every send goes, asks the record: without a proof for each send before it, a request that must not be repeated gets no further one, but the continuation of its run. TestUnknownReasonIsNoProof failed before (two sends) and passes now.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -45,9 +45,15 @@
 	return r.finishAttempt(j, t.send())
 }
 
+// errMayHaveRun means that a request must not be sent again, as a server may have run it.
+var errMayHaveRun = errors.New("request may have run")
+
 // startAttempt checks that the server is still eligible, completes the attempt and counts it. The
-// caller sends it then. Errors: *NotRunError, errRetryBudget.
+// caller sends it then. Errors: *NotRunError, errRetryBudget, errMayHaveRun.
 func (r *Relay) startAttempt(ctx context.Context, j *job, reservation *backends.Reservation, a *Attempt) (*attempt, error) {
+	if a.ResumeFrom == nil && !j.route.Repeatable() && j.Sends.MayHaveRun() {
+		return nil, errMayHaveRun
+	}
 	if a.RequiredSoftware == nil {
 		a.RequiredSoftware = j.software.Load()
 	}
--- a/internal/relay/hedge_test.go
+++ b/internal/relay/hedge_test.go
@@ -207,6 +207,8 @@
 			return next.response(), nil
 		}
 		f.serve(request("/plan/x")).requireWhole(t, events(1, 10))
+		// The stop call and the copies are given up in goroutines of their own.
+		synctest.Wait()
 		require.Empty(t, f.registry.Loads())
 	})
 }
--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -73,6 +73,10 @@
 			j.log.WithFields(r.retryBudgetFields(j.service)).WithField("sent", j.attempts).Warn("retry budget is used up")
 			return nil, r.refuse(j, ReasonNoCapacity)
 		}
+		if errors.Is(err, errMayHaveRun) {
+			reservation.Release(backends.ResultInconclusive, r.Now())
+			return nil, r.refuse(j, ReasonServerLost)
+		}
 		if refusal := r.handleFailedAttempt(ctx, j, used, err); refusal != nil {
 			return nil, refusal
 		}
--- a/internal/relay/promise_test.go
+++ b/internal/relay/promise_test.go
@@ -33,9 +33,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t, Config{})
 		f.addServer("a", deskService)
+		f.addServer("b", deskService)
 		f.upstream.send = func(context.Context, *Attempt) (*Response, error) { return nil, &NotRunError{Reason: "another"} }
 		r := request("/once/x")
 		c := f.serve(r)
+		require.Len(t, f.upstream.sent, 1)
 		require.True(t, c.refusal.MayHaveRun)
 		require.False(t, r.Sends.Promise())
 	})
