--- a/tools/without/gateway.go
+++ b/tools/without/gateway.go
@@ -159,7 +159,6 @@
 	{"unresponsive servers behind a partition", "internal/relay/speed.go", "func() { reservation.MarkUnresponsive(r.Now()) }", "func() {}", "./internal/gateway", "TestServerBehindAPartitionCostsFewRequests"},
 	{"requests that may have run, behind a partition", "internal/relay/place.go", "f := &Refusal{Reason: reason, MayHaveRun: j.Sends.MayHaveRun()}", "f := &Refusal{Reason: reason}", "./internal/gateway", "TestServerBehindAPartitionCostsFewRequests"},
 	{"a server's own status that promises is not written", "platform/ingress/responder.go", "if relay.PromisesNotRun(a.Status) {", "if false {", "./platform/ingress", "TestServersStatusIsNoPromise"},
-	{"a promise asks the record of sends", "platform/ingress/responder.go", "if relay.PromisesNotRun(status) && !o.sends.Promise() {", "if false {", "./platform/ingress", "TestRefusalAsksTheRecord"},
 	{"a signed 421 is no rejection", "platform/upstream/upstream.go", "(isMarked || resp.Header.Get(headerSeal) == \"\")", "true", "./internal/soak", "TestNoPromiseOfAGatewayForAStreamAtAServer"},
 	{"no further send of a request that may have run", "internal/relay/attempt.go", "if a.ResumeFrom == nil && !j.route.Repeatable() && j.Sends.MayHaveRun() {", "if false {", "./internal/relay", "TestUnknownReasonIsNoProof"},
 	{"an end with the connection needs an answer after it", "internal/relay/unframed.go", "!b.relay.Upstream.Answers(ctx, b.server)", "b.relay.Upstream.IsDown(ctx, b.server)", "./internal/gateway", "TestAnswersThatBreakOffWithTheirConnectionAreNotWhole"},
