--- a/internal/soak/promise_test.go
+++ b/internal/soak/promise_test.go
@@ -22,7 +22,7 @@
 
 var gatewayBinary = flag.String("soak.binary", "", "gateway's program to run in place of a build of this tree")
 
-// arrival is a request as a scriptedEngine got it, and what became of it there.
+// arrival is a request as a scriptedEngine got it, and what became of it there. It is guarded by the engine's mu.
 type arrival struct {
 	id                string
 	conn              int
@@ -31,7 +31,7 @@
 	isRejected, isRun bool
 }
 
-func (a *arrival) String() string {
+func (a arrival) String() string {
 	since := func(t time.Time) string {
 		if t.IsZero() {
 			return "-"
@@ -105,16 +105,23 @@
 		e.arrivals = append(e.arrivals, a)
 		e.mu.Unlock()
 		e.answer(ec, a)
-		a.end = time.Now()
+		e.update(func() { a.end = time.Now() })
 	}
 }
 
-func (e *scriptedEngine) arrivalsOf(id string) (out []*arrival) {
+// update changes an arrival.
+func (e *scriptedEngine) update(change func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	change()
+}
+
+func (e *scriptedEngine) arrivalsOf(id string) (out []arrival) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, a := range e.arrivals {
 		if a.id == id {
-			out = append(out, a)
+			out = append(out, *a)
 		}
 	}
 	return out
@@ -144,7 +151,7 @@
 const notRunMark = "X-Kingcupplank-Not-Executed: 1\r\n"
 
 func (e *engineConn) reject(a *arrival, status int) {
-	a.status, a.isRejected = status, true
+	e.engine.update(func() { a.status, a.isRejected = status, true })
 	e.rejections++
 	e.head(status, named(a)+notRunMark)
 }
@@ -154,14 +161,14 @@
 
 // run runs a request: it begins with the first event, unless the connection has been closed before.
 func (e *engineConn) run(a *arrival, events int) {
-	a.isRun, a.status = true, http.StatusOK
+	e.engine.update(func() { a.isRun, a.status = true, http.StatusOK })
 	e.SetReadDeadline(time.Now().Add(firstTokenTime))
 	_, err := e.Read(make([]byte, 1))
 	e.SetReadDeadline(time.Time{})
 	if err == io.EOF {
 		return
 	}
-	a.began = time.Now()
+	e.engine.update(func() { a.began = time.Now() })
 	fmt.Fprintf(e, "HTTP/1.1 200 OK\r\n%sX-Kingcupplank-Response-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", named(a))
 	for n := range events {
 		text := fleet.EventText(n+1, "")
@@ -206,7 +213,7 @@
 	}, 6, true},
 	{"servers own status", func(status int) *scriptedEngine {
 		return &scriptedEngine{answer: func(e *engineConn, a *arrival) {
-			a.isRun, a.status = true, status
+			e.engine.update(func() { a.isRun, a.status = true, status })
 			e.head(status, named(a)+"X-Kingcupplank-Response-Seal: s\r\n")
 		}, call: noCall}
 	}, 1, false},
