--- a/internal/standin/fleet/trouble.go
+++ b/internal/standin/fleet/trouble.go
@@ -82,15 +82,15 @@
 	return r.Context()
 }
 
-// callerConn is a connection of a gateway with the copy of an answer that is sent before the next one.
-type callerConn struct {
+// gatewayConn is a connection of a gateway with the copy of an answer that is sent before the next one.
+type gatewayConn struct {
 	net.Conn
 	mu   sync.Mutex
 	late string
 }
 
 // sendLate sends the copy that is due.
-func (c *callerConn) sendLate() {
+func (c *gatewayConn) sendLate() {
 	c.mu.Lock()
 	late := c.late
 	c.late = ""
@@ -98,14 +98,14 @@
 	io.WriteString(c, late)
 }
 
-// connKey is the key of a request's callerConn in its context.
+// connKey is the key of a request's gatewayConn in its context.
 type connKey struct{}
 
 func withConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, &callerConn{Conn: c})
+	return context.WithValue(ctx, connKey{}, &gatewayConn{Conn: c})
 }
 
-func connOf(r *http.Request) *callerConn { return r.Context().Value(connKey{}).(*callerConn) }
+func connOf(r *http.Request) *gatewayConn { return r.Context().Value(connKey{}).(*gatewayConn) }
 
 // send sends the copy of an answer to a request, or to a call without an id.
 func (a Again) send(r *http.Request, status int, fields, body string) {
