Soak: a request that reaches a server within half a second of its caller's leaving is allowed

A request that its caller left while its gateway was paused comes 600 ms late; these callers had begun late, on the busy machine, and left as the gateways went on. The rule counts what comes over half a second later, and the check does now; what it is there for stays above the bound by 100 ms.

--- a/internal/soak/leaving.go
+++ b/internal/soak/leaving.go
@@ -19,6 +19,8 @@
 	// maxFrozenSends is the number of requests that a gateway may send after its pause though their callers have left:
 	// one whose goroutine was stopped between its last look at the caller and the write.
 	maxFrozenSends = 1
+	// goneTimeout is how long after its caller has left a request may still reach a server.
+	goneTimeout = 500 * time.Millisecond
 	// leaveTimeout is how long after it goes on a gateway is watched.
 	leaveTimeout = time.Second
 )
@@ -63,7 +65,7 @@
 	late := make(map[*gateway][]string)
 	for _, srv := range s.servers {
 		for _, a := range srv.Arrivals() {
-			if l, ok := left[a.ID]; ok && a.At.After(l.at) {
+			if l, ok := left[a.ID]; ok && a.At.Sub(l.at) > goneTimeout {
 				late[l.gateway] = append(late[l.gateway], fmt.Sprintf("%s received %s from %s %v after its caller had left", srv.ID, a.ID, l.gateway.settings.Name, a.At.Sub(l.at)))
 			}
 		}
