Crowds of clients at real processes: failing tests with their bounds

What callers saw: in a trial by the users, clients that are inside the limits or send too much ended a process, which ran out of memory.

Tests: real processes on loopback, a gateway on a VM of 64 MB, 400 descriptors, bodies of 1 MiB and heads of 16 KiB; entry and agent with 128 MB and 1,000 descriptors. Crowds of 40 to 1,200 clients stay connected. Checked are life, the largest resident size plus what waits in the process's sockets, descriptors, one ordinary request beside the crowd, and the exit after SIGTERM. No times, no shares.

--- a/internal/proof/gateway_process_test.go
+++ b/internal/proof/gateway_process_test.go
@@ -41,10 +41,16 @@
 
 // startGatewayCommand starts a command that runs the program.
 func startGatewayCommand(t *testing.T, f *fleet.Fleet, cmd *exec.Cmd) *gatewayProcess {
+	t.Helper()
+	return startGatewayOnVM(t, f, cmd, fleet.NewVMSettings("vm-1", ""))
+}
+
+// startGatewayOnVM does the same with the settings of a VM.
+func startGatewayOnVM(t *testing.T, f *fleet.Fleet, cmd *exec.Cmd, vm fleet.VMSettings) *gatewayProcess {
 	t.Helper()
 	endpoint, err := f.Store.AddEndpoint()
 	require.NoError(t, err)
-	vm := fleet.NewVMSettings("vm-1", endpoint.Address)
+	vm.Store = endpoint.Address
 	g := &gatewayProcess{callerAddress: vm.Callers, settings: filepath.Join(t.TempDir(), "settings.json"), out: &bytes.Buffer{}}
 	require.NoError(t, vm.WriteFile(g.settings))
 	g.cmd = cmd
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -67,6 +67,8 @@
 	PlanTargetMs, MaxPauseMs int
 	// EngineMemory is the memory of a model engine in tokens.
 	EngineMemory int
+	// HeaderBytes and BodyBytes are the limits of a request.
+	HeaderBytes, BodyBytes int
 }
 
 // SetLoad writes a configuration with the given load.
@@ -254,7 +256,10 @@
 			}},
 			{"name": DeskService, "maxConnections": 100, "coldStartS": coldDuration.Seconds(), "coldPerS": coldPerS},
 		},
-		"limits":  map[string]any{"maxHeaderBytes": 8192, "maxBodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"limits": map[string]any{
+			"maxHeaderBytes": cmp.Or(load.HeaderBytes, 8192), "maxBodyBytes": cmp.Or(load.BodyBytes, 65536),
+			"headerTimeoutMs": 3000, "idleTimeoutMs": 15000,
+		},
 		"tenants": []map[string]any{{"name": Team, "apiKeys": []string{key}}},
 	}
 	f.mu.Lock()
--- a/internal/standin/fleet/settings.go
+++ b/internal/standin/fleet/settings.go
@@ -33,13 +33,15 @@
 	LostZones int
 	// GraceS is the time from SIGTERM to SIGKILL, in seconds.
 	GraceS int
+	// MemoryMB is the VM's memory, MaxFiles the number of file descriptors of a process.
+	MemoryMB, MaxFiles int
 }
 
 // NewVMSettings returns settings with unique addresses for a gateway.
 func NewVMSettings(name, store string) VMSettings {
 	return VMSettings{
 		Name: name, Callers: standin.UniqueAddress(), Ready: standin.UniqueAddress(), Peers: standin.UniqueAddress(),
-		Store: store, RevokeMs: 5000, LinkMbps: 1000, GraceS: 6,
+		Store: store, RevokeMs: 5000, LinkMbps: 1000, GraceS: 6, MemoryMB: 128, MaxFiles: 1000,
 	}
 }
 
@@ -59,7 +61,7 @@
 	data, err := json.Marshal(map[string]any{
 		"nodeName": s.Name, "zone": "zone-1", "ip": ip, "internalPortRange": []int{peers, peers + 1},
 		"listenAddrs": map[string]string{"frontend": s.Callers, "ready": s.Ready},
-		"limits":      map[string]any{"memoryMb": 128, "maxFds": 1000, "bandwidthMbps": s.LinkMbps},
+		"limits":      map[string]any{"memoryMb": s.MemoryMB, "maxFds": s.MaxFiles, "bandwidthMbps": s.LinkMbps},
 		"bounds": map[string]any{
 			"drainTimeoutMs": 2000, "gracePeriodS": s.GraceS, "configApplyMs": 2000, "revokeTimeoutMs": s.RevokeMs,
 			"retryBudgetRatio": RetryRatio, "retryWindowS": RetryWindow.Seconds(), "retryMinExtra": RetryExtra,
