Gateway: one account for the memory of callers' connections and requests

What callers saw: a crowd of clients, each with a body inside the limits, ended a gateway or kept it from answering others.

Cause: the body of each request was read whole before key, route or room were looked at, into a buffer that grows by copying, and nothing bounded the sum. A body had 10 s, after which the next wave came; an honest caller on a slow line had 10 s too. A request that was refused as the process ended kept it waiting for the rest of its body without a limit of time.

Change: package intake decides, without I/O, what connections and requests may hold: 3/8 of the VM's memory, large requests 1/8. A body of known length is charged before its first byte, one in chunks as it grows. Where there is no room, slow senders of incomplete requests yield, then idle connections; a complete request never does, and a lone large one is always taken. Before a body becomes large, key and route are checked. Silence in a body is bounded by the configured idle time and the caller's own deadline, which counts from the head now. A refusal is written before the rest of the body is read and dropped, so that its caller can read it. At the end of the process unfinished bodies are refused.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"go.uber.org/dig"
 
 	"kingcupplank.example/kingcup/backends"
+	"kingcupplank.example/kingcup/intake"
 	"kingcupplank.example/kingcup/internal/admin"
 	"kingcupplank.example/kingcup/internal/clock"
 	"kingcupplank.example/kingcup/internal/follow"
@@ -227,7 +228,7 @@
 		g.log.WithFields(logrus.Fields{"request": id, "path": path, "reason": reason}).Info("refused")
 		rec.Finished("", "", 0, string(reason))
 	}
-	callers, err := ingress.New(listen, g.relay, maxCallerConnections(platform.MaxFiles), onInvalid)
+	callers, err := ingress.New(listen, g.relay, callerLimits(platform), onInvalid)
 	if err != nil {
 		return err
 	}
@@ -245,7 +246,9 @@
 	}
 	rep.OnChange(func(c *routing.Config) { g.callers.SetLimits(c.Limits) })
 	rec.RegisterGauge("kingcup_gateway_in_progress", "Requests without a final answer.", func() float64 { return float64(g.relay.InProgress()) })
-	rec.RegisterGauge("kingcup_gateway_connections_closed_unread", "Connections of callers that were closed unread since the start, as too many were open.", func() float64 { return float64(g.callers.ClosedUnread()) })
+	rec.RegisterGauge("kingcup_gateway_connections_closed_unread", "Connections of callers that were closed unread since the start, as there was no room.", func() float64 { return float64(g.callers.ClosedUnread()) })
+	rec.RegisterGauge("kingcup_gateway_connections_yielded", "Connections and requests of callers that were given up since the start to make room for others.", func() float64 { return float64(g.callers.Yielded()) })
+	rec.RegisterGauge("kingcup_gateway_request_memory_bytes", "Memory that callers' connections and requests hold.", func() float64 { return float64(g.callers.HeldBytes()) })
 	rec.RegisterGauge("kingcup_gateway_config_version", "Version of the configuration in force.", func() float64 {
 		c, _ := rep.Current()
 		if c == nil {
@@ -378,6 +381,11 @@
 		(g.group.followers[membersTable].HasTable() || time.Since(g.started) > membersTimeout)
 }
 
+// callerLimits returns the limits of callers' connections and of the memory of their requests.
+func callerLimits(platform *settings.Settings) intake.Limits {
+	return intake.LimitsFor(platform.MemoryBytes, maxCallerConnections(platform.MaxFiles))
+}
+
 // callerDescriptors is the part of the file descriptors that connections of callers may use. The rest is
 // for connections to servers, of which each request may need one, to the store and to peers.
 const callerDescriptors = 0.5
@@ -453,6 +461,7 @@
 	g.store.SetBandwidth(platform.LinkMbps)
 	g.link.setBandwidth(platform.LinkMbps)
 	g.relay.Configure(relayConfig(g.opts, platform))
+	g.callers.SetIntake(callerLimits(platform))
 	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(platform.MemoryBytes)))
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -322,8 +322,7 @@
 	defer r.addInProgress(-1)
 	j, refusal := r.admit(req)
 	if refusal != nil {
-		r.Log.WithFields(r.refusalLogFields(req, refusal)).Info("refused")
-		r.Observer.Finished("", "", 0, string(refusal.Reason))
+		r.recordRefusal(req, refusal)
 		out.Refuse(*refusal)
 		return
 	}
@@ -383,6 +382,20 @@
 	return r.inProgress
 }
 
+// CheckHead returns a refusal if a request can be refused by its head, before its body is read.
+func (r *Relay) CheckHead(req *Request) *Refusal {
+	_, refusal := r.match(req)
+	if refusal != nil {
+		r.recordRefusal(req, refusal)
+	}
+	return refusal
+}
+
+func (r *Relay) recordRefusal(req *Request, f *Refusal) {
+	r.Log.WithFields(r.refusalLogFields(req, f)).Info("refused")
+	r.Observer.Finished("", "", 0, string(f.Reason))
+}
+
 // refusalLogFields returns the log fields of a request that is refused before it is placed.
 func (r *Relay) refusalLogFields(req *Request, f *Refusal) logrus.Fields {
 	fields := logrus.Fields{"request": req.ID, "reason": f.Reason, "path": req.Path}
@@ -395,8 +408,8 @@
 	return fields
 }
 
-// admit matches a request against the configuration in force and authorizes it.
-func (r *Relay) admit(req *Request) (*job, *Refusal) {
+// match matches a request against the configuration in force and authorizes it. It does not look at the body.
+func (r *Relay) match(req *Request) (*job, *Refusal) {
 	cfg, confirmed := r.Replica.Current()
 	if cfg == nil {
 		return nil, &Refusal{Reason: ReasonNoConfig, RetryAfter: noConfigRetryAfter}
@@ -424,6 +437,20 @@
 	if j.engine != nil && req.Generation != nil && req.Generation.PromptTokens > j.engine.MemoryTokens {
 		return nil, &Refusal{Reason: ReasonPromptTooLarge}
 	}
+	j.log = r.Log.WithFields(logrus.Fields{
+		"request": req.ID, "route": route.Name, "service": j.service, "team": j.team,
+		"config": cfg.Version, "config_age_ms": configAge.Milliseconds(),
+	})
+	return j, nil
+}
+
+// admit decides whether a request is served.
+func (r *Relay) admit(req *Request) (*job, *Refusal) {
+	j, refusal := r.match(req)
+	if refusal != nil {
+		return nil, refusal
+	}
+	route := j.route
 	if v, refuse := r.refusedByQuarantine(j); refuse {
 		return nil, j.quarantineRefusal(v)
 	}
@@ -434,10 +461,6 @@
 	if !r.admitsBeforeShutdown(j) {
 		return nil, &Refusal{Reason: ReasonStopping, RetryAfter: r.shutdownRetryAfter()}
 	}
-	j.log = r.Log.WithFields(logrus.Fields{
-		"request": req.ID, "route": route.Name, "service": j.service, "team": j.team,
-		"config": cfg.Version, "config_age_ms": configAge.Milliseconds(),
-	})
 	return j, nil
 }
 
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -242,6 +242,7 @@
 	ReasonMalformed       Reason = "malformed request"
 	ReasonSlowBody        Reason = "body came too slowly"
 	ReasonLongBody        Reason = "body is too long"
+	ReasonNoMemory        Reason = "no memory for the request"
 	ReasonQuarantined     Reason = "servers end under it"
 )
 
