--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"kingcupplank.example/kingcup/internal/netmeter"
 	"kingcupplank.example/kingcup/internal/peers"
 	"kingcupplank.example/kingcup/internal/relay"
+	"kingcupplank.example/kingcup/internal/sockets"
 	"kingcupplank.example/kingcup/pacing"
 	"kingcupplank.example/kingcup/platform/directory"
 	"kingcupplank.example/kingcup/platform/ingress"
@@ -215,10 +216,13 @@
 	}
 }
 
+// callerBufferBytes bounds each of the two buffers of a caller's socket.
+const callerBufferBytes = 32 << 10
+
 // run binds the gateway's addresses and starts its goroutines.
 func (g *Gateway) run(platform *settings.Settings, rep *routing.Replica, rec *gatewaymetrics.Recorder) error {
 	listen := func() (net.Listener, error) {
-		l, err := net.Listen("tcp", platform.Callers)
+		l, err := sockets.Listen(platform.Callers, callerBufferBytes)
 		if err != nil {
 			return nil, err
 		}
