Readiness, metrics and reports: bounded connections, bodies and times

What callers saw: the addresses of readiness and metrics are on the same VM as callers' requests. A crowd at them ended the process or used up its descriptors.

Cause: fasthttp takes bodies of 4 MiB and 256 Ki connections by default, without a limit of time at the readiness address, and none for answers that are not read.

Change: 64 connections an address, of which those without a request yield after 100 ms so that checks are answered beside them, bodies up to 4 KiB, 5 s for a request and for an answer, bounded socket buffers. Entry and agent serve their reports the same way.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -18,6 +18,7 @@
 	"github.com/valyala/fasthttp/fasthttpadaptor"
 
 	"kingcupplank.example/kingcup/burn"
+	"kingcupplank.example/kingcup/internal/guard"
 )
 
 // Source provides the data that a daemon serves at its admin address.
@@ -120,7 +121,7 @@
 		Handler: r.Handler, Name: "kingcup",
 		// A scraper keeps its connection open. Without these settings, the
 		// process would wait for it forever when it stops.
-		IdleTimeout: idleTimeout, ReadTimeout: idleTimeout, CloseOnShutdown: true,
+		IdleTimeout: idleTimeout, CloseOnShutdown: true,
 	}}
 }
 
@@ -130,7 +131,7 @@
 )
 
 // Serve accepts connections on l until Close.
-func (s *Server) Serve(l net.Listener) error { return s.http.Serve(l) }
+func (s *Server) Serve(l net.Listener) error { return guard.ServeOperators(s.http, l) }
 
 // Close stops the server. It waits up to shutdownTimeout for requests in progress.
 func (s *Server) Close() error {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -216,7 +216,7 @@
 	}
 }
 
-// callerBufferBytes bounds each of the two buffers of a caller's socket.
+// callerBufferBytes bounds each of the two buffers of a socket of callers, checks and operators.
 const callerBufferBytes = 32 << 10
 
 // run binds the gateway's addresses and starts its goroutines.
@@ -237,7 +237,7 @@
 		return err
 	}
 	g.callers = callers
-	ready, err := net.Listen("tcp", platform.Ready)
+	ready, err := sockets.Listen(platform.Ready, callerBufferBytes)
 	if err != nil {
 		callers.Close()
 		return errors.Wrap(err, "listen on the readiness address")
@@ -326,7 +326,7 @@
 	if g.opts.MetricsPort == 0 {
 		return nil
 	}
-	l, err := net.Listen("tcp", net.JoinHostPort(platform.IP, strconv.Itoa(g.opts.MetricsPort)))
+	l, err := sockets.Listen(net.JoinHostPort(platform.IP, strconv.Itoa(g.opts.MetricsPort)), callerBufferBytes)
 	if err != nil {
 		return errors.Wrap(err, "listen on the metrics address")
 	}
