Inner protocol: bounded connections, streams and frames

What callers saw: whoever reaches the inner address of an agent or an entry can end it or use up its descriptors, and with it the streams of all callers there.

Cause: a frame got its 4 MiB as soon as it was announced, for any number of streams; what a peer sends behind its first frame stayed in the multiplexer's buffers of up to 256 KiB a stream; connections were not bounded.

Change: the account of package intake for streams and connections. A frame is charged, as read and as decoded, before memory is allocated. New settings memory-mb and max-files, by default those of the system, and a memory limit of the runtime as the gateway has.

--- a/cmd/kingcup-agent/main.go
+++ b/cmd/kingcup-agent/main.go
@@ -42,6 +42,7 @@
 		OrphanGracePeriod: *orphanGracePeriod, RetentionPeriod: *retentionPeriod, EngineGracePeriod: *engineGracePeriod,
 		Policy: sched.Config{Capacity: *capacity, MaxBatch: *maxBatch, MaxWait: *maxWait},
 	}
+	app.LimitMemory(o.CommonOptions)
 	log := app.NewLog(o.CommonOptions)
 	if err := run(o, *engineAddr, *serviceAddr, log); err != nil {
 		fmt.Fprintln(os.Stderr, "kingcup-agent:", err)
--- a/cmd/kingcup-entry/main.go
+++ b/cmd/kingcup-entry/main.go
@@ -35,6 +35,7 @@
 		ListInterval: *listInterval, AcceptTimeout: *acceptTimeout, ReattachTimeout: *reattachTimeout, ClaimWindow: *claimWindow, LeaseTTL: *leaseTTL,
 		MaxRequests: *maxRequests,
 	}
+	app.LimitMemory(o.CommonOptions)
 	log := app.NewLog(o.CommonOptions)
 	p, err := app.DialPlatform(o.CommonOptions)
 	if err == nil {
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -33,6 +33,8 @@
 	// Bytes bounds the memory of all clients in bytes, LargeBytes the part of it that requests of more than SmallBytes
 	// may hold. 0 is no bound.
 	Bytes, LargeBytes int64
+	// LoneBytes bounds the only client that holds a large request where it is more than LargeBytes, 0 for no bound.
+	LoneBytes int64
 	// Patience is how long a client may be silent or slow before it yields.
 	Patience time.Duration
 }
@@ -81,6 +83,9 @@
 // HasYielded reports whether the client's connection has to be closed, or its request refused.
 func (c *Client) HasYielded() bool { return c.phase == gone }
 
+// IsServing reports whether a complete request of the client is in progress.
+func (c *Client) IsServing() bool { return c.phase == serving }
+
 func (c *Client) isLarge() bool { return c.held > SmallBytes }
 
 // recent returns the bytes received lately.
@@ -184,7 +189,7 @@
 		others, otherBytes = others-1, otherBytes-c.held
 	}
 	if others == 0 {
-		return true
+		return t.limits.LoneBytes <= 0 || c.held+n <= max(t.limits.LargeBytes, t.limits.LoneBytes)
 	}
 	return !t.exceeds(n) && (t.limits.LargeBytes <= 0 || otherBytes+c.held+n <= t.limits.LargeBytes)
 }
@@ -198,6 +203,13 @@
 	}
 }
 
+// SetHeld replaces what is charged to a client by n bytes, for which there is room already.
+func (t *Table) SetHeld(c *Client, n int64) {
+	if c.phase != gone {
+		t.add(c, n-c.held)
+	}
+}
+
 // add adds n bytes to what a client holds.
 func (t *Table) add(c *Client, n int64) {
 	t.countLarge(c, -1)
@@ -225,6 +237,20 @@
 	return true
 }
 
+// SetServing sets whether a client that has several requests side by side has a complete one in progress. While it has
+// none, it may yield.
+func (t *Table) SetServing(c *Client, isServing bool, now time.Duration) {
+	switch {
+	case c.phase == gone || isServing == (c.phase == serving):
+	case isServing:
+		c.phase, c.since = serving, now
+	case c.held > 0:
+		c.phase, c.since = receiving, now
+	default:
+		c.phase, c.since = idle, now
+	}
+}
+
 // Finish records that the request of a client has its response, and releases what it held.
 func (t *Table) Finish(c *Client, now time.Duration) {
 	if c.phase != gone {
--- a/internal/app/agent.go
+++ b/internal/app/agent.go
@@ -105,7 +105,7 @@
 		return errors.Wrap(err, "inner address")
 	}
 	rec.ExportScheduler(r.Agent.Stats)
-	r.inner = wire.NewServer(inner, r.Agent.Handle)
+	r.inner = wire.NewServer(inner, r.Agent.Handle, o.limits(1, callerFiles))
 	ready := func() bool { return !r.Agent.Leaving() && r.Sync.Ready() }
 	if r.admin, err = startAdmin(o.AdminAddress, network, rec, ready, &r.wg); err != nil {
 		inner.Close()
--- a/internal/app/entry.go
+++ b/internal/app/entry.go
@@ -73,6 +73,9 @@
 	propagationTimeout   = time.Second
 	maxServersPerRequest = 4
 
+	// entryInnerMemory is the part of an entry's memory for requests that the system's own processes may use.
+	entryInnerMemory = 0.25
+
 	callerKeepaliveInterval = 20 * time.Second
 	callerKeepaliveTimeout  = 10 * time.Second
 )
@@ -148,7 +151,7 @@
 	}
 	r.CallerAddress = callers.Addr().String()
 	rec.ExportGauge("kingcup_in_progress", "Requests in progress at this entry.", func() float64 { return float64(r.Entry.InProgress()) })
-	r.inner = wire.NewServer(inner, r.Entry.Handle)
+	r.inner = wire.NewServer(inner, r.Entry.Handle, o.limits(entryInnerMemory, peerFiles))
 	// A caller whose VM crashes does not close its connection. Without keepalive its
 	// streams would be relayed until TCP times out.
 	keepaliveParams := keepalive.ServerParameters{Time: callerKeepaliveInterval, Timeout: callerKeepaliveTimeout}
--- a/internal/app/options.go
+++ b/internal/app/options.go
@@ -3,14 +3,18 @@
 package app
 
 import (
+	"math"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 
+	"kingcupplank.example/kingcup/intake"
 	"kingcupplank.example/kingcup/internal/settings"
 	"kingcupplank.example/kingcup/internal/wire"
 	"kingcupplank.example/kingcup/storage"
@@ -33,8 +37,11 @@
 	// ConfigStaleAfter is how long a process stays ready without a confirmed configuration.
 	ConfigStaleAfter time.Duration
 	DrainTimeout     time.Duration
-	LogLevel         string
-	LogFormat        string
+	// MemoryBytes is the memory of the VM, MaxFiles the number of file descriptors of the process. 0 is no bound.
+	MemoryBytes int64
+	MaxFiles    int
+	LogLevel    string
+	LogFormat   string
 }
 
 // AddCommonFlags defines the flags of CommonOptions. The returned function returns the
@@ -48,6 +55,9 @@
 	s.Group("Addresses")
 	innerAddress := s.Address("inner-address", "", "address for the system's own processes", true)
 	adminAddress := s.Address("admin-address", "", "address for metrics, health and reports; empty for none", false)
+	s.Group("Limits")
+	memoryMB := s.Int("memory-mb", 0, 0, 1<<26, "memory of this VM in MB, which bounds what clients may use; 0 asks the system")
+	maxFiles := s.Int("max-files", 0, 0, 1<<30, "file descriptors of this process, which bound its connections; 0 asks the system")
 	s.Group("Platform")
 	tableAddress := s.Address("table-address", "", "table service of the platform", true)
 	objectAddress := s.Address("object-address", "", "object store of the platform", true)
@@ -57,11 +67,55 @@
 		return CommonOptions{
 			Name: *name, FailureDomain: *failureDomain, InnerAddress: *innerAddress, AdminAddress: *adminAddress,
 			TableAddress: *tableAddress, ObjectAddress: *objectAddress, ConfigPollInterval: *pollInterval, ConfigStaleAfter: *staleAfter,
-			DrainTimeout: *drainTimeout, LogLevel: *logLevel, LogFormat: *logFormat,
+			DrainTimeout: *drainTimeout, MemoryBytes: memoryOf(*memoryMB), MaxFiles: filesOf(*maxFiles), LogLevel: *logLevel, LogFormat: *logFormat,
 		}
 	}
 }
 
+// memoryOf returns a number of MB in bytes, the VM's memory for 0.
+func memoryOf(mb int) int64 {
+	var info unix.Sysinfo_t
+	if mb > 0 {
+		return int64(mb) << 20
+	}
+	if unix.Sysinfo(&info) != nil {
+		return 0
+	}
+	return int64(info.Totalram) * int64(info.Unit)
+}
+
+// filesOf returns n, the process's limit of file descriptors for 0.
+func filesOf(n int) int {
+	var limit unix.Rlimit
+	if n > 0 || unix.Getrlimit(unix.RLIMIT_NOFILE, &limit) != nil {
+		return n
+	}
+	return int(min(limit.Cur, math.MaxInt32))
+}
+
+const (
+	// memoryLimitFraction is the part of the VM's memory near which the garbage collector works harder.
+	memoryLimitFraction = 0.6
+	// callerFiles and peerFiles are the parts of the file descriptors for connections of callers and of the system's own
+	// processes.
+	callerFiles, peerFiles = 0.5, 0.25
+	// memory that callers' and peers' requests may hold, as parts of the VM's.
+	requestMemory, largeRequestMemory = 0.375, 0.25
+)
+
+// LimitMemory sets the memory limit of this process.
+func LimitMemory(c CommonOptions) {
+	if c.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(c.MemoryBytes)))
+	}
+}
+
+// limits returns the limits of an address, which may use a part of the memory for requests and of the file descriptors.
+func (c CommonOptions) limits(memory, files float64) intake.Limits {
+	bytes := func(share float64) int64 { return int64(memory * share * float64(c.MemoryBytes)) }
+	return intake.Limits{Connections: int(files * float64(c.MaxFiles)), Bytes: bytes(requestMemory), LargeBytes: bytes(largeRequestMemory)}
+}
+
 // NewLog returns a logger to standard error with the level and format of c.
 func NewLog(c CommonOptions) logrus.FieldLogger {
 	log := logrus.New()
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -123,6 +123,21 @@
 	g.table.Release(c, n)
 }
 
+// SetHeld replaces what is charged to a client by n bytes, for which there is room already.
+func (g *Gate) SetHeld(c *intake.Client, n int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.table.SetHeld(c, n)
+}
+
+// SetServing sets whether a complete request of a client is in progress.
+func (g *Gate) SetServing(c *intake.Client, isServing bool) {
+	now := time.Since(g.started)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.table.SetServing(c, isServing, now)
+}
+
 // ReleaseAll takes back all that was charged to a client.
 func (g *Gate) ReleaseAll(c *intake.Client) { g.Release(c, math.MaxInt64) }
 
@@ -224,6 +239,19 @@
 	c.isCounted.Store(true)
 }
 
+// IsServing reports whether the connection has brought a whole request.
+func (c *Conn) IsServing() bool {
+	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	return c.client.IsServing()
+}
+
+// StopCounting ends the charging of what is read.
+func (c *Conn) StopCounting() { c.isCounted.Store(false) }
+
+// Complete says that the connection has brought a whole request. It returns false if the client has yielded.
+func (c *Conn) Complete() bool { return c.gate.Complete(c.client) }
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.once.Do(func() { c.gate.Close(c.client) })
--- a/internal/proof/outcome_test.go
+++ b/internal/proof/outcome_test.go
@@ -13,6 +13,7 @@
 
 	"kingcupplank.example/kingcup/client"
 	"kingcupplank.example/kingcup/failure"
+	"kingcupplank.example/kingcup/intake"
 	"kingcupplank.example/kingcup/internal/standin/tables"
 	"kingcupplank.example/kingcup/internal/wire"
 	innerv1 "kingcupplank.example/kingcup/proto/kingcup/inner/v1"
@@ -122,7 +123,7 @@
 			}
 			time.Sleep(time.Second)
 		}
-	})
+	}, intake.Limits{})
 	go srv.Serve()
 	s.fakeAgents = append(s.fakeAgents, srv)
 }
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"encoding/binary"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -112,6 +114,14 @@
 	// writeMu serializes the writing of frames.
 	writeMu sync.Mutex
 
+	// maxFrameBytes bounds the frames that Recv reads, 0 for mux.MaxFrameBytes. charge, if not nil, is called with the
+	// length of a frame before memory is allocated for it.
+	maxFrameBytes uint32
+	charge        func(bytes int64) error
+	// header is the part of a frame's length that the reader has not read again, frameLeft the number of bytes behind it.
+	header    []byte
+	frameLeft int
+
 	// idleTimeout bounds the time without received data, in nanoseconds, while
 	// RecvWithIdleTimeout runs; 0 means no bound.
 	idleTimeout atomic.Int64
@@ -132,10 +142,21 @@
 
 // Read implements io.Reader.
 func (r idleTimeoutReader) Read(p []byte) (int, error) {
+	if len(r.header) > 0 {
+		n := copy(p, r.header)
+		r.Stream.header = r.header[n:]
+		return n, nil
+	}
 	if timeout := time.Duration(r.idleTimeout.Load()); timeout > 0 {
 		r.SetReadDeadline(time.Now().Add(timeout))
 	}
-	return r.conn.Read(p)
+	if r.maxFrameBytes > 0 {
+		// Nothing is read ahead of the next checkFrame.
+		p = p[:min(len(p), r.frameLeft)]
+	}
+	n, err := r.conn.Read(p)
+	r.frameLeft -= n
+	return n, err
 }
 
 // Close ends the stream and unblocks its reader.
@@ -162,9 +183,36 @@
 
 // Recv reads one frame into msg. Errors: those of mux.FrameReader.
 func (s *Stream) Recv(msg proto.Message) error {
+	if s.maxFrameBytes > 0 {
+		if err := s.checkFrame(); err != nil {
+			return err
+		}
+	}
 	return s.reader.Read(msg)
 }
 
+// checkFrame reads the length of the next frame and returns an error if there is no room for the frame.
+func (s *Stream) checkFrame() error {
+	header := make([]byte, frameLengthBytes)
+	if _, err := io.ReadFull(s.conn, header); err != nil {
+		return err
+	}
+	size := binary.BigEndian.Uint32(header)
+	if size > s.maxFrameBytes {
+		return errors.Wrapf(mux.ErrFrameTooLarge, "%d bytes announced", size)
+	}
+	if s.charge != nil {
+		if err := s.charge(int64(size)); err != nil {
+			return err
+		}
+	}
+	s.header, s.frameLeft = header, int(size)
+	return nil
+}
+
+// frameLengthBytes is the length of the length that precedes a frame.
+const frameLengthBytes = 4
+
 // RecvWithIdleTimeout reads one frame into msg. It fails with a timeout if no data
 // arrives for idleTimeout. The total time is not bounded: a frame may contain a
 // whole configuration, and over a link of low bandwidth every attempt would time
@@ -191,6 +239,9 @@
 	return s.conn.SetReadDeadline(t)
 }
 
+// SetWriteDeadline sets the deadline of writes.
+func (s *Stream) SetWriteDeadline(t time.Time) error { return s.conn.SetWriteDeadline(t) }
+
 // CloseOnDone closes the stream when ctx ends, which unblocks its reader. The
 // returned function unregisters this, like that of context.AfterFunc.
 func (s *Stream) CloseOnDone(ctx context.Context) (stop func() bool) {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"kingcupplank.example/kingcup/failure"
+	"kingcupplank.example/kingcup/intake"
 	"kingcupplank.example/kingcup/internal/memnet"
 	"kingcupplank.example/kingcup/internal/mux"
 	innerv1 "kingcupplank.example/kingcup/proto/kingcup/inner/v1"
@@ -27,7 +28,7 @@
 	network := memnet.New()
 	l, err := network.Listen("server")
 	require.NoError(t, err)
-	srv := NewServer(l, func(context.Context, *innerv1.Open, *Stream) {})
+	srv := NewServer(l, func(context.Context, *innerv1.Open, *Stream) {}, intake.Limits{})
 	go srv.Serve()
 	defer srv.Close()
 	sess, err := Dial(t.Context(), network, "server", Identity{Name: "peer"})
@@ -79,7 +80,7 @@
 			st.conn.Write(frame[i*len(frame)/parts : (i+1)*len(frame)/parts])
 			time.Sleep(5 * idleTimeout / parts)
 		}
-	})
+	}, intake.Limits{})
 	go srv.Serve()
 	defer srv.Close()
 	sess, err := Dial(t.Context(), network, "server", Identity{Name: "peer"})
