Entry: the memory of callers' connections, calls and messages is bounded

What callers saw: a crowd whose messages stop short of their end, or come in frames of a byte, ended an entry; silent connections used up its descriptors.

Cause: gRPC takes any number of connections and of calls on each, and grants each call the room for its whole announced message. A frame costs memory by its number, not by its length. MaxRequests counts requests only once their message is there.

Change: what is read while a message is incomplete is charged twice to its connection, a complete message until its call ends, each call 8 KiB. Connections without a complete request yield as in the gateway; one for which there is no room is closed. 1,000 calls a connection, headers up to 16 KiB, 5 s for a handshake.

--- a/internal/app/entry.go
+++ b/internal/app/entry.go
@@ -17,6 +17,7 @@
 	"kingcupplank.example/kingcup/internal/admin"
 	"kingcupplank.example/kingcup/internal/confsync"
 	"kingcupplank.example/kingcup/internal/entry"
+	"kingcupplank.example/kingcup/internal/guard"
 	"kingcupplank.example/kingcup/internal/link"
 	"kingcupplank.example/kingcup/internal/metrics"
 	"kingcupplank.example/kingcup/internal/wire"
@@ -73,9 +74,12 @@
 	propagationTimeout   = time.Second
 	maxServersPerRequest = 4
 
-	// entryInnerMemory is the part of an entry's memory for requests that the system's own processes may use.
-	entryInnerMemory = 0.25
+	// entryCallerMemory and entryInnerMemory are the parts of an entry's memory for requests that callers and the
+	// system's own processes may use.
+	entryCallerMemory, entryInnerMemory = 0.75, 0.25
 
+	// callerConnectTimeout bounds the handshake of a caller's connection.
+	callerConnectTimeout    = 5 * time.Second
 	callerKeepaliveInterval = 20 * time.Second
 	callerKeepaliveTimeout  = 10 * time.Second
 )
@@ -155,7 +159,9 @@
 	// A caller whose VM crashes does not close its connection. Without keepalive its
 	// streams would be relayed until TCP times out.
 	keepaliveParams := keepalive.ServerParameters{Time: callerKeepaliveInterval, Timeout: callerKeepaliveTimeout}
-	r.grpc = grpc.NewServer(grpc.MaxRecvMsgSize(MaxMessageBytes), grpc.KeepaliveParams(keepaliveParams))
+	bounds := guard.NewGRPC(o.limits(entryCallerMemory, callerFiles), MaxMessageBytes)
+	options := append(bounds.ServerOptions(), grpc.MaxRecvMsgSize(MaxMessageBytes), grpc.KeepaliveParams(keepaliveParams), grpc.ConnectionTimeout(callerConnectTimeout))
+	r.grpc = grpc.NewServer(options...)
 	r.Entry.Register(r.grpc)
 	if r.admin, err = startAdmin(o.AdminAddress, network, rec, r.Entry.Ready, &r.wg); err != nil {
 		inner.Close()
@@ -165,7 +171,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	r.cancel = cancel
 	r.wg.Go(r.inner.Serve)
-	r.wg.Go(func() { r.grpc.Serve(callers) })
+	r.wg.Go(func() { r.grpc.Serve(bounds.Listener(callers)) })
 	r.wg.Go(func() { r.Sync.Run(ctx) })
 	r.wg.Go(func() { r.Entry.Run(ctx) })
 	return nil
