--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -75,7 +75,9 @@
 	crowded atomic.Pointer[gateway]
 	// newestPath is a path on the route that was added last.
 	newestPath string
-	faultLog   []string
+	// memoryFaults are processes that had more than the memory of their VM.
+	memoryFaults []string
+	faultLog     []string
 	// serverCount is the number of servers added with a domain from nextDomain.
 	serverCount int
 	// versions are the software versions of model servers that are started.
@@ -141,6 +143,10 @@
 	servers := s.servers
 	s.mu.Unlock()
 	res.Violations = append(res.Violations, s.history.Check(servers, revokeTimeout)...)
+	for _, g := range s.gateways {
+		s.checkMemory(g)
+	}
+	res.Violations = append(res.Violations, s.memoryFaults...)
 	res.Violations = append(res.Violations, s.checkTogether()...)
 	res.Violations = append(res.Violations, checkRetries(servers, s.history.attempts)...)
 	res.Violations = append(res.Violations, checkQuarantine(servers, s.crashingBodies)...)
@@ -158,7 +164,11 @@
 
 func (s *Soak) start() error {
 	s.fleet.AddProxy, s.fleet.OnCrash, s.fleet.OnReplacement = s.addProxy, s.onServerCrash, s.onServerReplacement
-	s.fleet.SetLoad(s.load.config())
+	load := s.load.config()
+	if s.FaultKinds >= strangersFaultKinds {
+		load.BodyBytes = strangerBodyBytes
+	}
+	s.fleet.SetLoad(load)
 	for range 3 {
 		if _, err := s.addServer(fleet.ModelService); err != nil {
 			return err
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -24,9 +24,12 @@
   # A subtest is named by its path: each part of it is matched as a whole.
   skip=$(cut -d: -f1 KNOWN-RED.txt | sed 's#/#$/^#g; s#.*#^&$#' | paste -sd'|')
 fi
+# Crowds of clients at real processes are tested one at a time, apart from other tests.
+crowds='^Test(Crowd|LongestBody|RefusedBody)'
 virtual='/(admission|concurrency|prefill|standby|internal/(proof|relay|follow|fleetmodel))$'
 go test -race -timeout 10m -skip "$skip" $(go list ./... | grep -Ev "$virtual")
-go test -count=1 -timeout 10m -skip "$skip" $(go list ./... | grep -E "$virtual")
+go test -count=1 -timeout 10m -skip "$skip|$crowds" $(go list ./... | grep -E "$virtual")
+go test -count=1 -timeout 10m -run "$crowds" -skip "$skip" ./internal/proof
 # How long a grown configuration takes is asked without the detector, which makes it eight times
 # as long.
 go test -count=1 -timeout 5m -run '^(TestGrownConfigurationIsInForceOnThinVMs|TestLoneVMReadsAGrownConfigurationOnce)$' -skip "$skip" ./internal/gateway
