--- a/internal/app/options.go
+++ b/internal/app/options.go
@@ -99,7 +99,7 @@
 	// callerFiles and peerFiles are the parts of the file descriptors for connections of callers and of the system's own
 	// processes.
 	callerFiles, peerFiles = 0.5, 0.25
-	// memory that callers' and peers' requests may hold, as parts of the VM's.
+	// requestMemory is the part of the VM's memory that requests may hold, largeRequestMemory that for large ones.
 	requestMemory, largeRequestMemory = 0.375, 0.25
 )
 
