Gateway: the send buffers of servers' sockets are the kernel's again

What callers saw: on the bounds of a request with a body of 4 MiB got 504 after the route's 1.5 s, on loopback, alone on a calm gateway.

Cause: a send buffer of 32 KiB holds less than one segment of the loopback link, so that each part waited for a delayed acknowledgement of the one before.

Change: servers' sockets bound what a server sends ahead only. What is sent to a server is part of a request, which the account bounds. TestLongestBodyIsServed has the users' longest body on their smallest VM, 112 MB, besides. An entry's table of connections removes a closed one only if it is still listed (by reading).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -216,13 +216,13 @@
 	}
 }
 
-// callerBufferBytes bounds each of the two buffers of a socket of callers, checks and operators.
-const callerBufferBytes = 32 << 10
+// callerBuffers bound the buffers of a socket of callers, checks and operators.
+var callerBuffers = sockets.Buffers{Receive: 32 << 10, Send: 32 << 10}
 
 // run binds the gateway's addresses and starts its goroutines.
 func (g *Gateway) run(platform *settings.Settings, rep *routing.Replica, rec *gatewaymetrics.Recorder) error {
 	listen := func() (net.Listener, error) {
-		l, err := sockets.Listen(platform.Callers, callerBufferBytes)
+		l, err := sockets.Listen(platform.Callers, callerBuffers)
 		if err != nil {
 			return nil, err
 		}
@@ -237,7 +237,7 @@
 		return err
 	}
 	g.callers = callers
-	ready, err := sockets.Listen(platform.Ready, callerBufferBytes)
+	ready, err := sockets.Listen(platform.Ready, callerBuffers)
 	if err != nil {
 		callers.Close()
 		return errors.Wrap(err, "listen on the readiness address")
@@ -326,7 +326,7 @@
 	if g.opts.MetricsPort == 0 {
 		return nil
 	}
-	l, err := sockets.Listen(net.JoinHostPort(platform.IP, strconv.Itoa(g.opts.MetricsPort)), callerBufferBytes)
+	l, err := sockets.Listen(net.JoinHostPort(platform.IP, strconv.Itoa(g.opts.MetricsPort)), callerBuffers)
 	if err != nil {
 		return errors.Wrap(err, "listen on the metrics address")
 	}
--- a/internal/guard/grpc.go
+++ b/internal/guard/grpc.go
@@ -97,7 +97,7 @@
 
 // Close implements net.Conn.
 func (c *grpcConn) Close() error {
-	c.grpc.conns.Delete(c.RemoteAddr().String())
+	c.grpc.conns.CompareAndDelete(c.RemoteAddr().String(), c)
 	return c.Conn.Close()
 }
 
--- a/internal/proof/crowd_gateway_test.go
+++ b/internal/proof/crowd_gateway_test.go
@@ -26,6 +26,10 @@
 	crowdFiles    = 400
 	crowdBody     = 1 << 20
 	crowdHeader   = 16 << 10
+
+	// smallestMemoryMB is the memory of the smallest VM, usersBody the longest body on the users' platform.
+	smallestMemoryMB = 112
+	usersBody        = 4 << 20
 )
 
 // crowdGateway is a gateway on a small VM in front of one plain server.
@@ -38,16 +42,21 @@
 }
 
 func startCrowdGateway(t *testing.T, b fleet.Behavior) *crowdGateway {
+	return startLimitedGateway(t, b, crowdMemoryMB, crowdBody)
+}
+
+// startLimitedGateway does the same with another memory and bodies of up to bodyBytes.
+func startLimitedGateway(t *testing.T, b fleet.Behavior, memoryMB, bodyBytes int) *crowdGateway {
 	f := fleet.New()
 	t.Cleanup(f.Close)
-	f.SetLoad(fleet.Load{BodyBytes: crowdBody, HeaderBytes: crowdHeader})
+	f.SetLoad(fleet.Load{BodyBytes: bodyBytes, HeaderBytes: crowdHeader})
 	server, err := f.Add(fleet.DeskService, "zone-1", b)
 	require.NoError(t, err)
 	dir, err := binaries()
 	require.NoError(t, err)
 	vm := fleet.NewVMSettings("vm-1", "")
 	// The link is no bottleneck, which would refuse the crowd's connections.
-	vm.MemoryMB, vm.MaxFiles, vm.LinkMbps = crowdMemoryMB, crowdFiles, 1e6
+	vm.MemoryMB, vm.MaxFiles, vm.LinkMbps = memoryMB, crowdFiles, 1e6
 	metrics := freeAddress(t)
 	_, port, err := net.SplitHostPort(metrics)
 	require.NoError(t, err)
@@ -221,38 +230,40 @@
 
 // Guards against limits that a single client inside the configured limits meets.
 func TestLongestBodyIsServed(t *testing.T) {
-	for name, write := range map[string]func(w io.Writer){
-		"with a length": func(w io.Writer) {
-			io.WriteString(w, lengthHead(fleet.Key, crowdBody))
-			writePieces(w, crowdBody, 64<<10)
-		},
-		"in large chunks": func(w io.Writer) {
-			io.WriteString(w, chunkedHead(fleet.Key))
-			writeChunks(w, crowdBody, 64<<10)
-			io.WriteString(w, "0\r\n\r\n")
-		},
-		"in chunks of a byte": func(w io.Writer) {
-			io.WriteString(w, chunkedHead(fleet.Key))
-			writeChunks(w, crowdBody, 1)
-			io.WriteString(w, "0\r\n\r\n")
-		},
-	} {
-		t.Run(name, func(t *testing.T) {
-			g := startCrowdGateway(t, fleet.Behavior{})
-			u := watchUsage(t, g.cmd.Process.Pid)
-			conn, err := net.Dial("tcp", g.callerAddress)
-			require.NoError(t, err)
-			defer conn.Close()
-			w := bufio.NewWriter(conn)
-			write(w)
-			require.NoError(t, w.Flush())
-			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
-			require.NoError(t, err)
-			require.Equal(t, http.StatusOK, resp.StatusCode)
-			executions := g.server.Executions()
-			require.Len(t, executions[len(executions)-1].Body, crowdBody)
-			u.requireWithin(crowdMemoryMB<<20, crowdFiles)
-		})
+	for _, size := range []struct{ memoryMB, bodyBytes int }{{crowdMemoryMB, crowdBody}, {smallestMemoryMB, usersBody}} {
+		for name, write := range map[string]func(w io.Writer, n int){
+			"with a length": func(w io.Writer, n int) {
+				io.WriteString(w, lengthHead(fleet.Key, n))
+				writePieces(w, n, 64<<10)
+			},
+			"in large chunks": func(w io.Writer, n int) {
+				io.WriteString(w, chunkedHead(fleet.Key))
+				writeChunks(w, n, 64<<10)
+				io.WriteString(w, "0\r\n\r\n")
+			},
+			"in chunks of a byte": func(w io.Writer, n int) {
+				io.WriteString(w, chunkedHead(fleet.Key))
+				writeChunks(w, n, 1)
+				io.WriteString(w, "0\r\n\r\n")
+			},
+		} {
+			t.Run(fmt.Sprintf("%d bytes %s", size.bodyBytes, name), func(t *testing.T) {
+				g := startLimitedGateway(t, fleet.Behavior{}, size.memoryMB, size.bodyBytes)
+				u := watchUsage(t, g.cmd.Process.Pid)
+				conn, err := net.Dial("tcp", g.callerAddress)
+				require.NoError(t, err)
+				defer conn.Close()
+				w := bufio.NewWriter(conn)
+				write(w, size.bodyBytes)
+				require.NoError(t, w.Flush())
+				resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				require.NoError(t, err)
+				require.Equal(t, http.StatusOK, resp.StatusCode)
+				executions := g.server.Executions()
+				require.Len(t, executions[len(executions)-1].Body, size.bodyBytes)
+				u.requireWithin(int64(size.memoryMB)<<20, crowdFiles)
+			})
+		}
 	}
 }
 
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -8,20 +8,26 @@
 	"syscall"
 )
 
-// LimitBuffers returns a control function for net.Dialer and net.ListenConfig that bounds each of the two buffers of a
-// socket to a number of bytes. Accepted connections have the bounds of their listener.
-func LimitBuffers(bytes int) func(network, address string, c syscall.RawConn) error {
-	return func(_, _ string, c syscall.RawConn) error {
-		return c.Control(func(fd uintptr) {
-			// Without the bounds the socket works all the same.
-			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, bytes)
-			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, bytes)
-		})
-	}
+// Buffers bound the buffers of a socket, in bytes; 0 leaves a buffer to the kernel. A send buffer that is smaller than a
+// segment waits for delayed acknowledgements.
+type Buffers struct{ Receive, Send int }
+
+// Control sets the bounds of a socket. It is a control function for net.Dialer and net.ListenConfig; accepted connections
+// have the bounds of their listener.
+func (b Buffers) Control(_, _ string, c syscall.RawConn) error {
+	return c.Control(func(fd uintptr) {
+		// Without the bounds the socket works all the same.
+		if b.Receive > 0 {
+			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, b.Receive)
+		}
+		if b.Send > 0 {
+			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, b.Send)
+		}
+	})
 }
 
-// Listen listens on a TCP address. The buffers of its connections are bounded to a number of bytes.
-func Listen(address string, bytes int) (net.Listener, error) {
-	cfg := net.ListenConfig{Control: LimitBuffers(bytes)}
+// Listen listens on a TCP address, whose connections have bounded buffers.
+func Listen(address string, b Buffers) (net.Listener, error) {
+	cfg := net.ListenConfig{Control: b.Control}
 	return cfg.Listen(context.Background(), "tcp", address)
 }
