Gateway: the end of a process cuts no ready response of a slow reader

What callers saw: a stream of 247,681 bytes was cut off after 210,145 as its gateway ended, although the engine had sent all of it 3.3 s before; its caller read slowly.

Evidence: TestProcessGatewayLeavesReadyResponsesToSlowReaders, a real process, two callers that read nothing until it has ended, one that called before SIGTERM and one after.

Change: package shutdown divides 1/8 of the VM's memory among the sockets of a process that stops: half of it among the requests in progress at the signal, each later one gets 1/16 of what is left. The bound while the process serves stays.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -419,7 +419,7 @@
 	schedule := shutdown.Begin(now, g.link.lastSample(now), shutdown.Settings{Grace: g.settings.Load().Bounds.Shutdown, AcceptTime: g.opts.ShutdownDelay})
 	g.stopping.Store(true)
 	g.relay.SetShutdown(schedule)
-	g.callers.StartDraining()
+	g.callers.StartDraining(g.settings.Load().MemoryBytes)
 	g.log.WithFields(logrus.Fields{"in_progress": g.relay.InProgress(), "late_ms": now.Sub(schedule.Begun).Milliseconds()}).Info("stopping")
 	g.group.announceStop()
 	time.Sleep(time.Until(schedule.AcceptUntil))
--- a/internal/proof/crowd_gateway_test.go
+++ b/internal/proof/crowd_gateway_test.go
@@ -187,9 +187,12 @@
 const largeAnswer = 8 << 20
 
 // answerLargely answers a request with largeAnswer bytes.
-func answerLargely(c net.Conn, r *http.Request) {
-	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Kingcupplank-Response-Seal: seal\r\nX-Kingcupplank-Attempt-Id: %s\r\nContent-Length: %d\r\n\r\n", r.Header.Get("X-Kingcupplank-Attempt-Id"), largeAnswer)
-	writePieces(c, largeAnswer, 64<<10)
+func answerLargely(c net.Conn, r *http.Request) { answerWith(c, r, largeAnswer) }
+
+// answerWith answers a request with a number of bytes.
+func answerWith(c net.Conn, r *http.Request, bytes int) {
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Kingcupplank-Response-Seal: seal\r\nX-Kingcupplank-Attempt-Id: %s\r\nContent-Length: %d\r\n\r\n", r.Header.Get("X-Kingcupplank-Attempt-Id"), bytes)
+	writePieces(c, bytes, 64<<10)
 }
 
 // Guards against clients that do not read their answers, which wait in the gateway and in its sockets, or send one
--- a/internal/proof/gateway_process_test.go
+++ b/internal/proof/gateway_process_test.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -166,3 +167,58 @@
 	require.Contains(t, string(out), "-feed-wait")
 	require.Contains(t, string(out), "metrics-port")
 }
+
+// Guards against a response that is ready and cut off at the end of the process, as its caller reads slowly.
+func TestProcessGatewayLeavesReadyResponsesToSlowReaders(t *testing.T) {
+	const length = 320 << 10
+	f := fleet.New()
+	defer f.Close()
+	_, err := f.Add(fleet.DeskService, "zone-1", fleet.Behavior{ForRequest: func(b fleet.Behavior, r *http.Request) fleet.Behavior {
+		if r.Header.Get("X-Large") != "" {
+			b.Raw = func(c net.Conn, r *http.Request) { answerWith(c, r, length) }
+		}
+		return b
+	}})
+	require.NoError(t, err)
+	dir, err := binaries()
+	require.NoError(t, err)
+	g := startGatewayCommand(t, f, exec.Command(filepath.Join(dir, "kingcup-gateway"), "-metrics-port", "0", "-leave", "3s"))
+	waitUntil(t, "an ordinary request is answered", func() bool { return g.servesCalls(t.Context()) })
+	var conns []net.Conn
+	for range 2 {
+		c, err := net.Dial("tcp", g.callerAddress)
+		require.NoError(t, err)
+		defer c.Close()
+		conns = append(conns, c)
+	}
+	request := func(c net.Conn) {
+		_, err := io.WriteString(c, head(fleet.Key, "X-Large: 1", "Content-Length: 0"))
+		require.NoError(t, err)
+		require.NoError(t, c.SetReadDeadline(time.Now().Add(10*time.Second)))
+		_, err = c.Read(make([]byte, 1))
+		require.NoError(t, err, "the response has begun")
+	}
+	request(conns[0])
+	require.NoError(t, g.cmd.Process.Signal(syscall.SIGTERM))
+	waitUntil(t, "connections are closed after a response", func() bool { return g.closesConnections(t) })
+	request(conns[1])
+	require.NoError(t, g.cmd.Wait())
+	for _, c := range conns {
+		require.NoError(t, c.SetReadDeadline(time.Now().Add(time.Minute)))
+		body, err := io.ReadAll(c)
+		require.NoError(t, err)
+		require.Greater(t, len(body), length)
+	}
+}
+
+// closesConnections reports whether the gateway closes connections after their next response.
+func (g *gatewayProcess) closesConnections(t *testing.T) bool {
+	c, err := net.Dial("tcp", g.callerAddress)
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, head(fleet.Key, "Content-Length: 0"))
+	require.NoError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	return resp.Close
+}
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -31,3 +31,18 @@
 	cfg := net.ListenConfig{Control: b.Control}
 	return cfg.Listen(context.Background(), "tcp", address)
 }
+
+// GrowSendBuffer sets the size of a connection's send buffer in bytes if that is more than minGrown. The system may allow
+// less.
+func GrowSendBuffer(c net.Conn, size int) {
+	sc, ok := c.(syscall.Conn)
+	if !ok || size < minGrown {
+		return
+	}
+	if raw, err := sc.SyscallConn(); err == nil {
+		Buffers{Send: size}.Control("", "", raw)
+	}
+}
+
+// minGrown is the least size to which a send buffer grows, in bytes.
+const minGrown = 64 << 10
