Peers: connections, streams and frames at the address for gateways are bounded

A crowd there ends the gateway, and with it every answer in progress.

Cause: the same as at the callers' address. A frame's buffer of up to 4 MiB was allocated as announced, on any number of streams and connections; what came behind a request, or on a stream that was given up, stayed in the session.

Evidence: TestCrowdAtPeersAddress, a real process with 64 MB and 400 descriptors, failed in all its five kinds on the code before: 10 connections with 900 streams of 200 KB short frames 2,358 MB, with 20 streams of 4 MiB frames a byte short 896 MB, bytes behind the first frame 304 MB, streams without a frame 78 MB, 500 silent connections 444 descriptors.

Change: package intake decides here too. Connections are at most a fifth of the descriptors, all frames hold at most a third of what callers may; a frame is charged before memory is allocated for it and its buffer is dropped behind it if it is large. A peer that sends more than its request, or sends it incomplete, loses its session and dials again.

Measured: 23 to 49 MB, at most 100 descriptors; two plays of all kinds passed.

TestCrowdAtInnerAddress has one more kind, short small frames on 900 streams; it passed at once (87 MB of 128).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -248,6 +248,7 @@
 		ready.Close()
 		return errors.Wrap(err, "listen on the peers' address")
 	}
+	g.group.links.SetLimits(peerLimits(platform))
 	rep.OnChange(func(c *routing.Config) { g.callers.SetLimits(c.Limits) })
 	rec.RegisterGauge("kingcup_gateway_in_progress", "Requests without a final answer.", func() float64 { return float64(g.relay.InProgress()) })
 	rec.RegisterGauge("kingcup_gateway_connections_closed_unread", "Connections of callers that were closed unread since the start, as there was no room.", func() float64 { return float64(g.callers.ClosedUnread()) })
@@ -387,21 +388,31 @@
 
 // callerLimits returns the limits of callers' connections and of the memory of their requests.
 func callerLimits(platform *settings.Settings) intake.Limits {
-	return intake.LimitsFor(platform.MemoryBytes, maxCallerConnections(platform.MaxFiles))
+	return intake.LimitsFor(platform.MemoryBytes, maxConnections(platform.MaxFiles, callerDescriptors))
 }
 
-// callerDescriptors is the part of the file descriptors that connections of callers may use. The rest is
-// for connections to servers, of which each request may need one, to the store and to peers.
-const callerDescriptors = 0.5
+// peerLimits returns the limits of connections that peers have opened and of the memory of what they send.
+func peerLimits(platform *settings.Settings) intake.Limits {
+	return intake.LimitsFor(platform.MemoryBytes/peerMemoryDivisor, maxConnections(platform.MaxFiles, peerDescriptors))
+}
+
+const (
+	// callerDescriptors and peerDescriptors are the parts of the file descriptors that connections of callers and those
+	// that peers have opened may use. The rest is for connections to servers, of which each request may need one, to the
+	// store and to peers.
+	callerDescriptors, peerDescriptors = 0.5, 0.2
+	// peerMemoryDivisor says what part of the memory that callers may use is for peers.
+	peerMemoryDivisor = 3
+)
 
-// maxCallerConnections returns how many connections of callers may be open if the settings allow the process a
-// number of file descriptors. The operating system's limit may be lower.
-func maxCallerConnections(maxFiles int) int {
+// maxConnections returns how many connections may be open if the settings allow the process a number of file descriptors,
+// of which they may use a part. The operating system's limit may be lower.
+func maxConnections(maxFiles int, part float64) int {
 	var limit syscall.Rlimit
 	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) == nil && limit.Cur < uint64(maxFiles) {
 		maxFiles = int(limit.Cur)
 	}
-	return int(callerDescriptors * float64(maxFiles))
+	return int(part * float64(maxFiles))
 }
 
 // membersTimeout is how long after its start a gateway waits for the table of gateways. If
@@ -466,6 +477,7 @@
 	g.link.setBandwidth(platform.LinkMbps)
 	g.relay.Configure(relayConfig(g.opts, platform))
 	g.callers.SetIntake(callerLimits(platform))
+	g.group.links.SetLimits(peerLimits(platform))
 	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(platform.MemoryBytes)))
 }
 
--- a/internal/mux/frame.go
+++ b/internal/mux/frame.go
@@ -66,6 +66,15 @@
 type FrameReader struct {
 	r   *bufio.Reader
 	buf []byte
+
+	admit   func(size int) error
+	maxKept int
+}
+
+// Admit makes Read call admit with the length of each frame before memory is allocated for it, and return its error. A
+// buffer of more than maxKept bytes is not kept for further frames.
+func (f *FrameReader) Admit(admit func(size int) error, maxKept int) {
+	f.admit, f.maxKept = admit, maxKept
 }
 
 const readBufferBytes = 1 << 10
@@ -86,6 +95,14 @@
 	if size > MaxFrameBytes {
 		return errors.Wrapf(ErrFrameTooLarge, "%d bytes announced", size)
 	}
+	if f.admit != nil {
+		if err := f.admit(int(size)); err != nil {
+			return err
+		}
+		if size > uint32(f.maxKept) {
+			defer func() { f.buf = nil }()
+		}
+	}
 	if cap(f.buf) < int(size) {
 		f.buf = make([]byte, size)
 	}
--- a/internal/peers/fetch.go
+++ b/internal/peers/fetch.go
@@ -82,16 +82,24 @@
 
 var errAnswerSize = errors.New("answer of peer has too many parts")
 
-// serve answers the requests of a peer on a link, which either side may have dialed.
-func (m *Manager) serve(ctx context.Context, session *yamux.Session) {
+// serve answers the requests of a peer on a link, which either side may have dialed. It calls onRequest with each request
+// and ends the link if that returns false.
+func (m *Manager) serve(ctx context.Context, session *yamux.Session, onRequest func() bool) {
 	for {
 		stream, err := session.AcceptStream()
 		if err != nil {
 			return
 		}
+		client := m.streams.Open(func() { session.Close() })
+		if client == nil {
+			// What comes on the stream would stay in the session's memory.
+			session.Close()
+			return
+		}
 		m.wg.Go(func() {
+			defer m.streams.Close(client)
 			defer stream.Close()
-			if err := m.answer(ctx, stream); err != nil {
+			if err := m.serveStream(ctx, session, stream, client, onRequest); err != nil {
 				m.Log.WithError(err).Info("request of a peer was not answered")
 			}
 		})
@@ -113,12 +121,7 @@
 	return delay < partTimeout && wait.For(ctx, delay)
 }
 
-func (m *Manager) answer(ctx context.Context, stream net.Conn) error {
-	stream.SetDeadline(time.Now().Add(answerTimeout))
-	request := &peerv1.Fetch{}
-	if err := mux.NewFrameReader(stream).Read(request); err != nil {
-		return errors.Wrap(err, "read request of peer")
-	}
+func (m *Manager) answer(ctx context.Context, stream net.Conn, request *peerv1.Fetch) error {
 	head, parts, err := m.Answer(request)
 	if err != nil {
 		return err
--- a/internal/peers/link.go
+++ b/internal/peers/link.go
@@ -70,7 +70,7 @@
 	}
 	n.session.Store(session)
 	defer n.session.Store(nil)
-	m.wg.Go(func() { m.serve(ctx, session) })
+	m.wg.Go(func() { m.serve(ctx, session, func() bool { return true }) })
 	m.resetSender(n)
 	send := func(frame []byte, cause Cause) error {
 		out.SetWriteDeadline(time.Now().Add(writeTimeout))
@@ -161,9 +161,14 @@
 
 // receive reads the frames of a peer on a link that the peer has dialed.
 func (m *Manager) receive(ctx context.Context, conn net.Conn) {
-	session, err := mux.Server(conn)
+	c := m.conns.Admit(conn)
+	if c == nil {
+		return
+	}
+	c.StopCounting()
+	session, err := mux.Server(c)
 	if err != nil {
-		conn.Close()
+		c.Close()
 		return
 	}
 	defer session.Close()
@@ -173,12 +178,17 @@
 	if err != nil {
 		return
 	}
-	m.wg.Go(func() { m.serve(ctx, session) })
-	frames := mux.NewFrameReader(in)
+	client := m.streams.Open(func() { session.Close() })
+	if client == nil {
+		return
+	}
+	defer m.streams.Close(client)
+	m.wg.Go(func() { m.serve(ctx, session, c.Complete) })
+	frames := newFrameReader(in, m.streams, client)
 	from, received := "", receivedState{}
 	for {
 		f := &peerv1.Frame{}
-		if err := frames.Read(f); err != nil {
+		if err := frames.Read(f); err != nil || !c.Complete() {
 			return
 		}
 		switch k := f.GetKind().(type) {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -21,6 +21,8 @@
 	"github.com/sirupsen/logrus"
 
 	"kingcupplank.example/kingcup/cells"
+	"kingcupplank.example/kingcup/intake"
+	"kingcupplank.example/kingcup/internal/guard"
 	"kingcupplank.example/kingcup/internal/mux"
 	peerv1 "kingcupplank.example/kingcup/proto/kingcup/peer/v1"
 	"kingcupplank.example/kingcup/retry"
@@ -144,8 +146,11 @@
 	acceptsPartial map[string]bool
 	// budget bounds the bytes that are sent to all peers.
 	budget byteBudget
-	ctx    context.Context
-	wg     sync.WaitGroup
+	// conns holds the connections that were accepted, streams the memory of the peers' streams. Both are without limits
+	// until SetLimits.
+	conns, streams *guard.Gate
+	ctx            context.Context
+	wg             sync.WaitGroup
 
 	state   ownState
 	linkLog limitedLog
@@ -183,6 +188,7 @@
 		live: make(map[string]*peerState), silent: make(map[string]*peerv1.State), inbound: make(map[string]*yamux.Session),
 		onDemand: make(map[string]*onDemandSession),
 		linkLog:  newLimitedLog(), acceptsPartial: make(map[string]bool),
+		conns: guard.New(intake.Limits{}), streams: guard.New(intake.Limits{}),
 	}
 	m.budget.setRate(controlRate(self.LinkMbps), time.Now())
 	return m
--- a/internal/proof/crowd_gateway_test.go
+++ b/internal/proof/crowd_gateway_test.go
@@ -39,6 +39,7 @@
 	server  *fleet.Server
 	ready   string
 	metrics string
+	peers   string
 }
 
 func startCrowdGateway(t *testing.T, b fleet.Behavior) *crowdGateway {
@@ -61,7 +62,7 @@
 	_, port, err := net.SplitHostPort(metrics)
 	require.NoError(t, err)
 	g := startGatewayOnVM(t, f, exec.Command(filepath.Join(dir, "kingcup-gateway"), "-metrics-port", port, "-leave", "500ms", "-log-level", "error"), vm)
-	c := &crowdGateway{gatewayProcess: g, fleet: f, server: server, ready: vm.Ready, metrics: metrics}
+	c := &crowdGateway{gatewayProcess: g, fleet: f, server: server, ready: vm.Ready, metrics: metrics, peers: vm.Peers}
 	c.requireAnswer(t)
 	return c
 }
--- a/internal/proof/crowd_inner_test.go
+++ b/internal/proof/crowd_inner_test.go
@@ -15,8 +15,10 @@
 
 	"kingcupplank.example/kingcup/client"
 	"kingcupplank.example/kingcup/internal/mux"
+	"kingcupplank.example/kingcup/internal/standin/fleet"
 	"kingcupplank.example/kingcup/internal/wire"
 	innerv1 "kingcupplank.example/kingcup/proto/kingcup/inner/v1"
+	peerv1 "kingcupplank.example/kingcup/proto/kingcup/peer/v1"
 )
 
 // crowdInnerMB is the memory of the VMs on which crowds call an entry or an agent.
@@ -207,18 +209,22 @@
 	sending.Wait()
 }
 
+// writeShortFrame writes a frame without its last byte.
+func writeShortFrame(w io.Writer, bytes int) {
+	var header [4]byte
+	binary.BigEndian.PutUint32(header[:], uint32(bytes))
+	w.Write(header[:])
+	writePieces(w, bytes-1, 64<<10)
+}
+
 // Guards against a crowd that uses up the memory of the VM of an agent or an entry by the inner protocol.
 func TestCrowdAtInnerAddress(t *testing.T) {
 	for name, kind := range map[string]struct {
 		streams int
 		write   func(w io.Writer)
 	}{
-		"frames one byte short": {20, func(w io.Writer) {
-			var header [4]byte
-			binary.BigEndian.PutUint32(header[:], mux.MaxFrameBytes)
-			w.Write(header[:])
-			writePieces(w, mux.MaxFrameBytes-1, 64<<10)
-		}},
+		"frames one byte short":               {20, func(w io.Writer) { writeShortFrame(w, mux.MaxFrameBytes) }},
+		"small frames on more streams, short": {900, func(w io.Writer) { writeShortFrame(w, 200<<10) }},
 		"bytes behind the first frame": {100, func(w io.Writer) {
 			mux.WriteFrame(w, &innerv1.Open{Protocol: wire.ProtocolVersion, Peer: "x", Kind: &innerv1.Open_Watch{Watch: &innerv1.Watch{PeriodMs: 60000}}})
 			writePieces(w, 200<<10, 16<<10)
@@ -239,6 +245,34 @@
 	}
 }
 
+// Guards against a crowd that uses up the memory or the descriptors of a gateway's VM by the protocol between gateways.
+func TestCrowdAtPeersAddress(t *testing.T) {
+	for name, kind := range map[string]struct {
+		conns, streams int
+		write          func(w io.Writer)
+	}{
+		"connections without a stream":        {500, 0, nil},
+		"frames one byte short":               {10, 20, func(w io.Writer) { writeShortFrame(w, mux.MaxFrameBytes) }},
+		"small frames on more streams, short": {10, 900, func(w io.Writer) { writeShortFrame(w, 200<<10) }},
+		"streams without a frame":             {10, 900, func(io.Writer) {}},
+		"bytes behind the first frame": {10, 100, func(w io.Writer) {
+			mux.WriteFrame(w, &peerv1.Fetch{Version: 1})
+			writePieces(w, 200<<10, 16<<10)
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := startCrowdGateway(t, fleet.Behavior{})
+			u := watchUsage(t, g.cmd.Process.Pid)
+			c := newCrowd(t, g.peers)
+			c.reads = false
+			c.sendOn(kind.conns, func(conn net.Conn) { innerCrowdClient(conn, kind.streams, kind.write) })
+			g.requireAnswer(t)
+			u.requireWithin(crowdMemoryMB<<20, crowdFiles)
+			g.requireStops(t)
+		})
+	}
+}
+
 // Guards against a crowd that connects to an entry or an agent, sends nothing and uses up its descriptors.
 func TestCrowdWithoutRequests(t *testing.T) {
 	const clients, descriptors = 1200, 1000
