--- a/internal/proof/crowd_inner_test.go
+++ b/internal/proof/crowd_inner_test.go
@@ -2,16 +2,22 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/binary"
+	"fmt"
 	"io"
 	"net"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/hashicorp/yamux"
+	"github.com/stretchr/testify/require"
 	"golang.org/x/net/http2"
 	"golang.org/x/net/http2/hpack"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
 
 	"kingcupplank.example/kingcup/client"
 	"kingcupplank.example/kingcup/internal/mux"
@@ -19,6 +25,7 @@
 	"kingcupplank.example/kingcup/internal/wire"
 	innerv1 "kingcupplank.example/kingcup/proto/kingcup/inner/v1"
 	peerv1 "kingcupplank.example/kingcup/proto/kingcup/peer/v1"
+	kingcupv1 "kingcupplank.example/kingcup/proto/kingcup/v1"
 )
 
 // crowdInnerMB is the memory of the VMs on which crowds call an entry or an agent.
@@ -187,6 +194,49 @@
 	}
 }
 
+// Guards against callers that do not read the answers to their calls, which then use up the memory of an entry's VM.
+func TestCrowdAtEntryThatReadsNoAnswers(t *testing.T) {
+	const conns, callsPerConn, bodyBytes = 10, 20, 1 << 20
+	t.Setenv("KINGCUP_MEMORY_MB", strconv.Itoa(crowdInnerMB))
+	p := newProcesses(t)
+	p.hasService = true
+	caller := p.startAll()
+	u := watchUsage(t, p.procs["entry-0"].Process.Pid)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var calls sync.WaitGroup
+	var answers atomic.Int64
+	for i := range conns {
+		// Windows of a fixed size don't grow with the answers.
+		conn, err := grpc.NewClient(p.address("entry-0", "-caller-address"), grpc.WithTransportCredentials(insecure.NewCredentials()),
+			grpc.WithInitialWindowSize(initialWindow), grpc.WithInitialConnWindowSize(initialWindow))
+		require.NoError(t, err)
+		defer conn.Close()
+		calls.Go(func() {
+			for k := range callsPerConn {
+				st, err := conn.NewStream(ctx, &grpc.StreamDesc{ServerStreams: true}, callPath)
+				if err != nil {
+					return
+				}
+				// The answer, which is as long as the request, is not read.
+				st.SendMsg(&kingcupv1.CallRequest{Team: team, RequestId: fmt.Sprintf("unread-%d-%d", i, k), Service: service, Body: make([]byte, bodyBytes)})
+				st.CloseSend()
+				if h, err := st.Header(); err == nil && len(h) > 0 {
+					answers.Add(1)
+				}
+			}
+		})
+	}
+	calls.Wait()
+	require.Positive(t, answers.Load())
+	requireGeneration(t, caller, "beside")
+	waitUntil(t, "an ordinary call is answered", func() bool {
+		resp, err := kingcupv1.NewCallerServiceClient(p.conns[0]).Call(t.Context(), &kingcupv1.CallRequest{Team: team, RequestId: "read-beside", Service: service, Body: make([]byte, bodyBytes)})
+		return err == nil && len(resp.GetBody()) > bodyBytes
+	})
+	u.requireWithin(crowdInnerMB<<20, 1000)
+}
+
 // innerCrowdClient opens streams of the inner protocol on a connection. Each sends what write writes.
 func innerCrowdClient(conn net.Conn, streams int, write func(w io.Writer)) {
 	cfg := yamux.DefaultConfig()
--- a/internal/proof/process_test.go
+++ b/internal/proof/process_test.go
@@ -66,6 +66,8 @@
 	procs         map[string]*exec.Cmd
 	args          map[string][]string
 	conns         []grpc.ClientConnInterface
+	// hasService makes startAll start a third server with a plain service.
+	hasService bool
 }
 
 func freeAddress(*testing.T) string { return standin.UniqueAddress() }
@@ -123,11 +125,20 @@
 		vms = append(vms, fmt.Sprintf("%s=agent:%s:d%d:%s", servers[i].name, servers[i].inner, i, model))
 		vms = append(vms, fmt.Sprintf("%s=entry:%s:d%d", entries[i].name, entries[i].inner, i))
 	}
+	var desk role
+	if p.hasService {
+		desk = role{"desk-0", freeAddress(p.t), freeAddress(p.t)}
+		vms = append(vms, fmt.Sprintf("%s=agent:%s:d0:%s", desk.name, desk.inner, service))
+	}
 	p.start("table", "kingcup-standin", "-kind", "table", "-address", p.tableAddress, "-object-address", p.objectAddress, "-vms", strings.Join(vms, ","))
 	for i, s := range servers {
 		p.start(fmt.Sprintf("engine-%d", i), "kingcup-standin", "-kind", "engine", "-address", s.extra, "-models", model, "-step", "10ms", "-checks-term=false")
 		p.start(s.name, "kingcup-agent", "-name", s.name, "-failure-domain", fmt.Sprintf("d%d", i), "-inner-address", s.inner, "-engine-address", s.extra)
 	}
+	if p.hasService {
+		p.start("service", "kingcup-standin", "-kind", "service", "-address", desk.extra)
+		p.start(desk.name, "kingcup-agent", "-name", desk.name, "-failure-domain", "d0", "-inner-address", desk.inner, "-service-address", desk.extra, "-services", service)
+	}
 	var conns []grpc.ClientConnInterface
 	for i, e := range entries {
 		p.start(e.name, "kingcup-entry", "-name", e.name, "-failure-domain", fmt.Sprintf("d%d", i), "-inner-address", e.inner,
@@ -142,6 +153,14 @@
 	return client.New(client.Options{MaxRetries: 100, MaxResumes: 200, ResumeInterval: 50 * time.Millisecond}, conns...)
 }
 
+// served returns the names of what the servers serve: two serve the model.
+func (p *processes) served() []string {
+	if p.hasService {
+		return []string{model, service}
+	}
+	return []string{model}
+}
+
 // waitUntil polls f until it returns true, and fails the test after a minute.
 func waitUntil(t *testing.T, what string, f func() bool) {
 	t.Helper()
@@ -155,17 +174,20 @@
 func (p *processes) configure(conns []grpc.ClientConnInterface) {
 	rows := []*kingcupv1.Row{
 		{Row: &kingcupv1.Row_Model{Model: &kingcupv1.Model{Name: model, Kind: kingcupv1.ModelKind_MODEL_KIND_GENERATION}}},
-		{Row: &kingcupv1.Row_Team{Team: &kingcupv1.Team{Name: team, Weight: 1, Models: []string{model}}}},
+		{Row: &kingcupv1.Row_Team{Team: &kingcupv1.Team{Name: team, Weight: 1, Models: p.served()}}},
+	}
+	if p.hasService {
+		rows = append(rows, &kingcupv1.Row{Row: &kingcupv1.Row_Model{Model: &kingcupv1.Model{Name: service, Kind: kingcupv1.ModelKind_MODEL_KIND_SERVICE}}})
 	}
 	waitUntil(p.t, "configuration accepted", func() bool {
 		_, err := kingcupv1.NewOperatorServiceClient(conns[0]).Apply(p.t.Context(), &kingcupv1.ApplyRequest{ChangeId: "setup", Puts: rows})
 		return err == nil
 	})
 	for _, c := range conns {
-		waitUntil(p.t, "both servers connected", func() bool {
+		waitUntil(p.t, "all servers connected", func() bool {
 			resp, err := kingcupv1.NewOperatorServiceClient(c).BackendServers(p.t.Context(), &kingcupv1.BackendServersRequest{})
-			return err == nil && resp.GetConfigVersion() > 0 && len(resp.GetServers()) == 2 &&
-				resp.GetServers()[0].GetConnected() && resp.GetServers()[1].GetConnected()
+			return err == nil && resp.GetConfigVersion() > 0 && len(resp.GetServers()) == len(p.served())+1 &&
+				!slices.ContainsFunc(resp.GetServers(), func(s *kingcupv1.BackendServer) bool { return !s.GetConnected() })
 		})
 	}
 }
--- a/tools/without/gateway.go
+++ b/tools/without/gateway.go
@@ -144,6 +144,7 @@
 	{"heads checked before large bodies", "platform/ingress/body.go", "if size > intake.SmallBytes && !b.isChecked && b.check != nil {", "if false {", "./platform/ingress", "TestLargeBodyOfAnUnknownCallerIsNotRead"},
 	{"send buffers of a process that stops", "internal/sockets/sockets.go", "if !ok || size < minGrown {", "if true {", "./internal/proof", "TestProcessGatewayLeavesReadyResponsesToSlowReaders"},
 	{"memory of peers' frames", "internal/peers/intake.go", "if !f.gate.Charge(f.client, int64(decodedCopies*size)) {", "if false {", "./internal/proof", "TestCrowdAtPeersAddress"},
+	{"memory of unread answers", "internal/guard/grpc.go", "if !c.gate.Charge(c.client, n) {", "if false {", "./internal/proof", "TestCrowdAtEntryThatReadsNoAnswers"},
 	{"unfinished bodies refused at the end", "platform/ingress/ingress.go", "\ts.gate.YieldBodies()\n", "", "./platform/ingress", "TestUnfinishedBodyIsRefusedAtTheEnd"},
 	{"trials after ambiguous decisions", "quarantine/trial.go", "if !quarantined || d.maxTrialCrashes == 0 || r == nil {", "if true || !quarantined || d.maxTrialCrashes == 0 || r == nil {", "./quarantine", "TestRequestsQuarantinedTogetherAreTried|TestCrashCountsDespiteQuarantinedRequest"},
 	{"limit of records per team", "quarantine/tracker.go", "t.evictFrom(records, t.policy.MaxRecordsPerTeam)", "_ = records", "./quarantine", "TestRecordsAreBounded"},
