--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -18,7 +18,7 @@
 
 // faultKinds are drawn with equal probability. New kinds are appended, so that the seed of an
 // earlier failure still draws the same faults from the kinds before them.
-var faultKinds = []faultFunc{disruptStore, disruptStore, disruptServer, disruptServer, killGateway, pauseGateway, terminateGateway, hangUpGateway, reclaimServer, crashServer, rejectRequests, compactStore, replaceKey, addRoutes, addRoutes, restartServer, corruptEntry, killAllButOne, sendCrashingRequest, restoreStore, restoreStore, cordonDomain, makeDomainCold, announceRateLimit, announceLeaving, askForBackoff, cordonBehindSlowStore, releaseVersion, sendCrashingParts, crowdGateway, rejectBesideKills, troubleServer, breakBesideWork, answerAgain, answerAgain, readLate, crowdOfStrangers}
+var faultKinds = []faultFunc{disruptStore, disruptStore, disruptServer, disruptServer, killGateway, pauseGateway, terminateGateway, hangUpGateway, reclaimServer, crashServer, rejectRequests, compactStore, replaceKey, addRoutes, addRoutes, restartServer, corruptEntry, killAllButOne, sendCrashingRequest, restoreStore, restoreStore, cordonDomain, makeDomainCold, announceRateLimit, announceLeaving, askForBackoff, cordonBehindSlowStore, releaseVersion, sendCrashingParts, crowdGateway, rejectBesideKills, troubleServer, breakBesideWork, answerAgain, answerAgain, readLate, crowdOfHostileClients}
 
 const (
 	minFaultDuration, maxFaultDuration = 200 * time.Millisecond, 3 * time.Second
--- a/internal/soak/strangers.go
+++ b/internal/soak/hostile.go
@@ -15,31 +15,31 @@
 )
 
 const (
-	// strangersFaultKinds is the number of kinds of faults from which on clients send bodies that need much memory.
-	strangersFaultKinds = 37
-	strangerBodyBytes   = 1 << 20
-	strangerCount       = 80
-	strangerSendTime    = 5 * time.Second
+	// hostileFaultKinds is the number of kinds of faults from which on clients send bodies that need much memory.
+	hostileFaultKinds = 37
+	hostileBodyBytes  = 1 << 20
+	hostileCount      = 80
+	hostileSendTime   = 5 * time.Second
 )
 
-// strangerRequests are what clients send that are not callers of the team, or misbehave: each is incomplete or too long.
-var strangerRequests = []struct {
+// hostileRequests are what hostile clients send: each is incomplete or too long.
+var hostileRequests = []struct {
 	name string
 	// head has room for a key. piece is sent until total bytes are sent.
 	head  string
 	piece string
 	total int
 }{
-	{"bodies a byte short", "Content-Length: 1048576\r\n\r\n", strings.Repeat("x", 16<<10), strangerBodyBytes - 1},
-	{"chunked bodies without end", "Transfer-Encoding: chunked\r\n\r\n", "10000\r\n" + strings.Repeat("x", 64<<10) + "\r\n", 2 * strangerBodyBytes},
-	{"bodies in chunks of a byte", "Transfer-Encoding: chunked\r\n\r\n", strings.Repeat("1\r\nx\r\n", 1000), strangerBodyBytes},
-	{"bodies announced too long", "Content-Length: 1073741824\r\n\r\n", strings.Repeat("x", 16<<10), 2 * strangerBodyBytes},
+	{"bodies a byte short", "Content-Length: 1048576\r\n\r\n", strings.Repeat("x", 16<<10), hostileBodyBytes - 1},
+	{"chunked bodies without end", "Transfer-Encoding: chunked\r\n\r\n", "10000\r\n" + strings.Repeat("x", 64<<10) + "\r\n", 2 * hostileBodyBytes},
+	{"bodies in chunks of a byte", "Transfer-Encoding: chunked\r\n\r\n", strings.Repeat("1\r\nx\r\n", 1000), hostileBodyBytes},
+	{"bodies announced too long", "Content-Length: 1073741824\r\n\r\n", strings.Repeat("x", 16<<10), 2 * hostileBodyBytes},
 	{"heads without end", "X-Long: ", "x", 4 << 10},
 }
 
-// crowdOfStrangers opens connections of clients that misbehave to the callers' or the readiness address of a gateway.
-func crowdOfStrangers(s *Soak, _ context.Context) (string, func()) {
-	g, kind, key, address := s.drawGateway(), strangerRequests[s.drawInt(len(strangerRequests))], fleet.Key, ""
+// crowdOfHostileClients opens connections of clients that misbehave to the callers' or the readiness address of a gateway.
+func crowdOfHostileClients(s *Soak, _ context.Context) (string, func()) {
+	g, kind, key, address := s.drawGateway(), hostileRequests[s.drawInt(len(hostileRequests))], fleet.Key, ""
 	if address = g.settings.Callers; s.drawInt(4) == 0 {
 		address = g.settings.Ready
 	}
@@ -50,7 +50,7 @@
 	var mu sync.Mutex
 	var conns []net.Conn
 	isOver := false
-	for range strangerCount {
+	for range hostileCount {
 		go func() {
 			c, err := net.DialTimeout("tcp", address, time.Second)
 			if err != nil {
@@ -63,12 +63,12 @@
 			}
 			mu.Unlock()
 			go io.Copy(io.Discard, c)
-			c.SetWriteDeadline(time.Now().Add(strangerSendTime))
+			c.SetWriteDeadline(time.Now().Add(hostileSendTime))
 			io.WriteString(c, head)
 			io.CopyN(c, &repeated{piece: []byte(kind.piece)}, int64(kind.total))
 		}()
 	}
-	return fmt.Sprintf("%d strangers send %s to %s, key %s", strangerCount, kind.name, address, key), func() {
+	return fmt.Sprintf("%d hostile clients send %s to %s, key %s", hostileCount, kind.name, address, key), func() {
 		s.checkMemory(g)
 		mu.Lock()
 		defer mu.Unlock()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -165,8 +165,8 @@
 func (s *Soak) start() error {
 	s.fleet.AddProxy, s.fleet.OnCrash, s.fleet.OnReplacement = s.addProxy, s.onServerCrash, s.onServerReplacement
 	load := s.load.config()
-	if s.FaultKinds >= strangersFaultKinds {
-		load.BodyBytes = strangerBodyBytes
+	if s.FaultKinds >= hostileFaultKinds {
+		load.BodyBytes = hostileBodyBytes
 	}
 	s.fleet.SetLoad(load)
 	for range 3 {
