Tests: frames are admitted before memory is allocated for them

Guards the reader that the peers' address relies on without a network: a frame that is not admitted costs no memory, and the buffer of a large one is not kept.

--- a/internal/mux/mux_test.go
+++ b/internal/mux/mux_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"testing"
 
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
 	"kingcupplank.example/kingcup/internal/fuzzseed"
@@ -95,3 +96,29 @@
 	}
 	require.Equal(t, [][]byte{ping, append(bytes.Clone(data), "abc"...), append(bytes.Clone(data), "xyz"...), ping}, out.writes)
 }
+
+// Guards against memory that is allocated for a frame which is not admitted, or kept after a large one.
+func TestFramesAreAdmittedBeforeMemoryIsAllocated(t *testing.T) {
+	const maxKept, small, large = 1 << 10, 100, 100 << 10
+	var sent bytes.Buffer
+	for _, n := range []int{small, large, small, large} {
+		require.NoError(t, WriteFrame(&sent, &kingcupv1.CallRequest{Body: make([]byte, n)}))
+	}
+	var sizes []int
+	errFull := errors.New("full")
+	f := NewFrameReader(&sent)
+	f.Admit(func(size int) error {
+		if sizes = append(sizes, size); len(sizes) == 4 {
+			return errFull
+		}
+		return nil
+	}, maxKept)
+	for range 3 {
+		require.NoError(t, f.Read(&kingcupv1.CallRequest{}))
+		require.LessOrEqual(t, cap(f.buf), maxKept)
+	}
+	require.ErrorIs(t, f.Read(&kingcupv1.CallRequest{}), errFull)
+	require.LessOrEqual(t, cap(f.buf), maxKept)
+	require.Len(t, sizes, 4)
+	require.Greater(t, sizes[3], large)
+}
