--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -71,7 +72,13 @@
 		keepLogs(t, dir)
 	}
 	require.NoError(t, err)
-	t.Logf("seed %d: %s, %d faults, %d of %d requests served, %d of %d resume attempts succeeded", seed, res.Load, len(res.FaultLog), res.Served, res.Attempts, res.Resumed, res.ResumeAttempts)
+	hostile := 0
+	for _, fault := range res.FaultLog {
+		if strings.Contains(fault, "hostile clients") {
+			hostile++
+		}
+	}
+	t.Logf("seed %d: %s, %d faults, %d of them crowds of hostile clients, %d of %d requests served, %d of %d resume attempts succeeded", seed, res.Load, len(res.FaultLog), hostile, res.Served, res.Attempts, res.Resumed, res.ResumeAttempts)
 	if len(res.Violations) == 0 {
 		require.Positive(t, res.Served)
 		return
