--- a/review/rig2/limits.go
+++ b/review/rig2/limits.go
@@ -31,11 +31,11 @@
 	}
 	r.fleet.SetLoad(fleet.Load{HeaderBytes: 16 << 10, BodyBytes: first})
 	for range 4 {
-		if _, err := r.fleet.Add(fleet.DeskService, "zone-1", fleet.Behavior{Delay: 30 * time.Millisecond}); err != nil {
+		if _, err := r.fleet.Add(fleet.DeskService, zone(0), fleet.Behavior{Delay: workTime}); err != nil {
 			return false, err
 		}
 	}
-	if err := r.addGateway(); err != nil {
+	if err := r.addGateways(1); err != nil {
 		return false, err
 	}
 	g := r.gateways[0]
--- a/review/rig2/unrouted.go
+++ b/review/rig2/unrouted.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"time"
 
 	"kingcupplank.example/kingcup/internal/standin/fleet"
 )
@@ -13,10 +12,10 @@
 // runUnrouted sends requests that no route ever matched, and looks for a success that no server gave. With trouble, their
 // target is "*" too, which asks about the whole server.
 func runUnrouted(r *rig, hasTrouble bool) (broken bool, err error) {
-	if _, err := r.fleet.Add(fleet.DeskService, "zone-1", fleet.Behavior{Delay: 30 * time.Millisecond}); err != nil {
+	if _, err := r.fleet.Add(fleet.DeskService, zone(0), fleet.Behavior{Delay: workTime}); err != nil {
 		return false, err
 	}
-	if err := r.addGateway(); err != nil {
+	if err := r.addGateways(1); err != nil {
 		return false, err
 	}
 	targets := []string{"/never-existed/a"}
