--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -14,9 +14,10 @@
 
 // cases are the cases by name. Each returns whether the rule was broken, or an error if it could not run.
 var cases = map[string]func(r *rig, hasTrouble bool) (broken bool, err error){
-	"leaving":  runLeaving,
-	"limits":   runLimits,
-	"unrouted": runUnrouted,
+	"rejoining": runRejoining,
+	"leaving":   runLeaving,
+	"limits":    runLimits,
+	"unrouted":  runUnrouted,
 }
 
 func main() { os.Exit(run()) }
