--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -16,6 +16,7 @@
 var cases = map[string]func(r *rig, hasTrouble bool) (broken bool, err error){
 	"rejoining": runRejoining,
 	"leaving":   runLeaving,
+	"harmful":   runHarmful,
 	"limits":    runLimits,
 	"unrouted":  runUnrouted,
 }
