--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -17,6 +17,7 @@
 	"rejoining": runRejoining,
 	"leaving":   runLeaving,
 	"harmful":   runHarmful,
+	"finishing": runFinishing,
 	"limits":    runLimits,
 	"unrouted":  runUnrouted,
 }
