--- a/review/rig2/rejoining.go
+++ b/review/rig2/rejoining.go
@@ -45,6 +45,8 @@
 	events   int
 	gap      bool
 	complete bool
+	// wentOn says that an event came after the stream was taken up again.
+	wentOn bool
 	// statuses are those of the tries to go on with it.
 	statuses []int
 }
@@ -131,6 +133,7 @@
 		status, retryAfter, err := g.read(context.Background(), at.callers, fleet.NextID())
 		g.statuses = append(g.statuses, status)
 		r.note("stream %s is resumed after event %d: status %d, retry after %v, %d events more, complete %t, error %v", g.first, before, status, retryAfter, g.events-before, g.complete, err)
+		g.wentOn = g.wentOn || g.events > before || g.complete
 		left := streamTimeout - time.Since(g.begun)
 		if g.complete || status != http.StatusServiceUnavailable || left <= 0 {
 			return
@@ -191,7 +194,7 @@
 		if len(g.statuses) > 0 {
 			returned++
 		}
-		if g.complete {
+		if g.wentOn {
 			wentOn++
 		}
 		if g.gap {
